--- /dev/null
+++ b/src/cmd/config.rs
@@ -0,0 +1,162 @@
+//! `petreldrum config`: reads, checks, compares and changes the configuration.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use clap::Subcommand;
+use eyre::WrapErr;
+use hyper::Method;
+
+use crate::{
+    cmd::{INVALID, REFUSED, UNKNOWN, call::Admin},
+    config::{Config, Envelope, Version},
+    gateway::admin::{AUTHOR, Change, IF_MATCH},
+};
+
+/// Read, check, compare and change the configuration.
+#[derive(Debug, clap::Args)]
+pub(super) struct Args {
+    #[command(subcommand)]
+    task: Task,
+}
+
+#[derive(Debug, Subcommand)]
+enum Task {
+    /// Check a file without any box; every fault is told at once. Exits 2 if there is one.
+    Check {
+        /// The configuration (INI).
+        file: PathBuf,
+    },
+    /// Print the configuration; its version and author go to standard error.
+    Get {
+        #[command(flatten)]
+        admin: Admin,
+    },
+    /// Show what a file would change. Exits 1 if there is a difference.
+    Diff {
+        #[command(flatten)]
+        admin: Admin,
+        /// The configuration (INI).
+        file: PathBuf,
+    },
+    /// Change the configuration. Exits 1 on a conflict, 2 on faults, 3 if the outcome is unknown.
+    Put {
+        #[command(flatten)]
+        admin: Admin,
+        /// The configuration (INI).
+        file: PathBuf,
+        /// The version the change is based on, as `config get` told it; v0 for the first.
+        #[arg(long, value_name = "VERSION")]
+        base: Version,
+        /// Who makes the change.
+        #[arg(long, env = "USER")]
+        author: String,
+    },
+}
+
+pub(super) fn run(args: Args) -> eyre::Result<ExitCode> {
+    match args.task {
+        Task::Check { file } => check(&file),
+        Task::Get { admin } => get(&admin),
+        Task::Diff { admin, file } => diff(&admin, &file),
+        Task::Put {
+            admin,
+            file,
+            base,
+            author,
+        } => put(&admin, &file, base, author),
+    }
+}
+
+fn read(file: &Path) -> eyre::Result<String> {
+    fs::read_to_string(file).wrap_err_with(|| format!("cannot read {}", file.display()))
+}
+
+fn check(file: &Path) -> eyre::Result<ExitCode> {
+    let envelope = Envelope {
+        version: Version(0),
+        write: String::new(),
+        author: String::new(),
+        text: read(file)?,
+    };
+    let config = Config::parse(&file.display().to_string(), &envelope)?;
+    println!(
+        "{}: good ({} callers, {} routes, {} models, {} backend servers, {} selectors)",
+        file.display(),
+        config.callers.len(),
+        config.routes.len(),
+        config.models.len(),
+        config.backends.len(),
+        config.selectors.len(),
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+fn fetch(admin: &Admin) -> eyre::Result<Envelope> {
+    let body = admin.call(Method::GET, "/config", &[], "")?.good()?;
+    serde_json::from_slice(&body).wrap_err("the box's answer does not read")
+}
+
+fn get(admin: &Admin) -> eyre::Result<ExitCode> {
+    let envelope = fetch(admin)?;
+    eprintln!("{} by {}", envelope.version, envelope.author);
+    print!("{}", envelope.text);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Prints the lines that only one side has, in the order of their files.
+fn diff(admin: &Admin, file: &Path) -> eyre::Result<ExitCode> {
+    let envelope = fetch(admin)?;
+    let new = read(file)?;
+    let text = similar::TextDiff::from_lines(&envelope.text, &new);
+    let mut lines = text.unified_diff();
+    let name = file.display().to_string();
+    let shown = lines
+        .header(&envelope.version.to_string(), &name)
+        .to_string();
+    print!("{shown}");
+    let code = if shown.is_empty() { 0 } else { REFUSED };
+    Ok(ExitCode::from(code))
+}
+
+fn put(admin: &Admin, file: &Path, base: Version, author: String) -> eyre::Result<ExitCode> {
+    let headers = [(IF_MATCH, base.to_string()), (AUTHOR, author)];
+    let answer = admin.call(Method::PUT, "/config", &headers, read(file)?)?;
+    let Ok(change) = serde_json::from_slice(&answer.body) else {
+        answer.good()?;
+        eyre::bail!("the box's answer does not read");
+    };
+    Ok(ExitCode::from(tell(change, file)))
+}
+
+fn tell(change: Change, file: &Path) -> u8 {
+    match change {
+        Change::Accepted { version } => {
+            println!("accepted as {version}");
+            0
+        }
+        Change::Conflict { version, author } => {
+            eprintln!("conflict: {version} by {author} stands; get it, merge, put again");
+            REFUSED
+        }
+        Change::Invalid { faults } => {
+            for fault in faults {
+                eprintln!("{}: {fault}", file.display());
+            }
+            INVALID
+        }
+        Change::Unknown { write } => {
+            eprintln!(
+                "unknown: the store did not say whether write {write} took effect; get will tell"
+            );
+            UNKNOWN
+        }
+        Change::Unavailable { reason } => {
+            eprintln!("not written: {reason}");
+            REFUSED
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,64 @@
+//! The binary's subcommands, one file each.
+
+mod call;
+mod completions;
+mod config;
+mod explain;
+mod gateway;
+mod hash;
+mod status;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+use crate::ini::Faults;
+
+/// Exit code for a conflict or an answer that is not yes.
+pub const REFUSED: u8 = 1;
+/// Exit code for wrong settings, configuration or arguments.
+pub const INVALID: u8 = 2;
+/// Exit code where the outcome is not known.
+pub const UNKNOWN: u8 = 3;
+
+/// A multi-region inference gateway.
+///
+/// Run `petreldrum gateway` on each entry box. The other commands speak to the administration
+/// listener of any one box.
+#[derive(Debug, Parser)]
+#[command(name = "petreldrum", version, propagate_version = true)]
+pub struct Command {
+    #[command(subcommand)]
+    task: Task,
+}
+
+#[derive(Debug, Subcommand)]
+enum Task {
+    Gateway(gateway::Args),
+    Config(config::Args),
+    Status(status::Args),
+    Explain(explain::Args),
+    Drain(status::DrainArgs),
+    HashKey(hash::Args),
+    Completions(completions::Args),
+}
+
+impl Command {
+    /// Runs the command and tells how it ended.
+    pub fn run(self) -> ExitCode {
+        let result = match self.task {
+            Task::Gateway(args) => gateway::run(args),
+            Task::Config(args) => config::run(args),
+            Task::Status(args) => status::run(args),
+            Task::Explain(args) => explain::run(args),
+            Task::Drain(args) => status::drain(args),
+            Task::HashKey(args) => hash::run(args),
+            Task::Completions(args) => completions::run(args),
+        };
+        result.unwrap_or_else(|error| {
+            eprintln!("petreldrum: {error:#}");
+            let invalid = error.downcast_ref::<Faults>().is_some();
+            ExitCode::from(if invalid { INVALID } else { REFUSED })
+        })
+    }
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,101 @@
+//! `petreldrum status` and `petreldrum drain`: what a box sees, and its planned stop.
+
+use std::process::ExitCode;
+
+use eyre::WrapErr;
+use hyper::Method;
+
+use crate::{cmd::call::Admin, reducer::status::Status};
+
+/// Show a box's view: boxes and versions in force, regions, backend servers and why each is used.
+#[derive(Debug, clap::Args)]
+pub(super) struct Args {
+    #[command(flatten)]
+    admin: Admin,
+    /// Print JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Begin the planned stop of a box: new callers go elsewhere, requests in flight end.
+#[derive(Debug, clap::Args)]
+pub(super) struct DrainArgs {
+    #[command(flatten)]
+    admin: Admin,
+}
+
+pub(super) fn run(args: Args) -> eyre::Result<ExitCode> {
+    let body = args.admin.call(Method::GET, "/status", &[], "")?.good()?;
+    if args.json {
+        println!("{}", String::from_utf8_lossy(&body));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let status = serde_json::from_slice(&body).wrap_err("the box's answer does not read")?;
+    print(&status);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print(status: &Status) {
+    println!(
+        "box {} in {}: {:?}, configuration {}{}",
+        status.name,
+        status.region,
+        status.phase,
+        status.version,
+        if status.watching {
+            ", watches the store"
+        } else {
+            ""
+        },
+    );
+    println!(
+        "requests {} in hand, {} waiting; {} keys remembered",
+        status.requests, status.waiting, status.keys
+    );
+    for peer in &status.boxes {
+        let lag = if peer.version < status.version {
+            "  LAGS"
+        } else {
+            ""
+        };
+        println!(
+            "  box {:16} {:12} {:10} {:?}, heard {} ago{lag}",
+            peer.name.to_string(),
+            peer.domain.to_string(),
+            peer.version.to_string(),
+            peer.phase,
+            peer.silent
+        );
+    }
+    for region in &status.regions {
+        let lag = if region.version < status.version {
+            "  LAGS"
+        } else {
+            ""
+        };
+        println!(
+            "  region {:13} {:10} {} doors, heard {} ago{lag}",
+            region.name.to_string(),
+            region.version.to_string(),
+            region.doors.len(),
+            region.silent
+        );
+    }
+    for backend in &status.backends {
+        println!(
+            "  backend {:12} {}: {}, {}/{} busy, first byte {}",
+            backend.name.to_string(),
+            if backend.used { "used" } else { "NOT used" },
+            backend.reason,
+            backend.busy,
+            backend.slots,
+            backend.first
+        );
+    }
+}
+
+pub(super) fn drain(args: DrainArgs) -> eyre::Result<ExitCode> {
+    let body = args.admin.call(Method::POST, "/drain", &[], "")?.good()?;
+    print!("{}", String::from_utf8_lossy(&body));
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,272 @@
+//! The operators' configuration: what stands where, and who may go where.
+//!
+//! It lives in the platform's store as an [`Envelope`], and every box holds the newest one it has
+//! accepted. The text is INI; [`Config::parse`] checks it whole.
+
+mod label;
+mod parse;
+mod route;
+
+use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::{
+    id::{self, Domain, Region, Service},
+    unit::{Millis, Rate},
+};
+
+pub use label::{Labels, Matcher};
+pub use route::{Ask, Plan, Refusal};
+
+/// The number of an accepted configuration; it only grows.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version(pub u64);
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "v{}", self.0)
+    }
+}
+
+impl FromStr for Version {
+    type Err = std::num::ParseIntError;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        text.strip_prefix('v').unwrap_or(text).parse().map(Self)
+    }
+}
+
+/// A configuration as it stands in the store and as boxes pass it on (JSON).
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The number of this configuration.
+    pub version: Version,
+    /// A random mark of the write, by which a writer knows its own.
+    pub write: String,
+    /// Who changed it.
+    pub author: String,
+    /// The INI text.
+    pub text: String,
+}
+
+/// The SHA-256 of an API key; the key itself is never kept.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyHash([u8; 32]);
+
+impl KeyHash {
+    /// Hashes the key that a caller sent.
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self}")
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+impl FromStr for KeyHash {
+    type Err = &'static str;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const WANT: &str = "expected 64 hexadecimal digits";
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(WANT);
+        }
+        let mut bytes = [0; 32];
+        for (byte, pair) in bytes.iter_mut().zip(text.as_bytes().chunks(2)) {
+            let pair = str::from_utf8(pair).map_err(|_| WANT)?;
+            *byte = u8::from_str_radix(pair, 16).map_err(|_| WANT)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+/// What the deployment weighs when a request might leave home.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Milliseconds of expected delay that one unit of a backend server's price is worth.
+    pub cost: f64,
+    /// Milliseconds of expected delay that staying at home is worth.
+    pub away: f64,
+    /// Weight of expected delay itself.
+    pub tail: f64,
+}
+
+/// A region and how it is reached.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionEntry {
+    /// Round trip from any other region.
+    pub hop: Millis,
+}
+
+/// A caller.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Caller {
+    /// Its name.
+    pub name: id::Caller,
+    /// The hash of its API key.
+    pub key: KeyHash,
+    /// Its labels, for selectors.
+    pub labels: Labels,
+    /// The region it calls home.
+    pub home: Option<Region>,
+    /// The regions its requests may run in; empty permits all.
+    pub regions: Vec<Region>,
+    /// Requests a second in one region.
+    pub rate: Rate,
+}
+
+/// How a route's requests are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// OpenAI-style: the body names the model.
+    Model,
+    /// Any service: the route is the service.
+    Application,
+}
+
+impl FromStr for Kind {
+    type Err = &'static str;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "model" => Ok(Self::Model),
+            "application" => Ok(Self::Application),
+            _ => Err("expected model or application"),
+        }
+    }
+}
+
+/// A route: the paths below a prefix.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, which is the service of an application route.
+    pub name: Service,
+    /// The path prefix, such as `/booking`.
+    pub prefix: String,
+    /// How its requests are read.
+    pub kind: Kind,
+    /// Whether its requests may run twice.
+    pub repeatable: bool,
+    /// Its labels, for selectors.
+    pub labels: Labels,
+    /// The regions its requests may run in; empty permits all.
+    pub regions: Vec<Region>,
+    /// How long an answer may take to begin, where the caller does not say.
+    pub deadline: Millis,
+}
+
+/// A model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Its name as callers write it.
+    pub name: Service,
+    /// Its labels, for selectors.
+    pub labels: Labels,
+    /// The regions it may run in; empty permits all.
+    pub regions: Vec<Region>,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Backend {
+    /// Its name.
+    pub name: id::Backend,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The region it stands in.
+    pub region: Region,
+    /// The failure domain it stands in.
+    pub domain: Domain,
+    /// The models or application routes it serves.
+    pub serves: Vec<Service>,
+    /// Its labels, for selectors.
+    pub labels: Labels,
+    /// Requests it takes at once.
+    pub slots: u32,
+    /// Price of one request, in the deployment's unit.
+    pub price: f64,
+    /// Whether it is leaving: it gets no new work.
+    pub leaving: bool,
+    /// An answer with this header means that the request did not run there.
+    pub refusal_header: Option<String>,
+}
+
+/// One line of who may go where; the first that matches decides.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Selector {
+    /// Its name.
+    pub name: id::Selector,
+    /// Which callers it speaks of.
+    pub callers: Matcher,
+    /// Which routes it speaks of.
+    pub routes: Matcher,
+    /// Which models it speaks of; a route without a model matches only an empty matcher.
+    pub models: Matcher,
+    /// Which backend servers may take the request.
+    pub backends: Matcher,
+    /// The regions its requests may run in; empty permits all.
+    pub regions: Vec<Region>,
+    /// Whether the request must stay in the caller's home region.
+    pub home_only: bool,
+}
+
+/// A checked configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Its number.
+    pub version: Version,
+    /// The mark of the write that brought it.
+    pub write: String,
+    /// What the deployment weighs.
+    pub weights: Weights,
+    /// The regions.
+    pub regions: HashMap<Region, RegionEntry>,
+    /// The callers.
+    pub callers: HashMap<id::Caller, Caller>,
+    /// The routes, longest prefix first.
+    pub routes: Vec<Route>,
+    /// The models.
+    pub models: HashMap<Service, Model>,
+    /// The backend servers.
+    pub backends: HashMap<id::Backend, Backend>,
+    /// The selectors, in order.
+    pub selectors: Vec<Selector>,
+    keys: HashMap<KeyHash, id::Caller>,
+    services: HashMap<Service, Vec<id::Backend>>,
+}
+
+impl Config {
+    /// Finds the caller whose key hashes to `hash`.
+    pub fn caller(&self, hash: &KeyHash) -> Option<&Caller> {
+        let (known, name) = self.keys.get_key_value(hash)?;
+        if !bool::from(known.0.ct_eq(&hash.0)) {
+            return None;
+        }
+        self.callers.get(name)
+    }
+
+    /// The backend servers that serve `service`, in the order of their names.
+    pub fn serving(&self, service: &Service) -> impl Iterator<Item = &Backend> {
+        let names = self.services.get(service).map_or(&[][..], Vec::as_slice);
+        names.iter().filter_map(|name| self.backends.get(name))
+    }
+
+    /// The round trip from `from` to `to`; zero at home.
+    pub fn hop(&self, from: &Region, to: &Region) -> Millis {
+        if from == to {
+            return Millis(0);
+        }
+        self.regions.get(to).map_or(Millis(0), |r| r.hop)
+    }
+}
--- /dev/null
+++ b/src/gateway/body.rs
@@ -0,0 +1,197 @@
+//! Bodies of answers: whole ones, and streams that tell the reducer how they ended.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{
+    Response,
+    body::{Body as HttpBody, Frame, Incoming, SizeHint},
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, Sleep, sleep},
+};
+
+use crate::{
+    gateway::{core::Handle, dial::Lease, trace::Span},
+    id,
+    reducer::event::Event,
+};
+
+/// A stream without a byte for this long is cut.
+pub(crate) const STALL: Duration = Duration::from_secs(60);
+
+/// The answer ended before it was whole; hyper then closes the connection without its last chunk.
+#[derive(Debug)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer was cut short")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+/// The body of an answer to a caller.
+pub enum Body {
+    /// All of it is at hand.
+    Whole(Option<Bytes>),
+    /// It comes from the place that runs the request.
+    Stream(Box<Stream>),
+    /// It comes from a task that also keeps it.
+    Kept(mpsc::Receiver<Result<Bytes, Cut>>),
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let next = match &mut *self {
+            Self::Whole(bytes) => bytes.take().map(Ok),
+            Self::Stream(stream) => ready!(stream.poll_next(cx)),
+            Self::Kept(receiver) => ready!(receiver.poll_recv(cx)),
+        };
+        Poll::Ready(next.map(|result| result.map(Frame::data)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(Some(bytes)) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Whole(None) => SizeHint::with_exact(0),
+            Self::Stream(_) | Self::Kept(_) => SizeHint::default(),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+}
+
+/// Whether the end of `response`'s body can be told from a cut.
+pub(crate) fn is_framed<B: HttpBody>(response: &Response<B>) -> bool {
+    let headers = response.headers();
+    headers.contains_key(CONTENT_LENGTH)
+        || headers.contains_key(TRANSFER_ENCODING)
+        || response.body().is_end_stream()
+}
+
+/// The attempt that brings an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Source {
+    pub(crate) request: id::Request,
+    pub(crate) attempt: id::Attempt,
+}
+
+/// A step of a body.
+pub(crate) enum Piece {
+    /// Some bytes.
+    Data(Bytes),
+    /// The whole end.
+    End,
+    /// An end before the whole.
+    Cut,
+}
+
+/// A body on its way through; its end, or its drop, is told to the reducer once.
+pub struct Stream {
+    incoming: Incoming,
+    lease: Option<Lease>,
+    core: Handle,
+    source: Source,
+    framed: bool,
+    stall: Pin<Box<Sleep>>,
+    done: bool,
+    _span: Span,
+}
+
+impl Stream {
+    pub(crate) fn new(
+        response: Response<Incoming>,
+        lease: Lease,
+        core: Handle,
+        source: Source,
+        span: Span,
+    ) -> Self {
+        Self {
+            framed: is_framed(&response),
+            incoming: response.into_body(),
+            lease: Some(lease),
+            core,
+            source,
+            stall: Box::pin(sleep(STALL)),
+            done: false,
+            _span: span,
+        }
+    }
+
+    /// Tells the reducer how the answer ended; a whole one leaves its connection for others.
+    pub(crate) fn end(&mut self, whole: bool) {
+        self.done = true;
+        if let Some(lease) = self.lease.take().filter(|_| whole) {
+            lease.give_back();
+        }
+        let Source { request, attempt } = self.source;
+        self.core.tell(Event::Ended {
+            request,
+            attempt,
+            whole,
+        });
+    }
+
+    /// The next piece; the one who reads it calls [`Stream::end`] at the end.
+    pub(crate) fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
+        loop {
+            match Pin::new(&mut self.incoming).poll_frame(cx) {
+                Poll::Pending => {
+                    ready!(self.stall.as_mut().poll(cx));
+                    return Poll::Ready(Piece::Cut);
+                }
+                Poll::Ready(Some(Ok(frame))) => {
+                    self.stall.as_mut().reset(Instant::now() + STALL);
+                    if let Ok(bytes) = frame.into_data() {
+                        return Poll::Ready(Piece::Data(bytes));
+                    }
+                }
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Piece::Cut),
+                Poll::Ready(None) if self.framed => return Poll::Ready(Piece::End),
+                Poll::Ready(None) => return Poll::Ready(Piece::Cut),
+            }
+        }
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        if self.done {
+            return Poll::Ready(None);
+        }
+        let next = match ready!(self.poll_piece(cx)) {
+            Piece::Data(bytes) => Some(Ok(bytes)),
+            Piece::End => {
+                self.end(true);
+                None
+            }
+            Piece::Cut => {
+                self.end(false);
+                Some(Err(Cut))
+            }
+        };
+        Poll::Ready(next)
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if !self.done {
+            self.core.tell(Event::Gone(self.source.request));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/core.rs
@@ -0,0 +1,311 @@
+//! The actor that owns the reducer: events go in, and its effects are carried out from here.
+
+use std::{collections::HashMap, sync::Arc};
+
+use kameo::{
+    Actor, Reply as ActorReply,
+    actor::{ActorRef, Spawn},
+    mailbox,
+    message::{Context, Message},
+};
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    config::{Ask, Config, Envelope, Version},
+    gateway::{clock::Clock, dial::Pool, follow, gossip::Links, metrics::Metrics, replay::Replay},
+    id,
+    policy::Balanced,
+    reducer::{
+        Identity, State,
+        effect::{Effect, Entry, Reply, Send as SendOrder},
+        event::{Event, Source},
+        status::{Explanation, Status},
+    },
+    settings::Secret,
+    wire::Phase,
+};
+
+/// What a request's task is told by the reducer.
+#[derive(Debug)]
+pub(crate) enum Order {
+    /// Try the request.
+    Send(SendOrder),
+    /// Give the attempt up.
+    Abort,
+    /// Answer with this.
+    Reply(Reply),
+    /// Answer with the kept answer of another request.
+    Replay(id::Request),
+    /// Answer with these boxes.
+    Boxes(Vec<Entry>),
+}
+
+/// The configuration in force, as others fetch it.
+#[derive(Clone, Debug)]
+pub struct Current {
+    /// As it was accepted.
+    pub envelope: Arc<Envelope>,
+    /// Checked.
+    pub config: Arc<Config>,
+}
+
+/// What the actor needs besides the reducer.
+pub(crate) struct Parts {
+    pub(crate) clock: Clock,
+    pub(crate) links: Links,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) secret: Secret,
+    pub(crate) replay: Arc<Replay>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) duty: watch::Sender<bool>,
+    pub(crate) current: watch::Sender<Option<Current>>,
+    pub(crate) identity: Identity,
+}
+
+/// The actor.
+#[derive(Actor)]
+pub(crate) struct Core {
+    state: State<Balanced>,
+    parts: Parts,
+    orders: HashMap<id::Request, mpsc::UnboundedSender<Order>>,
+    offered: Option<Current>,
+    handle: Option<Handle>,
+}
+
+/// An event, with the way back for a request that it opens.
+struct Input {
+    event: Event,
+    orders: Option<mpsc::UnboundedSender<Order>>,
+}
+
+struct Offer {
+    current: Current,
+    source: Source,
+}
+
+struct StatusQuery;
+
+#[derive(ActorReply)]
+struct StatusAnswer(Status);
+
+struct ExplainQuery {
+    ask: Ask,
+    prefix: u64,
+}
+
+#[derive(ActorReply)]
+struct ExplainAnswer(Result<Explanation, String>);
+
+struct Introduce(Handle);
+
+/// A way to the actor; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct Handle(ActorRef<Core>);
+
+impl Handle {
+    /// Starts the actor.
+    pub(crate) async fn start(parts: Parts) -> Self {
+        let core = Core {
+            state: State::new(parts.identity.clone(), Balanced),
+            parts,
+            orders: HashMap::new(),
+            offered: None,
+            handle: None,
+        };
+        let handle = Self(Core::spawn_with_mailbox(core, mailbox::unbounded()));
+        handle.push(Introduce(handle.clone()));
+        handle
+    }
+
+    fn push<M: Send + 'static>(&self, message: M)
+    where
+        Core: Message<M>,
+    {
+        // The actor lives as long as the process; a failure means that the process ends.
+        if self.0.tell(message).try_send().is_err() {
+            log::trace!("core: gone");
+        }
+    }
+
+    /// Tells of an event.
+    pub(crate) fn tell(&self, event: Event) {
+        self.push(Input {
+            event,
+            orders: None,
+        });
+    }
+
+    /// Tells of an event that opens a request, whose orders come back.
+    pub(crate) fn open(&self, event: Event) -> mpsc::UnboundedReceiver<Order> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.push(Input {
+            event,
+            orders: Some(sender),
+        });
+        receiver
+    }
+
+    /// Brings a checked configuration.
+    pub(crate) fn offer(&self, envelope: Arc<Envelope>, config: Arc<Config>, source: Source) {
+        let current = Current { envelope, config };
+        self.push(Offer { current, source });
+    }
+
+    /// Tells of a configuration that does not check.
+    pub(crate) fn unreadable(&self, version: Version) {
+        self.tell(Event::Unreadable(version));
+    }
+
+    /// This box's view.
+    pub(crate) async fn status(&self) -> Option<Status> {
+        self.0.ask(StatusQuery).await.ok().map(|answer| answer.0)
+    }
+
+    /// Where a request would go.
+    pub(crate) async fn explain(
+        &self,
+        ask: Ask,
+        prefix: u64,
+    ) -> Option<Result<Explanation, String>> {
+        let answer = self.0.ask(ExplainQuery { ask, prefix }).await;
+        answer.ok().map(|answer| answer.0)
+    }
+}
+
+impl Message<Introduce> for Core {
+    type Reply = ();
+    async fn handle(&mut self, message: Introduce, _: &mut Context<Self, ()>) {
+        self.handle = Some(message.0);
+    }
+}
+
+impl Message<Input> for Core {
+    type Reply = ();
+    async fn handle(&mut self, input: Input, _: &mut Context<Self, ()>) {
+        let opened = match &input.event {
+            Event::Arrived(arrival) => Some(arrival.request),
+            Event::Asked { request, .. } => Some(*request),
+            _ => None,
+        };
+        if let Some((request, orders)) = opened.zip(input.orders) {
+            self.orders.insert(request, orders);
+        }
+        let closed = match &input.event {
+            Event::Gone(request) | Event::Ended { request, .. } => Some(*request),
+            _ => None,
+        };
+        self.step(input.event);
+        if let Some(request) = closed.filter(|r| !self.state.holds(*r)) {
+            self.orders.remove(&request);
+        }
+    }
+}
+
+impl Message<Offer> for Core {
+    type Reply = ();
+    async fn handle(&mut self, offer: Offer, _: &mut Context<Self, ()>) {
+        let config = offer.current.config.clone();
+        self.offered = Some(offer.current);
+        self.step(Event::Offered {
+            config,
+            source: offer.source,
+        });
+        self.offered = None;
+    }
+}
+
+impl Message<StatusQuery> for Core {
+    type Reply = StatusAnswer;
+    async fn handle(&mut self, _: StatusQuery, _: &mut Context<Self, Self::Reply>) -> StatusAnswer {
+        StatusAnswer(self.state.status(self.parts.clock.now()))
+    }
+}
+
+impl Message<ExplainQuery> for Core {
+    type Reply = ExplainAnswer;
+    async fn handle(
+        &mut self,
+        query: ExplainQuery,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> Self::Reply {
+        let now = self.parts.clock.now();
+        ExplainAnswer(self.state.explain(now, query.ask, query.prefix))
+    }
+}
+
+impl Core {
+    fn step(&mut self, event: Event) {
+        let ticked = matches!(event, Event::Tick);
+        let effects = self.state.step(self.parts.clock.now(), event);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        if ticked {
+            self.gauge();
+        }
+    }
+
+    fn gauge(&self) {
+        let metrics = &self.parts.metrics;
+        let ready = self.state.phase(self.parts.clock.now()) == Phase::Ready;
+        metrics.ready.set(i64::from(ready));
+        metrics.in_hand.set(self.state.busy() as i64);
+        metrics.waiting.set(self.state.waiting() as i64);
+        metrics.keys.set(self.state.keys() as i64);
+        metrics.version.set(self.state.version().0 as i64);
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send(send) => self.order(send.request, Order::Send(send)),
+            Effect::Abort { request, .. } => self.order(request, Order::Abort),
+            Effect::Reply { request, reply } => self.last_order(request, Order::Reply(reply)),
+            Effect::Replay { request, answer } => self.last_order(request, Order::Replay(answer)),
+            Effect::Boxes { request, boxes } => self.last_order(request, Order::Boxes(boxes)),
+            Effect::Forget(answer) => self.parts.replay.forget(answer),
+            Effect::Gossip { to, frame } => self.parts.links.send(to, &frame),
+            Effect::Fetch { peer, version } => self.fetch(peer, version),
+            Effect::Watch(on) => {
+                log::info!(
+                    "core: {} the store.",
+                    if on { "watching" } else { "not watching" }
+                );
+                self.parts.duty.send_replace(on);
+            }
+            Effect::Adopted(version) => {
+                log::info!("core: configuration {version} is in force.");
+                self.parts.metrics.version.set(version.0 as i64);
+                self.parts.current.send_replace(self.offered.clone());
+            }
+            Effect::Alarm(alarm) => {
+                log::error!("core: alarm: {alarm}.");
+                self.parts.metrics.alarms.inc();
+            }
+        }
+    }
+
+    fn order(&mut self, request: id::Request, order: Order) {
+        if let Some(orders) = self.orders.get(&request) {
+            // A closed channel means that the request's task ended; its drop tells the reducer.
+            let _ = orders.send(order);
+        }
+    }
+
+    fn last_order(&mut self, request: id::Request, order: Order) {
+        self.order(request, order);
+        self.orders.remove(&request);
+    }
+
+    fn fetch(&self, peer: std::net::SocketAddr, version: Version) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        let (pool, secret) = (self.parts.pool.clone(), self.parts.secret.clone());
+        tokio::spawn(async move {
+            match follow::fetch(&pool, peer, &secret).await {
+                Ok(envelope) => follow::offer(&handle, envelope, Source::Peer),
+                Err(error) => log::warn!("config: {version}: {error:#}"),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,113 @@
+//! Brings the newest configuration to the reducer: from the store, or from another box.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use eyre::{WrapErr, bail, eyre};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::Request;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    config::{Config, Envelope},
+    gateway::{core::Handle, dial::Pool, head, store::Store},
+    reducer::event::Source,
+    settings::Secret,
+};
+
+/// A watch that brought nothing for this long is checked by a read.
+const RECHECK: Duration = Duration::from_secs(10);
+/// Wait after a failure, before jitter.
+const BACKOFF: Duration = Duration::from_millis(1000);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest configuration taken from another box, in bytes.
+const MAX_CONFIG: usize = 2 << 20;
+
+/// Checks `envelope` and tells `core`.
+pub(crate) fn offer(core: &Handle, envelope: Envelope, source: Source) {
+    let version = envelope.version;
+    match Config::parse(&format!("configuration {version}"), &envelope) {
+        Ok(config) => core.offer(Arc::new(envelope), Arc::new(config), source),
+        Err(faults) => {
+            log::error!("config: {version} does not check:\n{faults}");
+            core.unreadable(version);
+        }
+    }
+}
+
+/// Watches the store while `duty` says so.
+pub(crate) async fn run(store: Store, core: Handle, mut duty: watch::Receiver<bool>) {
+    loop {
+        if duty.wait_for(|on| *on).await.is_err() {
+            return;
+        }
+        tokio::select! {
+            error = watch_once(&store, &core) => log::warn!("store: {error:#}"),
+            off = duty.wait_for(|on| !*on) => match off {
+                Ok(_) => continue,
+                Err(_) => return,
+            },
+        }
+        let jitter = rand::random_range(0.5..1.5);
+        sleep(BACKOFF.mul_f64(jitter)).await;
+    }
+}
+
+/// Reads, then watches, until something fails.
+async fn watch_once(store: &Store, core: &Handle) -> eyre::Report {
+    loop {
+        let stored = match store.read().await {
+            Ok(stored) => stored,
+            Err(error) => return error,
+        };
+        if let Some(envelope) = stored.envelope {
+            offer(core, envelope, Source::Store);
+        }
+        let mut watch = match store.watch(stored.revision).await {
+            Ok(watch) => watch,
+            Err(error) => return error,
+        };
+        loop {
+            match timeout(RECHECK, watch.next()).await {
+                Err(_) => break,
+                Ok(Err(error)) => return error,
+                Ok(Ok(stored)) => {
+                    if let Some(envelope) = stored.envelope {
+                        offer(core, envelope, Source::Store);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Fetches the configuration that the box at `peer` has in force.
+pub(crate) async fn fetch(
+    pool: &Arc<Pool>,
+    peer: SocketAddr,
+    secret: &Secret,
+) -> eyre::Result<Envelope> {
+    let request = Request::get(head::CONFIG_PATH)
+        .header("host", peer.to_string())
+        .header(head::SECRET, secret.expose())
+        .body(Full::default())?;
+    let exchange = async {
+        let sent = pool.send(peer, request, false).await;
+        let (response, lease) = sent.map_err(|f| eyre!("{f:?}"))?;
+        if !response.status().is_success() {
+            bail!("status {}", response.status());
+        }
+        let body = Limited::new(response.into_body(), MAX_CONFIG)
+            .collect()
+            .await;
+        let bytes = body.map_err(|e| eyre!("{e}"))?.to_bytes();
+        lease.give_back();
+        serde_json::from_slice(&bytes).wrap_err("it does not read")
+    };
+    let fetched = timeout(FETCH_TIMEOUT, exchange).await;
+    fetched
+        .unwrap_or_else(|_| Err(eyre!("no answer in time")))
+        .wrap_err_with(|| format!("cannot fetch the configuration from {peer}"))
+}
--- /dev/null
+++ b/src/gateway/gossip.rs
@@ -0,0 +1,141 @@
+//! Messages between boxes over nng: one PULL listener, one PUSH link an addressee.
+//!
+//! A link holds few messages and drops what does not fit; a silent addressee never holds up the
+//! others. nng does not go on dialling an absent peer, so the link does, with backoff.
+
+use std::{collections::HashMap, ffi::CString, io::Write as _, net::SocketAddr, time::Duration};
+
+use anng::{Message, Socket, pipes::TcpOptions, protocols::pipeline0};
+use eyre::WrapErr;
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    gateway::{core::Handle, metrics::Metrics},
+    reducer::event::Event,
+    settings::Secret,
+    wire::Frame,
+};
+
+/// Messages that wait for one addressee.
+const BACKLOG: usize = 16;
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+const DIAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Wait before the first further dial, and the longest.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// A link without a message for this long is taken down.
+const IDLE: Duration = Duration::from_secs(60);
+
+fn url(address: SocketAddr) -> CString {
+    CString::new(format!("tcp://{address}")).expect("an address holds no NUL")
+}
+
+/// The listener for messages.
+pub(crate) struct Listener {
+    socket: Socket<pipeline0::Pull0>,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+}
+
+/// Binds `address`.
+pub(crate) async fn bind(address: SocketAddr) -> eyre::Result<Listener> {
+    let socket = pipeline0::Pull0::socket().wrap_err("cannot make an nng socket")?;
+    let bound = socket.listen_tcp(address, &TcpOptions::default()).await;
+    let bound = bound.and_then(|listener| listener.local_addr());
+    let address = bound.wrap_err_with(|| format!("cannot listen for gossip on {address}"))?;
+    Ok(Listener { socket, address })
+}
+
+/// Tells `core` of every frame with a right signature.
+pub(crate) fn listen(
+    listener: Listener,
+    secret: Secret,
+    core: Handle,
+    metrics: std::sync::Arc<Metrics>,
+) {
+    let mut socket = listener.socket;
+    tokio::spawn(async move {
+        let received = metrics.gossip.with_label_values(&["received"]);
+        loop {
+            let message = match socket.pull().await {
+                Ok(message) => message,
+                Err(error) => {
+                    log::warn!("gossip: receive: {error:?}");
+                    sleep(BACKOFF.0).await;
+                    continue;
+                }
+            };
+            received.inc_by(message.len() as u64);
+            match Frame::decode(&secret, message.as_slice()) {
+                Ok(frame) => core.tell(Event::Heard(frame)),
+                Err(error) => log::debug!("gossip: dropped a message: {error}"),
+            }
+        }
+    });
+}
+
+/// The outgoing links of one box.
+pub(crate) struct Links {
+    secret: Secret,
+    metrics: std::sync::Arc<Metrics>,
+    open: HashMap<SocketAddr, mpsc::Sender<Vec<u8>>>,
+}
+
+impl Links {
+    pub(crate) fn new(secret: Secret, metrics: std::sync::Arc<Metrics>) -> Self {
+        Self {
+            secret,
+            metrics,
+            open: HashMap::new(),
+        }
+    }
+
+    /// Sends `frame` to `to`, or drops it where the addressee is slow.
+    pub(crate) fn send(&mut self, to: SocketAddr, frame: &Frame) {
+        let bytes = frame.encode(&self.secret);
+        let sent = self.metrics.gossip.with_label_values(&["sent"]);
+        sent.inc_by(bytes.len() as u64);
+        self.open.retain(|_, link| !link.is_closed());
+        let link = self.open.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(BACKLOG);
+            tokio::spawn(run(to, receiver));
+            sender
+        });
+        if link.try_send(bytes).is_err() {
+            log::trace!("gossip: {to} is slow, dropped a message");
+        }
+    }
+}
+
+async fn run(to: SocketAddr, mut messages: mpsc::Receiver<Vec<u8>>) {
+    let mut backoff = BACKOFF.0;
+    let url = url(to);
+    loop {
+        let dialled = timeout(DIAL_TIMEOUT, pipeline0::Push0::dial(url.as_c_str())).await;
+        let Ok(Ok(mut socket)) = dialled else {
+            sleep(backoff).await;
+            backoff = (backoff * 2).min(BACKOFF.1);
+            if messages.is_closed() {
+                return;
+            }
+            continue;
+        };
+        backoff = BACKOFF.0;
+        loop {
+            let Ok(Some(bytes)) = timeout(IDLE, messages.recv()).await else {
+                return;
+            };
+            let mut message = Message::with_capacity(bytes.len());
+            if message.write_all(&bytes).is_err() {
+                continue;
+            }
+            let pushed = timeout(SEND_TIMEOUT, socket.push(message)).await;
+            if !matches!(pushed, Ok(Ok(()))) {
+                log::debug!("gossip: {to} does not read; dialling again");
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/head.rs
@@ -0,0 +1,168 @@
+//! Request and response heads: our header names, and what may not pass through.
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    header::{
+        AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue,
+        RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+use serde_json::json;
+
+use crate::{gateway::body::Body, reducer::effect::Reply, unit::Millis, verdict::Verdict};
+
+/// Whether the request may have run; on every answer.
+pub const VERDICT: &str = "petreldrum-verdict";
+/// Milliseconds left until the answer must have begun.
+pub const LEFT: &str = "petreldrum-deadline-ms";
+/// The box that answered.
+pub const BOX: &str = "petreldrum-box";
+/// The region whose backend server answered.
+pub const REGION: &str = "petreldrum-region";
+/// A fresh key prefix.
+pub const KEY_PREFIX: &str = "petreldrum-key-prefix";
+/// Between boxes: the shared secret.
+pub const SECRET: &str = "petreldrum-secret";
+/// Between boxes: how the request goes, [`HOP_RELAY`] or [`HOP_PASS`].
+pub const HOP: &str = "petreldrum-hop";
+/// Between boxes: the region that sends.
+pub const FROM: &str = "petreldrum-from";
+/// Between boxes: the caller whose key was checked.
+pub const CALLER: &str = "petreldrum-caller";
+/// A request sent by the region that its caller reached.
+pub const HOP_RELAY: &str = "relay";
+/// A request sent to the box that its key names.
+pub const HOP_PASS: &str = "pass";
+/// The key of a request that may not be repeated.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Another header for the API key.
+pub const API_KEY: &str = "x-api-key";
+/// Where a box gives its configuration to others.
+pub const CONFIG_PATH: &str = "/petreldrum/config";
+
+const OWN: &str = "petreldrum-";
+const HOP_BY_HOP: [HeaderName; 5] = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+const HOP_BY_HOP_OLD: [&str; 3] = ["keep-alive", "proxy-connection", "proxy-authorization"];
+
+/// Takes out what belongs to one connection, and our own headers.
+fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|list| list.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(OWN))
+        .cloned()
+        .collect();
+    for name in named.iter().chain(&own).chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_OLD {
+        headers.remove(name);
+    }
+}
+
+/// What of a caller's head goes on: neither its API key nor its connection.
+pub(crate) fn request(mut headers: HeaderMap) -> HeaderMap {
+    strip(&mut headers);
+    for name in [AUTHORIZATION, CONTENT_LENGTH, HOST] {
+        headers.remove(name);
+    }
+    headers.remove(API_KEY);
+    headers.remove("expect");
+    headers
+}
+
+/// What of a place's head goes back to the caller.
+pub(crate) fn response(mut headers: HeaderMap) -> HeaderMap {
+    strip(&mut headers);
+    headers
+}
+
+/// The API key that `headers` bring.
+pub(crate) fn api_key(headers: &HeaderMap) -> Option<&[u8]> {
+    if let Some(value) = headers.get(API_KEY) {
+        return Some(value.as_bytes());
+    }
+    bearer(headers)
+}
+
+/// The bearer token that `headers` bring.
+pub(crate) fn bearer(headers: &HeaderMap) -> Option<&[u8]> {
+    let value = headers.get(AUTHORIZATION)?.as_bytes();
+    let (scheme, token) = value.split_at_checked("Bearer ".len())?;
+    scheme.eq_ignore_ascii_case(b"Bearer ").then_some(token)
+}
+
+/// The time left that `headers` name; an unreadable one counts as absent.
+pub(crate) fn left(headers: &HeaderMap) -> Option<Millis> {
+    headers.get(LEFT)?.to_str().ok()?.parse().ok().map(Millis)
+}
+
+/// The verdict that another box gave.
+pub(crate) fn verdict(headers: &HeaderMap) -> Option<Verdict> {
+    headers.get(VERDICT)?.to_str().ok()?.parse().ok()
+}
+
+/// A header value of our own making; odd bytes cannot occur in names and numbers.
+pub(crate) fn value(text: impl std::fmt::Display) -> HeaderValue {
+    HeaderValue::from_str(&text.to_string()).unwrap_or_else(|_| HeaderValue::from_static("?"))
+}
+
+fn title(status: StatusCode) -> &'static str {
+    status.canonical_reason().unwrap_or("error")
+}
+
+/// Writes `reply` as problem+json; `key_prefix` goes with it where one is offered.
+pub(crate) fn problem(reply: &Reply, key_prefix: Option<&str>) -> Response<Body> {
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut content = json!({
+        "type": "about:blank",
+        "title": title(status),
+        "status": status.as_u16(),
+        "detail": reply.reason,
+        "verdict": reply.verdict,
+    });
+    if let Some(prefix) = key_prefix {
+        content["key_prefix"] = json!(prefix);
+    }
+    let mut response = whole(status, "application/problem+json", content.to_string());
+    let headers = response.headers_mut();
+    headers.insert(VERDICT, value(reply.verdict));
+    if let Some(wait) = reply.retry_after {
+        headers.insert(RETRY_AFTER, value(wait.retry_seconds()));
+    }
+    if let Some(prefix) = key_prefix {
+        headers.insert(KEY_PREFIX, value(prefix));
+    }
+    response
+}
+
+/// An answer that is all at hand.
+pub(crate) fn whole(
+    status: StatusCode,
+    content_type: &'static str,
+    content: impl Into<Bytes>,
+) -> Response<Body> {
+    let mut response = Response::new(Body::Whole(Some(content.into())));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
+
+/// A JSON answer.
+pub(crate) fn json_answer(status: StatusCode, content: &impl serde::Serialize) -> Response<Body> {
+    match serde_json::to_vec(content) {
+        Ok(bytes) => whole(status, "application/json", bytes),
+        Err(error) => {
+            log::error!("http: cannot write an answer: {error}");
+            whole(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "")
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,375 @@
+//! The long-running process on a box: sockets, clocks and tasks around the reducer.
+//!
+//! | module | job |
+//! |---|---|
+//! | `core` | the actor that owns the reducer and carries out its effects |
+//! | `exchange` | one request and its answer |
+//! | `serve`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
+//! | `gossip` | nng between boxes |
+//! | `store`, `follow`, `list` | the platform |
+//! | [`admin`] | the operators' interface |
+//! | `metrics`, `trace`, `clock`, `replay` | what these need |
+
+pub mod admin;
+mod body;
+mod clock;
+mod core;
+mod dial;
+mod exchange;
+mod follow;
+mod gossip;
+mod head;
+mod list;
+mod metrics;
+mod replay;
+mod serve;
+mod store;
+mod trace;
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use hyper::{Response, StatusCode};
+use subtle::ConstantTimeEq;
+use tokio::{
+    sync::{Semaphore, watch},
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use crate::{
+    config::Version,
+    id,
+    pin::{self, Pin},
+    reducer::{
+        Identity, TICK,
+        effect::Reply,
+        event::{Credential, Event},
+    },
+    settings::Settings,
+    verdict::Verdict,
+    wire::{Contact, Phase},
+};
+
+use self::{
+    body::Body,
+    clock::Clock,
+    core::{Current, Handle, Parts},
+    dial::Pool,
+    metrics::Metrics,
+    replay::Replay,
+    store::Store,
+    trace::Tracer,
+};
+
+pub use self::head::{IDEMPOTENCY_KEY, KEY_PREFIX, LEFT, REGION, VERDICT};
+
+/// How often a box that stops looks whether its work is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// What all tasks of one box share.
+pub(crate) struct Shell {
+    settings: Settings,
+    identity: Identity,
+    clock: Clock,
+    core: Handle,
+    pool: Arc<Pool>,
+    store: Store,
+    replay: Arc<Replay>,
+    metrics: Arc<Metrics>,
+    tracer: Tracer,
+    current: watch::Receiver<Option<Current>>,
+    bodies: Arc<Semaphore>,
+    requests: AtomicU64,
+    stop: watch::Sender<bool>,
+}
+
+impl Shell {
+    fn next_request(&self) -> id::Request {
+        id::Request(self.requests.fetch_add(1, Ordering::Relaxed))
+    }
+
+    fn is_secret(&self, secret: &[u8]) -> bool {
+        self.settings.cluster_secret.as_bytes().ct_eq(secret).into()
+    }
+
+    fn is_admin(&self, token: &[u8]) -> bool {
+        self.settings.admin_token.as_bytes().ct_eq(token).into()
+    }
+
+    /// Refuses a stranger before its body is read; the reducer decides again.
+    fn known(&self, credential: &Credential) -> Result<(), Reply> {
+        let current = self.current.borrow();
+        let Some(current) = current.as_ref() else {
+            let wait = crate::unit::Millis(1000);
+            return Err(Reply::new(503, Verdict::NotRun, "this box is not ready").after(wait));
+        };
+        match credential {
+            Credential::Key(hash) if current.config.caller(hash).is_some() => Ok(()),
+            _ => Err(Reply::new(401, Verdict::NotRun, "the API key is unknown")),
+        }
+    }
+
+    /// A fresh pin that names this box.
+    fn own_pin(&self) -> Pin {
+        Pin {
+            peer: self.identity.contact.peer,
+            incarnation: self.identity.incarnation,
+            expiry: self.clock.now() + pin::LIFE,
+        }
+    }
+
+    async fn readiness(&self) -> Response<Body> {
+        let status = self.core.status().await;
+        let ready = status.as_ref().is_some_and(|s| s.phase == Phase::Ready);
+        let code = if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        let version = status.map_or(Version(0), |s| s.version);
+        let content = serde_json::json!({ "ready": ready, "version": version });
+        head::json_answer(code, &content)
+    }
+
+    fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+}
+
+/// Where a box listens; a port of 0 in the settings was chosen by the kernel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bound {
+    /// For callers.
+    pub public: SocketAddr,
+    /// For other boxes, HTTP.
+    pub peer: SocketAddr,
+    /// For other boxes, nng.
+    pub gossip: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+impl fmt::Display for Bound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            public,
+            peer,
+            gossip,
+            admin,
+        } = self;
+        write!(
+            f,
+            "public={public} peer={peer} gossip={gossip} admin={admin}"
+        )
+    }
+}
+
+/// Begins the planned stop of a box.
+#[derive(Clone, Debug)]
+pub struct Stopper(watch::Sender<bool>);
+
+impl Stopper {
+    /// Begins it; a second call changes nothing.
+    pub fn stop(&self) {
+        self.0.send_replace(true);
+    }
+}
+
+/// A box that runs.
+pub struct Gateway {
+    shell: Arc<Shell>,
+    listeners: Vec<JoinHandle<()>>,
+    closing: watch::Sender<bool>,
+    bound: Bound,
+}
+
+impl Gateway {
+    /// Starts a box; every listener is bound before this returns.
+    pub async fn start(settings: Settings) -> eyre::Result<Self> {
+        let clock = Clock::start();
+        let metrics = Arc::new(Metrics::new()?);
+        let tracer = Tracer::new(&settings.name, settings.trace)?;
+        let public = serve::bind(settings.public, "callers").await?;
+        let peer = serve::bind(settings.peer, "boxes").await?;
+        let admin = serve::bind(settings.admin, "operators").await?;
+        let gossip = gossip::bind(settings.gossip).await?;
+        let bound = Bound {
+            public: public.local_addr()?,
+            peer: peer.local_addr()?,
+            gossip: gossip.address,
+            admin: admin.local_addr()?,
+        };
+        let identity = identity(&settings, &bound);
+        let pool = Arc::new(Pool::default());
+        let replay = Arc::new(Replay::default());
+        let (duty, duty_seen) = watch::channel(false);
+        let (current, current_seen) = watch::channel(None);
+        let secret = settings.cluster_secret.clone();
+        let core = Handle::start(Parts {
+            clock,
+            links: gossip::Links::new(secret.clone(), metrics.clone()),
+            pool: pool.clone(),
+            secret: secret.clone(),
+            replay: replay.clone(),
+            metrics: metrics.clone(),
+            duty,
+            current,
+            identity: identity.clone(),
+        })
+        .await;
+        gossip::listen(gossip, secret, core.clone(), metrics.clone());
+        let store = Store::new(
+            settings.stores.clone(),
+            &settings.store_key,
+            pool.clone(),
+            metrics.clone(),
+        );
+        tokio::spawn(follow::run(store.clone(), core.clone(), duty_seen.clone()));
+        if let Some(address) = settings.list {
+            tokio::spawn(list::run(address, pool.clone(), core.clone(), duty_seen));
+        }
+        tokio::spawn(tick(core.clone()));
+        let pieces = settings.body_memory.0.div_ceil(exchange::PIECE);
+        let shell = Arc::new(Shell {
+            bodies: Arc::new(Semaphore::new(pieces as usize)),
+            settings,
+            identity,
+            clock,
+            core,
+            pool,
+            store,
+            replay,
+            metrics,
+            tracer,
+            current: current_seen,
+            requests: AtomicU64::new(1),
+            stop: watch::Sender::new(false),
+        });
+        log::info!(
+            "box: {} is up in {}.",
+            shell.settings.name,
+            shell.settings.region
+        );
+        log::info!("box: listens on {bound}.");
+        let closing = watch::Sender::new(false);
+        let listeners = listeners(&shell, public, peer, admin, &closing);
+        Ok(Self {
+            shell,
+            listeners,
+            closing,
+            bound,
+        })
+    }
+
+    /// Where the box listens.
+    pub fn bound(&self) -> Bound {
+        self.bound
+    }
+
+    /// A way to begin the planned stop from elsewhere.
+    pub fn stopper(&self) -> Stopper {
+        Stopper(self.shell.stop.clone())
+    }
+
+    /// Runs until a planned stop was asked for and has ended.
+    pub async fn run(self) {
+        let mut asked = self.shell.stop.subscribe();
+        if asked.wait_for(|stop| *stop).await.is_err() {
+            return;
+        }
+        log::info!("box: stopping; new callers are sent elsewhere.");
+        self.shell.core.tell(Event::Stop);
+        sleep(self.shell.settings.linger.duration()).await;
+        log::info!("box: the listeners close; requests in flight go on.");
+        self.closing.send_replace(true);
+        for listener in self.listeners {
+            if let Err(error) = listener.await {
+                log::error!("box: a listener broke: {error}.");
+            }
+        }
+        // Requests that go on without their caller have no connection here.
+        while self
+            .shell
+            .core
+            .status()
+            .await
+            .is_some_and(|s| s.requests > 0)
+        {
+            sleep(STOP_POLL).await;
+        }
+        let tracer = self.shell.tracer.clone();
+        let _ = tokio::task::spawn_blocking(move || tracer.shutdown()).await;
+        log::info!("box: stopped.");
+    }
+}
+
+fn identity(settings: &Settings, bound: &Bound) -> Identity {
+    let told = settings.advertise;
+    Identity {
+        contact: Contact {
+            name: settings.name.clone(),
+            region: settings.region.clone(),
+            domain: settings.domain.clone(),
+            public: told.public.unwrap_or(bound.public),
+            peer: told.peer.unwrap_or(bound.peer),
+            gossip: told.gossip.unwrap_or(bound.gossip),
+        },
+        incarnation: clock::incarnation(),
+        seeds: settings.seeds.clone(),
+    }
+}
+
+fn listeners(
+    shell: &Arc<Shell>,
+    public: tokio::net::TcpListener,
+    peer: tokio::net::TcpListener,
+    admin: tokio::net::TcpListener,
+    closing: &watch::Sender<bool>,
+) -> Vec<JoinHandle<()>> {
+    let max_head = shell.settings.max_head.0 as usize;
+    let metrics = shell.metrics.clone();
+    let seen = || closing.subscribe();
+    let exchange = |door| {
+        let shell = shell.clone();
+        move |request| exchange::serve(shell.clone(), request, door)
+    };
+    let operators = {
+        let shell = shell.clone();
+        move |request| admin::serve(shell.clone(), request)
+    };
+    use exchange::Door::{Peer, Public};
+    vec![
+        tokio::spawn(serve::run(
+            public,
+            max_head,
+            metrics.clone(),
+            seen(),
+            exchange(Public),
+        )),
+        tokio::spawn(serve::run(
+            peer,
+            max_head,
+            metrics.clone(),
+            seen(),
+            exchange(Peer),
+        )),
+        tokio::spawn(serve::run(admin, max_head, metrics, seen(), operators)),
+    ]
+}
+
+async fn tick(core: Handle) {
+    let mut ticks = interval(TICK.duration());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        core.tell(Event::Tick);
+    }
+}
--- /dev/null
+++ b/src/id.rs
@@ -0,0 +1,156 @@
+//! Names of the things the operators label, as newtypes.
+
+use std::{fmt, str::FromStr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// Longest name accepted, in bytes.
+pub const MAX_NAME: usize = 64;
+
+/// Says why a name was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The name has no characters.
+    Empty,
+    /// The name is longer than [`MAX_NAME`] bytes.
+    Long,
+    /// The name holds a character other than ASCII letters, digits, `.`, `_` and `-`.
+    Character(char),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Empty => write!(f, "a name may not be empty"),
+            Self::Long => write!(f, "a name has at most {MAX_NAME} bytes"),
+            Self::Character(c) => write!(f, "a name may not hold {c:?}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+fn check(name: &str) -> Result<(), Error> {
+    if name.is_empty() {
+        return Err(Error::Empty);
+    }
+    if name.len() > MAX_NAME {
+        return Err(Error::Long);
+    }
+    let odd = |c: &char| !(c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-'));
+    match name.chars().find(odd) {
+        Some(c) => Err(Error::Character(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+            fn from_str(text: &str) -> Result<Self, Error> {
+                check(text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+            fn try_from(text: String) -> Result<Self, Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name!(
+    /// One of our machines; `box` is a reserved word of the language.
+    BoxName
+);
+name!(
+    /// A region, the unit that the network may cut off.
+    Region
+);
+name!(
+    /// A failure domain inside a region.
+    Domain
+);
+name!(
+    /// A caller, known by its API key.
+    Caller
+);
+name!(
+    /// A backend server: a model engine or an application service.
+    Backend
+);
+name!(
+    /// What a backend server serves: the name of a model or of an application route.
+    Service
+);
+name!(
+    /// A selector of the configuration.
+    Selector
+);
+
+/// One request inside one box; never used twice by a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Request(pub u64);
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "r{}", self.0)
+    }
+}
+
+/// One try of a request at one place; never used twice by a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt(pub u64);
+
+/// One life of a box: a later start has a greater number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    const RANDOM_BITS: u32 = 16;
+
+    /// Joins the wall clock at start (ms since 1970) with random bits, so that two starts differ.
+    pub fn new(wall_ms: u64, random: u16) -> Self {
+        Self((wall_ms << Self::RANDOM_BITS) | u64::from(random))
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
--- /dev/null
+++ b/src/ini.rs
@@ -0,0 +1,230 @@
+//! Reads INI text and collects every fault, each with its file, section and key.
+
+use std::{collections::BTreeSet, fmt, str::FromStr};
+
+use ::ini::{Ini, ParseOption, Properties};
+
+/// One thing that is wrong with a text, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The file, or what the text was called by its giver.
+    pub file: String,
+    /// The section; empty for the text as a whole.
+    pub section: String,
+    /// The key; empty for the section as a whole.
+    pub key: String,
+    /// What is wrong, in a short sentence.
+    pub problem: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: [{}]", self.file, self.section)?;
+        if !self.key.is_empty() {
+            write!(f, " {}", self.key)?;
+        }
+        write!(f, ": {}", self.problem)
+    }
+}
+
+/// Every fault of one text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// A parsed text that gathers faults while it is read.
+pub struct Reader {
+    file: String,
+    ini: Ini,
+    faults: Vec<Fault>,
+}
+
+impl Reader {
+    /// Parses `text`; `file` is the name that faults carry.
+    pub fn new(file: &str, text: &str) -> Result<Self, Faults> {
+        let option = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        let fault = |problem: String| {
+            Faults(vec![Fault {
+                file: file.to_owned(),
+                section: String::new(),
+                key: String::new(),
+                problem,
+            }])
+        };
+        let ini = Ini::load_from_str_opt(text, option).map_err(|e| fault(e.to_string()))?;
+        let mut reader = Self {
+            file: file.to_owned(),
+            ini,
+            faults: Vec::new(),
+        };
+        reader.refuse_loose_keys();
+        reader.refuse_repeats();
+        Ok(reader)
+    }
+
+    fn refuse_loose_keys(&mut self) {
+        let loose: Vec<String> = self
+            .ini
+            .general_section()
+            .iter()
+            .map(|(key, _)| key.to_owned())
+            .collect();
+        for key in loose {
+            self.fault("", &key, "stands before the first section");
+        }
+    }
+
+    fn refuse_repeats(&mut self) {
+        let mut seen = BTreeSet::new();
+        let twice: Vec<String> = self
+            .ini
+            .sections()
+            .flatten()
+            .filter(|name| !seen.insert(name.to_owned()))
+            .map(str::to_owned)
+            .collect();
+        for section in twice {
+            self.fault(&section, "", "stands twice");
+        }
+    }
+
+    /// Notes a fault.
+    pub fn fault(&mut self, section: &str, key: &str, problem: impl fmt::Display) {
+        self.faults.push(Fault {
+            file: self.file.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            problem: problem.to_string(),
+        });
+    }
+
+    /// The sections' names, in the order of the text.
+    pub fn sections(&self) -> Vec<String> {
+        self.ini.sections().flatten().map(str::to_owned).collect()
+    }
+
+    /// Reads one section; a missing one reads as empty.
+    pub fn section(&mut self, name: &str) -> Section<'_> {
+        let found = self.ini.section(Some(name)).cloned();
+        Section {
+            reader: self,
+            name: name.to_owned(),
+            properties: found.unwrap_or_default(),
+            known: BTreeSet::new(),
+        }
+    }
+
+    /// Ends the reading with `value`, or with the faults where there were any.
+    pub fn finish<T>(self, value: Option<T>) -> Result<T, Faults> {
+        match value {
+            Some(value) if self.faults.is_empty() => Ok(value),
+            _ => Err(Faults(self.faults)),
+        }
+    }
+}
+
+/// One section under reading; [`Section::end`] refuses the keys nobody asked for.
+pub struct Section<'a> {
+    reader: &'a mut Reader,
+    name: String,
+    properties: Properties,
+    known: BTreeSet<String>,
+}
+
+impl Section<'_> {
+    /// Notes a fault of this section.
+    pub fn fault(&mut self, key: &str, problem: impl fmt::Display) {
+        let name = self.name.clone();
+        self.reader.fault(&name, key, problem);
+    }
+
+    fn raw(&mut self, key: &str) -> Option<String> {
+        self.known.insert(key.to_owned());
+        let values: Vec<String> = self.properties.get_all(key).map(str::to_owned).collect();
+        if values.len() > 1 {
+            self.fault(key, "stands twice");
+        }
+        values.into_iter().next().map(|v| v.trim().to_owned())
+    }
+
+    /// Reads a key that may be absent; an unreadable value is a fault and reads as absent.
+    pub fn optional<T>(&mut self, key: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let text = self.raw(key)?;
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.fault(key, format_args!("{text:?}: {error}"));
+                None
+            }
+        }
+    }
+
+    /// Reads a key that must be there.
+    pub fn required<T>(&mut self, key: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        if self.properties.get(key).is_none() {
+            self.known.insert(key.to_owned());
+            self.fault(key, "is missing");
+            return None;
+        }
+        self.optional(key)
+    }
+
+    /// Reads a key with a default.
+    pub fn or<T>(&mut self, key: &str, default: T) -> T
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        self.optional(key).unwrap_or(default)
+    }
+
+    /// Reads a comma-separated list; an absent key is an empty list.
+    pub fn list<T>(&mut self, key: &str) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: fmt::Display,
+    {
+        let text = self.raw(key).unwrap_or_default();
+        let mut values = Vec::new();
+        for part in text.split(',').map(str::trim).filter(|p| !p.is_empty()) {
+            match part.parse() {
+                Ok(value) => values.push(value),
+                Err(error) => self.fault(key, format_args!("{part:?}: {error}")),
+            }
+        }
+        values
+    }
+
+    /// Refuses every key that was not read.
+    pub fn end(mut self) {
+        let odd: Vec<String> = self
+            .properties
+            .iter()
+            .map(|(key, _)| key.to_owned())
+            .filter(|key| !self.known.contains(key))
+            .collect();
+        for key in odd {
+            self.fault(&key, "is not a key of this section");
+        }
+    }
+}
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,280 @@
+//! The other boxes and regions, as their messages tell of them.
+//!
+//! What stands here is a hint: it steers routing and never carries a promise.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{
+    config::Version,
+    id::{BoxName, Incarnation, Region},
+    unit::{Millis, Time},
+    wire::{Contact, Digest, Door, Frame, Heartbeat, Phase, Short},
+};
+
+/// A box unheard for this long is not used.
+pub const SUSPECT: Millis = Millis(3000);
+/// A region unheard for this long is not used.
+pub const REGION_SUSPECT: Millis = Millis(6000);
+/// A box unheard for this long is forgotten.
+pub const FORGET: Millis = Millis(60_000);
+/// How long a returned region takes to its full share.
+const RAMP: Millis = Millis(10_000);
+/// Share of its free slots that a returned region gets at once.
+const RAMP_START: f64 = 0.2;
+
+/// Another box of this region.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its last heartbeat.
+    pub last: Heartbeat,
+    /// When that came.
+    pub heard: Time,
+}
+
+impl Peer {
+    /// Its clock at `now`: never ahead of its real one.
+    pub fn uptime(&self, now: Time) -> Time {
+        self.last.uptime + now.since(self.heard)
+    }
+}
+
+/// Another region.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    /// Its last digest.
+    pub digest: Digest,
+    /// When that came.
+    pub heard: Time,
+    /// When the region was last heard of anew after a silence; none for the first time.
+    pub returned: Option<Time>,
+    /// Requests sent there since the digest.
+    pub sent: u32,
+}
+
+impl Remote {
+    /// Free slots for `service` at `now`: the digest's, less what went there since, slowly at first.
+    pub fn free(&self, service: Short, now: Time) -> u32 {
+        let Some(capacity) = self.digest.services.iter().find(|c| c.service == service) else {
+            return 0;
+        };
+        let free = capacity.slots.saturating_sub(capacity.busy);
+        let share = self.returned.map_or(1.0, |from| {
+            let part = now.since(from).0 as f64 / RAMP.0 as f64;
+            (RAMP_START + (1.0 - RAMP_START) * part).min(1.0)
+        });
+        let usable = (f64::from(free) * share).ceil() as u32;
+        usable.saturating_sub(self.sent)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    incarnation: Incarnation,
+    seq: u64,
+    heard: Time,
+}
+
+/// All that a box knows of the others.
+#[derive(Debug)]
+pub struct Table {
+    /// This box.
+    pub me: Contact,
+    /// This box's life.
+    pub incarnation: Incarnation,
+    peers: BTreeMap<BoxName, Peer>,
+    regions: BTreeMap<Region, Remote>,
+    seen: HashMap<BoxName, Seen>,
+    busy: HashMap<Short, u32>,
+}
+
+impl Table {
+    /// A table that knows only this box.
+    pub fn new(me: Contact, incarnation: Incarnation) -> Self {
+        Self {
+            me,
+            incarnation,
+            peers: BTreeMap::new(),
+            regions: BTreeMap::new(),
+            seen: HashMap::new(),
+            busy: HashMap::new(),
+        }
+    }
+
+    /// Whether `frame` is newer than all that was heard of its sender.
+    pub fn admit(&mut self, frame: &Frame, now: Time) -> bool {
+        if frame.from == self.me.name {
+            return false;
+        }
+        let fresh = self.seen.get(&frame.from).is_none_or(|seen| {
+            if frame.incarnation == seen.incarnation {
+                return frame.seq > seen.seq;
+            }
+            // A clock set back may give a later life a lower number.
+            frame.incarnation > seen.incarnation || now.since(seen.heard) > SUSPECT
+        });
+        if fresh {
+            let seen = Seen {
+                incarnation: frame.incarnation,
+                seq: frame.seq,
+                heard: now,
+            };
+            self.seen.insert(frame.from.clone(), seen);
+        }
+        fresh
+    }
+
+    /// Takes a heartbeat of this region; true where the sender's life was unknown.
+    pub fn heartbeat(&mut self, incarnation: Incarnation, beat: Heartbeat, now: Time) -> bool {
+        for load in &beat.loads {
+            *self.busy.entry(load.backend).or_default() += load.busy;
+        }
+        let name = beat.contact.name.clone();
+        let peer = Peer {
+            incarnation,
+            last: beat,
+            heard: now,
+        };
+        let old = self.peers.insert(name, peer);
+        if let Some(old) = &old {
+            self.discount(&old.last);
+        }
+        old.is_none_or(|old| old.incarnation != incarnation)
+    }
+
+    fn discount(&mut self, beat: &Heartbeat) {
+        for load in &beat.loads {
+            if let Some(busy) = self.busy.get_mut(&load.backend) {
+                *busy = busy.saturating_sub(load.busy);
+                if *busy == 0 {
+                    self.busy.remove(&load.backend);
+                }
+            }
+        }
+    }
+
+    /// Takes a digest of another region.
+    pub fn digest(&mut self, digest: Digest, now: Time) {
+        let old = self.regions.get(&digest.region);
+        let returned = match old {
+            Some(old) if now.since(old.heard) > REGION_SUSPECT => Some(now),
+            Some(old) => old.returned,
+            None => None,
+        };
+        let remote = Remote {
+            returned,
+            heard: now,
+            sent: 0,
+            digest,
+        };
+        self.regions.insert(remote.digest.region.clone(), remote);
+    }
+
+    /// Notes a request that goes to `region`.
+    pub fn relayed(&mut self, region: &Region) {
+        if let Some(remote) = self.regions.get_mut(region) {
+            remote.sent += 1;
+        }
+    }
+
+    /// Takes a door out that could not be reached, until the next digest.
+    pub fn lose_door(&mut self, region: &Region, name: &BoxName) {
+        if let Some(remote) = self.regions.get_mut(region) {
+            remote.digest.doors.retain(|d| d.contact.name != *name);
+        }
+    }
+
+    /// Work that the other boxes of this region have in hand at a backend server.
+    pub fn busy(&self, backend: Short) -> u32 {
+        self.busy.get(&backend).copied().unwrap_or(0)
+    }
+
+    /// The boxes of this region that were heard lately, without this one.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        let alive = move |p: &&Peer| now.since(p.heard) <= SUSPECT;
+        self.peers.values().filter(alive)
+    }
+
+    /// The live boxes of this region that take work, without this one.
+    pub fn ready(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        self.live(now).filter(|p| p.last.phase == Phase::Ready)
+    }
+
+    /// Every known box of this region, without this one.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// The regions that were heard lately.
+    pub fn reachable(&self, now: Time) -> impl Iterator<Item = (&Region, &Remote)> {
+        let alive = move |(_, r): &(&Region, &Remote)| now.since(r.heard) <= REGION_SUSPECT;
+        self.regions.iter().filter(alive)
+    }
+
+    /// Every known region.
+    pub fn regions(&self) -> impl Iterator<Item = (&Region, &Remote)> {
+        self.regions.iter()
+    }
+
+    /// The door of `region` to use for the `turn`-th request.
+    pub fn door(&self, region: &Region, turn: u64) -> Option<&Door> {
+        let doors = &self.regions.get(region)?.digest.doors;
+        let index = usize::try_from(turn)
+            .unwrap_or(0)
+            .checked_rem(doors.len())?;
+        doors.get(index)
+    }
+
+    /// The newest configuration that another box has told of, and where it may be fetched.
+    pub fn newest(&self, now: Time) -> Option<(Version, &Contact)> {
+        let near = self.live(now).map(|p| (p.last.version, &p.last.contact));
+        let far = self.reachable(now).filter_map(|(_, r)| {
+            let door = r.digest.doors.first()?;
+            Some((r.digest.version, &door.contact))
+        });
+        near.chain(far).max_by_key(|(version, _)| *version)
+    }
+
+    /// This box's rank (from 0) among the live of its region for a duty.
+    pub fn rank(&self, duty: &str, now: Time) -> usize {
+        let mine = weight(&self.me.name, duty);
+        let above =
+            |p: &&Peer| p.last.phase != Phase::Leaving && weight(&p.last.contact.name, duty) > mine;
+        self.live(now).filter(above).count()
+    }
+
+    /// Forgets those unheard for long.
+    pub fn sweep(&mut self, now: Time) {
+        let dead = |heard: Time| now.since(heard) > FORGET;
+        let gone: Vec<BoxName> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| dead(p.heard))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in gone {
+            if let Some(peer) = self.peers.remove(&name) {
+                self.discount(&peer.last);
+            }
+        }
+        // A silent box no longer holds slots; its last word is taken back.
+        let silent: Vec<Heartbeat> = self
+            .peers
+            .values_mut()
+            .filter(|p| now.since(p.heard) > SUSPECT && !p.last.loads.is_empty())
+            .map(|p| Heartbeat {
+                loads: std::mem::take(&mut p.last.loads),
+                ..p.last.clone()
+            })
+            .collect();
+        silent.iter().for_each(|beat| self.discount(beat));
+        self.seen.retain(|_, seen| !dead(seen.heard));
+    }
+}
+
+/// Rendezvous weight of a box for a duty.
+pub fn weight(name: &BoxName, duty: &str) -> u64 {
+    let seed = xxhash_rust::xxh3::xxh3_64(duty.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(name.as_str().as_bytes(), seed)
+}
--- /dev/null
+++ b/src/pin.rs
@@ -0,0 +1,121 @@
+//! Idempotency keys that name the one box which may run them.
+//!
+//! A pin is minted by "ask" and starts every key of a request that may not be repeated. It names
+//! the listener and the incarnation of a box, and ends by that box's own clock, so that at most
+//! once depends on no membership view, no clock agreement, no lease and no store
+//! (docs/design/at-most-once.md).
+
+use std::{fmt, net::SocketAddr};
+
+use base64::{Engine as _, engine::general_purpose::URL_SAFE_NO_PAD as BASE64};
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::{
+    id::Incarnation,
+    settings::Secret,
+    unit::{Millis, Time},
+};
+
+/// How long a new pin may be used.
+pub const LIFE: Millis = Millis(600_000);
+/// Longest key accepted, in bytes.
+pub const MAX_KEY: usize = 256;
+const TAG: usize = 12;
+const MARK: char = '~';
+
+/// The box that alone may run a key, and until when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pin {
+    /// The box's listener for other boxes.
+    pub peer: SocketAddr,
+    /// The box's life.
+    pub incarnation: Incarnation,
+    /// The end, by the named box's own clock.
+    pub expiry: Time,
+}
+
+/// Why a key names no box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The key does not begin with a pin: no box ever ran it.
+    Malformed,
+    /// The pin was signed with another secret: a box that had it may have run the key.
+    Foreign,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Malformed => "the idempotency key does not begin with a key prefix from ask",
+            Self::Foreign => "the key prefix was signed with another secret",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+fn sign(secret: &Secret, bytes: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any key length");
+    mac.update(b"pin\0");
+    mac.update(bytes);
+    mac
+}
+
+impl Pin {
+    /// Writes the pin as the text that a key begins with.
+    pub fn prefix(&self, secret: &Secret) -> String {
+        let mut bytes = postcard::to_stdvec(self).expect("a pin always encodes");
+        let tag = sign(secret, &bytes).finalize().into_bytes();
+        bytes.extend_from_slice(&tag[..TAG]);
+        format!("{}{MARK}", BASE64.encode(bytes))
+    }
+
+    /// Reads the pin that `key` begins with.
+    pub fn read(secret: &Secret, key: &str) -> Result<Self, Error> {
+        let (head, _) = key.split_once(MARK).ok_or(Error::Malformed)?;
+        let bytes = BASE64.decode(head).map_err(|_| Error::Malformed)?;
+        let split = bytes.len().checked_sub(TAG).ok_or(Error::Malformed)?;
+        let (body, tag) = bytes.split_at(split);
+        let pin = postcard::from_bytes(body).map_err(|_| Error::Malformed)?;
+        let signed = sign(secret, body).verify_truncated_left(tag);
+        signed.map_err(|_| Error::Foreign)?;
+        Ok(pin)
+    }
+}
+
+/// The hash of a whole key.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Digest([u8; 16]);
+
+impl Digest {
+    /// Hashes `key`.
+    pub fn of(key: &str) -> Self {
+        let hash = Sha256::digest(key);
+        let mut short = [0; 16];
+        short.copy_from_slice(&hash[..16]);
+        Self(short)
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{:016x}",
+            u64::from_be_bytes(self.0[..8].try_into().expect("8 bytes"))
+        )
+    }
+}
+
+/// The key of one request that may not be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// The box that may run it.
+    pub pin: Pin,
+    /// The whole key, hashed.
+    pub digest: Digest,
+    /// A hash of the request itself, to notice a key used for two requests.
+    pub content: u64,
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,87 @@
+//! Where a request goes among the places that may run it now.
+
+mod balanced;
+mod baseline;
+
+use serde::Serialize;
+
+use crate::{
+    config::Weights,
+    id::{Backend, Region},
+    unit::Millis,
+};
+
+pub use balanced::Balanced;
+pub use baseline::{HomeOnly, LeastLoaded, Nearest};
+
+/// A place that may run a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Place {
+    /// A backend server of this region.
+    Backend(Backend),
+    /// Another region, reached through one of its boxes.
+    Region(Region),
+}
+
+/// A place with what is expected there.
+#[derive(Clone, Debug, Serialize)]
+pub struct Candidate {
+    /// The place.
+    pub place: Place,
+    /// Whether it lies in the request's home region.
+    pub home: bool,
+    /// Slots that are free there.
+    pub free: u32,
+    /// Work in hand as a share of the slots.
+    pub load: f64,
+    /// Expected wait for a slot.
+    pub wait: Millis,
+    /// Expected time to the first byte once a slot is free.
+    pub first: Millis,
+    /// Round trip to the place.
+    pub hop: Millis,
+    /// Price of one request there.
+    pub price: f64,
+    /// Whether the place likely holds the prompt's prefix.
+    pub warm: bool,
+}
+
+/// All that a policy sees of one decision.
+#[derive(Debug)]
+pub struct View<'a> {
+    /// The places, in a fixed order.
+    pub candidates: &'a [Candidate],
+    /// What the deployment weighs.
+    pub weights: Weights,
+    /// Time left until the answer must have begun.
+    pub left: Millis,
+}
+
+/// A policy's word.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Choice {
+    /// Send it there now.
+    Send(Place),
+    /// Let it wait for a slot in this region.
+    Wait,
+    /// Give it up now; a place is expected after this long.
+    Refuse(Millis),
+}
+
+/// A way to choose; the reducer is generic over it.
+pub trait Policy {
+    /// Chooses for one request.
+    fn pick(&self, view: &View<'_>) -> Choice;
+}
+
+/// What to do where only a wait is left: wait if it can end in time, else give up.
+fn wait_or_refuse<'a>(candidates: impl Iterator<Item = &'a Candidate>, left: Millis) -> Choice {
+    let soonest = candidates.map(|c| c.wait).min();
+    match soonest {
+        Some(wait) if wait < left => Choice::Wait,
+        Some(wait) => Choice::Refuse(wait),
+        None => Choice::Refuse(Millis(1000)),
+    }
+}
--- /dev/null
+++ b/src/reducer/control.rs
@@ -0,0 +1,409 @@
+//! Heartbeats, digests, the configuration's way between boxes, freezes and the planned stop.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+
+use crate::{
+    config::{Config, Version},
+    id::{Backend, Region},
+    policy::Policy,
+    reducer::{
+        FREEZE, JOIN_GRACE, State, WAKE_GRACE,
+        effect::{Alarm, Effect},
+        event::Source,
+    },
+    unit::{Millis, Time},
+    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short},
+};
+
+/// Time between two heartbeats.
+pub(super) const HEARTBEAT: Millis = Millis(1000);
+/// Time between two digests to one region.
+pub(super) const DIGEST: Millis = Millis(2000);
+/// Boxes of a region that watch the store.
+const WATCHERS: usize = 2;
+/// Boxes of another region that a digest goes to.
+const DIGEST_TARGETS: usize = 2;
+/// Boxes that a digest names.
+const DOORS: usize = 3;
+/// How long a fetch may take before another is tried.
+const FETCH_PATIENCE: Millis = Millis(1000);
+
+/// What the control part remembers.
+#[derive(Debug, Default)]
+pub(super) struct Control {
+    seq: u64,
+    last_step: Option<Time>,
+    woke: Option<Time>,
+    last_beat: Option<Time>,
+    last_digest: Option<Time>,
+    digests: u64,
+    heard: bool,
+    leaving: bool,
+    pub(super) watching: bool,
+    fetching: Option<(Version, Time)>,
+    unreadable: Option<Version>,
+    told: Option<Alarm>,
+}
+
+impl Control {
+    pub(super) fn phase(&self, configured: bool, now: Time) -> Phase {
+        if self.leaving {
+            return Phase::Leaving;
+        }
+        let awake = self.woke.is_none_or(|woke| now.since(woke) >= WAKE_GRACE);
+        let joined = self.heard || now.0 >= JOIN_GRACE.0;
+        if configured && awake && joined {
+            Phase::Ready
+        } else {
+            Phase::Unready
+        }
+    }
+
+    fn due(last: &mut Option<Time>, span: Millis, now: Time) -> bool {
+        let due = last.is_none_or(|at| now.since(at) >= span);
+        if due {
+            *last = Some(now);
+        }
+        due
+    }
+}
+
+impl<P: Policy> State<P> {
+    pub(super) fn notice_freeze(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let gap = self
+            .control
+            .last_step
+            .map_or(Millis(0), |last| now.since(last));
+        self.control.last_step = Some(now);
+        if gap > FREEZE {
+            self.control.woke = Some(now);
+            out.push(Effect::Alarm(Alarm::Frozen(gap)));
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.expire(now, out);
+        let forgotten = self.ledger.expire(now).into_iter().map(Effect::Forget);
+        out.extend(forgotten);
+        if Control::due(&mut self.control.last_beat, HEARTBEAT, now) {
+            self.table.sweep(now);
+            self.limiter.sweep(now);
+            self.elect(now, out);
+            self.beat(now, out);
+            self.chase(now, out);
+        }
+        if Control::due(&mut self.control.last_digest, DIGEST, now) {
+            self.report(now, out);
+        }
+        self.drain_all(now, out);
+    }
+
+    /// Takes or leaves the duty to watch the store.
+    fn elect(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let watch = self.table.rank("watch", now) < WATCHERS;
+        if watch != self.control.watching {
+            self.control.watching = watch;
+            out.push(Effect::Watch(watch));
+        }
+    }
+
+    fn frame(&mut self, body: Body) -> Frame {
+        self.control.seq += 1;
+        Frame {
+            from: self.table.me.name.clone(),
+            incarnation: self.table.incarnation,
+            seq: self.control.seq,
+            body,
+        }
+    }
+
+    /// Sends a heartbeat to every box of the region, known or a seed.
+    fn beat(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mine = &self.table.me.region;
+        let seeds = self.seeds.iter().filter(|s| s.region == *mine);
+        let known = self.table.peers().map(|p| p.last.contact.gossip);
+        let mut targets: BTreeSet<SocketAddr> = seeds.map(|s| s.gossip).chain(known).collect();
+        targets.remove(&self.table.me.gossip);
+        let frame = self.heartbeat(now);
+        for to in targets {
+            let frame = frame.clone();
+            out.push(Effect::Gossip { to, frame });
+        }
+    }
+
+    fn heartbeat(&mut self, now: Time) -> Frame {
+        let busy = self.servers.iter().filter(|(_, s)| s.busy > 0);
+        let loads = busy.map(|(name, server)| Load {
+            backend: Short::of(name.as_str()),
+            busy: server.busy,
+        });
+        let beat = Heartbeat {
+            contact: self.table.me.clone(),
+            uptime: now,
+            version: self.version(),
+            phase: self.phase(now),
+            busy: self.jobs.len() as u32,
+            loads: loads.collect(),
+            listed: self.listed.iter().copied().collect(),
+        };
+        self.frame(Body::Heartbeat(beat))
+    }
+
+    /// Tells the other regions of this one, as far as that is this box's duty.
+    fn report(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.control.digests += 1;
+        if self.phase(now) == Phase::Leaving {
+            return;
+        }
+        let others: Vec<Region> = self.other_regions();
+        for region in others {
+            if self.table.rank(region.as_str(), now) > 0 {
+                continue;
+            }
+            let targets = self.digest_targets(&region);
+            let body = Body::Digest(self.summary(now));
+            let frame = self.frame(body);
+            for to in targets {
+                let frame = frame.clone();
+                out.push(Effect::Gossip { to, frame });
+            }
+        }
+    }
+
+    fn other_regions(&self) -> Vec<Region> {
+        let seeded = self.seeds.iter().map(|s| s.region.clone());
+        let heard = self.table.regions().map(|(region, _)| region.clone());
+        let mut regions: BTreeSet<Region> = seeded.chain(heard).collect();
+        regions.remove(&self.table.me.region);
+        regions.into_iter().collect()
+    }
+
+    /// Doors that the region last named, and one seed in turn: a seed finds a region that was
+    /// replaced whole.
+    fn digest_targets(&self, region: &Region) -> BTreeSet<SocketAddr> {
+        let remote = self.table.regions().find(|(name, _)| *name == region);
+        let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
+        let doors = doors.iter().map(|d| d.contact.gossip).take(DIGEST_TARGETS);
+        let mut targets: BTreeSet<SocketAddr> = doors.collect();
+        let seeds: Vec<SocketAddr> = self
+            .seeds
+            .iter()
+            .filter(|s| s.region == *region)
+            .map(|s| s.gossip)
+            .collect();
+        if targets.len() < DIGEST_TARGETS && !seeds.is_empty() {
+            let turn = self.control.digests as usize % seeds.len();
+            targets.insert(seeds[turn]);
+        }
+        targets
+    }
+
+    fn summary(&self, now: Time) -> Digest {
+        let me = (self.phase(now) == Phase::Ready).then(|| {
+            let door = Door {
+                contact: self.table.me.clone(),
+                incarnation: self.table.incarnation,
+                uptime: now,
+            };
+            (self.jobs.len() as u32, door)
+        });
+        let others = self.table.ready(now).map(|peer| {
+            let door = Door {
+                contact: peer.last.contact.clone(),
+                incarnation: peer.incarnation,
+                uptime: peer.uptime(now),
+            };
+            (peer.last.busy, door)
+        });
+        let mut doors: Vec<(u32, Door)> = me.into_iter().chain(others).collect();
+        doors.sort_by(|a, b| (a.0, &a.1.contact.name).cmp(&(b.0, &b.1.contact.name)));
+        let near = self.table.live(now).map(|p| p.last.version);
+        Digest {
+            region: self.table.me.region.clone(),
+            version: near.max().unwrap_or_default().max(self.version()),
+            doors: doors.into_iter().map(|(_, d)| d).take(DOORS).collect(),
+            services: self.capacities(now),
+            spread: true,
+        }
+    }
+
+    fn capacities(&self, now: Time) -> Vec<Capacity> {
+        let Some(config) = &self.config else {
+            return vec![];
+        };
+        let models = config.models.keys();
+        let services: BTreeSet<_> = models
+            .chain(config.routes.iter().map(|r| &r.name))
+            .collect();
+        let capacity = |service| {
+            let mut total = Capacity {
+                service: Short::of(crate::id::Service::as_str(service)),
+                slots: 0,
+                busy: 0,
+                first: Millis(0),
+            };
+            let mut servers = 0;
+            for backend in config.serving(service) {
+                if backend.region != self.table.me.region || self.excluded(now, backend).is_some() {
+                    continue;
+                }
+                let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
+                total.slots += server.slots(backend.slots, now);
+                total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()));
+                total.first.0 += server.first().0;
+                servers += 1;
+            }
+            total.first.0 = total.first.0.checked_div(servers)?;
+            Some(total)
+        };
+        services.into_iter().filter_map(capacity).collect()
+    }
+
+    /// Asks for a newer configuration where one is known of.
+    fn chase(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let Some((version, contact)) = self.table.newest(now) else {
+            return;
+        };
+        let known = self
+            .version()
+            .max(self.control.unreadable.unwrap_or_default());
+        if version <= known {
+            return;
+        }
+        let patient = |(wanted, since): (Version, Time)| {
+            wanted >= version && now.since(since) < FETCH_PATIENCE
+        };
+        if self.control.fetching.is_some_and(patient) {
+            return;
+        }
+        let peer = contact.peer;
+        self.control.fetching = Some((version, now));
+        out.push(Effect::Fetch { peer, version });
+    }
+
+    pub(super) fn heard(&mut self, now: Time, frame: Frame, out: &mut Vec<Effect>) {
+        if !self.table.admit(&frame, now) {
+            return;
+        }
+        match &frame.body {
+            Body::Heartbeat(beat) if beat.contact.region == self.table.me.region => {
+                self.control.heard = true;
+                let to = beat.contact.gossip;
+                let fresh = self.table.heartbeat(frame.incarnation, beat.clone(), now);
+                if fresh {
+                    self.greet(now, to, out);
+                }
+            }
+            Body::Digest(digest) if digest.region != self.table.me.region => {
+                self.control.heard = true;
+                self.table.digest(digest.clone(), now);
+                if digest.spread {
+                    self.spread(now, &frame, digest, out);
+                }
+            }
+            Body::Members(contacts) => self.meet(now, contacts, out),
+            Body::Heartbeat(_) | Body::Digest(_) => {}
+        }
+        self.chase(now, out);
+    }
+
+    /// Answers a box that just appeared: who is here, and a heartbeat at once.
+    fn greet(&mut self, now: Time, to: SocketAddr, out: &mut Vec<Effect>) {
+        let contacts = self.table.live(now).map(|p| p.last.contact.clone());
+        let body = Body::Members(contacts.collect());
+        let frame = self.frame(body);
+        out.push(Effect::Gossip { to, frame });
+        let frame = self.heartbeat(now);
+        out.push(Effect::Gossip { to, frame });
+    }
+
+    /// Greets boxes of this region that another one named.
+    fn meet(&mut self, now: Time, contacts: &[Contact], out: &mut Vec<Effect>) {
+        let mine = self.table.me.clone();
+        let unknown = |c: &&Contact| {
+            c.region == mine.region
+                && c.name != mine.name
+                && !self
+                    .table
+                    .peers()
+                    .any(|p| p.last.contact.gossip == c.gossip)
+        };
+        let targets: Vec<SocketAddr> = contacts.iter().filter(unknown).map(|c| c.gossip).collect();
+        for to in targets {
+            let frame = self.heartbeat(now);
+            out.push(Effect::Gossip { to, frame });
+        }
+    }
+
+    /// Passes a digest on inside this region, under its maker's name and number.
+    fn spread(&self, now: Time, frame: &Frame, digest: &Digest, out: &mut Vec<Effect>) {
+        let copy = Frame {
+            body: Body::Digest(Digest {
+                spread: false,
+                ..digest.clone()
+            }),
+            ..frame.clone()
+        };
+        out.extend(self.table.live(now).map(|peer| Effect::Gossip {
+            to: peer.last.contact.gossip,
+            frame: copy.clone(),
+        }));
+    }
+
+    pub(super) fn offered(
+        &mut self,
+        now: Time,
+        config: Arc<Config>,
+        source: Source,
+        out: &mut Vec<Effect>,
+    ) {
+        let current = self.config.as_ref();
+        let version = config.version;
+        if let Some(current) = current {
+            if version < current.version {
+                // A peer that lags is no news; a store that went back is.
+                if source == Source::Store {
+                    self.alarm(Alarm::Older(version), out);
+                }
+                return;
+            }
+            if version == current.version {
+                if config.write != current.write {
+                    self.alarm(Alarm::Conflict(version), out);
+                }
+                return;
+            }
+        }
+        self.control.told = None;
+        let gone = |name: &Backend| !config.backends.contains_key(name);
+        self.servers.retain(|name, s| !gone(name) || s.busy > 0);
+        self.config = Some(config);
+        out.push(Effect::Adopted(version));
+        self.beat(now, out);
+        self.report(now, out);
+        self.drain_all(now, out);
+    }
+
+    pub(super) fn unreadable(&mut self, version: Version, out: &mut Vec<Effect>) {
+        if version <= self.version() {
+            return;
+        }
+        self.control.unreadable = self.control.unreadable.max(Some(version));
+        self.alarm(Alarm::Unreadable(version), out);
+    }
+
+    /// Tells an alarm once, until another one or a new configuration comes.
+    fn alarm(&mut self, alarm: Alarm, out: &mut Vec<Effect>) {
+        if self.control.told.as_ref() == Some(&alarm) {
+            return;
+        }
+        self.control.told = Some(alarm.clone());
+        out.push(Effect::Alarm(alarm));
+    }
+
+    pub(super) fn stop(&mut self, now: Time, out: &mut Vec<Effect>) {
+        self.report(now, out);
+        self.control.leaving = true;
+        self.beat(now, out);
+    }
+}
--- /dev/null
+++ b/src/reducer/effect.rs
@@ -0,0 +1,188 @@
+//! What the reducer wants done.
+
+use std::{fmt, net::SocketAddr};
+
+use crate::{
+    config::Version,
+    id::{self, BoxName, Incarnation, Region},
+    unit::{Millis, Time},
+    verdict::Verdict,
+    wire::{Contact, Frame},
+};
+
+/// Where an attempt goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A backend server of this region.
+    Backend {
+        /// Its name.
+        name: id::Backend,
+        /// Its listener.
+        address: SocketAddr,
+        /// The header that marks a trusted refusal.
+        refusal_header: Option<String>,
+    },
+    /// A box of another region, which must not send it on.
+    Relay {
+        /// The region.
+        region: Region,
+        /// The box.
+        door: BoxName,
+        /// The box's listener.
+        peer: SocketAddr,
+    },
+    /// The box that the key names.
+    Pass {
+        /// The box's listener.
+        peer: SocketAddr,
+    },
+}
+
+/// An order to try a request at one place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Send {
+    /// The request.
+    pub request: id::Request,
+    /// This attempt.
+    pub attempt: id::Attempt,
+    /// The place.
+    pub target: Target,
+    /// The caller, for another box.
+    pub caller: id::Caller,
+    /// Whether the request may run twice; if not, it goes over a connection of its own.
+    pub repeatable: bool,
+    /// Whether the answer is kept for re-sends of the key.
+    pub record: bool,
+    /// The moment after which the order is void.
+    pub not_after: Time,
+}
+
+/// A final answer of the gateway itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Why, in a short sentence.
+    pub reason: String,
+    /// When to come back.
+    pub retry_after: Option<Millis>,
+    /// Whether a fresh key prefix goes with it.
+    pub offer_key: bool,
+}
+
+impl Reply {
+    /// A reply without extras.
+    pub fn new(status: u16, verdict: Verdict, reason: impl fmt::Display) -> Self {
+        Self {
+            status,
+            verdict,
+            reason: reason.to_string(),
+            retry_after: None,
+            offer_key: false,
+        }
+    }
+
+    /// The same, with a time to come back.
+    pub fn after(self, wait: Millis) -> Self {
+        Self {
+            retry_after: Some(wait),
+            ..self
+        }
+    }
+}
+
+/// A box as "ask" names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Who it is.
+    pub contact: Contact,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its clock.
+    pub uptime: Time,
+    /// Requests it has in hand, where known.
+    pub busy: Option<u32>,
+}
+
+/// Something an operator should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Alarm {
+    /// A configuration with a lower number than the one in force was offered.
+    Older(Version),
+    /// Two configurations have one number.
+    Conflict(Version),
+    /// A configuration does not check; the old one stays.
+    Unreadable(Version),
+    /// The process stood still for this long.
+    Frozen(Millis),
+}
+
+impl fmt::Display for Alarm {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Older(v) => write!(f, "an older configuration {v} was offered and refused"),
+            Self::Conflict(v) => write!(f, "two configurations are numbered {v}; the first stays"),
+            Self::Unreadable(v) => write!(f, "configuration {v} does not check; the old one stays"),
+            Self::Frozen(span) => write!(f, "the process stood still for {span}"),
+        }
+    }
+}
+
+/// Everything a box can be told to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Try a request.
+    Send(Send),
+    /// Give an attempt up, so that it is cancelled at its place.
+    Abort {
+        /// The request.
+        request: id::Request,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// Give a request its final answer.
+    Reply {
+        /// The request.
+        request: id::Request,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Give a request the kept answer of another.
+    Replay {
+        /// The request.
+        request: id::Request,
+        /// The one that ran.
+        answer: id::Request,
+    },
+    /// Forget a kept answer.
+    Forget(id::Request),
+    /// Answer a caller that asked for boxes.
+    Boxes {
+        /// The question.
+        request: id::Request,
+        /// The boxes, best first.
+        boxes: Vec<Entry>,
+    },
+    /// Send a message to another box.
+    Gossip {
+        /// Its nng listener.
+        to: SocketAddr,
+        /// The message.
+        frame: Frame,
+    },
+    /// Fetch a newer configuration from another box.
+    Fetch {
+        /// The box's listener.
+        peer: SocketAddr,
+        /// The number that was told of.
+        version: Version,
+    },
+    /// Begin or cease to watch the store.
+    Watch(bool),
+    /// A configuration is in force.
+    Adopted(Version),
+    /// Tell the operators.
+    Alarm(Alarm),
+}
--- /dev/null
+++ b/src/reducer/event.rs
@@ -0,0 +1,148 @@
+//! What the reducer is told.
+
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+
+use crate::{
+    config::{Config, KeyHash, Version},
+    id::{self, Region, Service},
+    pin,
+    unit::Millis,
+    verdict::Verdict,
+    wire::Frame,
+};
+
+/// Who sends a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Credential {
+    /// Nobody said.
+    Missing,
+    /// The hash of an API key.
+    Key(KeyHash),
+    /// A caller whose key another box has checked.
+    Vouched(id::Caller),
+}
+
+/// How a request came here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Hop {
+    /// From its caller.
+    Direct,
+    /// From a box of another region that chose this region for it.
+    Relay(Region),
+    /// From a box that was sent a key which names this one.
+    Pass,
+}
+
+/// The idempotency key as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// There was none.
+    Absent,
+    /// It names no box.
+    Bad(pin::Error),
+    /// It names a box.
+    Good(pin::Key),
+}
+
+/// A request's head, with what the body had to tell.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The request.
+    pub request: id::Request,
+    /// Who sends it.
+    pub credential: Credential,
+    /// Its path, without the query.
+    pub path: String,
+    /// The model that the body names.
+    pub model: Option<Service>,
+    /// A hash of the prompt's beginning.
+    pub prefix: u64,
+    /// Its key.
+    pub key: Key,
+    /// Time left until the answer must have begun, where the caller says.
+    pub left: Option<Millis>,
+    /// How it came here.
+    pub hop: Hop,
+}
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No connection.
+    Unreachable,
+    /// The place refused it in a way that is trusted.
+    Refused,
+    /// The connection broke before the answer began.
+    Broken,
+    /// The effect was carried out too late.
+    Late,
+}
+
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The platform's store.
+    Store,
+    /// Another box.
+    Peer,
+}
+
+/// Everything that can happen to a box.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Some time has passed.
+    Tick,
+    /// A request came.
+    Arrived(Arrival),
+    /// A caller asks which boxes to use.
+    Asked {
+        /// The question.
+        request: id::Request,
+        /// Who asks.
+        credential: Credential,
+    },
+    /// The one who sent a request went away.
+    Gone(id::Request),
+    /// An answer begins to reach the caller.
+    Begun {
+        /// The request.
+        request: id::Request,
+        /// The attempt that brings it.
+        attempt: id::Attempt,
+    },
+    /// An answer that had begun has ended.
+    Ended {
+        /// The request.
+        request: id::Request,
+        /// The attempt that brought it.
+        attempt: id::Attempt,
+        /// Whether it ended whole.
+        whole: bool,
+    },
+    /// An attempt brought no answer.
+    Failed {
+        /// The request.
+        request: id::Request,
+        /// The attempt.
+        attempt: id::Attempt,
+        /// Whether it may have run there.
+        verdict: Verdict,
+        /// Why.
+        cause: Cause,
+    },
+    /// Another box sent a message.
+    Heard(Frame),
+    /// A configuration was read.
+    Offered {
+        /// It, checked.
+        config: Arc<Config>,
+        /// Where it came from.
+        source: Source,
+    },
+    /// A configuration was read that does not check.
+    Unreadable(Version),
+    /// The platform's list names these addresses as leaving.
+    Listed(BTreeSet<SocketAddr>),
+    /// A planned stop begins.
+    Stop,
+}
--- /dev/null
+++ b/src/reducer/mod.rs
@@ -0,0 +1,174 @@
+//! The one reducer: `(state, event, now) -> effects`, with no I/O, clock or randomness of its own.
+//!
+//! | module | job |
+//! |---|---|
+//! | [`event`] | what it is told |
+//! | [`effect`] | what it wants done |
+//! | `request` | a request from its arrival to its final answer |
+//! | `place` | the places that may run a request now |
+//! | `control` | heartbeats, digests, configuration, freezes |
+//! | [`status`] | what operators see |
+
+mod control;
+pub mod effect;
+pub mod event;
+mod place;
+mod request;
+pub mod status;
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use crate::{
+    config::{Config, Version},
+    id::{self, Incarnation},
+    ledger::Ledger,
+    limit::Limiter,
+    member::Table,
+    policy::Policy,
+    queue::Queue,
+    retry::Budget,
+    server::Server,
+    settings::Seed,
+    unit::{Millis, Time},
+    wire::{Contact, Phase},
+};
+
+use effect::Effect;
+use event::Event;
+use request::Job;
+
+/// The time between two ticks.
+pub const TICK: Millis = Millis(100);
+/// A silence of the reducer this long means that the process stood still.
+pub const FREEZE: Millis = Millis(3000);
+/// How long a box that stood still takes no work, so that it hears the news first.
+pub const WAKE_GRACE: Millis = Millis(1000);
+/// How long a new box waits for word from its peers before it trusts the store alone.
+pub const JOIN_GRACE: Millis = Millis(2000);
+
+/// What a box is told of itself.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Who it is.
+    pub contact: Contact,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Boxes to greet.
+    pub seeds: Vec<Seed>,
+}
+
+/// All that a box decides by.
+#[derive(Debug)]
+pub struct State<P> {
+    policy: P,
+    table: Table,
+    seeds: Vec<Seed>,
+    config: Option<Arc<Config>>,
+    jobs: HashMap<id::Request, Job>,
+    deadlines: BTreeSet<(Time, id::Request)>,
+    servers: HashMap<id::Backend, Server>,
+    ledger: Ledger,
+    limiter: Limiter,
+    queue: Queue,
+    budget: Budget,
+    listed: BTreeSet<SocketAddr>,
+    attempts: u64,
+    control: control::Control,
+}
+
+impl<P: Policy> State<P> {
+    /// A box that just started and knows nothing yet.
+    pub fn new(identity: Identity, policy: P) -> Self {
+        Self {
+            policy,
+            table: Table::new(identity.contact, identity.incarnation),
+            seeds: identity.seeds,
+            config: None,
+            jobs: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            servers: HashMap::new(),
+            ledger: Ledger::default(),
+            limiter: Limiter::default(),
+            queue: Queue::default(),
+            budget: Budget::default(),
+            listed: BTreeSet::new(),
+            attempts: 0,
+            control: control::Control::default(),
+        }
+    }
+
+    /// Takes one event at `now` and says what to do.
+    pub fn step(&mut self, now: Time, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.notice_freeze(now, &mut out);
+        match event {
+            Event::Tick => self.tick(now, &mut out),
+            Event::Arrived(arrival) => self.arrive(now, arrival, &mut out),
+            Event::Asked {
+                request,
+                credential,
+            } => self.boxes(now, request, &credential, &mut out),
+            Event::Gone(request) => self.gone(now, request, &mut out),
+            Event::Begun { request, attempt } => self.begun(now, request, attempt),
+            Event::Ended {
+                request,
+                attempt,
+                whole,
+            } => self.ended(now, request, attempt, whole, &mut out),
+            Event::Failed {
+                request,
+                attempt,
+                verdict,
+                cause,
+            } => self.failed(now, request, attempt, verdict, cause, &mut out),
+            Event::Heard(frame) => self.heard(now, frame, &mut out),
+            Event::Offered { config, source } => self.offered(now, config, source, &mut out),
+            Event::Unreadable(version) => self.unreadable(version, &mut out),
+            Event::Listed(listed) => {
+                self.listed = listed;
+                self.drain_all(now, &mut out);
+            }
+            Event::Stop => self.stop(now, &mut out),
+        }
+        out
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<&Arc<Config>> {
+        self.config.as_ref()
+    }
+
+    /// The number of the configuration in force; zero without one.
+    pub fn version(&self) -> Version {
+        self.config.as_ref().map_or(Version(0), |c| c.version)
+    }
+
+    /// Whether the box takes work at `now`.
+    pub fn phase(&self, now: Time) -> Phase {
+        self.control.phase(self.config.is_some(), now)
+    }
+
+    /// Requests in hand.
+    pub fn busy(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Whether `request` is in hand.
+    pub fn holds(&self, request: id::Request) -> bool {
+        self.jobs.contains_key(&request)
+    }
+
+    /// Requests that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Keys remembered.
+    pub fn keys(&self) -> usize {
+        self.ledger.len()
+    }
+}
--- /dev/null
+++ b/src/reducer/place.rs
@@ -0,0 +1,167 @@
+//! The places that may run a request now, with what is expected there.
+
+use std::net::SocketAddr;
+
+use crate::{
+    config::{Backend, Config, Plan, Refusal},
+    id::Region,
+    member::{Peer, Remote},
+    policy::{Candidate, Choice, Place, Policy, View},
+    reducer::{State, event::Hop, request::Job},
+    server::{Bar, Server},
+    unit::{Millis, Time},
+    wire::Short,
+};
+
+/// A policy's choice and what it chose from.
+pub(super) struct Decision {
+    pub(super) choice: Choice,
+    pub(super) candidates: Vec<Candidate>,
+}
+
+/// Why a backend server gets no new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Exclusion {
+    Configured,
+    Listed,
+    Barred(Bar),
+}
+
+impl<P: Policy> State<P> {
+    /// Chooses a place for `job` by the configuration in force at this moment.
+    pub(super) fn decide(&self, now: Time, job: &Job) -> Result<Decision, Refusal> {
+        let config = self.config.as_ref().ok_or(Refusal::NoRegion)?;
+        let plan = config.plan(&job.ask)?;
+        let candidates = self.candidates(now, config, &plan, job);
+        let view = View {
+            candidates: &candidates,
+            weights: config.weights,
+            left: job.deadline.since(now),
+        };
+        let choice = self.policy.pick(&view);
+        Ok(Decision { choice, candidates })
+    }
+
+    fn candidates(&self, now: Time, config: &Config, plan: &Plan<'_>, job: &Job) -> Vec<Candidate> {
+        let mine = &self.table.me.region;
+        let home = plan.caller.home.as_ref().unwrap_or(mine);
+        let mut found = Vec::new();
+        if plan.permits(mine) {
+            self.local(now, config, plan, job, home, &mut found);
+        }
+        if job.hop == Hop::Direct {
+            let remote = self.table.reachable(now);
+            let remote = remote.filter(|(region, _)| *region != mine && plan.permits(region));
+            found.extend(remote.filter_map(|(region, remote)| {
+                self.remote(now, config, plan, job, home, region, remote)
+            }));
+        }
+        found
+    }
+
+    fn local(
+        &self,
+        now: Time,
+        config: &Config,
+        plan: &Plan<'_>,
+        job: &Job,
+        home: &Region,
+        found: &mut Vec<Candidate>,
+    ) {
+        let mine = &self.table.me.region;
+        let usable: Vec<&Backend> = config
+            .serving(&plan.service)
+            .filter(|b| b.region == *mine && plan.allows(b))
+            .filter(|b| self.excluded(now, b).is_none())
+            .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
+            .collect();
+        let affinity = |b: &&&Backend| {
+            xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), job.prefix)
+        };
+        let warm = usable.iter().max_by_key(affinity).map(|b| b.name.clone());
+        let line = self.queue.waiting(&plan.service) / usable.len().max(1);
+        let fresh = Server::default();
+        for backend in &usable {
+            let server = self.servers.get(&backend.name).unwrap_or(&fresh);
+            let slots = server.slots(backend.slots, now);
+            let busy = server.busy + self.table.busy(Short::of(backend.name.as_str()));
+            let free = slots.saturating_sub(busy);
+            let ahead = u64::from(busy.saturating_sub(slots)) + line as u64 + 1;
+            let wait = if free > 0 {
+                Millis(0)
+            } else {
+                Millis(server.whole().0 * ahead / u64::from(slots))
+            };
+            found.push(Candidate {
+                place: Place::Backend(backend.name.clone()),
+                home: mine == home,
+                free,
+                load: f64::from(busy) / f64::from(slots),
+                wait,
+                first: server.first(),
+                hop: Millis(0),
+                price: backend.price,
+                warm: warm.as_ref() == Some(&backend.name),
+            });
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn remote(
+        &self,
+        now: Time,
+        config: &Config,
+        plan: &Plan<'_>,
+        job: &Job,
+        home: &Region,
+        region: &Region,
+        remote: &Remote,
+    ) -> Option<Candidate> {
+        let place = Place::Region(region.clone());
+        if job.tried.contains(&place) || remote.digest.doors.is_empty() {
+            return None;
+        }
+        let usable = |b: &&Backend| b.region == *region && plan.allows(b) && !self.leaving(now, b);
+        let price = config
+            .serving(&plan.service)
+            .filter(usable)
+            .map(|b| b.price)
+            .reduce(f64::min)?;
+        let short = Short::of(plan.service.as_str());
+        let capacity = remote.digest.services.iter().find(|c| c.service == short)?;
+        let hop = config.hop(&self.table.me.region, region);
+        Some(Candidate {
+            place,
+            home: region == home,
+            free: remote.free(short, now),
+            load: f64::from(capacity.busy + remote.sent) / f64::from(capacity.slots.max(1)),
+            wait: Millis(0),
+            first: capacity.first,
+            hop,
+            price,
+            warm: false,
+        })
+    }
+
+    fn leaving(&self, now: Time, backend: &Backend) -> bool {
+        backend.leaving || self.is_listed(now, &backend.address)
+    }
+
+    /// Whether the platform's list names `address` as leaving, here or at a live box nearby.
+    fn is_listed(&self, now: Time, address: &SocketAddr) -> bool {
+        let told = |peer: &Peer| peer.last.listed.contains(address);
+        self.listed.contains(address) || self.table.live(now).any(told)
+    }
+
+    /// Why `backend` gets no new work at `now`, where that is so.
+    pub(super) fn excluded(&self, now: Time, backend: &Backend) -> Option<Exclusion> {
+        if backend.leaving {
+            return Some(Exclusion::Configured);
+        }
+        if self.is_listed(now, &backend.address) {
+            return Some(Exclusion::Listed);
+        }
+        let bar = self.servers.get(&backend.name)?.bar(now)?;
+        Some(Exclusion::Barred(bar))
+    }
+}
--- /dev/null
+++ b/src/reducer/status.rs
@@ -0,0 +1,242 @@
+//! What operators see: the state of a box, and where a request would go.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::{Ask, Version},
+    id::{self, BoxName, Domain, Region, Selector, Service},
+    policy::{Candidate, Choice, Policy},
+    reducer::{
+        State,
+        event::Hop,
+        place::Exclusion,
+        request::{Job, Stage},
+    },
+    server::Bar,
+    unit::{Millis, Time},
+    wire::{Phase, Short},
+};
+
+/// One box's view of the system.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// The box that tells.
+    pub name: BoxName,
+    /// Its region.
+    pub region: Region,
+    /// The configuration in force; zero without one.
+    pub version: Version,
+    /// Whether it takes work.
+    pub phase: Phase,
+    /// Whether it watches the store.
+    pub watching: bool,
+    /// Requests in hand.
+    pub requests: usize,
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+    /// Keys remembered.
+    pub keys: usize,
+    /// The boxes of its region.
+    pub boxes: Vec<Peer>,
+    /// The other regions.
+    pub regions: Vec<Remote>,
+    /// The backend servers of its region.
+    pub backends: Vec<Backend>,
+}
+
+/// Another box of the region.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Peer {
+    /// Its name.
+    pub name: BoxName,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// The configuration it had in force when last heard.
+    pub version: Version,
+    /// Whether it takes work.
+    pub phase: Phase,
+    /// Time since it was last heard.
+    pub silent: Millis,
+}
+
+/// Another region.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Remote {
+    /// Its name.
+    pub name: Region,
+    /// The newest configuration there when last heard.
+    pub version: Version,
+    /// Time since it was last heard.
+    pub silent: Millis,
+    /// The boxes to reach it by.
+    pub doors: Vec<BoxName>,
+}
+
+/// A backend server of the region.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Backend {
+    /// Its name.
+    pub name: id::Backend,
+    /// Whether it gets new work.
+    pub used: bool,
+    /// Why, in a word.
+    pub reason: String,
+    /// Work in hand there, by all boxes of the region.
+    pub busy: u32,
+    /// Slots it gets now.
+    pub slots: u32,
+    /// Expected time to the first byte.
+    pub first: Millis,
+}
+
+/// Where a request would go, and why.
+#[derive(Clone, Debug, Serialize)]
+pub struct Explanation {
+    /// The configuration it was decided by.
+    pub version: Version,
+    /// The selector that decided.
+    pub selector: Selector,
+    /// What must serve it.
+    pub service: Service,
+    /// Whether it may run twice.
+    pub repeatable: bool,
+    /// The regions it may run in.
+    pub regions: Vec<Region>,
+    /// The places that could take it now.
+    pub candidates: Vec<Candidate>,
+    /// Backend servers of this region that serve it but get no work from it, and why.
+    pub left_out: Vec<LeftOut>,
+    /// What would be done.
+    pub choice: Choice,
+}
+
+/// A backend server that a request cannot go to.
+#[derive(Clone, Debug, Serialize)]
+pub struct LeftOut {
+    /// The backend server.
+    pub backend: id::Backend,
+    /// Why, in a word.
+    pub reason: &'static str,
+}
+
+fn reason(exclusion: Option<Exclusion>) -> &'static str {
+    match exclusion {
+        None => "in use",
+        Some(Exclusion::Configured) => "leaving, by the configuration",
+        Some(Exclusion::Listed) => "leaving, by the platform's list",
+        Some(Exclusion::Barred(Bar::Broken)) => "failing",
+        Some(Exclusion::Barred(Bar::Refusing)) => "refusing work",
+    }
+}
+
+impl<P: Policy> State<P> {
+    /// This box's view at `now`.
+    pub fn status(&self, now: Time) -> Status {
+        let peers = self.table.peers().map(|peer| Peer {
+            name: peer.last.contact.name.clone(),
+            domain: peer.last.contact.domain.clone(),
+            version: peer.last.version,
+            phase: peer.last.phase,
+            silent: now.since(peer.heard),
+        });
+        let regions = self.table.regions().map(|(name, remote)| Remote {
+            name: name.clone(),
+            version: remote.digest.version,
+            silent: now.since(remote.heard),
+            doors: remote
+                .digest
+                .doors
+                .iter()
+                .map(|d| d.contact.name.clone())
+                .collect(),
+        });
+        Status {
+            name: self.table.me.name.clone(),
+            region: self.table.me.region.clone(),
+            version: self.version(),
+            phase: self.phase(now),
+            watching: self.control.watching,
+            requests: self.jobs.len(),
+            waiting: self.queue.len(),
+            keys: self.ledger.len(),
+            boxes: peers.collect(),
+            regions: regions.collect(),
+            backends: self.backend_status(now),
+        }
+    }
+
+    fn backend_status(&self, now: Time) -> Vec<Backend> {
+        let Some(config) = &self.config else {
+            return vec![];
+        };
+        let mine = config
+            .backends
+            .values()
+            .filter(|b| b.region == self.table.me.region);
+        let mut rows: Vec<Backend> = mine
+            .map(|b| {
+                let server = self.servers.get(&b.name).cloned().unwrap_or_default();
+                let excluded = self.excluded(now, b);
+                Backend {
+                    name: b.name.clone(),
+                    used: excluded.is_none(),
+                    reason: reason(excluded).to_owned(),
+                    busy: server.busy + self.table.busy(Short::of(b.name.as_str())),
+                    slots: server.slots(b.slots, now),
+                    first: server.first(),
+                }
+            })
+            .collect();
+        rows.sort_by(|a, b| a.name.cmp(&b.name));
+        rows
+    }
+
+    /// Where a request would go at `now`, without sending it.
+    pub fn explain(&self, now: Time, ask: Ask, prefix: u64) -> Result<Explanation, String> {
+        let config = self.config.as_ref().ok_or("no configuration is in force")?;
+        let plan = config.plan(&ask).map_err(|refusal| refusal.to_string())?;
+        let job = Job {
+            service: plan.service.clone(),
+            prefix,
+            hop: Hop::Direct,
+            repeatable: plan.route.repeatable,
+            owns_key: false,
+            deadline: now + plan.route.deadline,
+            attempts: 0,
+            tried: vec![],
+            may_have_run: false,
+            stage: Stage::Waiting,
+            ask: ask.clone(),
+        };
+        let decision = self
+            .decide(now, &job)
+            .map_err(|refusal| refusal.to_string())?;
+        let mut regions: Vec<Region> = config.regions.keys().cloned().collect();
+        regions.retain(|region| plan.permits(region));
+        regions.sort();
+        let left_out = config.serving(&plan.service).filter_map(|b| {
+            let excluded = self.excluded(now, b);
+            let reason = match () {
+                () if b.region != self.table.me.region => return None,
+                () if !plan.permits(&b.region) => "its region is not permitted",
+                () if !plan.allows(b) => "its labels do not match the selector",
+                () if excluded.is_some() => reason(excluded),
+                () => return None,
+            };
+            Some(LeftOut {
+                backend: b.name.clone(),
+                reason,
+            })
+        });
+        Ok(Explanation {
+            version: config.version,
+            selector: plan.selector.clone(),
+            service: plan.service.clone(),
+            repeatable: plan.route.repeatable,
+            regions,
+            left_out: left_out.collect(),
+            candidates: decision.candidates,
+            choice: decision.choice,
+        })
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,232 @@
+//! The checked settings of one box, read from its INI file at start.
+
+use std::{fmt, net::SocketAddr, str::FromStr};
+
+use eyre::WrapErr;
+
+use crate::{
+    id::{BoxName, Domain, Region},
+    ini::{Faults, Reader},
+    unit::{Bytes, Millis},
+};
+
+/// Shortest secret accepted, in bytes.
+const MIN_SECRET: usize = 16;
+
+/// A shared secret; it never shows in logs.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// The secret's bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
+    }
+
+    /// The secret as text, for a header.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+impl FromStr for Secret {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Self, String> {
+        if text.len() < MIN_SECRET || !text.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(format!(
+                "a secret has at least {MIN_SECRET} visible ASCII characters"
+            ));
+        }
+        Ok(Self(text.to_owned()))
+    }
+}
+
+/// Where another box may be found at start: `REGION/IP:PORT` of its gossip listener.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seed {
+    /// The region of the box.
+    pub region: Region,
+    /// Its gossip listener.
+    pub gossip: SocketAddr,
+}
+
+impl FromStr for Seed {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (region, gossip) = text
+            .split_once('/')
+            .ok_or("expected REGION/IP:PORT".to_owned())?;
+        Ok(Self {
+            region: region.parse().map_err(|e| format!("region: {e}"))?,
+            gossip: gossip.parse().map_err(|e| format!("address: {e}"))?,
+        })
+    }
+}
+
+/// The addresses that callers and other boxes are told; none means the listener's own.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Advertise {
+    /// For callers.
+    pub public: Option<SocketAddr>,
+    /// For other boxes, HTTP.
+    pub peer: Option<SocketAddr>,
+    /// For other boxes, nng.
+    pub gossip: Option<SocketAddr>,
+}
+
+/// Everything one box is told at start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The box's own name.
+    pub name: BoxName,
+    /// The region it stands in.
+    pub region: Region,
+    /// The failure domain it stands in.
+    pub domain: Domain,
+    /// Listener for callers.
+    pub public: SocketAddr,
+    /// HTTP listener for other boxes.
+    pub peer: SocketAddr,
+    /// nng listener for other boxes.
+    pub gossip: SocketAddr,
+    /// Listener for operators.
+    pub admin: SocketAddr,
+    /// The addresses that others are told, where they differ from the listeners.
+    pub advertise: Advertise,
+    /// The bearer token that operators send.
+    pub admin_token: Secret,
+    /// The secret that all boxes share.
+    pub cluster_secret: Secret,
+    /// Boxes to greet at start.
+    pub seeds: Vec<Seed>,
+    /// The store's addresses, tried in order.
+    pub stores: Vec<SocketAddr>,
+    /// The key that holds the configuration in the store.
+    pub store_key: String,
+    /// The platform's list of live and leaving boxes, where there is one.
+    pub list: Option<SocketAddr>,
+    /// Where spans go (OTLP over HTTP); none discards them.
+    pub trace: Option<SocketAddr>,
+    /// The lowest level that is logged.
+    pub log: log::LevelFilter,
+    /// Largest request head.
+    pub max_head: Bytes,
+    /// Largest request body.
+    pub max_body: Bytes,
+    /// Memory for all request bodies held at once.
+    pub body_memory: Bytes,
+    /// How long a planned stop keeps the listener open.
+    pub linger: Millis,
+}
+
+impl Settings {
+    /// Reads and checks the file at `path`.
+    pub fn load(path: &std::path::Path) -> eyre::Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("cannot read settings {}", path.display()))?;
+        Ok(Self::parse(&path.display().to_string(), &text)?)
+    }
+
+    /// Checks `text`; every fault is told at once.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Faults> {
+        let mut reader = Reader::new(file, text)?;
+        refuse_odd_sections(&mut reader);
+        let settings = read(&mut reader);
+        reader.finish(settings)
+    }
+}
+
+fn refuse_odd_sections(reader: &mut Reader) {
+    const KNOWN: [&str; 6] = ["box", "listen", "advertise", "peers", "platform", "limits"];
+    for name in reader.sections() {
+        if !KNOWN.contains(&name.as_str()) {
+            reader.fault(&name, "", "is not a section of the settings");
+        }
+    }
+}
+
+fn read(reader: &mut Reader) -> Option<Settings> {
+    let mut section = reader.section("box");
+    let name = section.required("name");
+    let region = section.required("region");
+    let domain = section.required("failure_domain");
+    let log = section.or("log", log::LevelFilter::Info);
+    let tls: String = section.or("tls", "off".to_owned());
+    if tls != "off" {
+        section.fault("tls", "only \"off\" is built so far");
+    }
+    section.end();
+
+    let mut section = reader.section("listen");
+    let public = section.required("public");
+    let peer = section.required("peer");
+    let gossip = section.required("gossip");
+    let admin = section.required("admin");
+    let admin_token = section.required("admin_token");
+    section.end();
+
+    let mut section = reader.section("advertise");
+    let advertise = Advertise {
+        public: section.optional("public"),
+        peer: section.optional("peer"),
+        gossip: section.optional("gossip"),
+    };
+    section.end();
+
+    let mut section = reader.section("peers");
+    let cluster_secret = section.required("secret");
+    let seeds = section.list("seeds");
+    section.end();
+
+    let mut section = reader.section("platform");
+    let stores: Vec<SocketAddr> = section.list("store");
+    if stores.is_empty() {
+        section.fault("store", "names no address");
+    }
+    let store_key = section.or("store_key", "petreldrum/config".to_owned());
+    let list = section.optional("list");
+    let trace = section.optional("trace");
+    section.end();
+
+    let mut section = reader.section("limits");
+    let max_head = section.or("max_head", Bytes(16 << 10));
+    let max_body = section.or("max_body", Bytes(1 << 20));
+    let body_memory = section.or("body_memory", Bytes(64 << 20));
+    if body_memory < max_body {
+        section.fault("body_memory", "is under max_body");
+    }
+    let linger = section.or("linger", Millis(3000));
+    if max_head.0 < 8 << 10 {
+        section.fault("max_head", "is under 8KiB");
+    }
+    section.end();
+
+    Some(Settings {
+        name: name?,
+        region: region?,
+        domain: domain?,
+        public: public?,
+        peer: peer?,
+        gossip: gossip?,
+        admin: admin?,
+        advertise,
+        admin_token: admin_token?,
+        cluster_secret: cluster_secret?,
+        seeds,
+        stores,
+        store_key,
+        list,
+        trace,
+        log,
+        max_head,
+        max_body,
+        body_memory,
+        linger,
+    })
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,193 @@
+//! Messages between boxes over nng: postcard, signed with the shared secret.
+
+use std::{fmt, net::SocketAddr};
+
+use hmac::{Hmac, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+
+use crate::{
+    config::Version,
+    id::{BoxName, Domain, Incarnation, Region},
+    settings::Secret,
+    unit::{Millis, Time},
+};
+
+const TAG: usize = 8;
+
+/// Who a box is and where it listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Contact {
+    /// Its name.
+    pub name: BoxName,
+    /// Its region.
+    pub region: Region,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its listener for callers.
+    pub public: SocketAddr,
+    /// Its HTTP listener for other boxes.
+    pub peer: SocketAddr,
+    /// Its nng listener.
+    pub gossip: SocketAddr,
+}
+
+/// Whether a box takes work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Phase {
+    /// It has no configuration yet, or just woke up.
+    Unready,
+    /// It takes work.
+    Ready,
+    /// It is stopping.
+    Leaving,
+}
+
+/// A backend server's or service's name as 32 bits of its xxh3 hash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Short(pub u32);
+
+impl Short {
+    /// Shortens a name.
+    pub fn of(name: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
+/// Work that one box has in hand at one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The backend server.
+    pub backend: Short,
+    /// Attempts in hand.
+    pub busy: u32,
+}
+
+/// What a box tells the boxes of its region.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who it is.
+    pub contact: Contact,
+    /// Its clock.
+    pub uptime: Time,
+    /// The configuration it has in force.
+    pub version: Version,
+    /// Whether it takes work.
+    pub phase: Phase,
+    /// Requests in hand.
+    pub busy: u32,
+    /// Where that work is; servers without any are left out.
+    pub loads: Vec<Load>,
+    /// Addresses that the platform's list names as leaving, where this box reads it.
+    pub listed: Vec<SocketAddr>,
+}
+
+/// A box of another region that takes relayed requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Door {
+    /// Who it is.
+    pub contact: Contact,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its clock when the digest was made.
+    pub uptime: Time,
+}
+
+/// What a region can take of one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Capacity {
+    /// The model or route.
+    pub service: Short,
+    /// Slots of the servers that take work.
+    pub slots: u32,
+    /// Slots in use.
+    pub busy: u32,
+    /// Expected time to the first byte.
+    pub first: Millis,
+}
+
+/// What one region tells another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The region it speaks of.
+    pub region: Region,
+    /// The newest configuration there.
+    pub version: Version,
+    /// Some of its boxes, least busy first.
+    pub doors: Vec<Door>,
+    /// What it can take.
+    pub services: Vec<Capacity>,
+    /// Whether the receiver passes it on inside its region.
+    pub spread: bool,
+}
+
+/// A message's content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Within a region.
+    Heartbeat(Heartbeat),
+    /// Between regions, then once more inside the receiver's.
+    Digest(Digest),
+    /// To a box that just appeared: the others of its region.
+    Members(Vec<Contact>),
+}
+
+/// One message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Frame {
+    /// The box that made it.
+    pub from: BoxName,
+    /// The life that made it.
+    pub incarnation: Incarnation,
+    /// Its number in that life; a lower one than the last is dropped unread.
+    pub seq: u64,
+    /// The content.
+    pub body: Body,
+}
+
+/// Why bytes are not a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The signature is missing or wrong.
+    Unsigned,
+    /// The signed bytes do not read as a frame.
+    Unreadable,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unsigned => "the frame's signature is wrong",
+            Self::Unreadable => "the frame does not read",
+        })
+    }
+}
+
+impl std::error::Error for Error {}
+
+fn sign(secret: &Secret, bytes: &[u8]) -> Hmac<Sha256> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any key length");
+    mac.update(b"frame\0");
+    mac.update(bytes);
+    mac
+}
+
+impl Frame {
+    /// Writes the frame and its signature.
+    pub fn encode(&self, secret: &Secret) -> Vec<u8> {
+        let mut bytes = postcard::to_stdvec(self).expect("a frame always encodes");
+        let tag = sign(secret, &bytes).finalize().into_bytes();
+        bytes.extend_from_slice(&tag[..TAG]);
+        bytes
+    }
+
+    /// Checks the signature and reads the frame.
+    pub fn decode(secret: &Secret, bytes: &[u8]) -> Result<Self, Error> {
+        let split = bytes.len().checked_sub(TAG).ok_or(Error::Unsigned)?;
+        let (body, tag) = bytes.split_at(split);
+        let signed = sign(secret, body).verify_truncated_left(tag);
+        signed.map_err(|_| Error::Unsigned)?;
+        postcard::from_bytes(body).map_err(|_| Error::Unreadable)
+    }
+}
--- /dev/null
+++ b/standin/src/engine.rs
@@ -0,0 +1,197 @@
+//! A model engine: OpenAI-style requests, tokens over SSE, slots, a prefix cache, refusals.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode, header::HeaderValue};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::{
+    sync::{Semaphore, mpsc},
+    time::sleep,
+};
+
+use crate::http::{Body, Service, Whole, json as json_answer, stream, whole};
+
+/// The header by which the engine says that it did not run a request.
+pub const REFUSED: &str = "x-engine-refused";
+/// Prefixes that fit into the cache.
+const CACHE: usize = 32;
+const DEFAULT_TOKENS: u64 = 8;
+
+/// How the engine behaves.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Behaviour {
+    /// Milliseconds to the first token with a warm prefix.
+    pub first_ms: u64,
+    /// Milliseconds more with a cold prefix.
+    pub cold_ms: u64,
+    /// Milliseconds between tokens.
+    pub token_ms: u64,
+    /// Whether it refuses all work.
+    pub refuse: bool,
+    /// Whether it cuts each stream after two tokens.
+    pub cut: bool,
+    /// Whether it closes the connection before any answer.
+    pub reset: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            first_ms: 5,
+            cold_ms: 0,
+            token_ms: 2,
+            refuse: false,
+            cut: false,
+            reset: false,
+        }
+    }
+}
+
+/// What the engine has counted.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct Counts {
+    started: u64,
+    finished: u64,
+    cancelled: u64,
+    refused: u64,
+    cold: u64,
+}
+
+/// The engine; clones share one state.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    behaviour: Arc<Mutex<Behaviour>>,
+    counts: Arc<Mutex<Counts>>,
+    prefixes: Arc<Mutex<VecDeque<u64>>>,
+    slots: Arc<Semaphore>,
+}
+
+impl Engine {
+    /// An engine that runs `slots` requests at once; more wait inside it.
+    pub fn new(slots: usize, behaviour: Behaviour) -> Self {
+        Self {
+            behaviour: Arc::new(Mutex::new(behaviour)),
+            counts: Arc::default(),
+            prefixes: Arc::default(),
+            slots: Arc::new(Semaphore::new(slots)),
+        }
+    }
+
+    fn count(&self, change: impl FnOnce(&mut Counts)) {
+        change(&mut self.counts.lock().expect("the lock is never poisoned"));
+    }
+
+    fn behaviour(&self) -> Behaviour {
+        *self.behaviour.lock().expect("the lock is never poisoned")
+    }
+
+    /// Whether the prompt's prefix was in the cache; it is afterwards.
+    fn warm(&self, prompt: &str) -> bool {
+        let beginning = &prompt.as_bytes()[..prompt.len().min(64)];
+        let hash = xxhash_rust::xxh3::xxh3_64(beginning);
+        let mut cache = self.prefixes.lock().expect("the lock is never poisoned");
+        let warm = cache.contains(&hash);
+        cache.retain(|h| *h != hash);
+        cache.push_back(hash);
+        if cache.len() > CACHE {
+            cache.pop_front();
+        }
+        warm
+    }
+
+    fn complete(&self, body: &Value) -> Response<Body> {
+        let prompt = match &body["messages"] {
+            Value::Null => body["prompt"].to_string(),
+            messages => {
+                messages[messages.as_array().map_or(0, |m| m.len().saturating_sub(1))]["content"]
+                    .as_str()
+                    .unwrap_or_default()
+                    .to_owned()
+            }
+        };
+        let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
+        let model = body["model"].clone();
+        let (sender, receiver) = mpsc::channel(1);
+        tokio::spawn(self.clone().generate(prompt, tokens, model, sender));
+        let mut response = stream(receiver);
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert("content-type", kind);
+        response
+    }
+
+    async fn generate(
+        self,
+        prompt: String,
+        tokens: u64,
+        model: Value,
+        sender: mpsc::Sender<std::io::Result<Bytes>>,
+    ) {
+        let Ok(_slot) = self.slots.clone().acquire_owned().await else {
+            return;
+        };
+        let behaviour = self.behaviour();
+        self.count(|c| c.started += 1);
+        let warm = self.warm(&prompt);
+        let mut wait = behaviour.first_ms;
+        if !warm {
+            wait += behaviour.cold_ms;
+            self.count(|c| c.cold += 1);
+        }
+        for index in 0..tokens {
+            tokio::select! {
+                () = sleep(Duration::from_millis(wait)) => {}
+                () = sender.closed() => return self.count(|c| c.cancelled += 1),
+            }
+            wait = behaviour.token_ms;
+            if behaviour.cut && index == 2 {
+                let _ = sender.send(Err(std::io::Error::other("cut"))).await;
+                return;
+            }
+            let token = format!("{prompt}#{index} ");
+            let chunk = json!({ "model": model, "choices": [{ "delta": { "content": token } }] });
+            let line = Bytes::from(format!("data: {chunk}\n\n"));
+            if sender.send(Ok(line)).await.is_err() {
+                return self.count(|c| c.cancelled += 1);
+            }
+        }
+        let done = Bytes::from_static(b"data: [DONE]\n\n");
+        let _ = sender.send(Ok(done)).await;
+        self.count(|c| c.finished += 1);
+    }
+}
+
+impl Service for Engine {
+    async fn answer(&self, request: Whole) -> Option<Response<Body>> {
+        let body: Value = serde_json::from_slice(request.body()).unwrap_or_default();
+        let behaviour = self.behaviour();
+        match request.uri().path() {
+            "/_behave" => {
+                if let Ok(new) = serde_json::from_value(body) {
+                    *self.behaviour.lock().expect("the lock is never poisoned") = new;
+                }
+                Some(json_answer(&json!("set")))
+            }
+            "/_counts" => {
+                let counts = *self.counts.lock().expect("the lock is never poisoned");
+                Some(json_answer(&json!(counts)))
+            }
+            "/v1/chat/completions" | "/v1/completions" if behaviour.reset => None,
+            "/v1/chat/completions" | "/v1/completions" if behaviour.refuse => {
+                self.count(|c| c.refused += 1);
+                let mut answer = whole(StatusCode::SERVICE_UNAVAILABLE, "leaving");
+                let yes = HeaderValue::from_static("yes");
+                answer.headers_mut().insert(REFUSED, yes);
+                Some(answer)
+            }
+            "/v1/chat/completions" | "/v1/completions" => Some(self.complete(&body)),
+            _ => Some(whole(StatusCode::NOT_FOUND, "no such path")),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/http.rs
@@ -0,0 +1,211 @@
+//! What the stand-ins share: a small HTTP server, and a client for tests.
+
+use std::{convert::Infallible, net::SocketAddr};
+
+use bytes::Bytes;
+use eyre::WrapErr;
+use http_body_util::{BodyExt as _, Full, StreamBody, combinators::BoxBody};
+use hyper::{
+    Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    client::conn::http1 as client,
+    server::conn::http1 as server,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task::JoinHandle,
+};
+
+/// A body of a stand-in's answer; an error in it cuts the connection.
+pub type Body = BoxBody<Bytes, std::io::Error>;
+
+/// A request with its body at hand.
+pub type Whole = Request<Bytes>;
+
+/// What a stand-in does with a request; none closes the connection without an answer.
+pub trait Service: Clone + Send + 'static {
+    /// Answers one request.
+    fn answer(&self, request: Whole) -> impl Future<Output = Option<Response<Body>>> + Send;
+}
+
+/// An answer that is all at hand.
+pub fn whole(status: StatusCode, content: impl Into<Bytes>) -> Response<Body> {
+    let full = Full::new(content.into()).map_err(|never: Infallible| match never {});
+    let mut response = Response::new(BoxBody::new(full));
+    *response.status_mut() = status;
+    response
+}
+
+/// A JSON answer.
+pub fn json(content: &Value) -> Response<Body> {
+    let mut response = whole(StatusCode::OK, content.to_string());
+    let value = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert("content-type", value);
+    response
+}
+
+/// An answer whose pieces come through a channel.
+pub fn stream(pieces: mpsc::Receiver<std::io::Result<Bytes>>) -> Response<Body> {
+    let frames = Pieces(pieces);
+    Response::new(BoxBody::new(StreamBody::new(frames)))
+}
+
+struct Pieces(mpsc::Receiver<std::io::Result<Bytes>>);
+
+impl futures_core::Stream for Pieces {
+    type Item = std::io::Result<Frame<Bytes>>;
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Self::Item>> {
+        self.0
+            .poll_recv(cx)
+            .map(|piece| piece.map(|p| p.map(Frame::data)))
+    }
+}
+
+/// Listens on `address` and serves until the task is dropped with the process.
+pub async fn serve(
+    address: SocketAddr,
+    service: impl Service + Sync,
+) -> eyre::Result<(SocketAddr, JoinHandle<()>)> {
+    let listener = TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address}"))?;
+    let bound = listener.local_addr()?;
+    let task = tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let _ = stream.set_nodelay(true);
+            tokio::spawn(connection(stream, service.clone()));
+        }
+    });
+    Ok((bound, task))
+}
+
+async fn connection(stream: TcpStream, service: impl Service + Sync) {
+    let handler = service_fn(move |request: Request<Incoming>| {
+        let service = service.clone();
+        async move {
+            let (parts, body) = request.into_parts();
+            let body = body
+                .collect()
+                .await
+                .map_err(std::io::Error::other)?
+                .to_bytes();
+            let answer = service.answer(Request::from_parts(parts, body)).await;
+            // An error closes the connection without an answer.
+            answer.ok_or_else(|| std::io::Error::other("no answer"))
+        }
+    });
+    let _ = server::Builder::new()
+        .serve_connection(TokioIo::new(stream), handler)
+        .await;
+}
+
+/// An answer as a test sees it.
+#[derive(Debug)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The head.
+    pub headers: hyper::HeaderMap,
+    /// The body, as far as it came.
+    pub body: Bytes,
+    /// Whether the HTTP library found the body complete.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The body as JSON; null where it is not.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// A header as text; empty where it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or("")
+    }
+}
+
+/// An answer that begins.
+pub struct Begun {
+    response: Response<Incoming>,
+}
+
+impl Begun {
+    /// The head.
+    pub fn head(&self) -> &hyper::HeaderMap {
+        self.response.headers()
+    }
+
+    /// Waits for the next bytes; none at the end or at a cut.
+    pub async fn next(&mut self) -> Option<Bytes> {
+        let frame = self.response.body_mut().frame().await?;
+        frame.ok()?.into_data().ok()
+    }
+
+    /// Reads to the end or the cut.
+    pub async fn finish(self) -> Answer {
+        let (parts, mut body) = self.response.into_parts();
+        let mut all = Vec::new();
+        let mut whole = true;
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => all.extend(frame.into_data().unwrap_or_default()),
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: all.into(),
+            whole,
+        }
+    }
+}
+
+/// Sends a request over a connection of its own and returns when the answer begins.
+pub async fn begin(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> eyre::Result<Begun> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let mut request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", address.to_string());
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(body.into()))?;
+    let response = sender.send_request(request).await?;
+    Ok(Begun { response })
+}
+
+/// Sends a request and reads the whole answer.
+pub async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> eyre::Result<Answer> {
+    let begun = begin(address, method, path, headers, body).await?;
+    Ok(begun.finish().await)
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,21 @@
+//! Stand-ins for the systems that petreldrum meets; they never ship with it.
+//!
+//! Each is met only over the network, by the protocol of the real system. Paths that begin with
+//! `/_` are the test's own: they set faults and read counts.
+//!
+//! | module | stands in for |
+//! |---|---|
+//! | [`store`] | the key-value service (etcd v3 JSON over HTTP) |
+//! | [`platform`] | the list of live and leaving boxes, and the client directory |
+//! | [`engine`] | a model engine (OpenAI-style, SSE) |
+//! | [`app`] | an application service that counts what it ran |
+//! | [`collector`] | a trace collector that counts the spans it was sent |
+//! | [`demo`] | a whole system in one process |
+
+pub mod app;
+pub mod collector;
+pub mod demo;
+pub mod engine;
+pub mod http;
+pub mod platform;
+pub mod store;
--- /dev/null
+++ b/tests/harness/oracle.rs
@@ -0,0 +1,1 @@
+//! A simple oracle over one or more reducers: it knows what must hold and nothing of how.
