Keep reading a refused body so that its answer arrives

Ruled out: a short limit in the test; delaying the answer.

Change: what is left of a refused body is read on, at most 16 MiB and 2 s, beside the answer, which still goes out at once.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,6 +8,7 @@
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::{Body as _, Incoming},
     header::{HOST, HeaderName},
+    http::request::Parts,
 };
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -39,6 +40,9 @@
 
 /// How long a request's body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How much of a refused body is read, and for how long.
+const DISCARD_BYTES: usize = 16 << 20;
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of the prompt that name its prefix.
 const PREFIX_BYTES: usize = 1024;
 /// Body memory is counted in pieces of this many bytes.
@@ -66,6 +70,19 @@
     came: Instant,
 }
 
+/// A request as it comes; what is left of its body is discarded after the answer.
+struct Inbound {
+    parts: Parts,
+    body: Incoming,
+}
+
+/// Reads on for a while after a request was refused: a connection that is closed while its sender
+/// still writes is reset, and the answer is lost with it.
+async fn discard(body: Incoming) {
+    let rest = Limited::new(body, DISCARD_BYTES).collect();
+    let _ = timeout(DISCARD_TIMEOUT, rest).await;
+}
+
 fn deny(status: u16, reason: &str) -> Reply {
     Reply::new(status, Verdict::NotRun, reason)
 }
@@ -96,10 +113,15 @@
         Door::Peer => "receive relayed",
     };
     let span = shell.tracer.receive(name, request.headers());
+    let (parts, body) = request.into_parts();
+    let mut incoming = Inbound { parts, body };
     let result = match door {
-        Door::Public => public(&shell, request, &span).await,
-        Door::Peer => peer(&shell, request, &span).await,
+        Door::Public => public(&shell, &mut incoming, &span).await,
+        Door::Peer => peer(&shell, &mut incoming, &span).await,
     };
+    if !incoming.body.is_end_stream() {
+        tokio::spawn(discard(incoming.body));
+    }
     let mut response = result.unwrap_or_else(|reply| answer_reply(&shell, &reply));
     span.note("http.response.status_code", response.status().as_u16());
     let headers = response.headers_mut();
@@ -119,34 +141,34 @@
 
 async fn public(
     shell: &Arc<Shell>,
-    request: Request<Incoming>,
+    inbound: &mut Inbound,
     span: &Span,
 ) -> Result<Response<Body>, Reply> {
-    let credential = match head::api_key(request.headers()) {
+    let credential = match head::api_key(&inbound.parts.headers) {
         Some(key) => Credential::Key(KeyHash::of(key)),
         None => Credential::Missing,
     };
-    match request.uri().path() {
+    match inbound.parts.uri.path() {
         "/petreldrum/health" => return Ok(head::whole(StatusCode::OK, "text/plain", "alive\n")),
         "/petreldrum/ready" => return Ok(shell.readiness().await),
         "/petreldrum/ask" => return ask(shell, credential).await,
         _ => {}
     }
     shell.known(&credential)?;
-    forward(shell, request, credential, Hop::Direct, span).await
+    forward(shell, inbound, credential, Hop::Direct, span).await
 }
 
 async fn peer(
     shell: &Arc<Shell>,
-    request: Request<Incoming>,
+    inbound: &mut Inbound,
     span: &Span,
 ) -> Result<Response<Body>, Reply> {
-    let headers = request.headers();
+    let headers = &inbound.parts.headers;
     let secret = headers.get(head::SECRET).map(|v| v.as_bytes());
     if !secret.is_some_and(|s| shell.is_secret(s)) {
         return Err(deny(403, "this listener is for boxes of the system"));
     }
-    if request.uri().path() == head::CONFIG_PATH {
+    if inbound.parts.uri.path() == head::CONFIG_PATH {
         let current = shell.current.borrow().clone();
         let current = current.ok_or_else(|| deny(404, "no configuration is in force"))?;
         return Ok(head::json_answer(StatusCode::OK, &*current.envelope));
@@ -159,7 +181,7 @@
         (Some(head::HOP_PASS), _) => Hop::Pass,
         _ => return Err(deny(400, "the relayed request names no hop")),
     };
-    forward(shell, request, Credential::Vouched(caller), hop, span).await
+    forward(shell, inbound, Credential::Vouched(caller), hop, span).await
 }
 
 async fn ask(shell: &Arc<Shell>, credential: Credential) -> Result<Response<Body>, Reply> {
@@ -202,7 +224,7 @@
 /// Reads a request, brings it to the reducer and follows its orders.
 async fn forward(
     shell: &Arc<Shell>,
-    request: Request<Incoming>,
+    inbound: &mut Inbound,
     credential: Credential,
     hop: Hop,
     span: &Span,
@@ -214,11 +236,11 @@
         Hop::Pass => "pass",
     };
     shell.metrics.requests.with_label_values(&[label]).inc();
-    let (parts, body) = request.into_parts();
+    let parts = &inbound.parts;
     if parts.method == Method::CONNECT {
         return Err(deny(405, "CONNECT is not served"));
     }
-    let (body, memory) = read_body(shell, body).await?;
+    let (body, memory) = read_body(shell, &mut inbound.body).await?;
     let path = parts.uri.path().to_owned();
     let prompt = read_prompt(shell, &path, &body)?;
     let uri = parts
@@ -240,9 +262,9 @@
     };
     let detached = matches!(arrival.key, Key::Good(_));
     let prepared = Prepared {
-        method: parts.method,
+        method: parts.method.clone(),
         uri,
-        headers: head::request(parts.headers),
+        headers: head::request(parts.headers.clone()),
         body,
         _memory: memory,
         span: span.clone(),
@@ -272,7 +294,7 @@
 
 async fn read_body(
     shell: &Shell,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Reply> {
     let limit = shell.settings.max_body.0;
     let hint = body.size_hint();
