Say "not run" only of a key that is ruled out for good

Cause: the first fuzz of four reducers with all faults mixed showed two ways in which "not run" was untrue for a request that may not be repeated. A box other than the one the key names refused a re-send (not ready, over the rate) as "not run" after the first send had run; and a box that refused a key ran an older send of it that arrived later.

Ruled out: remembering refusals at every box (they would have to be shared); saying "may have run" for every refusal (a first send would never be told the truth).

Change: only the box that a key names says "not run", and then voids the key: it never runs there, and the answer brings a fresh prefix. Every other refusal of a keyed request says "may have run". A re-send of a known key is no longer charged to its rate.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -122,7 +122,20 @@
     if !incoming.body.is_end_stream() {
         tokio::spawn(discard(incoming.body));
     }
-    let mut response = result.unwrap_or_else(|reply| answer_reply(&shell, &reply));
+    let mut response = result.unwrap_or_else(|reply| {
+        // Refused before the reducer saw it: earlier sends of its key may have run.
+        let headers = &incoming.parts.headers;
+        let relayed = headers
+            .get(head::HOP)
+            .is_some_and(|hop| hop == head::HOP_RELAY);
+        let keyed = headers.contains_key(head::IDEMPOTENCY_KEY) && !(door == Door::Peer && relayed);
+        let verdict = if keyed {
+            Verdict::MayHaveRun
+        } else {
+            reply.verdict
+        };
+        answer_reply(&shell, &Reply { verdict, ..reply })
+    });
     span.note("http.response.status_code", response.status().as_u16());
     let headers = response.headers_mut();
     headers.insert(head::BOX, head::value(&shell.settings.name));
@@ -284,7 +297,7 @@
         drive(shell.clone(), prepared, id, orders).await
     };
     guard.armed = false;
-    driven
+    Ok(driven.unwrap_or_else(|reply| answer_reply(shell, &reply)))
 }
 
 /// The task of a request broke; nothing is known of its run.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -28,6 +28,9 @@
     Finished,
     /// It may have run; nobody knows.
     Unknown,
+    /// Its caller was told "not run", so it never will: an older send of it may still be on its
+    /// way here.
+    Void,
 }
 
 /// A key within its caller's own space.
@@ -59,9 +62,11 @@
     Finished(id::Request),
     /// The key may have run.
     Unknown,
+    /// The key never ran and never will.
+    Void,
     /// The key was used for another request.
     Mismatch,
-    /// The ledger, or the line of joiners, is full.
+    /// The ledger, or the line of joiners, is full; nothing is known of the key.
     Full,
 }
 
@@ -86,22 +91,45 @@
         if self.entries.len() >= MAX_KEYS {
             return Outcome::Full;
         }
+        self.insert(slot, key, request, Phase::Running { joiners: vec![] });
+        Outcome::Fresh
+    }
+
+    /// Rules out that an unknown `key` ever runs; false where it may have, or cannot be ruled out.
+    pub fn void(&mut self, caller: &id::Caller, key: &Key, request: id::Request) -> bool {
+        let slot = Slot {
+            caller: caller.clone(),
+            digest: key.digest,
+        };
+        if let Some(entry) = self.entries.get(&slot) {
+            return entry.phase == Phase::Void;
+        }
+        if self.entries.len() >= MAX_KEYS {
+            return false;
+        }
+        self.insert(slot, key, request, Phase::Void);
+        true
+    }
+
+    /// Whether a caller's `key` is remembered.
+    pub fn knows(&self, caller: &id::Caller, key: &Key) -> bool {
+        self.owner(caller, key).is_some()
+    }
+
+    fn insert(&mut self, slot: Slot, key: &Key, request: id::Request, phase: Phase) {
         let entry = Entry {
             owner: request,
-            phase: Phase::Running { joiners: vec![] },
+            phase,
             content: key.content,
             expiry: key.pin.expiry,
         };
         self.entries.insert(slot.clone(), entry);
         self.ends.insert((key.pin.expiry, request));
         self.owners.insert(request, slot);
-        Outcome::Fresh
     }
 
     /// Notes how the owner ended and returns the requests that waited for it.
-    ///
-    /// A `None` phase forgets the key: it did not run, so a re-send may.
-    pub fn settle(&mut self, owner: id::Request, phase: Option<Phase>) -> Vec<id::Request> {
+    pub fn settle(&mut self, owner: id::Request, phase: Phase) -> Vec<id::Request> {
         let Some(entry) = self.owned(owner) else {
             return vec![];
         };
@@ -109,10 +137,7 @@
             return vec![];
         };
         let joiners = std::mem::take(joiners);
-        match phase {
-            Some(phase) => entry.phase = phase,
-            None => self.forget(owner),
-        }
+        entry.phase = phase;
         joiners
     }
 
@@ -193,6 +218,7 @@
         match &mut self.phase {
             Phase::Finished => Outcome::Finished(self.owner),
             Phase::Unknown => Outcome::Unknown,
+            Phase::Void => Outcome::Void,
             Phase::Running { joiners } if joiners.len() >= MAX_JOINERS => Outcome::Full,
             Phase::Running { joiners } => {
                 joiners.push(request);
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a slot, in fair turns between callers.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::id::{Caller, Request, Service};
 
@@ -23,7 +23,7 @@
 /// The lines of one box.
 #[derive(Debug, Default)]
 pub struct Queue {
-    lines: HashMap<Service, Line>,
+    lines: BTreeMap<Service, Line>,
     count: usize,
 }
 
--- a/src/reducer/request.rs
+++ b/src/reducer/request.rs
@@ -12,13 +12,15 @@
         event::{Arrival, Cause, Credential, Hop, Key},
     },
     retry,
-    unit::{Millis, Time},
+    unit::{Millis, Rate, Time},
     verdict::Verdict,
     wire::Phase,
 };
 
 /// When to come back where nothing better is known.
 const SOON: Millis = Millis(1000);
+/// The status of a key that was used for another request.
+const MISMATCH: u16 = 422;
 /// Longest deadline a caller may ask for.
 const MAX_LEFT: Millis = Millis(600_000);
 /// Waiting requests without a place that are looked at in one go.
@@ -91,11 +93,57 @@
 impl<P: Policy> State<P> {
     pub(super) fn arrive(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Effect>) {
         let request = arrival.request;
+        let credential = arrival.credential.clone();
+        let key = match (&arrival.key, &arrival.hop) {
+            // A relay is an attempt of the box that owns the key; its refusal speaks of no more.
+            (Key::Good(key), Hop::Direct | Hop::Pass) => Some(*key),
+            _ => None,
+        };
         if let Err(reply) = self.admit(now, arrival, out) {
+            let reply = match key {
+                Some(key) => self.refuse_key(now, request, &credential, &key, reply),
+                None => reply,
+            };
             out.push(Effect::Reply { request, reply });
         }
     }
 
+    /// Makes a refusal true for every send of its key, and not of this one alone.
+    ///
+    /// "Not run" is said only by the box that the key names, and rules the key out for good;
+    /// any other box cannot know what became of earlier sends.
+    fn refuse_key(
+        &mut self,
+        now: Time,
+        request: id::Request,
+        credential: &Credential,
+        key: &pin::Key,
+        reply: Reply,
+    ) -> Reply {
+        if !reply.verdict.is_not_run() || reply.status == MISMATCH {
+            return reply;
+        }
+        let caller = self.caller(credential);
+        let void = self.names_me(now, key)
+            && caller.is_some_and(|caller| self.ledger.void(&caller, key, request));
+        Reply {
+            verdict: if void {
+                Verdict::NotRun
+            } else {
+                Verdict::MayHaveRun
+            },
+            offer_key: void,
+            ..reply
+        }
+    }
+
+    /// Whether `key` lives and names this life of this box.
+    fn names_me(&self, now: Time, key: &pin::Key) -> bool {
+        let pin = &key.pin;
+        let me = pin.peer == self.table.me.peer && pin.incarnation == self.table.incarnation;
+        me && pin.expiry > now && pin.expiry <= now + pin::LIFE
+    }
+
     fn admit(&mut self, now: Time, arrival: Arrival, out: &mut Vec<Effect>) -> Result<(), Reply> {
         let unready = || Reply::new(503, Verdict::NotRun, "this box is not ready").after(SOON);
         let config = self.config.clone().ok_or_else(unready)?;
@@ -111,22 +159,17 @@
             model: arrival.model,
         };
         let plan = config.plan(&ask).map_err(refusal)?;
-        if let Hop::Relay(_) = arrival.hop
-            && !plan.permits(&self.table.me.region)
-        {
-            return Err(Reply::new(
-                503,
-                Verdict::NotRun,
-                "this region is not permitted",
-            ));
-        }
-        if arrival.hop == Hop::Direct {
-            let boxes = self.table.ready(now).count() + 1;
-            let taken = self.limiter.take(&ask.caller, plan.caller.rate, boxes, now);
-            taken.map_err(|wait| {
-                Reply::new(429, Verdict::NotRun, "over the caller's rate").after(wait)
-            })?;
-            self.budget.earn();
+        if matches!(arrival.hop, Hop::Relay(_)) && !plan.permits(&self.table.me.region) {
+            let reason = "this region is not permitted";
+            return Err(Reply::new(503, Verdict::NotRun, reason));
+        }
+        let known = match &arrival.key {
+            Key::Good(key) => self.ledger.knows(&ask.caller, key),
+            Key::Absent | Key::Bad(_) => false,
+        };
+        // A re-send of a known key costs no new work.
+        if arrival.hop == Hop::Direct && !known {
+            self.charge(now, &ask.caller, plan.caller.rate)?;
         }
         let left = arrival.left.unwrap_or(plan.route.deadline).min(MAX_LEFT);
         let job = Job {
@@ -150,6 +193,15 @@
         Ok(())
     }
 
+    /// Takes a fresh request off its caller's share.
+    fn charge(&mut self, now: Time, caller: &id::Caller, rate: Rate) -> Result<(), Reply> {
+        let boxes = self.table.ready(now).count() + 1;
+        let over = |wait| Reply::new(429, Verdict::NotRun, "over the caller's rate").after(wait);
+        self.limiter.take(caller, rate, boxes, now).map_err(over)?;
+        self.budget.earn();
+        Ok(())
+    }
+
     pub(super) fn caller(&self, credential: &Credential) -> Option<id::Caller> {
         match credential {
             Credential::Missing => None,
@@ -205,13 +257,14 @@
                 let reason = "an earlier send of this key may have run";
                 return Err(Reply::new(409, Verdict::MayHaveRun, reason));
             }
+            Outcome::Void => return Err(offer("the key was refused as not run; use a fresh one")),
             Outcome::Mismatch => {
                 let reason = "the key was used for another request";
-                return Err(Reply::new(422, Verdict::NotRun, reason));
+                return Err(Reply::new(MISMATCH, Verdict::NotRun, reason));
             }
             Outcome::Full => {
                 let reason = "this box remembers too many keys";
-                return Err(Reply::new(503, Verdict::NotRun, reason).after(SOON));
+                return Err(Reply::new(503, Verdict::MayHaveRun, reason).after(SOON));
             }
         }
         Ok(())
@@ -313,7 +366,11 @@
     fn send(&mut self, now: Time, request: id::Request, place: Place, out: &mut Vec<Effect>) {
         let attempt = self.next_attempt();
         let Some((target, door)) = self.target(&place) else {
-            let reply = Reply::new(503, Verdict::NotRun, "the place is gone").after(SOON);
+            let verdict = self
+                .jobs
+                .get(&request)
+                .map_or(Verdict::NotRun, Job::verdict);
+            let reply = Reply::new(503, verdict, "the place is gone").after(SOON);
             return self.finish(request, reply, out);
         };
         match &place {
@@ -426,7 +483,7 @@
             } else {
                 KeyPhase::Unknown
             };
-            for joiner in self.ledger.settle(request, Some(phase)) {
+            for joiner in self.ledger.settle(request, phase) {
                 self.resolve_joiner(joiner, request, whole, out);
             }
         }
@@ -545,8 +602,7 @@
         };
         self.deadlines.remove(&(job.deadline, request));
         if job.owns_key {
-            let phase = job.may_have_run.then_some(KeyPhase::Unknown);
-            for joiner in self.ledger.settle(request, phase) {
+            for joiner in self.ledger.settle(request, key_phase(job.verdict())) {
                 let reply = Reply::new(
                     409,
                     job.verdict(),
@@ -564,9 +620,12 @@
             return;
         };
         self.deadlines.remove(&(job.deadline, request));
+        let reply = Reply {
+            offer_key: reply.offer_key || (job.owns_key && reply.verdict.is_not_run()),
+            ..reply
+        };
         if job.owns_key {
-            let phase = (!reply.verdict.is_not_run()).then_some(KeyPhase::Unknown);
-            for joiner in self.ledger.settle(request, phase) {
+            for joiner in self.ledger.settle(request, key_phase(reply.verdict)) {
                 let same = reply.clone();
                 self.finish(joiner, same, out);
             }
@@ -694,6 +753,14 @@
     }
 }
 
+/// What is remembered of a key whose request got the gateway's own answer.
+fn key_phase(verdict: Verdict) -> KeyPhase {
+    match verdict {
+        Verdict::NotRun => KeyPhase::Void,
+        Verdict::MayHaveRun | Verdict::Ran => KeyPhase::Unknown,
+    }
+}
+
 fn offer(reason: impl std::fmt::Display) -> Reply {
     Reply {
         offer_key: true,
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -1,1 +1,812 @@
-//! A simple oracle over one or more reducers: it knows what must hold and nothing of how.
+//! A simple oracle over a few reducers: it knows what must hold and nothing of how.
+//!
+//! The fakes around the reducers are bags of things under way. Each fuzz step picks one to
+//! deliver, lose, double or delay, or brings a fault; after each step the oracle checks.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use petreldrum::{
+    config::{Config, Envelope, KeyHash, Version},
+    id::{self, Incarnation},
+    pin,
+    policy::Balanced,
+    reducer::{
+        Identity, State,
+        effect::{Effect, Send, Target},
+        event::{Arrival, Cause, Credential, Event, Hop, Key, Source},
+    },
+    settings::Seed,
+    unit::{Millis, Time},
+    verdict::Verdict,
+    wire::{Contact, Frame},
+};
+
+const REGIONS: [&str; 2] = ["perth", "bunbury"];
+const PER_REGION: usize = 2;
+const BOXES: usize = REGIONS.len() * PER_REGION;
+const API_KEYS: [&str; 2] = ["a", "b"];
+
+/// One step: what to do, and two choices for it.
+pub type Step = (u8, u8, u8);
+
+/// What a caller sent.
+#[derive(Clone, Debug)]
+struct Sent {
+    /// The thing asked for; re-sends of a key ask for the same.
+    wish: usize,
+    answered: bool,
+}
+
+/// One thing that callers ask for.
+#[derive(Clone, Debug)]
+struct Wish {
+    caller: usize,
+    path: &'static str,
+    key: Option<pin::Key>,
+    runs: u32,
+    /// Once a caller was told "not run": sends before this number must never run.
+    barred_before: Option<usize>,
+}
+
+/// Who waits for a request of a box.
+#[derive(Clone, Copy, Debug)]
+enum Client {
+    Caller(usize),
+    Box {
+        at: usize,
+        life: u64,
+        request: id::Request,
+        attempt: id::Attempt,
+        pass: bool,
+    },
+}
+
+/// How an attempt or a relayed request ended.
+#[derive(Clone, Copy, Debug)]
+enum Outcome {
+    Failed(Verdict, Cause),
+    Begun,
+    Ended(bool),
+}
+
+#[derive(Clone, Debug)]
+enum Item {
+    Frame {
+        to: usize,
+        from: usize,
+        frame: Frame,
+    },
+    Attempt {
+        from: usize,
+        life: u64,
+        root: usize,
+        send: Send,
+        hop: Hop,
+    },
+    Outcome {
+        to: usize,
+        life: u64,
+        request: id::Request,
+        attempt: id::Attempt,
+        outcome: Outcome,
+    },
+}
+
+struct Slot {
+    state: State<Balanced>,
+    life: u64,
+    started: Time,
+    alive: bool,
+    frozen: bool,
+    inbox: VecDeque<Event>,
+    requests: u64,
+    clients: HashMap<id::Request, (Client, usize, Hop)>,
+    /// The attempt whose connection is open; an older one's answer reaches nobody.
+    open: HashMap<id::Request, id::Attempt>,
+    listed: BTreeSet<SocketAddr>,
+}
+
+/// The boxes and everything under way between them, their callers and the backend servers.
+pub struct Net {
+    slots: Vec<Slot>,
+    now: Time,
+    items: Vec<Item>,
+    sent: Vec<Sent>,
+    wishes: Vec<Wish>,
+    configs: Vec<Arc<Config>>,
+    cut: bool,
+    lives: u64,
+    listed: BTreeSet<SocketAddr>,
+}
+
+fn address(port: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port as u16))
+}
+
+fn gossip(index: usize) -> SocketAddr {
+    address(3000 + index)
+}
+
+fn peer(index: usize) -> SocketAddr {
+    address(2000 + index)
+}
+
+fn region(index: usize) -> &'static str {
+    REGIONS[index / PER_REGION]
+}
+
+fn contact(index: usize) -> Contact {
+    Contact {
+        name: format!("box-{index}").parse().expect("a name"),
+        region: region(index).parse().expect("a name"),
+        domain: "d".parse().expect("a name"),
+        public: address(1000 + index),
+        peer: peer(index),
+        gossip: gossip(index),
+    }
+}
+
+/// The n-th configuration: which places are open is read off the bits of `shape`.
+fn config(version: u64, shape: u8) -> Arc<Config> {
+    let mut text: String = REGIONS
+        .iter()
+        .map(|r| format!("[region {r}]\nhop=5ms\n"))
+        .collect();
+    for (index, key) in API_KEYS.iter().enumerate() {
+        let hash = KeyHash::of(key.as_bytes());
+        text += &format!(
+            "[caller c{index}]\nkey_sha256={hash}\nhome=perth\nrate=1000/s\nlabels=n=c{index}\n"
+        );
+    }
+    text += "[route book]\nprefix=/book\nkind=application\nrepeatable=false\ndeadline=2s\n\
+             [route read]\nprefix=/read\nkind=application\nrepeatable=true\ndeadline=2s\n";
+    for (index, name) in REGIONS.iter().enumerate() {
+        let leaving = shape & (1 << index) != 0;
+        text += &format!(
+            "[backend app-{index}]\naddress={}\nregion={name}\nfailure_domain=d\n\
+             serves=book, read\nslots=2\nleaving={leaving}\n",
+            address(4000 + index)
+        );
+    }
+    let regions =
+        ["", "regions=perth", "regions=bunbury", "regions=home"][usize::from(shape >> 2 & 3)];
+    text += &format!("[selector one]\ncallers=n=c0\n{regions}\n[selector rest]\n");
+    let envelope = Envelope {
+        version: Version(version),
+        write: format!("w{version}"),
+        author: "fuzz".to_owned(),
+        text,
+    };
+    Arc::new(Config::parse("fuzz", &envelope).expect("the configuration checks"))
+}
+
+/// Whether `caller` may run in `region`, read off the shape's text anew.
+fn permitted(config: &Config, caller: usize, region: &str) -> bool {
+    let selector = &config.selectors[usize::from(caller != 0)];
+    let open = selector.regions.is_empty() || selector.regions.iter().any(|r| r.as_str() == region);
+    open && (!selector.home_only || region == "perth")
+}
+
+impl Net {
+    /// All boxes up, ready, and acquainted, with the first configuration.
+    pub fn new() -> Self {
+        let mut net = Self {
+            slots: Vec::new(),
+            now: Time(0),
+            items: Vec::new(),
+            sent: Vec::new(),
+            wishes: Vec::new(),
+            configs: vec![config(1, 0)],
+            cut: false,
+            lives: 0,
+            listed: BTreeSet::new(),
+        };
+        for index in 0..BOXES {
+            let slot = net.slot(index);
+            net.slots.push(slot);
+        }
+        for index in 0..BOXES {
+            net.offer(index, 0);
+        }
+        net.settle(30);
+        net
+    }
+
+    fn slot(&mut self, index: usize) -> Slot {
+        self.lives += 1;
+        let seeds = (0..BOXES).filter(|i| *i != index).map(|i| Seed {
+            region: region(i).parse().expect("a name"),
+            gossip: gossip(i),
+        });
+        let identity = Identity {
+            contact: contact(index),
+            incarnation: Incarnation(self.lives),
+            seeds: seeds.collect(),
+        };
+        Slot {
+            state: State::new(identity, Balanced),
+            life: self.lives,
+            started: self.now,
+            alive: true,
+            frozen: false,
+            inbox: VecDeque::new(),
+            requests: 0,
+            clients: HashMap::new(),
+            open: HashMap::new(),
+            listed: BTreeSet::new(),
+        }
+    }
+
+    /// Lets time pass with everything delivered in order.
+    pub fn settle(&mut self, ticks: usize) {
+        for _ in 0..ticks {
+            self.advance(100);
+            for _ in 0..2000 {
+                if self.items.is_empty() {
+                    break;
+                }
+                self.deliver(0, 0);
+            }
+        }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.now = self.now + Millis(millis);
+        for index in 0..BOXES {
+            self.tell(index, Event::Tick);
+        }
+    }
+
+    fn offer(&mut self, index: usize, config: usize) {
+        let config = self.configs[config].clone();
+        let source = Source::Store;
+        self.tell(index, Event::Offered { config, source });
+    }
+
+    /// Brings an event to a box; a frozen one gets it when it wakes, a dead one never.
+    fn tell(&mut self, index: usize, event: Event) {
+        let slot = &mut self.slots[index];
+        if !slot.alive {
+            return;
+        }
+        if slot.frozen {
+            slot.inbox.push_back(event);
+            return;
+        }
+        if let Event::Listed(listed) = &event {
+            slot.listed = listed.clone();
+        }
+        let before = slot.state.version();
+        let now = Time(self.now.since(slot.started).0);
+        let effects = slot.state.step(now, event);
+        assert!(slot.state.version() >= before, "a configuration reverted");
+        // A fetch takes its time: what was decided beside it goes out before it brings anything.
+        let (fetches, others): (Vec<_>, Vec<_>) = effects
+            .into_iter()
+            .partition(|e| matches!(e, Effect::Fetch { .. }));
+        for effect in others.into_iter().chain(fetches) {
+            self.carry_out(index, effect);
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, effect: Effect) {
+        match effect {
+            Effect::Gossip { to, frame } => {
+                if let Some(to) = (0..BOXES).find(|i| gossip(*i) == to) {
+                    let from = index;
+                    self.items.push(Item::Frame { to, from, frame });
+                }
+            }
+            Effect::Send(send) => self.sending(index, send),
+            Effect::Reply { request, reply } => {
+                self.closing(index, request, reply.verdict, None);
+            }
+            Effect::Replay { request, answer } => {
+                self.closing(index, request, Verdict::Ran, Some(answer));
+            }
+            Effect::Fetch {
+                peer: from,
+                version,
+            } => self.fetch(index, from, version),
+            Effect::Abort { request, .. } => {
+                self.slots[index].open.remove(&request);
+            }
+            Effect::Boxes { .. }
+            | Effect::Forget(_)
+            | Effect::Watch(_)
+            | Effect::Adopted(_)
+            | Effect::Alarm(_) => {}
+        }
+    }
+
+    fn fetch(&mut self, index: usize, from: SocketAddr, version: Version) {
+        let Some(other) = (0..BOXES).find(|i| peer(*i) == from) else {
+            return;
+        };
+        let slot = &self.slots[other];
+        let apart = self.cut && region(other) != region(index);
+        if apart || !slot.alive || slot.frozen || slot.state.version() < version {
+            return;
+        }
+        if let Some(config) = slot.state.config().cloned() {
+            let source = Source::Peer;
+            self.tell(index, Event::Offered { config, source });
+        }
+    }
+
+    /// An attempt leaves a box: the place must be allowed there and then.
+    fn sending(&mut self, index: usize, send: Send) {
+        let (_, root, hop) = self.slots[index].clients[&send.request].clone();
+        let wish = &self.wishes[self.sent[root].wish];
+        let slot = &self.slots[index];
+        let config = slot
+            .state
+            .config()
+            .expect("no work without a configuration");
+        match &send.target {
+            Target::Backend { name, address, .. } => {
+                let backend = &config.backends[name];
+                assert_eq!(
+                    backend.region.as_str(),
+                    region(index),
+                    "another region's server"
+                );
+                assert!(
+                    permitted(config, wish.caller, region(index)),
+                    "outside the regions"
+                );
+                assert!(!backend.leaving, "work for a leaving server");
+                assert!(!slot.listed.contains(address), "work for a listed server");
+            }
+            Target::Relay { region, .. } => {
+                assert_eq!(hop, Hop::Direct, "passed on twice");
+                assert!(
+                    permitted(config, wish.caller, region.as_str()),
+                    "relay outside"
+                );
+            }
+            Target::Pass { .. } => assert_eq!(hop, Hop::Direct, "passed on twice"),
+        }
+        let life = slot.life;
+        self.slots[index].open.insert(send.request, send.attempt);
+        self.items.push(Item::Attempt {
+            from: index,
+            life,
+            root,
+            send,
+            hop,
+        });
+    }
+
+    /// A box gives a request its final answer.
+    fn closing(
+        &mut self,
+        index: usize,
+        request: id::Request,
+        verdict: Verdict,
+        replay: Option<id::Request>,
+    ) {
+        let slot = &mut self.slots[index];
+        let (client, root, _) = slot.clients.remove(&request).expect("answered twice");
+        if let Some(answer) = replay {
+            let (_, owner, _) = &slot.clients[&id::Request(u64::MAX - answer.0)];
+            assert_eq!(
+                self.sent[*owner].wish, self.sent[root].wish,
+                "another request's answer"
+            );
+        }
+        match client {
+            Client::Caller(_) => self.answered(root, verdict),
+            Client::Box {
+                at,
+                life,
+                request,
+                attempt,
+                pass,
+            } => {
+                let outcomes = match verdict {
+                    // The owner's last word goes to the caller as it is.
+                    _ if pass => {
+                        self.answered(root, verdict);
+                        vec![Outcome::Begun, Outcome::Ended(true)]
+                    }
+                    Verdict::Ran => vec![Outcome::Begun, Outcome::Ended(true)],
+                    Verdict::NotRun => vec![Outcome::Failed(verdict, Cause::Refused)],
+                    Verdict::MayHaveRun => vec![Outcome::Failed(verdict, Cause::Broken)],
+                };
+                for outcome in outcomes {
+                    self.items.push(Item::Outcome {
+                        to: at,
+                        life,
+                        request,
+                        attempt,
+                        outcome,
+                    });
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, root: usize, verdict: Verdict) {
+        let count = self.sent.len();
+        let sent = &mut self.sent[root];
+        sent.answered = true;
+        let wish = &mut self.wishes[sent.wish];
+        if verdict == Verdict::NotRun {
+            assert_eq!(
+                wish.runs, 0,
+                "told \"not run\", and it had run: send {root}"
+            );
+            wish.barred_before = Some(count);
+        }
+        if verdict == Verdict::Ran {
+            assert!(wish.runs > 0, "told \"ran\", and it had not");
+        }
+    }
+
+    fn run(&mut self, root: usize) {
+        let wish = &mut self.wishes[self.sent[root].wish];
+        wish.runs += 1;
+        if wish.path == "/book" {
+            assert_eq!(wish.runs, 1, "ran twice: send {root}");
+        }
+        let barred = wish.barred_before.is_some_and(|before| root < before);
+        assert!(!barred, "ran after \"not run\": send {root}");
+    }
+
+    fn arrive(&mut self, index: usize, client: Client, root: usize, hop: Hop, left: Millis) {
+        let wish = self.wishes[self.sent[root].wish].clone();
+        let slot = &mut self.slots[index];
+        let request = id::Request(slot.requests);
+        slot.requests += 1;
+        slot.clients.insert(request, (client, root, hop.clone()));
+        // Kept aside under another number, to know whose answer a replay is.
+        let aside = id::Request(u64::MAX - request.0);
+        slot.clients.insert(aside, (client, root, hop.clone()));
+        let key_hash = KeyHash::of(API_KEYS[wish.caller].as_bytes());
+        let credential = match hop {
+            Hop::Direct => Credential::Key(key_hash),
+            Hop::Relay(_) | Hop::Pass => {
+                Credential::Vouched(format!("c{}", wish.caller).parse().expect("a name"))
+            }
+        };
+        let arrival = Arrival {
+            request,
+            credential,
+            path: wish.path.to_owned(),
+            model: None,
+            prefix: 0,
+            key: wish.key.map_or(Key::Absent, Key::Good),
+            left: Some(left),
+            hop,
+        };
+        self.tell(index, Event::Arrived(arrival));
+    }
+
+    fn fail(&mut self, index: usize, send: &Send, verdict: Verdict, cause: Cause) {
+        if self.slots[index].open.get(&send.request) == Some(&send.attempt) {
+            self.slots[index].open.remove(&send.request);
+        }
+        self.tell(
+            index,
+            Event::Failed {
+                request: send.request,
+                attempt: send.attempt,
+                verdict,
+                cause,
+            },
+        );
+    }
+
+    /// Delivers one thing under way; `how` picks among the ways it may go.
+    fn deliver(&mut self, pick: usize, how: u8) {
+        if self.items.is_empty() {
+            return;
+        }
+        let item = self.items.remove(pick % self.items.len());
+        match item {
+            Item::Frame { to, from, frame } => {
+                if how % 8 == 7 {
+                    let frame = frame.clone();
+                    self.items.push(Item::Frame { to, from, frame });
+                }
+                let apart = self.cut && region(to) != region(from);
+                if !apart && how % 8 != 6 {
+                    self.tell(to, Event::Heard(frame));
+                }
+            }
+            Item::Attempt {
+                from,
+                life,
+                root,
+                send,
+                hop,
+            } => self.attempt(from, life, root, send, hop, how),
+            Item::Outcome {
+                to,
+                life,
+                request,
+                attempt,
+                outcome,
+            } => self.outcome(to, life, request, attempt, outcome),
+        }
+    }
+
+    fn outcome(
+        &mut self,
+        to: usize,
+        life: u64,
+        request: id::Request,
+        attempt: id::Attempt,
+        outcome: Outcome,
+    ) {
+        if self.slots[to].life != life {
+            return;
+        }
+        if self.slots[to].frozen {
+            // Its connection stands still with it.
+            return self.items.push(Item::Outcome {
+                to,
+                life,
+                request,
+                attempt,
+                outcome,
+            });
+        }
+        let event = match outcome {
+            Outcome::Begun => Event::Begun { request, attempt },
+            Outcome::Ended(whole) => {
+                if self.slots[to].open.get(&request) == Some(&attempt) {
+                    self.close_streamed(to, request, whole);
+                }
+                Event::Ended {
+                    request,
+                    attempt,
+                    whole,
+                }
+            }
+            Outcome::Failed(verdict, cause) => Event::Failed {
+                request,
+                attempt,
+                verdict,
+                cause,
+            },
+        };
+        self.tell(to, event);
+    }
+
+    /// A streamed answer ends at `index`: whoever waits there has it, whole or cut.
+    fn close_streamed(&mut self, index: usize, request: id::Request, whole: bool) {
+        let Some((client, root, _)) = self.slots[index].clients.remove(&request) else {
+            return;
+        };
+        match client {
+            Client::Caller(_) => self.sent[root].answered = true,
+            Client::Box {
+                at,
+                life,
+                request,
+                attempt,
+                ..
+            } => {
+                for outcome in [Outcome::Begun, Outcome::Ended(whole)] {
+                    self.items.push(Item::Outcome {
+                        to: at,
+                        life,
+                        request,
+                        attempt,
+                        outcome,
+                    });
+                }
+            }
+        }
+    }
+
+    fn attempt(&mut self, from: usize, life: u64, root: usize, send: Send, hop: Hop, how: u8) {
+        let current = self.slots[from].life == life && self.slots[from].alive;
+        let target = match &send.target {
+            Target::Backend { .. } => return self.at_backend(from, life, root, &send, how),
+            Target::Relay { peer, .. } | Target::Pass { peer } => *peer,
+        };
+        let Some(to) = (0..BOXES).find(|i| peer(*i) == target) else {
+            return;
+        };
+        let apart = self.cut && region(to) != region(from);
+        if apart || !self.slots[to].alive || how % 8 == 6 {
+            if current {
+                self.fail(from, &send, Verdict::NotRun, Cause::Unreachable);
+            }
+            return;
+        }
+        let pass = matches!(send.target, Target::Pass { .. });
+        let next = match pass {
+            true => Hop::Pass,
+            false => Hop::Relay(region(from).parse().expect("a name")),
+        };
+        assert_eq!(hop, Hop::Direct, "passed on twice");
+        let client = Client::Box {
+            at: from,
+            life,
+            request: send.request,
+            attempt: send.attempt,
+            pass,
+        };
+        self.arrive(to, client, root, next, Millis(1500));
+        if how % 8 == 5 && current {
+            // It arrived, and then the connection broke.
+            self.fail(from, &send, Verdict::MayHaveRun, Cause::Broken);
+        }
+    }
+
+    fn at_backend(&mut self, from: usize, life: u64, root: usize, send: &Send, how: u8) {
+        let fail = |net: &mut Self, verdict, cause| {
+            if net.slots[from].life == life {
+                net.fail(from, send, verdict, cause);
+            }
+        };
+        match how % 8 {
+            4 => fail(self, Verdict::NotRun, Cause::Refused),
+            5 => fail(self, Verdict::NotRun, Cause::Unreachable),
+            6 => {
+                self.run(root);
+                fail(self, Verdict::MayHaveRun, Cause::Broken);
+            }
+            other => {
+                self.run(root);
+                for outcome in [Outcome::Begun, Outcome::Ended(other != 3)] {
+                    self.items.push(Item::Outcome {
+                        to: from,
+                        life,
+                        request: send.request,
+                        attempt: send.attempt,
+                        outcome,
+                    });
+                }
+            }
+        }
+    }
+
+    /// A caller asks for something new at box `index`; the key names box `named`.
+    pub fn wish(&mut self, index: usize, named: usize, book: bool, caller: usize) {
+        let slot = &self.slots[named];
+        let uptime = Time(self.now.since(slot.started).0);
+        let number = self.wishes.len() as u64;
+        let key = book.then(|| pin::Key {
+            pin: pin::Pin {
+                peer: peer(named),
+                incarnation: Incarnation(slot.life),
+                expiry: uptime + pin::LIFE,
+            },
+            digest: pin::Digest::of(&format!("key-{number}")),
+            content: number,
+        });
+        self.wishes.push(Wish {
+            caller,
+            path: if book { "/book" } else { "/read" },
+            key,
+            runs: 0,
+            barred_before: None,
+        });
+        self.send(index, self.wishes.len() - 1);
+    }
+
+    /// A caller sends a wish, for the first time or again.
+    pub fn send(&mut self, index: usize, wish: usize) {
+        let wish = match self.wishes[wish].key {
+            Some(_) => wish,
+            // Nothing ties two sends without a key together: each is a request of its own.
+            None => {
+                let fresh = Wish {
+                    runs: 0,
+                    barred_before: None,
+                    ..self.wishes[wish].clone()
+                };
+                self.wishes.push(fresh);
+                self.wishes.len() - 1
+            }
+        };
+        let root = self.sent.len();
+        self.sent.push(Sent {
+            wish,
+            answered: false,
+        });
+        if self.slots[index].alive {
+            self.arrive(index, Client::Caller(root), root, Hop::Direct, Millis(2000));
+        }
+    }
+
+    fn gone(&mut self, pick: usize) {
+        let index = pick % BOXES;
+        let waiting: BTreeMap<u64, usize> = self.slots[index]
+            .clients
+            .iter()
+            .filter(|(r, (c, ..))| r.0 < u64::MAX / 2 && matches!(c, Client::Caller(_)))
+            .map(|(r, (_, root, _))| (r.0, *root))
+            .collect();
+        if let Some((request, _)) = waiting.iter().nth(pick % waiting.len().max(1)) {
+            self.tell(index, Event::Gone(id::Request(*request)));
+            let holds = self.slots[index].state.holds(id::Request(*request));
+            if !holds && !self.slots[index].frozen {
+                self.slots[index].clients.remove(&id::Request(*request));
+            }
+        }
+    }
+
+    fn thaw(&mut self, index: usize) {
+        self.slots[index].frozen = false;
+        let inbox = std::mem::take(&mut self.slots[index].inbox);
+        for event in inbox {
+            self.tell(index, event);
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let slot = self.slot(index);
+        self.slots[index] = slot;
+    }
+
+    fn change(&mut self, shape: u8, index: usize) {
+        let version = self.configs.len() as u64 + 1;
+        self.configs.push(config(version, shape));
+        self.offer(index, self.configs.len() - 1);
+    }
+
+    /// One step of the fuzz.
+    pub fn step(&mut self, (what, a, b): Step) {
+        let (x, y) = (usize::from(a), usize::from(b));
+        match what % 24 {
+            0..=3 => self.wish(x % BOXES, y % BOXES, b & 16 == 0, usize::from(b >> 5 & 1)),
+            4..=6 if !self.wishes.is_empty() => self.send(x % BOXES, y % self.wishes.len()),
+            7..=13 => self.deliver(x, b),
+            14 => self.settle(1),
+            15 => self.advance(u64::from(a) * 4),
+            16 => self.gone(x),
+            17 => self.slots[x % BOXES].alive = false,
+            18 => self.restart(x % BOXES),
+            19 => self.slots[x % BOXES].frozen = true,
+            20 => self.thaw(x % BOXES),
+            21 => self.change(a, y % BOXES),
+            22 if b & 1 == 0 => self.offer(x % BOXES, y % self.configs.len()),
+            22 => self.cut = !self.cut,
+            23 if b & 1 == 0 => {
+                let listed = address(4000 + x % REGIONS.len());
+                if !self.listed.remove(&listed) {
+                    self.listed.insert(listed);
+                }
+                let listed = self.listed.clone();
+                self.tell(y % BOXES, Event::Listed(listed));
+            }
+            23 if a > 250 => self.advance(pin::LIFE.0),
+            _ => self.settle(1),
+        }
+    }
+
+    /// Ends all faults; afterwards nothing may be left in hand, and nothing remembered.
+    pub fn finish(&mut self) {
+        self.cut = false;
+        for index in 0..BOXES {
+            if !self.slots[index].alive {
+                self.restart(index);
+            }
+            self.thaw(index);
+        }
+        self.settle(40);
+        let newest = self.configs.len() - 1;
+        self.offer(0, newest);
+        self.settle(40);
+        for (index, slot) in self.slots.iter().enumerate() {
+            let version = self.configs[newest].version;
+            assert_eq!(slot.state.version(), version, "box {index} lags");
+            assert_eq!(slot.state.busy(), 0, "box {index} holds requests");
+        }
+        self.advance(pin::LIFE.0 + 10_000);
+        self.settle(40);
+        for (index, slot) in self.slots.iter().enumerate() {
+            assert_eq!(slot.state.keys(), 0, "box {index} remembers keys");
+        }
+    }
+}
--- /dev/null
+++ b/tests/reducer_fuzz.rs
@@ -0,0 +1,16 @@
+//! All faults mixed, over four reducers in two regions, against the oracle.
+
+mod harness;
+
+use harness::oracle::{Net, Step};
+
+#[test]
+fn all_faults() {
+    bolero::check!().with_type::<Vec<Step>>().for_each(|steps| {
+        let mut net = Net::new();
+        for step in steps {
+            net.step(*step);
+        }
+        net.finish();
+    });
+}
