Add a measuring tool: decisions, state, control, hop, policies

Cause: no figure backed the design at the size we head for.

Change: petreldrum-standin measure; policies can be named in a box's settings, so that baselines run behind the same trait; links with delay that may be cut; one System that the demo and the measurements share.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -13,8 +13,7 @@
 use crate::{
     config::{Ask, Config, Envelope, Version},
     gateway::{clock::Clock, dial::Pool, follow, gossip::Links, metrics::Metrics, replay::Replay},
-    id,
-    policy::Balanced,
+    id, policy,
     reducer::{
         Identity, State,
         effect::{Effect, Entry, Reply, Send as SendOrder},
@@ -60,12 +59,13 @@
     pub(crate) duty: watch::Sender<bool>,
     pub(crate) current: watch::Sender<Option<Current>>,
     pub(crate) identity: Identity,
+    pub(crate) policy: policy::Named,
 }
 
 /// The actor.
 #[derive(Actor)]
 pub(crate) struct Core {
-    state: State<Balanced>,
+    state: State<policy::Named>,
     parts: Parts,
     orders: HashMap<id::Request, mpsc::UnboundedSender<Order>>,
     offered: Option<Current>,
@@ -106,7 +106,7 @@
     /// Starts the actor.
     pub(crate) async fn start(parts: Parts) -> Self {
         let core = Core {
-            state: State::new(parts.identity.clone(), Balanced),
+            state: State::new(parts.identity.clone(), parts.policy),
             parts,
             orders: HashMap::new(),
             offered: None,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -223,6 +223,7 @@
             duty,
             current,
             identity: identity.clone(),
+            policy: settings.policy,
         })
         .await;
         gossip::listen(gossip, secret, core.clone(), metrics.clone());
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 mod balanced;
 mod baseline;
+mod named;
 
 use serde::Serialize;
 
@@ -13,6 +14,7 @@
 
 pub use balanced::Balanced;
 pub use baseline::{HomeOnly, LeastLoaded, Nearest};
+pub use named::Named;
 
 /// A place that may run a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use crate::{
     id::{BoxName, Domain, Region},
     ini::{Faults, Reader},
+    policy,
     unit::{Bytes, Millis},
 };
 
@@ -123,6 +124,8 @@
     pub body_memory: Bytes,
     /// How long a planned stop keeps the listener open.
     pub linger: Millis,
+    /// How places are chosen.
+    pub policy: policy::Named,
 }
 
 impl Settings {
@@ -202,6 +205,7 @@
         section.fault("body_memory", "is under max_body");
     }
     let linger = section.or("linger", Millis(3000));
+    let policy = section.or("policy", policy::Named::default());
     if max_head.0 < 8 << 10 {
         section.fault("max_head", "is under 8KiB");
     }
@@ -228,5 +232,6 @@
         max_body,
         body_memory,
         linger,
+        policy,
     })
 }
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -86,6 +86,12 @@
     Ok((bound, task))
 }
 
+/// Serves on a loopback port that the kernel chooses.
+pub async fn start(service: impl Service + Sync) -> eyre::Result<SocketAddr> {
+    let (address, _) = serve(SocketAddr::from(([127, 0, 0, 1], 0)), service).await?;
+    Ok(address)
+}
+
 async fn connection(stream: TcpStream, service: impl Service + Sync) {
     let handler = service_fn(move |request: Request<Incoming>| {
         let service = service.clone();
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,12 +10,17 @@
 //! | [`engine`] | a model engine (OpenAI-style, SSE) |
 //! | [`app`] | an application service that counts what it ran |
 //! | [`collector`] | a trace collector that counts the spans it was sent |
-//! | [`demo`] | a whole system in one process |
+//! | [`link`] | a link between regions: slow, or cut |
+//! | [`system`], [`demo`] | a whole system in one process |
+//! | [`measure`] | the figures that the documentation gives |
 
 pub mod app;
 pub mod collector;
 pub mod demo;
 pub mod engine;
 pub mod http;
+pub mod link;
+pub mod measure;
 pub mod platform;
 pub mod store;
+pub mod system;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -9,6 +9,7 @@
     demo,
     engine::{Behaviour, Engine},
     http::{Service, serve},
+    measure,
     platform::Platform,
     store::Store,
 };
@@ -39,6 +40,11 @@
     App,
     /// A trace collector.
     Collector,
+    /// Measure: decisions, state, control messages, the price of a hop, the policies.
+    Measure {
+        #[command(subcommand)]
+        what: measure::What,
+    },
     /// A whole system in one process: 3 regions of 3 boxes, backend servers and the store.
     Demo,
 }
@@ -58,6 +64,7 @@
         Task::Engine { slots } => run(listen, Engine::new(slots, Behaviour::default())).await,
         Task::App => run(listen, App::default()).await,
         Task::Collector => run(listen, Collector::default()).await,
+        Task::Measure { what } => measure::run(what).await,
         Task::Demo => demo::run().await,
     }
 }
--- /dev/null
+++ b/standin/src/measure/decisions.rs
@@ -0,0 +1,176 @@
+//! Decisions a second and bytes of state, by size.
+
+use std::{
+    fs,
+    hint::black_box,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use petreldrum::{
+    id::{self, Incarnation},
+    ledger::Ledger,
+    limit::Limiter,
+    pin,
+    policy::Balanced,
+    reducer::{State, effect::Effect, event::Event},
+    unit::{Rate, Time},
+};
+
+use super::fleet::{self, Size};
+
+const REQUESTS: u64 = 20_000;
+const PAGE: usize = 4096;
+
+/// Sizes that grow, up to the goal.
+fn sizes() -> [Size; 3] {
+    let size = |boxes, regions, workers| Size {
+        boxes,
+        regions,
+        workers,
+        ..Size::GOAL
+    };
+    [size(9, 3, 10), size(90, 10, 100), Size::GOAL]
+}
+
+/// A box of `size` that has heard from all it would hear from.
+fn acquainted(size: Size) -> State<Balanced> {
+    let mut state = fleet::state(size, fleet::config(fleet::text(size)));
+    state.step(Time(1), Event::Tick);
+    for number in 1..size.region_boxes() {
+        let frame = fleet::heartbeat(size, number * size.regions, 1, 0);
+        state.step(Time(1), Event::Heard(frame));
+    }
+    for region in 1..size.regions {
+        state.step(Time(1), Event::Heard(fleet::digest(size, region, 1, false)));
+    }
+    state
+}
+
+/// One request from arrival to end; returns the number of effects.
+fn request(state: &mut State<Balanced>, size: Size, number: u64) -> usize {
+    let effects = state.step(Time(2), fleet::arrival(size, number));
+    let sent = effects.iter().find_map(|e| match e {
+        Effect::Send(send) => Some((send.request, send.attempt)),
+        _ => None,
+    });
+    let Some((request, attempt)) = sent else {
+        return effects.len();
+    };
+    state.step(Time(2), Event::Begun { request, attempt });
+    let whole = true;
+    let ended = Event::Ended {
+        request,
+        attempt,
+        whole,
+    };
+    state.step(Time(2), ended);
+    effects.len()
+}
+
+pub(super) fn run() -> eyre::Result<()> {
+    println!("workers  boxes  regions  decisions/s  us/decision  config KB  check ms");
+    for size in sizes() {
+        let text = fleet::text(size);
+        let bytes = text.len();
+        let start = Instant::now();
+        black_box(fleet::config(text));
+        let check = start.elapsed();
+        let mut state = acquainted(size);
+        let start = Instant::now();
+        for number in 0..REQUESTS {
+            black_box(request(&mut state, size, number));
+        }
+        let took = start.elapsed();
+        println!(
+            "{:7}  {:5}  {:7}  {:11.0}  {:11.2}  {:9.1}  {:8.2}",
+            size.workers,
+            size.boxes,
+            size.regions,
+            REQUESTS as f64 / took.as_secs_f64(),
+            took.as_secs_f64() * 1e6 / REQUESTS as f64,
+            bytes as f64 / 1024.0,
+            check.as_secs_f64() * 1e3,
+        );
+    }
+    Ok(())
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> usize {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split(' ').nth(1).and_then(|n| n.parse::<usize>().ok());
+    pages.unwrap_or(0) * PAGE
+}
+
+fn print(what: &str, count: usize, before: usize) {
+    // Lets the allocator's bookkeeping settle before the reading.
+    std::thread::sleep(Duration::from_millis(10));
+    let grown = resident().saturating_sub(before);
+    let each = grown as f64 / count as f64;
+    println!(
+        "{what:22} {count:8} {:10.1} KB {each:10.0} B each",
+        grown as f64 / 1024.0
+    );
+}
+
+pub(super) fn state() -> eyre::Result<()> {
+    println!("what                      count      grown          each");
+    for count in [1_000, 10_000, 100_000] {
+        let before = resident();
+        let mut ledger = Ledger::default();
+        let caller: id::Caller = "caller-1".parse()?;
+        for number in 0..count {
+            let pin = pin::Pin {
+                peer: SocketAddr::from(([10, 0, 0, 1], 81)),
+                incarnation: Incarnation(1),
+                expiry: Time(number),
+            };
+            let key = pin::Key {
+                pin,
+                digest: pin::Digest::of(&number.to_string()),
+                content: number,
+            };
+            black_box(ledger.claim(&caller, &key, id::Request(number)));
+        }
+        print("remembered key", count as usize, before);
+        drop(ledger);
+    }
+    for count in [400, 4_000, 40_000] {
+        let before = resident();
+        let mut limiter = Limiter::default();
+        for number in 0..count {
+            let caller: id::Caller = format!("caller-{number}").parse()?;
+            let _ = black_box(limiter.take(&caller, Rate(10.0), 1, Time(0)));
+        }
+        print("caller's bucket", count, before);
+        drop(limiter);
+    }
+    for workers in [10, 100, 1_300, 13_000] {
+        let size = Size {
+            workers,
+            ..Size::GOAL
+        };
+        let before = resident();
+        let config = fleet::config(fleet::text(size));
+        print("worker in the config", workers, before);
+        drop(config);
+    }
+    for boxes in [9, 90, 360, 3_600] {
+        let size = Size {
+            boxes,
+            regions: 1,
+            workers: 54,
+            ..Size::GOAL
+        };
+        let mut state = fleet::state(size, fleet::config(fleet::text(size)));
+        let before = resident();
+        for number in 1..boxes {
+            let frame = fleet::heartbeat(size, number, 1, 20);
+            state.step(Time(1), Event::Heard(frame));
+        }
+        print("peer of the region", boxes, before);
+        drop(state);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/standin/src/measure/mod.rs
@@ -0,0 +1,39 @@
+//! The figures that the documentation gives; each part prints its table.
+
+mod control;
+mod decisions;
+mod fleet;
+mod hop;
+mod policies;
+
+use clap::Subcommand;
+
+/// What to measure.
+#[derive(Debug, Subcommand)]
+pub enum What {
+    /// Reducer decisions a second, and the configuration's size and checking time, by workers.
+    Decisions,
+    /// Bytes of state for each worker, caller, peer and remembered key.
+    State,
+    /// Messages, bytes and processor time for control, by fleet size.
+    Control,
+    /// The price of a hop: a request straight to the backend server, through one box, through two.
+    Hop,
+    /// The policies against each other, under peaks, lost capacity, a cut link and cold caches.
+    Policies {
+        /// Seconds that each of the five phases lasts.
+        #[arg(long, default_value_t = 4)]
+        seconds: u64,
+    },
+}
+
+/// Measures and prints.
+pub async fn run(what: What) -> eyre::Result<()> {
+    match what {
+        What::Decisions => decisions::run(),
+        What::State => decisions::state(),
+        What::Control => control::run(),
+        What::Hop => hop::run().await,
+        What::Policies { seconds } => policies::run(seconds).await,
+    }
+}
--- /dev/null
+++ b/standin/src/measure/policies.rs
@@ -0,0 +1,302 @@
+//! The policies against each other in one run: peaks, lost capacity, a cut link, cold caches.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use hyper::Method;
+use petreldrum::policy::Named;
+use serde_json::json;
+use tokio::{
+    task::JoinSet,
+    time::{MissedTickBehavior, interval, sleep},
+};
+
+use crate::{
+    engine::{Behaviour, Engine, REFUSED},
+    http::{begin, call, start},
+    system::{Plan, System, key_of, sections},
+};
+
+const REGIONS: [&str; 3] = ["perth", "bunbury", "geraldton"];
+/// Price of a request at a region's servers.
+const PRICES: [f64; 3] = [1.0, 1.3, 1.1];
+/// Price of moving one request and its answer between regions.
+const MOVE: f64 = 0.5;
+const BOXES: usize = 3;
+const ENGINES: usize = 2;
+const SLOTS: usize = 6;
+const TOKENS: u64 = 12;
+/// One-way delay between boxes of two regions.
+const DELAY: Duration = Duration::from_millis(20);
+/// The first token is in time within this.
+const IN_TIME: Duration = Duration::from_millis(380);
+/// What callers ask for: the answer must begin within this.
+const DEADLINE_MS: &str = "1500";
+const PREFIXES: u64 = 12;
+/// Longer than what names a prefix, so that only the end of a prompt differs.
+const PREFIX_LENGTH: usize = 1100;
+const ENGINE: Behaviour = Behaviour {
+    first_ms: 40,
+    cold_ms: 60,
+    token_ms: 5,
+    refuse: false,
+    cut: false,
+    reset: false,
+};
+
+/// Requests a second of each region, phase by phase.
+const PHASES: [(&str, [u64; 3]); 5] = [
+    ("steady", [40, 40, 40]),
+    ("perth peaks", [190, 30, 30]),
+    ("bunbury loses a server and peaks", [30, 110, 30]),
+    ("geraldton peaks, perth cut off", [50, 30, 170]),
+    ("all return, caches cold", [70, 70, 70]),
+];
+
+#[derive(Clone, Copy)]
+struct Deployment {
+    name: &'static str,
+    weights: &'static str,
+}
+
+const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        name: "Kestrel Reach",
+        weights: include_str!("../../../examples/kestrel-reach.weights.ini"),
+    },
+    Deployment {
+        name: "River Gauge",
+        weights: include_str!("../../../examples/river-gauge.weights.ini"),
+    },
+];
+
+/// What callers saw in one run.
+struct Seen {
+    first: Histogram<u64>,
+    whole: Histogram<u64>,
+    sent: u64,
+    in_time: u64,
+    served: u64,
+    away: u64,
+    refused: u64,
+    failed: u64,
+    cost: f64,
+}
+
+impl Seen {
+    fn new() -> eyre::Result<Self> {
+        Ok(Self {
+            first: Histogram::new(3)?,
+            whole: Histogram::new(3)?,
+            sent: 0,
+            in_time: 0,
+            served: 0,
+            away: 0,
+            refused: 0,
+            failed: 0,
+            cost: 0.0,
+        })
+    }
+}
+
+fn prompt(region: &str, number: u64) -> String {
+    let prefix = format!("{region}-{} ", number % PREFIXES);
+    let repeated = prefix.repeat(PREFIX_LENGTH / prefix.len() + 1);
+    format!("{repeated}{number}")
+}
+
+async fn one(address: SocketAddr, region: usize, number: u64, seen: Arc<Mutex<Seen>>) {
+    let key = key_of(REGIONS[region]);
+    let headers = [
+        ("x-api-key", key.as_str()),
+        ("petreldrum-deadline-ms", DEADLINE_MS),
+    ];
+    let body = json!({
+        "model": "model",
+        "max_tokens": TOKENS,
+        "messages": [{ "role": "user", "content": prompt(REGIONS[region], number) }],
+    });
+    let start = Instant::now();
+    let path = "/v1/chat/completions";
+    let begun = begin(address, Method::POST, path, &headers, body.to_string()).await;
+    let mut first = None;
+    let mut answer = None;
+    if let Ok(mut begun) = begun {
+        let place = begun.head().get("petreldrum-region").cloned();
+        if begun.next().await.is_some() {
+            first = Some(start.elapsed());
+        }
+        answer = Some((begun.finish().await, place));
+    }
+    let mut seen = seen.lock().expect("the lock is never poisoned");
+    seen.sent += 1;
+    let Some((answer, place)) = answer.filter(|(a, _)| a.whole) else {
+        seen.failed += 1;
+        return;
+    };
+    if !answer.status.is_success() {
+        match answer.status.as_u16() {
+            429 | 503 => seen.refused += 1,
+            _ => seen.failed += 1,
+        }
+        return;
+    }
+    let first = first.unwrap_or_else(|| start.elapsed());
+    let place = place.and_then(|p| REGIONS.iter().position(|r| p == *r));
+    let place = place.unwrap_or(region);
+    let away = place != region;
+    seen.served += 1;
+    seen.in_time += u64::from(first <= IN_TIME);
+    seen.away += u64::from(away);
+    seen.cost += PRICES[place] + if away { MOVE } else { 0.0 };
+    let _ = seen.first.record(first.as_millis() as u64);
+    let _ = seen.whole.record(start.elapsed().as_millis() as u64);
+}
+
+/// A region's callers: one request after the other at an even pace, each on its own.
+async fn callers(
+    boxes: Vec<SocketAddr>,
+    region: usize,
+    rate: u64,
+    span: Duration,
+    offset: u64,
+    seen: Arc<Mutex<Seen>>,
+) {
+    let mut pace = interval(Duration::from_secs_f64(1.0 / rate as f64));
+    pace.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let mut tasks = JoinSet::new();
+    let end = Instant::now() + span;
+    let mut number = offset;
+    while Instant::now() < end {
+        pace.tick().await;
+        number += 1;
+        let address = boxes[number as usize % boxes.len()];
+        tasks.spawn(one(address, region, number, seen.clone()));
+    }
+    tasks.join_all().await;
+}
+
+async fn behave(engine: SocketAddr, behaviour: Behaviour) -> eyre::Result<()> {
+    let body = json!(behaviour).to_string();
+    call(engine, Method::POST, "/_behave", &[], body).await?;
+    Ok(())
+}
+
+async fn configuration(weights: &str) -> eyre::Result<(String, Vec<SocketAddr>)> {
+    let mut text = weights.to_owned() + &sections(&REGIONS);
+    text.push_str(
+        "[model model]\n\
+         [route chat]\nprefix = /v1\nkind = model\nrepeatable = true\n\
+         [selector all]\n",
+    );
+    let mut engines = Vec::new();
+    for (region, price) in REGIONS.iter().zip(PRICES) {
+        for number in 0..ENGINES {
+            let engine = start(Engine::new(SLOTS, ENGINE)).await?;
+            text += &format!(
+                "[backend {region}-{number}]\naddress = {engine}\nregion = {region}\n\
+                 failure_domain = {region}-a\nserves = model\nslots = {SLOTS}\nprice = {price}\n\
+                 refusal_header = {REFUSED}\n"
+            );
+            engines.push(engine);
+        }
+    }
+    Ok((text, engines))
+}
+
+async fn play(policy: Named, weights: &str, seconds: u64) -> eyre::Result<(Seen, f64)> {
+    let plan = Plan {
+        regions: &REGIONS,
+        boxes: BOXES,
+        policy,
+        delay: Some(DELAY),
+    };
+    let system = System::start(&plan).await?;
+    let (text, engines) = configuration(weights).await?;
+    system.configure(&text).await?;
+    system.acquainted(REGIONS.len() - 1).await?;
+    let seen = Arc::new(Mutex::new(Seen::new()?));
+    let span = Duration::from_secs(seconds);
+    for (index, (_, rates)) in PHASES.iter().enumerate() {
+        // The second server of bunbury refuses during the third phase.
+        let refuse = index == 2;
+        behave(engines[ENGINES + 1], Behaviour { refuse, ..ENGINE }).await?;
+        let cut = index == 3;
+        for (name, link) in &system.links {
+            link.cut(cut && name.starts_with(REGIONS[0]));
+        }
+        let mut regions = JoinSet::new();
+        for (region, rate) in rates.iter().enumerate() {
+            let mine = system
+                .boxes
+                .iter()
+                .filter(|(n, _)| n.starts_with(REGIONS[region]));
+            let boxes = mine.map(|(_, b)| b.public).collect();
+            let offset = index as u64 * 1_000_000;
+            regions.spawn(callers(boxes, region, *rate, span, offset, seen.clone()));
+        }
+        regions.join_all().await;
+    }
+    let again = system
+        .sum(&[
+            "petreldrum_attempts_total{outcome=\"failed\"",
+            "petreldrum_attempts_total{outcome=\"refused\"",
+        ])
+        .await?;
+    let seen = std::mem::replace(
+        &mut *seen.lock().expect("the lock is never poisoned"),
+        Seen::new()?,
+    );
+    let again = again / seen.sent as f64;
+    Ok((seen, again))
+}
+
+pub(super) async fn run(seconds: u64) -> eyre::Result<()> {
+    println!("phases of {seconds} s each; requests a second in perth, bunbury, geraldton:");
+    for (name, rates) in PHASES {
+        println!("  {name}: {rates:?}");
+    }
+    println!(
+        "cost of a request: the price of its server, and {MOVE} if it moved; mean over served"
+    );
+    println!(
+        "policy        weights        sent  in time  first token p50/p95/p99 ms  \
+         whole p50/p95/p99 ms  away   cost   refused  failed  again"
+    );
+    let baselines = [Named::HomeOnly, Named::Nearest, Named::LeastLoaded];
+    let mut plays: Vec<(Named, Deployment)> = DEPLOYMENTS.map(|d| (Named::Balanced, d)).to_vec();
+    plays.extend(baselines.map(|policy| (policy, DEPLOYMENTS[0])));
+    for (policy, deployment) in plays {
+        let (seen, again) = play(policy, deployment.weights, seconds).await?;
+        let at = |h: &Histogram<u64>| {
+            format!(
+                "{:4}/{:4}/{:4}",
+                h.value_at_quantile(0.5),
+                h.value_at_quantile(0.95),
+                h.value_at_quantile(0.99)
+            )
+        };
+        let share = |n: u64| n as f64 / seen.sent as f64 * 100.0;
+        let weights = match policy {
+            Named::Balanced => deployment.name,
+            _ => "-",
+        };
+        println!(
+            "{policy:12}  {weights:13}  {:5}  {:6.2}%  {:>26}  {:>20}  {:4.1}%  {:5.3}  {:6.2}%  {:5.2}%  {again:.3}",
+            seen.sent,
+            share(seen.in_time),
+            at(&seen.first),
+            at(&seen.whole),
+            seen.away as f64 / seen.served.max(1) as f64 * 100.0,
+            seen.cost / seen.served.max(1) as f64,
+            share(seen.refused),
+            share(seen.failed),
+        );
+        sleep(Duration::from_millis(500)).await;
+    }
+    Ok(())
+}
