Count relays in flight, not all since the last digest

Cause: the measured hop through two boxes took 1.96 s at p95. A box counted every request it had sent to a region since the region's digest against its free slots, ended ones too; after 8 requests the region looked full and the next waited for the digest, up to 2 s.

Ruled out: the links and nng (p50 was 2.2 ms), pools (a fresh connection in both ways).

Change: a relay that ends is taken off again. A full region is no longer shut out: its wait is estimated like a server's, and the region queues by itself; one that refuses is left alone for 300 ms.

--- a/src/member.rs
+++ b/src/member.rs
@@ -17,6 +17,8 @@
 pub const REGION_SUSPECT: Millis = Millis(6000);
 /// A box unheard for this long is forgotten.
 pub const FORGET: Millis = Millis(60_000);
+/// How long a region that refused a request is left alone.
+const COOL: Millis = Millis(300);
 /// How long a returned region takes to its full share.
 const RAMP: Millis = Millis(10_000);
 /// Share of its free slots that a returned region gets at once.
@@ -49,8 +51,10 @@
     pub heard: Time,
     /// When the region was last heard of anew after a silence; none for the first time.
     pub returned: Option<Time>,
-    /// Requests sent there since the digest.
+    /// Requests sent there since the digest that have not ended.
     pub sent: u32,
+    /// Until when it is left alone, because it refused a request.
+    pub cool_until: Time,
 }
 
 impl Remote {
@@ -166,6 +170,7 @@
             returned,
             heard: now,
             sent: 0,
+            cool_until: old.map_or(Time(0), |old| old.cool_until),
             digest,
         };
         self.regions.insert(remote.digest.region.clone(), remote);
@@ -178,6 +183,21 @@
         }
     }
 
+    /// Notes the end of a request that went to `region` at `sent`; the digest of a later moment
+    /// counts it already.
+    pub fn relay_ended(&mut self, region: &Region, sent: Time) {
+        if let Some(remote) = self.regions.get_mut(region).filter(|r| sent >= r.heard) {
+            remote.sent = remote.sent.saturating_sub(1);
+        }
+    }
+
+    /// Notes that `region` refused a request.
+    pub fn relay_refused(&mut self, region: &Region, now: Time) {
+        if let Some(remote) = self.regions.get_mut(region) {
+            remote.cool_until = now + COOL;
+        }
+    }
+
     /// Takes a door out that could not be reached, until the next digest.
     pub fn lose_door(&mut self, region: &Region, name: &BoxName) {
         if let Some(remote) = self.regions.get_mut(region) {
--- a/src/policy/balanced.rs
+++ b/src/policy/balanced.rs
@@ -1,7 +1,7 @@
 //! The product's policy: expected delay, distance from home and price, weighed by the deployment.
 
 use crate::{
-    policy::{Candidate, Choice, Place, Policy, View},
+    policy::{Candidate, Choice, Policy, View},
     unit::Millis,
 };
 
@@ -29,13 +29,9 @@
         };
         let in_time = |c: &&Candidate| c.wait + c.hop < view.left;
         let usable = view.candidates.iter().filter(in_time);
-        // A remote place with no free slot would only refuse.
-        let open = usable.filter(|c| c.free > 0 || matches!(c.place, Place::Backend(_)));
-        let best = open.min_by(|a, b| score(a).total_cmp(&score(b)));
-        match best {
-            Some(c) if c.free > 0 => Choice::Send(c.place.clone()),
-            Some(_) => Choice::Wait,
-            None => super::wait_or_refuse(view.candidates.iter(), view.left),
+        match usable.min_by(|a, b| score(a).total_cmp(&score(b))) {
+            Some(best) => best.choice(),
+            None => super::refuse(view.candidates.iter()),
         }
     }
 }
--- a/src/policy/baseline.rs
+++ b/src/policy/baseline.rs
@@ -1,6 +1,6 @@
 //! Simple policies that the product's own is measured against.
 
-use crate::policy::{Candidate, Choice, Place, Policy, View, wait_or_refuse};
+use crate::policy::{Candidate, Choice, Policy, View, refuse};
 
 /// Never leaves home: the least busy place there, or a wait.
 #[derive(Clone, Copy, Debug, Default)]
@@ -14,17 +14,19 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeastLoaded;
 
-fn least<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Option<&'a Candidate> {
-    candidates.min_by(|a, b| a.load.total_cmp(&b.load))
+/// The least busy of the places that begin in time.
+fn least<'a>(view: &View<'a>, usable: impl Fn(&Candidate) -> bool) -> Choice {
+    let places = || view.candidates.iter().filter(|c| usable(c));
+    let in_time = places().filter(|c| c.wait + c.hop < view.left);
+    match in_time.min_by(|a, b| a.load.total_cmp(&b.load)) {
+        Some(place) => place.choice(),
+        None => refuse(places()),
+    }
 }
 
 impl Policy for HomeOnly {
     fn pick(&self, view: &View<'_>) -> Choice {
-        let home = || view.candidates.iter().filter(|c| c.home);
-        match least(home().filter(|c| c.free > 0)) {
-            Some(c) => Choice::Send(c.place.clone()),
-            None => wait_or_refuse(home(), view.left),
-        }
+        least(view, |c| c.home)
     }
 }
 
@@ -33,22 +35,13 @@
         if view.candidates.iter().any(|c| c.home) {
             return HomeOnly.pick(view);
         }
-        let near = view.candidates.iter().filter(|c| c.free > 0);
-        match near.min_by_key(|c| c.hop) {
-            Some(c) => Choice::Send(c.place.clone()),
-            None => wait_or_refuse(view.candidates.iter(), view.left),
-        }
+        let nearest = view.candidates.iter().map(|c| c.hop).min();
+        least(view, |c| Some(c.hop) == nearest)
     }
 }
 
 impl Policy for LeastLoaded {
     fn pick(&self, view: &View<'_>) -> Choice {
-        match least(view.candidates.iter().filter(|c| c.free > 0)) {
-            Some(c) => Choice::Send(c.place.clone()),
-            None => {
-                let local = |c: &&Candidate| matches!(c.place, Place::Backend(_));
-                wait_or_refuse(view.candidates.iter().filter(local), view.left)
-            }
-        }
+        least(view, |_| true)
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -49,6 +49,16 @@
     pub warm: bool,
 }
 
+impl Candidate {
+    /// What choosing the place means: another region queues by itself, a server here does not.
+    fn choice(&self) -> Choice {
+        match self.place {
+            Place::Backend(_) if self.free == 0 => Choice::Wait,
+            _ => Choice::Send(self.place.clone()),
+        }
+    }
+}
+
 /// All that a policy sees of one decision.
 #[derive(Debug)]
 pub struct View<'a> {
@@ -78,12 +88,11 @@
     fn pick(&self, view: &View<'_>) -> Choice;
 }
 
-/// What to do where only a wait is left: wait if it can end in time, else give up.
-fn wait_or_refuse<'a>(candidates: impl Iterator<Item = &'a Candidate>, left: Millis) -> Choice {
+/// When to come back where there is no place at all.
+const NO_PLACE: Millis = Millis(1000);
+
+/// Gives a request up: no place begins its answer in time.
+fn refuse<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Choice {
     let soonest = candidates.map(|c| c.wait).min();
-    match soonest {
-        Some(wait) if wait < left => Choice::Wait,
-        Some(wait) => Choice::Refuse(wait),
-        None => Choice::Refuse(Millis(1000)),
-    }
+    Choice::Refuse(soonest.unwrap_or(NO_PLACE))
 }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -241,6 +241,7 @@
                 slots: 0,
                 busy: 0,
                 first: Millis(0),
+                whole: Millis(0),
             };
             let mut servers = 0;
             for backend in config.serving(service) {
@@ -251,9 +252,12 @@
                 total.slots += server.slots(backend.slots, now);
                 total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()));
                 total.first.0 += server.first().0;
+                total.whole.0 += server.whole().0;
                 servers += 1;
             }
             total.first.0 = total.first.0.checked_div(servers)?;
+            total.whole.0 = total.whole.0.checked_div(servers)?;
+            total.busy += self.queue.waiting(service) as u32;
             Some(total)
         };
         services.into_iter().filter_map(capacity).collect()
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -118,7 +118,8 @@
         remote: &Remote,
     ) -> Option<Candidate> {
         let place = Place::Region(region.clone());
-        if job.tried.contains(&place) || remote.digest.doors.is_empty() {
+        let closed = remote.digest.doors.is_empty() || now < remote.cool_until;
+        if closed || job.tried.contains(&place) {
             return None;
         }
         let usable = |b: &&Backend| b.region == *region && plan.allows(b) && !self.leaving(now, b);
@@ -130,12 +131,19 @@
         let short = Short::of(plan.service.as_str());
         let capacity = remote.digest.services.iter().find(|c| c.service == short)?;
         let hop = config.hop(&self.table.me.region, region);
+        let free = remote.free(short, now);
+        let (busy, slots) = (capacity.busy + remote.sent, capacity.slots.max(1));
+        let ahead = u64::from(busy.saturating_sub(slots)) + 1;
+        let wait = match free {
+            0 => Millis(capacity.whole.0 * ahead / u64::from(slots)),
+            _ => Millis(0),
+        };
         Some(Candidate {
             place,
             home: region == home,
-            free: remote.free(short, now),
-            load: f64::from(capacity.busy + remote.sent) / f64::from(capacity.slots.max(1)),
-            wait: Millis(0),
+            free,
+            load: f64::from(busy) / f64::from(slots),
+            wait,
             first: capacity.first,
             hop,
             price,
--- a/src/reducer/request.rs
+++ b/src/reducer/request.rs
@@ -472,7 +472,7 @@
         let Some((spot, at, _)) = self.in_hand(request, attempt) else {
             return;
         };
-        self.release(&spot, whole.then_some(now.since(at)));
+        self.release(&spot, at, whole.then_some(now.since(at)));
         let Some(job) = self.jobs.remove(&request) else {
             return;
         };
@@ -520,10 +520,10 @@
         cause: Cause,
         out: &mut Vec<Effect>,
     ) {
-        let Some((spot, _, _)) = self.in_hand(request, attempt) else {
+        let Some((spot, at, _)) = self.in_hand(request, attempt) else {
             return;
         };
-        self.release(&spot, None);
+        self.release(&spot, at, None);
         self.blame(now, &spot, cause);
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
@@ -556,11 +556,16 @@
         }
     }
 
-    fn release(&mut self, spot: &Spot, took: Option<Millis>) {
-        if let Spot::Chosen(Place::Backend(name), _) = spot
-            && let Some(server) = self.servers.get_mut(name)
-        {
-            server.end(took);
+    /// Gives back what an attempt that went out at `at` held; `took` tells of a whole answer.
+    fn release(&mut self, spot: &Spot, at: Time, took: Option<Millis>) {
+        match spot {
+            Spot::Chosen(Place::Backend(name), _) => {
+                if let Some(server) = self.servers.get_mut(name) {
+                    server.end(took);
+                }
+            }
+            Spot::Chosen(Place::Region(region), _) => self.table.relay_ended(region, at),
+            Spot::Pinned => {}
         }
     }
 
@@ -576,6 +581,9 @@
             (Spot::Chosen(Place::Region(region), Some(door)), Cause::Unreachable) => {
                 self.table.lose_door(region, door);
             }
+            (Spot::Chosen(Place::Region(region), _), Cause::Refused) => {
+                self.table.relay_refused(region, now);
+            }
             (Spot::Chosen(Place::Region(_), _), _) => {}
         }
     }
@@ -586,10 +594,12 @@
         };
         match &job.stage {
             Stage::Sent { .. } if job.owns_key => return,
-            Stage::Sent { attempt, spot, .. } => {
-                let (attempt, spot) = (*attempt, spot.clone());
+            Stage::Sent {
+                attempt, spot, at, ..
+            } => {
+                let (attempt, spot, at) = (*attempt, spot.clone(), *at);
                 out.push(Effect::Abort { request, attempt });
-                self.release(&spot, None);
+                self.release(&spot, at, None);
             }
             Stage::Waiting => {
                 let (service, caller) = (job.service.clone(), job.ask.caller.clone());
@@ -655,9 +665,11 @@
                 self.queue.remove(&service, &caller, request);
                 Reply::new(503, job.verdict(), "no slot was free in time").after(SOON)
             }
-            Stage::Sent { attempt, spot, .. } => {
+            Stage::Sent {
+                attempt, spot, at, ..
+            } => {
                 out.push(Effect::Abort { request, attempt });
-                self.release(&spot, None);
+                self.release(&spot, at, None);
                 let reason = "the answer did not begin in time";
                 Reply::new(504, Verdict::MayHaveRun, reason).after(SOON)
             }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -105,6 +105,8 @@
     pub busy: u32,
     /// Expected time to the first byte.
     pub first: Millis,
+    /// Expected time of a whole answer.
+    pub whole: Millis,
 }
 
 /// What one region tells another.
--- a/standin/src/measure/control.rs
+++ b/standin/src/measure/control.rs
@@ -46,7 +46,7 @@
             servers,
         ));
     }
-    if second % 2 == 0 {
+    if second.is_multiple_of(2) {
         for region in 1..size.regions {
             // Two boxes of this region get each digest and pass it on; the others get it twice.
             let first = region % size.region_boxes().max(1) < 2;
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -159,6 +159,7 @@
         slots: 200,
         busy: 100,
         first: Millis(100),
+        whole: Millis(500),
     });
     let body = Body::Digest(Digest {
         region: name(format!("region-{region}")),
