Find the servers of a region without a look at the others

Cause: a decision took 466 us at 1,300 workers. For each of 24 regions it went through all 325 servers of the model in all regions.

Ruled out: hashing and the policy itself (4 us at 10 workers).

Change: the configuration keeps the servers by service and region.

Measured (us a decision at 10, 100, 1,300 workers): 4.10, 19.58, 465.61 before; 2.30, 5.36, 37.36 after.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -243,7 +243,7 @@
     /// The selectors, in order.
     pub selectors: Vec<Selector>,
     keys: HashMap<KeyHash, id::Caller>,
-    services: HashMap<Service, Vec<id::Backend>>,
+    services: HashMap<Service, HashMap<Region, Vec<id::Backend>>>,
 }
 
 impl Config {
@@ -256,9 +256,11 @@
         self.callers.get(name)
     }
 
-    /// The backend servers that serve `service`, in the order of their names.
-    pub fn serving(&self, service: &Service) -> impl Iterator<Item = &Backend> {
-        let names = self.services.get(service).map_or(&[][..], Vec::as_slice);
+    /// The backend servers of `region` that serve `service`, in the order of their names.
+    pub fn serving(&self, service: &Service, region: &Region) -> impl Iterator<Item = &Backend> {
+        let regions = self.services.get(service);
+        let names = regions.and_then(|regions| regions.get(region));
+        let names = names.map_or(&[][..], Vec::as_slice);
         names.iter().filter_map(|name| self.backends.get(name))
     }
 
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -39,14 +39,7 @@
     let mut routes = draft.routes;
     routes.sort_by_key(|route| Reverse(route.prefix.len()));
     let keys = draft.callers.values().map(|c| (c.key, c.name.clone()));
-    let mut services: HashMap<Service, Vec<_>> = HashMap::new();
-    for backend in draft.backends.values() {
-        for service in &backend.serves {
-            let names = services.entry(service.clone()).or_default();
-            names.push(backend.name.clone());
-        }
-    }
-    services.values_mut().for_each(|names| names.sort());
+    let services = index(&draft.backends);
     Some(Config {
         version: envelope.version,
         write: envelope.write.clone(),
@@ -66,6 +59,23 @@
     })
 }
 
+/// The names of the backend servers by what they serve and where.
+fn index(backends: &Backends) -> HashMap<Service, HashMap<Region, Vec<crate::id::Backend>>> {
+    let mut services: HashMap<Service, HashMap<Region, Vec<_>>> = HashMap::new();
+    let mut sorted: Vec<&Backend> = backends.values().collect();
+    sorted.sort_by(|a, b| a.name.cmp(&b.name));
+    for backend in sorted {
+        for service in &backend.serves {
+            let regions = services.entry(service.clone()).or_default();
+            let names = regions.entry(backend.region.clone()).or_default();
+            names.push(backend.name.clone());
+        }
+    }
+    services
+}
+
+type Backends = HashMap<crate::id::Backend, Backend>;
+
 #[derive(Default)]
 struct Draft {
     weights: Option<Weights>,
@@ -73,7 +83,7 @@
     callers: HashMap<crate::id::Caller, Caller>,
     routes: Vec<Route>,
     models: HashMap<Service, Model>,
-    backends: HashMap<crate::id::Backend, Backend>,
+    backends: Backends,
     selectors: Vec<Selector>,
 }
 
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -244,8 +244,8 @@
                 whole: Millis(0),
             };
             let mut servers = 0;
-            for backend in config.serving(service) {
-                if backend.region != self.table.me.region || self.excluded(now, backend).is_some() {
+            for backend in config.serving(service, &self.table.me.region) {
+                if self.excluded(now, backend).is_some() {
                     continue;
                 }
                 let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -70,8 +70,8 @@
     ) {
         let mine = &self.table.me.region;
         let usable: Vec<&Backend> = config
-            .serving(&plan.service)
-            .filter(|b| b.region == *mine && plan.allows(b))
+            .serving(&plan.service, mine)
+            .filter(|b| plan.allows(b))
             .filter(|b| self.excluded(now, b).is_none())
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .collect();
@@ -122,9 +122,9 @@
         if closed || job.tried.contains(&place) {
             return None;
         }
-        let usable = |b: &&Backend| b.region == *region && plan.allows(b) && !self.leaving(now, b);
+        let usable = |b: &&Backend| plan.allows(b) && !self.leaving(now, b);
         let price = config
-            .serving(&plan.service)
+            .serving(&plan.service, region)
             .filter(usable)
             .map(|b| b.price)
             .reduce(f64::min)?;
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -214,20 +214,21 @@
         let mut regions: Vec<Region> = config.regions.keys().cloned().collect();
         regions.retain(|region| plan.permits(region));
         regions.sort();
-        let left_out = config.serving(&plan.service).filter_map(|b| {
-            let excluded = self.excluded(now, b);
-            let reason = match () {
-                () if b.region != self.table.me.region => return None,
-                () if !plan.permits(&b.region) => "its region is not permitted",
-                () if !plan.allows(b) => "its labels do not match the selector",
-                () if excluded.is_some() => reason(excluded),
-                () => return None,
-            };
-            Some(LeftOut {
-                backend: b.name.clone(),
-                reason,
-            })
-        });
+        let left_out = config
+            .serving(&plan.service, &self.table.me.region)
+            .filter_map(|b| {
+                let excluded = self.excluded(now, b);
+                let reason = match () {
+                    () if !plan.permits(&b.region) => "its region is not permitted",
+                    () if !plan.allows(b) => "its labels do not match the selector",
+                    () if excluded.is_some() => reason(excluded),
+                    () => return None,
+                };
+                Some(LeftOut {
+                    backend: b.name.clone(),
+                    reason,
+                })
+            });
         Ok(Explanation {
             version: config.version,
             selector: plan.selector.clone(),
