Keep control messages bounded as regions and fleet grow

Heartbeats grow with the boxes of a region, and each digest reached every box twice.

Ruled out: shorter hashes in loads (16 bits collide in some region).

Change: the time between heartbeats grows with the region's other boxes (150 ms each, at least 1 s), that between digests with the regions (170 ms each, at least 2 s), and what counts as silent with them (3 periods). A digest goes to one box of a region in turn, which passes it on. The measurement now plays tenths of a second, those periods, and requests in hand, so that heartbeats carry loads.

A dead box in a region of 15 is suspected after 6.3 s instead of 3.

--- a/src/member.rs
+++ b/src/member.rs
@@ -11,10 +11,16 @@
     wire::{Contact, Digest, Door, Frame, Heartbeat, Phase, Short},
 };
 
-/// A box unheard for this long is not used.
-pub const SUSPECT: Millis = Millis(3000);
-/// A region unheard for this long is not used.
-pub const REGION_SUSPECT: Millis = Millis(6000);
+/// Shortest time between two heartbeats.
+const HEARTBEAT: Millis = Millis(1000);
+/// Time between heartbeats for each other box of the region: the bytes stay bounded as it grows.
+const HEARTBEAT_EACH: u64 = 150;
+/// Shortest time between two digests to one region.
+const DIGEST: Millis = Millis(2000);
+/// Time between digests for each other region.
+const DIGEST_EACH: u64 = 170;
+/// Messages that may be missed before a box or a region is not used.
+const MISSED: u64 = 3;
 /// A box unheard for this long is forgotten.
 pub const FORGET: Millis = Millis(60_000);
 /// How long a region that refused a request is left alone.
@@ -106,17 +112,38 @@
         }
     }
 
+    /// Time between two heartbeats of this region's boxes.
+    pub fn heartbeat_period(&self) -> Millis {
+        HEARTBEAT.max(Millis(HEARTBEAT_EACH * self.peers.len() as u64))
+    }
+
+    /// Time between two digests to one region.
+    pub fn digest_period(&self) -> Millis {
+        DIGEST.max(Millis(DIGEST_EACH * self.regions.len() as u64))
+    }
+
+    /// A box unheard for this long is not used.
+    pub fn suspect(&self) -> Millis {
+        Millis(MISSED * self.heartbeat_period().0)
+    }
+
+    /// A region unheard for this long is not used.
+    pub fn region_suspect(&self) -> Millis {
+        Millis(MISSED * self.digest_period().0)
+    }
+
     /// Whether `frame` is newer than all that was heard of its sender.
     pub fn admit(&mut self, frame: &Frame, now: Time) -> bool {
         if frame.from == self.me.name {
             return false;
         }
+        let silent = self.suspect().max(self.region_suspect());
         let fresh = self.seen.get(&frame.from).is_none_or(|seen| {
             if frame.incarnation == seen.incarnation {
                 return frame.seq > seen.seq;
             }
             // A clock set back may give a later life a lower number.
-            frame.incarnation > seen.incarnation || now.since(seen.heard) > SUSPECT
+            frame.incarnation > seen.incarnation || now.since(seen.heard) > silent
         });
         if fresh {
             let seen = Seen {
@@ -160,9 +187,10 @@
 
     /// Takes a digest of another region.
     pub fn digest(&mut self, digest: Digest, now: Time) {
+        let silent = self.region_suspect();
         let old = self.regions.get(&digest.region);
         let returned = match old {
-            Some(old) if now.since(old.heard) > REGION_SUSPECT => Some(now),
+            Some(old) if now.since(old.heard) > silent => Some(now),
             Some(old) => old.returned,
             None => None,
         };
@@ -212,7 +240,8 @@
 
     /// The boxes of this region that were heard lately, without this one.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
-        let alive = move |p: &&Peer| now.since(p.heard) <= SUSPECT;
+        let silent = self.suspect();
+        let alive = move |p: &&Peer| now.since(p.heard) <= silent;
         self.peers.values().filter(alive)
     }
 
@@ -228,7 +257,8 @@
 
     /// The regions that were heard lately.
     pub fn reachable(&self, now: Time) -> impl Iterator<Item = (&Region, &Remote)> {
-        let alive = move |(_, r): &(&Region, &Remote)| now.since(r.heard) <= REGION_SUSPECT;
+        let silent = self.region_suspect();
+        let alive = move |(_, r): &(&Region, &Remote)| now.since(r.heard) <= silent;
         self.regions.iter().filter(alive)
     }
 
@@ -279,10 +309,11 @@
             }
         }
         // A silent box no longer holds slots; its last word is taken back.
+        let limit = self.suspect();
         let silent: Vec<Heartbeat> = self
             .peers
             .values_mut()
-            .filter(|p| now.since(p.heard) > SUSPECT && !p.last.loads.is_empty())
+            .filter(|p| now.since(p.heard) > limit && !p.last.loads.is_empty())
             .map(|p| Heartbeat {
                 loads: std::mem::take(&mut p.last.loads),
                 ..p.last.clone()
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -15,14 +15,8 @@
     wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short},
 };
 
-/// Time between two heartbeats.
-pub(super) const HEARTBEAT: Millis = Millis(1000);
-/// Time between two digests to one region.
-pub(super) const DIGEST: Millis = Millis(2000);
 /// Boxes of a region that watch the store.
 const WATCHERS: usize = 2;
-/// Boxes of another region that a digest goes to.
-const DIGEST_TARGETS: usize = 2;
 /// Boxes that a digest names.
 const DOORS: usize = 3;
 /// How long a fetch may take before another is tried.
@@ -85,14 +79,16 @@
         self.expire(now, out);
         let forgotten = self.ledger.expire(now).into_iter().map(Effect::Forget);
         out.extend(forgotten);
-        if Control::due(&mut self.control.last_beat, HEARTBEAT, now) {
+        let period = self.table.heartbeat_period();
+        if Control::due(&mut self.control.last_beat, period, now) {
             self.table.sweep(now);
             self.limiter.sweep(now);
             self.elect(now, out);
             self.beat(now, out);
             self.chase(now, out);
         }
-        if Control::due(&mut self.control.last_digest, DIGEST, now) {
+        let period = self.table.digest_period();
+        if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
         }
         self.drain_all(now, out);
@@ -160,13 +156,12 @@
             if self.table.rank(region.as_str(), now) > 0 {
                 continue;
             }
-            let targets = self.digest_targets(&region);
+            let Some(to) = self.digest_target(now, &region) else {
+                continue;
+            };
             let body = Body::Digest(self.summary(now));
             let frame = self.frame(body);
-            for to in targets {
-                let frame = frame.clone();
-                out.push(Effect::Gossip { to, frame });
-            }
+            out.push(Effect::Gossip { to, frame });
         }
     }
 
@@ -178,24 +173,21 @@
         regions.into_iter().collect()
     }
 
-    /// Doors that the region last named, and one seed in turn: a seed finds a region that was
-    /// replaced whole.
-    fn digest_targets(&self, region: &Region) -> BTreeSet<SocketAddr> {
+    /// Where the next digest for `region` goes: its doors and the seeds there take turns.
+    ///
+    /// One copy is enough, since its receiver passes it on; the turns get round one that is gone,
+    /// and a seed finds a region that was replaced whole.
+    fn digest_target(&self, now: Time, region: &Region) -> Option<SocketAddr> {
         let remote = self.table.regions().find(|(name, _)| *name == region);
         let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
-        let doors = doors.iter().map(|d| d.contact.gossip).take(DIGEST_TARGETS);
-        let mut targets: BTreeSet<SocketAddr> = doors.collect();
-        let seeds: Vec<SocketAddr> = self
-            .seeds
-            .iter()
-            .filter(|s| s.region == *region)
-            .map(|s| s.gossip)
-            .collect();
-        if targets.len() < DIGEST_TARGETS && !seeds.is_empty() {
-            let turn = self.control.digests as usize % seeds.len();
-            targets.insert(seeds[turn]);
+        let seeds = self.seeds.iter().filter(|s| s.region == *region);
+        let live = remote.is_some_and(|(_, r)| now.since(r.heard) <= self.table.region_suspect());
+        let mut targets: Vec<SocketAddr> = doors.iter().map(|d| d.contact.gossip).collect();
+        if !live || targets.is_empty() {
+            targets.extend(seeds.map(|s| s.gossip));
         }
-        targets
+        let turn = (self.control.digests as usize).checked_rem(targets.len())?;
+        targets.get(turn).copied()
     }
 
     fn summary(&self, now: Time) -> Digest {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -152,6 +152,11 @@
         self.control.phase(self.config.is_some(), now)
     }
 
+    /// Time between two heartbeats, and between two digests to one region.
+    pub fn periods(&self) -> (Millis, Millis) {
+        (self.table.heartbeat_period(), self.table.digest_period())
+    }
+
     /// Requests in hand.
     pub fn busy(&self) -> usize {
         self.jobs.len()
--- a/standin/src/measure/control.rs
+++ b/standin/src/measure/control.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use petreldrum::{
-    reducer::{effect::Effect, event::Event},
+    policy::Balanced,
+    reducer::{State, effect::Effect, event::Event},
     settings::Secret,
-    unit::Time,
+    unit::{Millis, Time},
     wire::Frame,
 };
 
@@ -16,6 +17,28 @@
 /// Bytes of TCP, IP and nng around a message.
 const OVERHEAD: usize = 60;
 
+/// Milliseconds between two ticks.
+const TENTH: u64 = 100;
+/// Requests that a box holds at the goal's peak, about 24 a second for some seconds each.
+const IN_HAND: u64 = 60;
+
+/// Keeps requests in hand, so that heartbeats have loads to tell of.
+#[derive(Default)]
+struct Busy {
+    requests: u64,
+}
+
+impl Busy {
+    fn keep(&mut self, state: &mut State<Balanced>, size: Size, now: Time) {
+        let wanted = IN_HAND.min((size.workers / size.regions) as u64);
+        // A box that is not ready yet refuses; the next tenth tries again.
+        for _ in state.busy() as u64..wanted {
+            self.requests += 1;
+            state.step(now, fleet::arrival(size, self.requests));
+        }
+    }
+}
+
 #[derive(Default)]
 struct Sum {
     messages: usize,
@@ -34,24 +57,31 @@
     }
 }
 
-/// What box 0 hears in one second: its region's heartbeats and the digests that reach it.
-fn heard(size: Size, second: u64) -> Vec<Frame> {
+/// How often a box says something, in tenths of a second: as the reducer's own periods.
+fn tenths(period: Millis) -> u64 {
+    period.0.div_ceil(TENTH)
+}
+
+/// What box 0 hears in a tenth of a second: heartbeats of its region and the digests that reach it.
+fn heard(size: Size, tenth: u64, periods: (u64, u64)) -> Vec<Frame> {
     let mut frames = Vec::new();
     let servers = size.workers / size.regions;
     for number in 1..size.region_boxes() {
-        frames.push(fleet::heartbeat(
-            size,
-            number * size.regions,
-            second,
-            servers,
-        ));
+        if (tenth + number as u64).is_multiple_of(periods.0) {
+            frames.push(fleet::heartbeat(
+                size,
+                number * size.regions,
+                tenth,
+                servers,
+            ));
+        }
     }
-    if second.is_multiple_of(2) {
-        for region in 1..size.regions {
-            // Two boxes of this region get each digest and pass it on; the others get it twice.
-            let first = region % size.region_boxes().max(1) < 2;
-            frames.push(fleet::digest(size, region, second, first));
-            frames.push(fleet::digest(size, region, second, false));
+    for region in 1..size.regions {
+        let turn = tenth + region as u64;
+        if turn.is_multiple_of(periods.1) {
+            // One box of this region gets the digest and passes it on.
+            let first = (turn / periods.1).is_multiple_of(size.region_boxes() as u64);
+            frames.push(fleet::digest(size, region, tenth, first));
         }
     }
     frames
@@ -81,20 +111,23 @@
         let mut state = fleet::state(size, fleet::config(fleet::text(size)));
         let (mut out, mut received) = (Sum::default(), Sum::default());
         let mut spent = Duration::ZERO;
-        for second in 1..=SECONDS {
-            for frame in heard(size, second) {
+        let mut busy = Busy::default();
+        for tenth in 1..=SECONDS * 1000 / TENTH {
+            let now = Time(tenth * TENTH);
+            busy.keep(&mut state, size, now);
+            let periods = state.periods();
+            let periods = (tenths(periods.0), tenths(periods.1));
+            for frame in heard(size, tenth, periods) {
                 let bytes = frame.encode(&secret);
                 received.add(bytes.len());
                 let start = Instant::now();
                 let frame = Frame::decode(&secret, &bytes)?;
-                let effects = state.step(Time(second * 1000), Event::Heard(frame));
-                spent += start.elapsed() + send(effects, &secret, &mut out);
-            }
-            for tick in 0..10 {
-                let start = Instant::now();
-                let effects = state.step(Time(second * 1000 + tick * 100), Event::Tick);
+                let effects = state.step(now, Event::Heard(frame));
                 spent += start.elapsed() + send(effects, &secret, &mut out);
             }
+            let start = Instant::now();
+            let effects = state.step(now, Event::Tick);
+            spent += start.elapsed() + send(effects, &secret, &mut out);
         }
         let ((out_messages, out_bytes), (in_messages, in_bytes)) =
             (out.a_second(), received.a_second());
