Wait by fair turns, and tell of sections that stand twice

Cause: three faults that new tests found. A caller whose own line was empty was refused because another's flooded (placing::callers_take_turns: a, a, a served, both of b refused): the expected wait counted the whole line, and not the lines of the region's other boxes. Sections of one name were joined in silence by the INI library (config_text::every_fault_is_told). A caller section with one fault was told of sound keys as unknown.

Ruled out: the turns themselves (the queue gave them in order).

Change: the wait counts, of each other caller's line, only as many as the caller will have itself, times the ready boxes of the region; a request once in line stays until its deadline. Titles are read before the library joins them. Every key is read before a section is given up.

--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -156,15 +156,18 @@
 fn read_caller(section: &mut Section<'_>, name: &str) -> Option<Caller> {
     let name = read_name(section, name);
     let key = section.required("key_sha256");
-    let mut caller = |name, key| Caller {
-        name,
-        key,
-        labels: section.or("labels", Default::default()),
-        home: section.optional("home"),
-        regions: section.list("regions"),
-        rate: section.or("rate", DEFAULT_RATE),
-    };
-    Some(caller(name?, key?))
+    let labels = section.or("labels", Default::default());
+    let home = section.optional("home");
+    let regions = section.list("regions");
+    let rate = section.or("rate", DEFAULT_RATE);
+    Some(Caller {
+        name: name?,
+        key: key?,
+        labels,
+        home,
+        regions,
+        rate,
+    })
 }
 
 fn read_route(section: &mut Section<'_>, name: &str) -> Option<Route> {
@@ -192,10 +195,13 @@
 }
 
 fn read_model(section: &mut Section<'_>, name: &str) -> Option<Model> {
+    let name = read_name(section, name);
+    let labels = section.or("labels", Default::default());
+    let regions = section.list("regions");
     Some(Model {
-        name: read_name(section, name)?,
-        labels: section.or("labels", Default::default()),
-        regions: section.list("regions"),
+        name: name?,
+        labels,
+        regions,
     })
 }
 
--- a/src/ini.rs
+++ b/src/ini.rs
@@ -70,7 +70,7 @@
             faults: Vec::new(),
         };
         reader.refuse_loose_keys();
-        reader.refuse_repeats();
+        reader.refuse_repeats(text);
         Ok(reader)
     }
 
@@ -86,15 +86,14 @@
         }
     }
 
-    fn refuse_repeats(&mut self) {
+    /// The library joins sections of one name in silence, so their titles are read here.
+    fn refuse_repeats(&mut self, text: &str) {
         let mut seen = BTreeSet::new();
-        let twice: Vec<String> = self
-            .ini
-            .sections()
-            .flatten()
-            .filter(|name| !seen.insert(name.to_owned()))
-            .map(str::to_owned)
-            .collect();
+        let titles = text.lines().filter_map(|line| {
+            let (title, _) = line.trim().strip_prefix('[')?.split_once(']')?;
+            Some(title.trim().to_owned())
+        });
+        let twice: Vec<String> = titles.filter(|title| !seen.insert(title.clone())).collect();
         for section in twice {
             self.fault(&section, "", "stands twice");
         }
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -91,6 +91,19 @@
         }
     }
 
+    /// The requests that go before a new one of `caller`, by fair turns: of another caller's line,
+    /// however long, only as many as `caller` will have itself.
+    pub fn ahead(&self, service: &Service, caller: &Caller) -> usize {
+        let Some(line) = self.lines.get(service) else {
+            return 0;
+        };
+        let own = line.waiting.get(caller).map_or(0, VecDeque::len);
+        let others = line.waiting.iter().filter(|(name, _)| *name != caller);
+        own + others
+            .map(|(_, queue)| queue.len().min(own + 1))
+            .sum::<usize>()
+    }
+
     /// The requests that wait for `service`.
     pub fn waiting(&self, service: &Service) -> usize {
         self.lines.get(service).map_or(0, Line::len)
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -79,7 +79,13 @@
             xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), job.prefix)
         };
         let warm = usable.iter().max_by_key(affinity).map(|b| b.name.clone());
-        let line = self.queue.waiting(&plan.service) / usable.len().max(1);
+        // The other boxes of the region send to the same servers and have lines of their own.
+        let boxes = self.table.ready(now).count() + 1;
+        let ahead = match job.queued {
+            true => 0,
+            false => self.queue.ahead(&plan.service, &job.ask.caller),
+        };
+        let line = ahead * boxes / usable.len().max(1);
         let fresh = Server::default();
         for backend in &usable {
             let server = self.servers.get(&backend.name).unwrap_or(&fresh);
--- a/src/reducer/request.rs
+++ b/src/reducer/request.rs
@@ -64,6 +64,8 @@
     pub(super) attempts: u32,
     pub(super) tried: Vec<Place>,
     pub(super) may_have_run: bool,
+    /// Whether it was let into the line; it then stays until it is served or its time is over.
+    pub(super) queued: bool,
     pub(super) stage: Stage,
 }
 
@@ -181,6 +183,7 @@
             attempts: 0,
             tried: vec![],
             may_have_run: false,
+            queued: false,
             stage: Stage::Waiting,
             hop: arrival.hop,
             ask,
@@ -320,11 +323,7 @@
         if self.place(now, request, out) {
             return;
         }
-        let caller = self.jobs[&request].ask.caller.clone();
-        if !self.queue.push(&service, &caller, request) {
-            let reply = Reply::new(503, Verdict::NotRun, "too many requests wait").after(SOON);
-            self.finish(request, reply, out);
-        }
+        self.enqueue(request, out);
     }
 
     /// Finds a place for a request; false where it has to wait.
@@ -535,7 +534,7 @@
         let service = job.service.clone();
         if again && now < job.deadline && self.budget.spend() {
             if !self.place(now, request, out) {
-                self.requeue(request, out);
+                self.enqueue(request, out);
             }
         } else {
             let reply = give_up(&spot, job.verdict(), cause);
@@ -544,10 +543,12 @@
         self.drain(now, &service, out);
     }
 
-    fn requeue(&mut self, request: id::Request, out: &mut Vec<Effect>) {
-        let Some(job) = self.jobs.get(&request) else {
+    /// Lets a request wait, at the end of its caller's line.
+    fn enqueue(&mut self, request: id::Request, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
+        job.queued = true;
         let (service, caller, verdict) =
             (job.service.clone(), job.ask.caller.clone(), job.verdict());
         if !self.queue.push(&service, &caller, request) {
--- a/standin/src/measure/policies.rs
+++ b/standin/src/measure/policies.rs
@@ -60,17 +60,27 @@
 #[derive(Clone, Copy)]
 struct Deployment {
     name: &'static str,
-    weights: &'static str,
+    example: &'static str,
+}
+
+impl Deployment {
+    /// The section of weights, from the deployment's example configuration.
+    fn weights(&self) -> &'static str {
+        let start = self.example.find("[weights]").unwrap_or(0);
+        let rest = &self.example[start..];
+        let end = rest.find("\n[").map_or(rest.len(), |end| end + 1);
+        &rest[..end]
+    }
 }
 
 const DEPLOYMENTS: [Deployment; 2] = [
     Deployment {
         name: "Kestrel Reach",
-        weights: include_str!("../../../examples/kestrel-reach.weights.ini"),
+        example: include_str!("../../../examples/kestrel-reach.ini"),
     },
     Deployment {
         name: "River Gauge",
-        weights: include_str!("../../../examples/river-gauge.weights.ini"),
+        example: include_str!("../../../examples/river-gauge.ini"),
     },
 ];
 
@@ -271,7 +281,7 @@
     let mut plays: Vec<(Named, Deployment)> = DEPLOYMENTS.map(|d| (Named::Balanced, d)).to_vec();
     plays.extend(baselines.map(|policy| (policy, DEPLOYMENTS[0])));
     for (policy, deployment) in plays {
-        let (seen, again) = play(policy, deployment.weights, seconds).await?;
+        let (seen, again) = play(policy, deployment.weights(), seconds).await?;
         let at = |h: &Histogram<u64>| {
             format!(
                 "{:4}/{:4}/{:4}",
--- /dev/null
+++ b/tests/config_text.rs
@@ -0,0 +1,113 @@
+//! A configuration is checked whole, and every fault names its section and key.
+
+use bolero::check;
+use petreldrum::{
+    config::{Ask, Config, Envelope, KeyHash, Matcher, Version},
+    ini::Faults,
+    settings::Settings,
+};
+
+fn parse(text: &str) -> Result<Config, Faults> {
+    let envelope = Envelope {
+        version: Version(1),
+        write: String::new(),
+        author: String::new(),
+        text: text.to_owned(),
+    };
+    Config::parse("file", &envelope)
+}
+
+#[test]
+fn every_fault_is_told() {
+    let text = "[region perth]\nhop = soon\n[region perth]\n\
+        [caller a]\nkey_sha256 = 12\nhome = nowhere\nrate = fast\n\
+        [route r]\nprefix = x\nkind = other\nrepeatable = maybe\n\
+        [backend b]\naddress = here\nregion = perth\nserves = q\nslots = 0\nextra = 1\n\
+        [selector s]\ncallers = a\nregions = home, mars\n[what]\n";
+    let told = parse(text).expect_err("faults").to_string();
+    for part in [
+        "[region perth] hop",
+        "[region perth]: stands twice",
+        "[caller a] key_sha256",
+        "[caller a] rate",
+        "[route r] prefix",
+        "[route r] kind",
+        "[route r] repeatable",
+        "[backend b] address",
+        "[backend b] failure_domain: is missing",
+        "[backend b] slots",
+        "[backend b] extra: is not a key",
+        "[selector s] callers",
+        "[selector s] regions: no region mars",
+        "[what]: is not a section",
+    ] {
+        assert!(told.contains(part), "{part} in:\n{told}");
+    }
+    assert!(told.lines().all(|line| line.starts_with("file: [")));
+}
+
+#[test]
+fn any_text_is_safe() {
+    check!().with_type::<String>().for_each(|text| {
+        let _ = parse(text);
+        let _ = Settings::parse("file", text);
+        let _ = text.parse::<Matcher>();
+    });
+}
+
+#[test]
+fn examples_check() {
+    for name in ["kestrel-reach", "river-gauge"] {
+        let path = format!("{}/examples/{name}.ini", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(&path).expect("the example is there");
+        let config = parse(&text).expect("the example checks");
+        assert_eq!(config.regions.len(), 3);
+        assert!(config.selectors.len() > 1);
+    }
+}
+
+#[test]
+fn permitted_regions_meet() {
+    let regions = ["perth", "bunbury", "geraldton"];
+    let list = |bits: u8| {
+        let names: Vec<&str> = (0..3)
+            .filter(|i| bits & (1 << i) != 0)
+            .map(|i| regions[i])
+            .collect();
+        names.join(", ")
+    };
+    check!()
+        .with_type::<(u8, u8, u8, bool)>()
+        .for_each(|(caller, route, selector, home)| {
+            let sections: String = regions.iter().map(|r| format!("[region {r}]\n")).collect();
+            let home_word = if *home { ", home" } else { "" };
+            let text = format!(
+                "{sections}[caller a]\nkey_sha256={}\nhome=perth\nregions={}\n\
+             [route r]\nprefix=/r\nkind=application\nrepeatable=true\nregions={}\n\
+             [selector s]\nregions={}{home_word}\n",
+                KeyHash::of(b"a"),
+                list(*caller),
+                list(*route),
+                list(*selector),
+            );
+            let config = parse(&text).expect("checks");
+            let ask = Ask {
+                caller: "a".parse().expect("a name"),
+                path: "/r/x".to_owned(),
+                model: None,
+            };
+            let allowed = |index: usize| {
+                let open = |bits: u8| bits & 7 == 0 || bits & (1 << index) != 0;
+                open(*caller) && open(*route) && open(*selector) && (!home || index == 0)
+            };
+            match config.plan(&ask) {
+                Err(_) => assert!(!(0..3).any(allowed)),
+                Ok(plan) => {
+                    for (index, region) in regions.iter().enumerate() {
+                        let region = region.parse().expect("a name");
+                        assert_eq!(plan.permits(&region), allowed(index));
+                    }
+                }
+            }
+        });
+}
--- /dev/null
+++ b/tests/harness/solo.rs
@@ -0,0 +1,190 @@
+//! One reducer with a hand on its clock.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use petreldrum::{
+    config::{Config, Envelope, KeyHash, Version},
+    id::{self, Incarnation},
+    policy::Balanced,
+    reducer::{
+        Identity, State,
+        effect::{Effect, Reply, Send},
+        event::{Arrival, Cause, Credential, Event, Hop, Key, Source},
+    },
+    unit::{Millis, Time},
+    verdict::Verdict,
+    wire::{Body, Capacity, Contact, Digest, Door, Frame, Short},
+};
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn contact(name: &str, region: &str, port: u16) -> Contact {
+    Contact {
+        name: name.parse().expect("a name"),
+        region: region.parse().expect("a name"),
+        domain: "a".parse().expect("a name"),
+        public: address(port),
+        peer: address(port + 1),
+        gossip: address(port + 2),
+    }
+}
+
+/// Perth and Bunbury; callers `a` and `b`; a repeatable route `/read`.
+pub const BASE: &str = "[region perth]\nhop=40ms\n[region bunbury]\nhop=40ms\n\
+    [route read]\nprefix=/read\nkind=application\nrepeatable=true\ndeadline=2s\n";
+
+pub fn caller(name: &str, more: &str) -> String {
+    let hash = KeyHash::of(name.as_bytes());
+    format!("[caller {name}]\nkey_sha256={hash}\nhome=perth\nlabels=name={name}\n{more}\n")
+}
+
+pub fn server(name: &str, region: &str, slots: u32) -> String {
+    let port = 5000 + u16::from(name.as_bytes()[name.len() - 1]);
+    format!(
+        "[backend {name}]\naddress=127.0.0.1:{port}\nregion={region}\nfailure_domain=a\n\
+         serves=read\nslots={slots}\n"
+    )
+}
+
+pub struct Solo {
+    pub state: State<Balanced>,
+    pub now: Time,
+    version: u64,
+    requests: u64,
+    seq: u64,
+}
+
+impl Solo {
+    pub fn new(text: &str) -> Self {
+        let identity = Identity {
+            contact: contact("box", "perth", 10),
+            incarnation: Incarnation(7),
+            seeds: vec![],
+        };
+        let mut solo = Self {
+            state: State::new(identity, Balanced),
+            now: Time(0),
+            version: 0,
+            requests: 0,
+            seq: 0,
+        };
+        solo.pass(2500);
+        solo.configure(text);
+        solo
+    }
+
+    pub fn configure(&mut self, text: &str) -> Vec<Effect> {
+        self.version += 1;
+        let envelope = Envelope {
+            version: Version(self.version),
+            write: String::new(),
+            author: String::new(),
+            text: text.to_owned(),
+        };
+        let config = Arc::new(Config::parse("test", &envelope).expect("checks"));
+        let source = Source::Store;
+        self.step(Event::Offered { config, source })
+    }
+
+    pub fn step(&mut self, event: Event) -> Vec<Effect> {
+        self.state.step(self.now, event)
+    }
+
+    /// Lets time pass, tick by tick.
+    pub fn pass(&mut self, millis: u64) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        for _ in 0..millis / 100 {
+            self.now = self.now + Millis(100);
+            effects.extend(self.step(Event::Tick));
+        }
+        effects
+    }
+
+    /// A digest of Bunbury with `slots` for the route, `busy` of them in use.
+    pub fn digest(&mut self, slots: u32, busy: u32) {
+        self.seq += 1;
+        let door = Door {
+            contact: contact("far", "bunbury", 20),
+            incarnation: Incarnation(1),
+            uptime: Time(0),
+        };
+        let capacity = Capacity {
+            service: Short::of("read"),
+            slots,
+            busy,
+            first: Millis(10),
+            whole: Millis(100),
+        };
+        let body = Body::Digest(Digest {
+            region: "bunbury".parse().expect("a name"),
+            version: Version(self.version),
+            doors: vec![door],
+            services: vec![capacity],
+            spread: false,
+        });
+        let frame = Frame {
+            from: "far".parse().expect("a name"),
+            incarnation: Incarnation(1),
+            seq: self.seq,
+            body,
+        };
+        self.step(Event::Heard(frame));
+    }
+
+    pub fn arrive(&mut self, caller: &str, left: Option<u64>) -> Vec<Effect> {
+        self.requests += 1;
+        let arrival = Arrival {
+            request: id::Request(self.requests),
+            credential: Credential::Key(KeyHash::of(caller.as_bytes())),
+            path: "/read/x".to_owned(),
+            model: None,
+            prefix: self.requests,
+            key: Key::Absent,
+            left: left.map(Millis),
+            hop: Hop::Direct,
+        };
+        self.step(Event::Arrived(arrival))
+    }
+
+    pub fn begun(&mut self, send: &Send) {
+        self.step(Event::Begun {
+            request: send.request,
+            attempt: send.attempt,
+        });
+    }
+
+    pub fn ended(&mut self, send: &Send) -> Vec<Effect> {
+        self.step(Event::Ended {
+            request: send.request,
+            attempt: send.attempt,
+            whole: true,
+        })
+    }
+
+    pub fn failed(&mut self, send: &Send, verdict: Verdict, cause: Cause) -> Vec<Effect> {
+        self.step(Event::Failed {
+            request: send.request,
+            attempt: send.attempt,
+            verdict,
+            cause,
+        })
+    }
+}
+
+pub fn sends(effects: &[Effect]) -> Vec<Send> {
+    let send = |e: &Effect| match e {
+        Effect::Send(send) => Some(send.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(send).collect()
+}
+
+pub fn replies(effects: &[Effect]) -> Vec<Reply> {
+    let reply = |e: &Effect| match e {
+        Effect::Reply { reply, .. } => Some(reply.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(reply).collect()
+}
