Let each box always use its own share of a server's slots

Cause: first tokens at p95 took 1.2 s under peaks. A box takes the work that the others told of off a server's slots; that is up to a second old, so boxes shut each other out in turns while slots stood free. A request in line was also judged as if it stood first.

Change: slots / ready boxes may always be used; a request in line is judged by its place in it.

--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -81,9 +81,9 @@
         let warm = usable.iter().max_by_key(affinity).map(|b| b.name.clone());
         // The other boxes of the region send to the same servers and have lines of their own.
         let boxes = self.table.ready(now).count() + 1;
-        let ahead = match job.queued {
-            true => 0,
-            false => self.queue.ahead(&plan.service, &job.ask.caller),
+        let ahead = match job.position {
+            Some(position) => position,
+            None => self.queue.ahead(&plan.service, &job.ask.caller),
         };
         let line = ahead * boxes / usable.len().max(1);
         let fresh = Server::default();
@@ -91,7 +91,11 @@
             let server = self.servers.get(&backend.name).unwrap_or(&fresh);
             let slots = server.slots(backend.slots, now);
             let busy = server.busy + self.table.busy(Short::of(backend.name.as_str()));
-            let free = slots.saturating_sub(busy);
+            // What the others told is old: each box may always use its own share.
+            let share = (slots / boxes as u32).max(1);
+            let free = slots
+                .saturating_sub(busy)
+                .max(share.saturating_sub(server.busy));
             let ahead = u64::from(busy.saturating_sub(slots)) + line as u64 + 1;
             let wait = if free > 0 {
                 Millis(0)
--- a/src/reducer/request.rs
+++ b/src/reducer/request.rs
@@ -64,8 +64,9 @@
     pub(super) attempts: u32,
     pub(super) tried: Vec<Place>,
     pub(super) may_have_run: bool,
-    /// Whether it was let into the line; it then stays until it is served or its time is over.
-    pub(super) queued: bool,
+    /// Its place in the line, once it was let in; it then stays until it is served or its time is
+    /// over.
+    pub(super) position: Option<usize>,
     pub(super) stage: Stage,
 }
 
@@ -183,7 +184,7 @@
             attempts: 0,
             tried: vec![],
             may_have_run: false,
-            queued: false,
+            position: None,
             stage: Stage::Waiting,
             hop: arrival.hop,
             ask,
@@ -548,7 +549,7 @@
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
-        job.queued = true;
+        job.position = Some(SCAN);
         let (service, caller, verdict) =
             (job.service.clone(), job.ask.caller.clone(), job.verdict());
         if !self.queue.push(&service, &caller, request) {
@@ -691,6 +692,9 @@
             let Some(request) = self.queue.pop(service) else {
                 break;
             };
+            if let Some(job) = self.jobs.get_mut(&request) {
+                job.position = Some(stuck.len());
+            }
             if !self.place(now, request, out) {
                 stuck.push(request);
             }
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -205,7 +205,7 @@
             attempts: 0,
             tried: vec![],
             may_have_run: false,
-            queued: false,
+            position: None,
             stage: Stage::Waiting,
             ask: ask.clone(),
         };
