--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! | noun | module |
 //! |---|---|
-//! | names, sizes, times | [`id`], [`unit`] |
+//! | names, sizes, times | [`id`], [`mod@unit`] |
 //! | whether a request may have run | [`verdict`] |
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
