--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,50 +3,42 @@
 use std::{future::poll_fn, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    Method, Request, Response, StatusCode, Uri,
     body::{Body as _, Incoming},
-    header::{HOST, HeaderName},
     http::request::Parts,
 };
-use serde::Deserialize;
-use serde_json::value::RawValue;
 use tokio::{
-    sync::{OwnedSemaphorePermit, mpsc},
+    sync::mpsc,
     time::{Instant, timeout},
 };
 
 use crate::{
-    config::{KeyHash, Kind},
+    config::KeyHash,
     gateway::{
         Shell,
+        attempt::{Found, Prepared, try_once},
         body::{Body, Cut, Piece, STALL, Source, Stream},
         core::{Handle, Order},
-        dial::{Failure, Lease},
         head, pack,
+        read::{self, deny},
         replay::{Answer, MAX_ANSWER},
         trace::Span,
     },
-    id::{self, Service},
+    id,
     pin::{self, Pin},
     reducer::{
         effect::{Entry, Reply, Send, Target},
-        event::{Arrival, Cause, Credential, Event, Hop, Key},
+        event::{Arrival, Credential, Event, Hop, Key},
     },
     unit::Millis,
     verdict::Verdict,
 };
 
-/// How long a request's body may take to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How much of a refused body is read, and for how long.
 const DISCARD_BYTES: usize = 16 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-/// Bytes of the prompt that name its prefix.
-const PREFIX_BYTES: usize = 1024;
-/// Body memory is counted in pieces of this many bytes.
-pub(crate) const PIECE: u64 = 1024;
 /// Pieces of an answer that wait for a slow caller.
 const BACKLOG: usize = 8;
 /// How long the boxes of an "ask" may be used.
@@ -59,17 +51,6 @@
     Peer,
 }
 
-/// A request that was read whole and may be sent more than once.
-struct Prepared {
-    method: Method,
-    uri: Uri,
-    headers: HeaderMap,
-    body: Bytes,
-    _memory: Option<OwnedSemaphorePermit>,
-    span: Span,
-    came: Instant,
-}
-
 /// A request as it comes; what is left of its body is discarded after the answer.
 struct Inbound {
     parts: Parts,
@@ -83,10 +64,6 @@
     let _ = timeout(DISCARD_TIMEOUT, rest).await;
 }
 
-fn deny(status: u16, reason: &str) -> Reply {
-    Reply::new(status, Verdict::NotRun, reason)
-}
-
 /// Tells the reducer when the one who sent the request goes away before the answer.
 struct Guard {
     core: Handle,
@@ -253,9 +230,9 @@
     if parts.method == Method::CONNECT {
         return Err(deny(405, "CONNECT is not served"));
     }
-    let (body, memory) = read_body(shell, &mut inbound.body).await?;
+    let (body, memory) = read::read_body(shell, &mut inbound.body).await?;
     let path = parts.uri.path().to_owned();
-    let prompt = read_prompt(shell, &path, &body)?;
+    let prompt = read::read_prompt(shell, &path, &body)?;
     let uri = parts
         .uri
         .path_and_query()
@@ -269,7 +246,7 @@
         path,
         model: prompt.model,
         prefix: prompt.prefix,
-        key: read_key(shell, &parts.headers, &parts.method, &uri, &body)?,
+        key: read::read_key(shell, &parts.headers, &parts.method, &uri, &body)?,
         left: head::left(&parts.headers),
         hop,
     };
@@ -305,99 +282,6 @@
     Reply::new(500, Verdict::MayHaveRun, "the box lost the request")
 }
 
-async fn read_body(
-    shell: &Shell,
-    body: &mut Incoming,
-) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Reply> {
-    let limit = shell.settings.max_body.0;
-    let hint = body.size_hint();
-    if hint.lower() > limit {
-        return Err(deny(413, "the body is too large"));
-    }
-    if hint.exact() == Some(0) {
-        return Ok((Bytes::new(), None));
-    }
-    let pieces = hint.exact().unwrap_or(limit).div_ceil(PIECE);
-    let memory = shell.bodies.clone().try_acquire_many_owned(pieces as u32);
-    let full = || deny(503, "this box holds too many bodies").after(Millis(1000));
-    let memory = memory.map_err(|_| full())?;
-    let read = Limited::new(body, limit as usize).collect();
-    let collected = timeout(BODY_TIMEOUT, read)
-        .await
-        .map_err(|_| deny(408, "the body did not arrive in time"))?;
-    match collected {
-        Ok(body) => Ok((body.to_bytes(), Some(memory))),
-        Err(error) if error.is::<LengthLimitError>() => Err(deny(413, "the body is too large")),
-        Err(_) => Err(deny(400, "the body does not read")),
-    }
-}
-
-#[derive(Deserialize)]
-struct Prompt<'a> {
-    model: Option<String>,
-    #[serde(borrow)]
-    messages: Option<&'a RawValue>,
-    #[serde(borrow)]
-    prompt: Option<&'a RawValue>,
-}
-
-#[derive(Default)]
-struct Read {
-    model: Option<Service>,
-    prefix: u64,
-}
-
-/// Reads what routing needs of a model request's body.
-fn read_prompt(shell: &Shell, path: &str, body: &[u8]) -> Result<Read, Reply> {
-    let current = shell.current.borrow().clone();
-    let kind = current.and_then(|c| c.config.route(path).map(|r| r.kind));
-    if kind != Some(Kind::Model) {
-        return Ok(Read::default());
-    }
-    let prompt: Prompt<'_> = serde_json::from_slice(body)
-        .map_err(|e| deny(400, &format!("the body is not a model request: {e}")))?;
-    let text = prompt.messages.or(prompt.prompt).map_or("", RawValue::get);
-    let beginning = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
-    Ok(Read {
-        model: prompt.model.and_then(|name| name.parse().ok()),
-        prefix: xxhash_rust::xxh3::xxh3_64(beginning),
-    })
-}
-
-fn read_key(
-    shell: &Shell,
-    headers: &HeaderMap,
-    method: &Method,
-    uri: &Uri,
-    body: &[u8],
-) -> Result<Key, Reply> {
-    let mut keys = headers.get_all(head::IDEMPOTENCY_KEY).iter();
-    let Some(key) = keys.next() else {
-        return Ok(Key::Absent);
-    };
-    if keys.next().is_some() {
-        return Err(deny(400, "there are two idempotency keys"));
-    }
-    let text = key.to_str().ok().filter(|k| k.len() <= pin::MAX_KEY);
-    let Some(text) = text else {
-        return Err(deny(400, "the idempotency key is too long or not ASCII"));
-    };
-    let pin = match Pin::read(&shell.settings.cluster_secret, text) {
-        Ok(pin) => pin,
-        Err(error) => return Ok(Key::Bad(error)),
-    };
-    let mut content = xxhash_rust::xxh3::Xxh3::new();
-    content.update(method.as_str().as_bytes());
-    content.update(uri.to_string().as_bytes());
-    content.update(&[0]);
-    content.update(body);
-    Ok(Key::Good(pin::Key {
-        pin,
-        digest: pin::Digest::of(text),
-        content: content.digest(),
-    }))
-}
-
 /// Follows the reducer's orders until the answer begins.
 async fn drive(
     shell: Arc<Shell>,
@@ -455,114 +339,6 @@
     Ok(response)
 }
 
-/// An answer that begins.
-struct Found {
-    response: Response<Incoming>,
-    lease: Lease,
-    span: Span,
-}
-
-async fn try_once(
-    shell: &Arc<Shell>,
-    prepared: &Prepared,
-    send: &Send,
-) -> Result<Found, (Verdict, Cause)> {
-    let now = shell.clock.now();
-    let label = match send.target {
-        Target::Backend { .. } => "backend",
-        Target::Relay { .. } => "relay",
-        Target::Pass { .. } => "pass",
-    };
-    let count = |outcome: &str| {
-        shell
-            .metrics
-            .attempts
-            .with_label_values(&[label, outcome])
-            .inc()
-    };
-    if now > send.not_after {
-        // The process stood still between the decision and now.
-        count("late");
-        return Err((Verdict::NotRun, Cause::Late));
-    }
-    let (address, request, span) = outgoing(shell, prepared, send);
-    let sent = shell.pool.send(address, request, !send.repeatable).await;
-    let (response, lease) = sent.map_err(|failure| {
-        count("failed");
-        let cause = match failure {
-            Failure::Unreachable => Cause::Unreachable,
-            Failure::Broken => Cause::Broken,
-        };
-        (failure.verdict(), cause)
-    })?;
-    span.note("http.response.status_code", response.status().as_u16());
-    if let Some(refused) = refusal(&send.target, response.headers()) {
-        count("refused");
-        return Err(refused);
-    }
-    count("answered");
-    Ok(Found {
-        response,
-        lease,
-        span,
-    })
-}
-
-/// Whether an answer says that the request did not run, or may not have.
-fn refusal(target: &Target, headers: &HeaderMap) -> Option<(Verdict, Cause)> {
-    match target {
-        Target::Backend { refusal_header, .. } => {
-            let header = refusal_header.as_ref()?;
-            headers
-                .contains_key(header)
-                .then_some((Verdict::NotRun, Cause::Refused))
-        }
-        Target::Relay { .. } => match head::verdict(headers) {
-            Some(Verdict::Ran) => None,
-            Some(Verdict::NotRun) => Some((Verdict::NotRun, Cause::Refused)),
-            Some(Verdict::MayHaveRun) | None => Some((Verdict::MayHaveRun, Cause::Broken)),
-        },
-        // The box that owns the key has the last word.
-        Target::Pass { .. } => None,
-    }
-}
-
-fn outgoing(
-    shell: &Shell,
-    prepared: &Prepared,
-    send: &Send,
-) -> (std::net::SocketAddr, Request<Full<Bytes>>, Span) {
-    let mut headers = prepared.headers.clone();
-    let left = send.not_after.since(shell.clock.now());
-    headers.insert(head::LEFT, head::value(left.0));
-    let own = |name: &'static str| HeaderName::from_static(name);
-    let (address, name) = match &send.target {
-        Target::Backend { address, .. } => (*address, "send to backend server"),
-        Target::Relay { peer, .. } => {
-            headers.insert(own(head::HOP), head::value(head::HOP_RELAY));
-            (*peer, "relay to region")
-        }
-        Target::Pass { peer } => {
-            headers.insert(own(head::HOP), head::value(head::HOP_PASS));
-            (*peer, "pass to key's box")
-        }
-    };
-    if !matches!(send.target, Target::Backend { .. }) {
-        headers.insert(own(head::FROM), head::value(&shell.settings.region));
-        headers.insert(own(head::CALLER), head::value(&send.caller));
-        let secret = shell.settings.cluster_secret.expose();
-        headers.insert(own(head::SECRET), head::value(secret));
-    }
-    headers.insert(HOST, head::value(address));
-    let span = shell.tracer.send(name, &prepared.span, &mut headers);
-    span.note("server.address", address);
-    let mut request = Request::new(Full::new(prepared.body.clone()));
-    *request.method_mut() = prepared.method.clone();
-    *request.uri_mut() = prepared.uri.clone();
-    *request.headers_mut() = headers;
-    (address, request, span)
-}
-
 /// Makes the answer to the caller out of one that begins.
 fn stream(shell: &Arc<Shell>, send: &Send, found: Found) -> Response<Body> {
     let (verdict, region) = match &send.target {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! | module | job |
 //! |---|---|
 //! | `core` | the actor that owns the reducer and carries out its effects |
-//! | `exchange` | one request and its answer |
+//! | `exchange`, `read`, `attempt` | one request and its answer |
 //! | `serve`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
 //! | `gossip` | nng between boxes |
 //! | `store`, `follow`, `list` | the platform |
@@ -11,6 +11,7 @@
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
 
 pub mod admin;
+mod attempt;
 mod body;
 mod clock;
 mod core;
@@ -22,6 +23,7 @@
 mod list;
 mod metrics;
 pub mod pack;
+mod read;
 mod replay;
 mod serve;
 mod store;
@@ -239,7 +241,7 @@
             tokio::spawn(list::run(address, pool.clone(), core.clone(), duty_seen));
         }
         tokio::spawn(tick(core.clone()));
-        let pieces = settings.body_memory.0.div_ceil(exchange::PIECE);
+        let pieces = settings.body_memory.0.div_ceil(read::PIECE);
         let shell = Arc::new(Shell {
             bodies: Arc::new(Semaphore::new(pieces as usize)),
             settings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod retry;
 pub mod server;
 pub mod settings;
+mod sign;
 pub mod unit;
 pub mod verdict;
 pub mod wire;
--- a/src/pin.rs
+++ b/src/pin.rs
@@ -8,13 +8,13 @@
 use std::{fmt, net::SocketAddr};
 
 use base64::{Engine as _, engine::general_purpose::URL_SAFE_NO_PAD as BASE64};
-use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
 use crate::{
     id::Incarnation,
     settings::Secret,
+    sign,
     unit::{Millis, Time},
 };
 
@@ -23,6 +23,7 @@
 /// Longest key accepted, in bytes.
 pub const MAX_KEY: usize = 256;
 const TAG: usize = 12;
+const PURPOSE: &str = "pin";
 const MARK: char = '~';
 
 /// The box that alone may run a key, and until when.
@@ -56,31 +57,23 @@
 
 impl std::error::Error for Error {}
 
-fn sign(secret: &Secret, bytes: &[u8]) -> Hmac<Sha256> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any key length");
-    mac.update(b"pin\0");
-    mac.update(bytes);
-    mac
-}
-
 impl Pin {
     /// Writes the pin as the text that a key begins with.
     pub fn prefix(&self, secret: &Secret) -> String {
-        let mut bytes = postcard::to_stdvec(self).expect("a pin always encodes");
-        let tag = sign(secret, &bytes).finalize().into_bytes();
-        bytes.extend_from_slice(&tag[..TAG]);
-        format!("{}{MARK}", BASE64.encode(bytes))
+        let body = postcard::to_stdvec(self).expect("a pin always encodes");
+        let sealed = sign::seal(secret, PURPOSE, body, TAG);
+        format!("{}{MARK}", BASE64.encode(sealed))
     }
 
     /// Reads the pin that `key` begins with.
     pub fn read(secret: &Secret, key: &str) -> Result<Self, Error> {
         let (head, _) = key.split_once(MARK).ok_or(Error::Malformed)?;
         let bytes = BASE64.decode(head).map_err(|_| Error::Malformed)?;
-        let split = bytes.len().checked_sub(TAG).ok_or(Error::Malformed)?;
-        let (body, tag) = bytes.split_at(split);
+        let (body, tag) = sign::split(&bytes, TAG).ok_or(Error::Malformed)?;
         let pin = postcard::from_bytes(body).map_err(|_| Error::Malformed)?;
-        let signed = sign(secret, body).verify_truncated_left(tag);
-        signed.map_err(|_| Error::Foreign)?;
+        if !sign::holds(secret, PURPOSE, body, tag) {
+            return Err(Error::Foreign);
+        }
         Ok(pin)
     }
 }
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -21,6 +21,15 @@
 
 impl std::error::Error for Error {}
 
+/// Reads digits and a unit, in multiples of the smallest one.
+fn quantity(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let border = text.find(|c: char| !c.is_ascii_digit())?;
+    let (digits, suffix) = text.split_at(border);
+    let number: u64 = digits.parse().ok()?;
+    let (_, factor) = units.iter().find(|(name, _)| *name == suffix)?;
+    number.checked_mul(*factor)
+}
+
 /// A span of time in milliseconds.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -56,19 +65,11 @@
     type Err = Error;
     /// Reads `250ms`, `3s` or `2m`.
     fn from_str(text: &str) -> Result<Self, Error> {
-        const WANT: Error = Error("a time such as 250ms, 3s or 2m");
-        let cut = text
-            .find(|c: char| !c.is_ascii_digit())
-            .ok_or_else(|| WANT.clone())?;
-        let (digits, suffix) = text.split_at(cut);
-        let number: u64 = digits.parse().map_err(|_| WANT)?;
-        let factor = match suffix {
-            "ms" => 1,
-            "s" => 1000,
-            "m" => 60_000,
-            _ => return Err(WANT),
-        };
-        number.checked_mul(factor).map(Self).ok_or(WANT)
+        let units = [("ms", 1), ("s", 1000), ("m", 60_000)];
+        let number = quantity(text, &units);
+        number
+            .map(Self)
+            .ok_or(Error("a time such as 250ms, 3s or 2m"))
     }
 }
 
@@ -119,19 +120,11 @@
     type Err = Error;
     /// Reads `512B`, `64KiB` or `1MiB`.
     fn from_str(text: &str) -> Result<Self, Error> {
-        const WANT: Error = Error("a size such as 512B, 64KiB or 1MiB");
-        let cut = text
-            .find(|c: char| !c.is_ascii_digit())
-            .ok_or_else(|| WANT.clone())?;
-        let (digits, suffix) = text.split_at(cut);
-        let number: u64 = digits.parse().map_err(|_| WANT)?;
-        let factor = match suffix {
-            "B" => 1,
-            "KiB" => 1 << 10,
-            "MiB" => 1 << 20,
-            _ => return Err(WANT),
-        };
-        number.checked_mul(factor).map(Self).ok_or(WANT)
+        let units = [("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)];
+        let number = quantity(text, &units);
+        number
+            .map(Self)
+            .ok_or(Error("a size such as 512B, 64KiB or 1MiB"))
     }
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,18 +2,18 @@
 
 use std::{fmt, net::SocketAddr};
 
-use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
-use sha2::Sha256;
 
 use crate::{
     config::Version,
     id::{BoxName, Domain, Incarnation, Region},
     settings::Secret,
+    sign,
     unit::{Millis, Time},
 };
 
 const TAG: usize = 8;
+const PURPOSE: &str = "frame";
 
 /// Who a box is and where it listens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -168,28 +168,19 @@
 
 impl std::error::Error for Error {}
 
-fn sign(secret: &Secret, bytes: &[u8]) -> Hmac<Sha256> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any key length");
-    mac.update(b"frame\0");
-    mac.update(bytes);
-    mac
-}
-
 impl Frame {
     /// Writes the frame and its signature.
     pub fn encode(&self, secret: &Secret) -> Vec<u8> {
-        let mut bytes = postcard::to_stdvec(self).expect("a frame always encodes");
-        let tag = sign(secret, &bytes).finalize().into_bytes();
-        bytes.extend_from_slice(&tag[..TAG]);
-        bytes
+        let body = postcard::to_stdvec(self).expect("a frame always encodes");
+        sign::seal(secret, PURPOSE, body, TAG)
     }
 
     /// Checks the signature and reads the frame.
     pub fn decode(secret: &Secret, bytes: &[u8]) -> Result<Self, Error> {
-        let split = bytes.len().checked_sub(TAG).ok_or(Error::Unsigned)?;
-        let (body, tag) = bytes.split_at(split);
-        let signed = sign(secret, body).verify_truncated_left(tag);
-        signed.map_err(|_| Error::Unsigned)?;
+        let (body, tag) = sign::split(bytes, TAG).ok_or(Error::Unsigned)?;
+        if !sign::holds(secret, PURPOSE, body, tag) {
+            return Err(Error::Unsigned);
+        }
         postcard::from_bytes(body).map_err(|_| Error::Unreadable)
     }
 }
