Prove at most once across a link that is cut

Cause: the death and the freeze of the box that a key names were proved by processes, a cut link between two boxes only by the fuzz.

Change: run_once::link_cut_meanwhile puts a link before the named box, cuts it while a passed request runs, and mends it.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -318,6 +318,11 @@
 
     /// Starts a box that greets all the others.
     pub async fn start_box(&mut self, name: &str, region: &str) {
+        self.start_box_with(name, region, "").await;
+    }
+
+    /// The same, with more sections in its settings.
+    pub async fn start_box_with(&mut self, name: &str, region: &str, more: &str) {
         let seeds: Vec<String> = self
             .boxes
             .values()
@@ -335,7 +340,7 @@
              admin_token = {TOKEN}\n\
              [peers]\nsecret = {SECRET}\nseeds = {}\n\
              [platform]\nstore = {}\nlist = {}\n{trace}\
-             [limits]\nlinger = 1s\n",
+             [limits]\nlinger = 1s\n{more}",
             seeds.join(", "),
             self.store.address,
             self.platform.address,
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -4,7 +4,9 @@
 
 use harness::{Standin, World, backend, eventually, preamble};
 use nix::sys::signal::Signal::{SIGCONT, SIGSTOP};
+use petreldrum_standin::link::Link;
 use serde_json::json;
+use std::time::Duration;
 
 const REGIONS: [&str; 2] = ["perth", "bunbury"];
 
@@ -123,7 +125,7 @@
     let body = json!({ "id": "x" });
     let answer = second.call("/booking/new", &left, &body).await;
     assert_eq!(answer.header("petreldrum-verdict"), "may-have-run");
-    tokio::time::sleep(std::time::Duration::from_millis(3500)).await;
+    tokio::time::sleep(Duration::from_millis(3500)).await;
     first.signal(SIGCONT);
     eventually("the box is ready again", || first.is_ready()).await;
     for process in [first, second, first] {
@@ -166,7 +168,7 @@
         }
         assert_eq!(answer.header("petreldrum-verdict"), "not-run");
         fresh = answer.header("petreldrum-key-prefix").to_owned();
-        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
     };
     assert_eq!(
         (answer.json()["run"].clone(), app.runs("refused").await),
@@ -193,7 +195,7 @@
     let headers = [("idempotency-key", key.as_str())];
     let body = json!({ "id": "x" });
     let sent = perth.begin("/booking/new", &headers, &body);
-    let left = tokio::time::timeout(std::time::Duration::from_millis(300), sent).await;
+    let left = tokio::time::timeout(Duration::from_millis(300), sent).await;
     assert!(left.is_err(), "the caller goes before the answer");
     let answer = perth.book(&key, "x").await;
     assert_eq!(
@@ -201,3 +203,35 @@
         (json!(1), 1)
     );
 }
+
+#[tokio::test]
+async fn link_cut_meanwhile() {
+    let (mut world, app) = start("perth").await;
+    let link = Link::start(Duration::ZERO).await.expect("a link");
+    let advertise = format!("[advertise]\npeer = {}\n", link.address);
+    world.start_box_with("perth-3", "perth", &advertise).await;
+    link.point(world.get("perth-3").peer);
+    world.in_force(1).await;
+    let (named, other) = (world.get("perth-3"), world.get("bunbury-1"));
+    let key = named.key("x").await;
+    app.post("/_behave", json!({ "run_ms": 600 })).await;
+
+    // Cut while the passed request runs: nobody can say, and nothing runs again.
+    let cut = async {
+        eventually("it runs", || async { app.runs("x").await == 1 }).await;
+        link.cut(true);
+    };
+    let (answer, ()) = tokio::join!(other.book(&key, "x"), cut);
+    assert_eq!(answer.header("petreldrum-verdict"), "may-have-run");
+    for _ in 0..3 {
+        let answer = other.book(&key, "x").await;
+        assert_eq!(answer.header("petreldrum-verdict"), "may-have-run");
+    }
+    // Mended: the answer is there for whoever asks with the key.
+    link.cut(false);
+    let answer = other.book(&key, "x").await;
+    assert_eq!(
+        (answer.json()["run"].clone(), app.runs("x").await),
+        (json!(1), 1)
+    );
+}
