End the process when the reducer breaks

Cause: read as the person on call: a panic in the reducer would stop the actor and leave a process that answers health and decides nothing.

Change: run ends with an error when the actor stops, so that the box is replaced.

No test provokes a broken reducer.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -56,6 +56,5 @@
         }
         stopper.stop();
     });
-    gateway.run().await;
-    Ok(())
+    gateway.run().await
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -158,6 +158,11 @@
         self.tell(Event::Unreadable(version));
     }
 
+    /// Waits until the actor has stopped, which it does only when the reducer broke.
+    pub(crate) async fn stopped(&self) {
+        self.0.wait_for_shutdown().await;
+    }
+
     /// This box's view.
     pub(crate) async fn status(&self) -> Option<Status> {
         self.0.ask(StatusQuery).await.ok().map(|answer| answer.0)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -283,11 +283,13 @@
         Stopper(self.shell.stop.clone())
     }
 
-    /// Runs until a planned stop was asked for and has ended.
-    pub async fn run(self) {
+    /// Runs until a planned stop was asked for and has ended; an error means that the reducer broke,
+    /// and that the process should end, since it can decide nothing any more.
+    pub async fn run(self) -> eyre::Result<()> {
         let mut asked = self.shell.stop.subscribe();
-        if asked.wait_for(|stop| *stop).await.is_err() {
-            return;
+        tokio::select! {
+            _ = asked.wait_for(|stop| *stop) => {}
+            () = self.shell.core.stopped() => eyre::bail!("the reducer broke; see the log"),
         }
         log::info!("box: stopping; new callers are sent elsewhere.");
         self.shell.core.tell(Event::Stop);
@@ -312,6 +314,7 @@
         let tracer = self.shell.tracer.clone();
         let _ = tokio::task::spawn_blocking(move || tracer.shutdown()).await;
         log::info!("box: stopped.");
+        Ok(())
     }
 }
 
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -67,7 +67,7 @@
         "\nReady. Ask which box to use:\n\n  curl -s -H 'x-api-key: {API_KEY}' http://{0}/petreldrum/ask\n\
          \nA streamed answer:\n\n  curl -sN -i -H 'x-api-key: {API_KEY}' http://{0}/v1/chat/completions \
          -d '{{\"model\":\"referral\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'\n\
-         \nWhat a box sees:\n\n  cargo run --locked -- status --admin {1} --token {TOKEN}\n\
+         \nWhat a box sees:\n\n  cargo run --locked -p petreldrum -- status --admin {1} --token {TOKEN}\n\
          \nStop with Ctrl-C.",
         perth.public, perth.admin
     );
