Wait for a known place before tests send

Cause: run_once::sent_again_anywhere failed in 1 of 3 runs beside a build: the box refused the first send as not run, since the other region's digest named doors but, made before the configuration came, no capacity yet.

Ruled out: a wrong verdict (not run was true, and the key was void after).

Change: tests wait until each box explains a place for what they send; what they assert is unchanged.

--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -415,6 +415,25 @@
         }
     }
 
+    /// Waits until every box knows a place for a request of `ward`: a digest that tells of doors may
+    /// be older than the configuration and tell of no capacity yet.
+    pub async fn places(&self, path: &str, model: Option<&str>) {
+        let question = json!({ "caller": "ward", "path": path, "model": model });
+        for process in self.boxes.values() {
+            eventually(
+                &format!("{} has a place for {path}", process.name),
+                || async {
+                    let answer = process
+                        .admin(Method::POST, "/explain", question.clone())
+                        .await;
+                    let candidates = answer.json()["candidates"].as_array().map_or(0, Vec::len);
+                    candidates > 0
+                },
+            )
+            .await;
+        }
+    }
+
     /// Waits until every box of `region` hears the regions `others`.
     pub async fn hears(&self, region: &str, others: usize) {
         for process in self.boxes.values().filter(|b| b.region == region) {
--- a/tests/leaving_server.rs
+++ b/tests/leaving_server.rs
@@ -54,7 +54,7 @@
     );
     let servers = [&leaves, &stays];
     world.configure("perth-1", 0, &text(servers, "")).await;
-    world.hears("bunbury", 1).await;
+    world.places("/v1/chat", Some("referral")).await;
 
     // By the configuration.
     world
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -18,7 +18,8 @@
         + &backend("app", app.address, "perth", "booking", "")
         + "[selector rest]\n";
     world.configure("perth-1", 0, &text).await;
-    world.hears("perth", 1).await;
+    world.places("/booking/new", None).await;
+    world.places("/v1/chat", Some("referral")).await;
     engine.post("/_behave", json!({ "token_ms": 15 })).await;
     app.post("/_behave", json!({ "run_ms": 2500 })).await;
 
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -18,7 +18,7 @@
         + &backend("app", app.address, region, "booking", header)
         + "[selector rest]\n";
     world.configure("perth-1", 0, &text).await;
-    world.hears("perth", 1).await;
+    world.places("/booking/new", None).await;
     (world, app)
 }
 
@@ -212,6 +212,7 @@
     world.start_box_with("perth-3", "perth", &advertise).await;
     link.point(world.get("perth-3").peer);
     world.in_force(1).await;
+    world.places("/booking/new", None).await;
     let (named, other) = (world.get("perth-3"), world.get("bunbury-1"));
     let key = named.key("x").await;
     app.post("/_behave", json!({ "run_ms": 600 })).await;
--- a/tests/whole_answers.rs
+++ b/tests/whole_answers.rs
@@ -15,7 +15,8 @@
         + &backend("app", app.address, region, "booking, slots", "slots = 64")
         + "[selector rest]\n";
     world.configure("perth-1", 0, &text).await;
-    world.hears("perth", 1).await;
+    world.places("/booking/new", None).await;
+    world.places("/v1/chat", Some("referral")).await;
     world
 }
 
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -38,6 +38,8 @@
         + "[selector rest]\n";
     world.configure("perth-1", 0, &text).await;
     world.hears("perth", 2).await;
+    world.places("/booking/new", None).await;
+    world.places("/v1/chat", Some("referral")).await;
     let perth = world.get("perth-1");
 
     // A streamed answer from home.
