Drop state nobody reads and steps that stood twice

Nobody read whether an attempt had begun, nor the door in a relay's target; the ledger built its key three times and was asked again for an owner it had just met; a digest's summary was worked out anew for each other region; gone and expire_one took a request out of its place by a copy of the same steps, and the oracle put outcomes under way in three places.

Change: these are gone or stand once (Slot::of, Outcome::Joined with its owner, withdraw, under_way). Behaviour and every assertion are as they were.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -40,6 +40,15 @@
     digest: Digest,
 }
 
+impl Slot {
+    fn of(caller: &id::Caller, key: &Key) -> Self {
+        Self {
+            caller: caller.clone(),
+            digest: key.digest,
+        }
+    }
+}
+
 /// One remembered key.
 #[derive(Clone, Debug)]
 pub struct Entry {
@@ -56,8 +65,8 @@
 pub enum Outcome {
     /// The key is new and now belongs to the request.
     Fresh,
-    /// The request waits for the one in hand.
-    Joined,
+    /// The request waits for this one, which is in hand.
+    Joined(id::Request),
     /// The key ran as this request; its answer may be at hand.
     Finished(id::Request),
     /// The key may have run.
@@ -81,10 +90,7 @@
 impl Ledger {
     /// Brings a caller's `key` for `request`; the pin was found to name this box and to live.
     pub fn claim(&mut self, caller: &id::Caller, key: &Key, request: id::Request) -> Outcome {
-        let slot = Slot {
-            caller: caller.clone(),
-            digest: key.digest,
-        };
+        let slot = Slot::of(caller, key);
         if let Some(entry) = self.entries.get_mut(&slot) {
             return entry.meet(key, request);
         }
@@ -97,10 +103,7 @@
 
     /// Rules out that an unknown `key` ever runs; false where it may have, or cannot be ruled out.
     pub fn void(&mut self, caller: &id::Caller, key: &Key, request: id::Request) -> bool {
-        let slot = Slot {
-            caller: caller.clone(),
-            digest: key.digest,
-        };
+        let slot = Slot::of(caller, key);
         if let Some(entry) = self.entries.get(&slot) {
             return entry.phase == Phase::Void;
         }
@@ -113,7 +116,7 @@
 
     /// Whether a caller's `key` is remembered.
     pub fn knows(&self, caller: &id::Caller, key: &Key) -> bool {
-        self.owner(caller, key).is_some()
+        self.entries.contains_key(&Slot::of(caller, key))
     }
 
     fn insert(&mut self, slot: Slot, key: &Key, request: id::Request, phase: Phase) {
@@ -148,15 +151,6 @@
         }
     }
 
-    /// The request that holds a caller's `key`.
-    pub fn owner(&self, caller: &id::Caller, key: &Key) -> Option<id::Request> {
-        let slot = Slot {
-            caller: caller.clone(),
-            digest: key.digest,
-        };
-        self.entries.get(&slot).map(|e| e.owner)
-    }
-
     fn owned(&mut self, owner: id::Request) -> Option<&mut Entry> {
         let slot = self.owners.get(&owner)?;
         self.entries.get_mut(slot)
@@ -222,7 +216,7 @@
             Phase::Running { joiners } if joiners.len() >= MAX_JOINERS => Outcome::Full,
             Phase::Running { joiners } => {
                 joiners.push(request);
-                Outcome::Joined
+                Outcome::Joined(self.owner)
             }
         }
     }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -151,16 +151,16 @@
         if self.phase(now) == Phase::Leaving {
             return;
         }
-        let others: Vec<Region> = self.other_regions();
-        for region in others {
+        let mut summary = None;
+        for region in self.other_regions() {
             if self.table.rank(region.as_str(), now) > 0 {
                 continue;
             }
             let Some(to) = self.digest_target(now, &region) else {
                 continue;
             };
-            let body = Body::Digest(self.summary(now));
-            let frame = self.frame(body);
+            let digest = summary.get_or_insert_with(|| self.summary(now)).clone();
+            let frame = self.frame(Body::Digest(digest));
             out.push(Effect::Gossip { to, frame });
         }
     }
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -83,7 +83,6 @@
             attempt,
             spot: Spot::Chosen(place, door),
             at: now,
-            begun: false,
         };
         out.push(Effect::Send(Send {
             request,
@@ -111,7 +110,6 @@
                 let door = self.table.door(region, self.attempts)?;
                 let target = Target::Relay {
                     region: region.clone(),
-                    door: door.contact.name.clone(),
                     peer: door.contact.peer,
                 };
                 Some((target, Some(door.contact.name.clone())))
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     config::Version,
-    id::{self, BoxName, Incarnation, Region},
+    id::{self, Incarnation, Region},
     unit::{Millis, Time},
     verdict::Verdict,
     wire::{Contact, Frame},
@@ -26,8 +26,6 @@
     Relay {
         /// The region.
         region: Region,
-        /// The box.
-        door: BoxName,
         /// The box's listener.
         peer: SocketAddr,
     },
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -31,7 +31,6 @@
         attempt: id::Attempt,
         spot: Spot,
         at: Time,
-        begun: bool,
     },
     /// It waits for another request with its key.
     Joined(id::Request),
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -89,9 +89,8 @@
                 job.owns_key = true;
                 self.begin(now, request, job, out);
             }
-            Outcome::Joined => {
-                let owner = self.ledger.owner(&job.ask.caller, key);
-                job.stage = Stage::Joined(owner.unwrap_or(request));
+            Outcome::Joined(owner) => {
+                job.stage = Stage::Joined(owner);
                 self.hold(request, job);
             }
             Outcome::Finished(answer) => out.push(Effect::Replay { request, answer }),
@@ -132,7 +131,6 @@
             attempt,
             spot: Spot::Pinned,
             at: now,
-            begun: false,
         };
         out.push(Effect::Send(Send {
             request,
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -22,20 +22,19 @@
         &self,
         request: id::Request,
         attempt: id::Attempt,
-    ) -> Option<(Spot, Time, bool)> {
+    ) -> Option<(Spot, Time)> {
         match &self.jobs.get(&request)?.stage {
             Stage::Sent {
                 attempt: current,
                 spot,
                 at,
-                begun,
-            } if *current == attempt => Some((spot.clone(), *at, *begun)),
+            } if *current == attempt => Some((spot.clone(), *at)),
             _ => None,
         }
     }
 
     pub(super) fn begun(&mut self, now: Time, request: id::Request, attempt: id::Attempt) {
-        let Some((spot, at, _)) = self.in_hand(request, attempt) else {
+        let Some((spot, at)) = self.in_hand(request, attempt) else {
             return;
         };
         if let Spot::Chosen(Place::Backend(name), _) = &spot
@@ -43,16 +42,9 @@
         {
             server.begin(now.since(at), now);
         }
-        let Some(job) = self.jobs.get_mut(&request) else {
-            return;
-        };
-        self.deadlines.remove(&(job.deadline, request));
-        job.stage = Stage::Sent {
-            attempt,
-            spot,
-            at,
-            begun: true,
-        };
+        if let Some(job) = self.jobs.get(&request) {
+            self.deadlines.remove(&(job.deadline, request));
+        }
     }
 
     pub(super) fn ended(
@@ -63,7 +55,7 @@
         whole: bool,
         out: &mut Vec<Effect>,
     ) {
-        let Some((spot, at, _)) = self.in_hand(request, attempt) else {
+        let Some((spot, at)) = self.in_hand(request, attempt) else {
             return;
         };
         self.release(&spot, at, whole.then_some(now.since(at)));
@@ -114,7 +106,7 @@
         cause: Cause,
         out: &mut Vec<Effect>,
     ) {
-        let Some((spot, at, _)) = self.in_hand(request, attempt) else {
+        let Some((spot, at)) = self.in_hand(request, attempt) else {
             return;
         };
         self.release(&spot, at, None);
@@ -174,21 +166,10 @@
         let Some(job) = self.jobs.get(&request) else {
             return;
         };
-        match &job.stage {
-            Stage::Sent { .. } if job.owns_key => return,
-            Stage::Sent {
-                attempt, spot, at, ..
-            } => {
-                let (attempt, spot, at) = (*attempt, spot.clone(), *at);
-                out.push(Effect::Abort { request, attempt });
-                self.release(&spot, at, None);
-            }
-            Stage::Waiting => {
-                let (service, caller) = (job.service.clone(), job.ask.caller.clone());
-                self.queue.remove(&service, &caller, request);
-            }
-            Stage::Joined(owner) => self.ledger.leave(*owner, request),
+        if job.owns_key && matches!(job.stage, Stage::Sent { .. }) {
+            return;
         }
+        self.withdraw(request, out);
         let Some(job) = self.jobs.remove(&request) else {
             return;
         };
@@ -206,6 +187,24 @@
         self.drain(now, &job.service, out);
     }
 
+    /// Takes a request out of wherever it stands: its line, its attempt, or another's answer.
+    fn withdraw(&mut self, request: id::Request, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.get(&request) else {
+            return;
+        };
+        match job.stage.clone() {
+            Stage::Waiting => {
+                let (service, caller) = (&job.service, &job.ask.caller);
+                self.queue.remove(service, caller, request);
+            }
+            Stage::Sent { attempt, spot, at } => {
+                out.push(Effect::Abort { request, attempt });
+                self.release(&spot, at, None);
+            }
+            Stage::Joined(owner) => self.ledger.leave(owner, request),
+        }
+    }
+
     /// Gives a request its final answer and forgets it.
     pub(super) fn finish(&mut self, request: id::Request, reply: Reply, out: &mut Vec<Effect>) {
         let Some(job) = self.jobs.remove(&request) else {
@@ -240,27 +239,17 @@
         let Some(job) = self.jobs.get(&request) else {
             return;
         };
-        let service = job.service.clone();
-        let reply = match job.stage.clone() {
-            Stage::Waiting => {
-                let caller = job.ask.caller.clone();
-                self.queue.remove(&service, &caller, request);
-                Reply::new(503, job.verdict(), "no slot was free in time").after(SOON)
-            }
-            Stage::Sent {
-                attempt, spot, at, ..
-            } => {
-                out.push(Effect::Abort { request, attempt });
-                self.release(&spot, at, None);
-                let reason = "the answer did not begin in time";
-                Reply::new(504, Verdict::MayHaveRun, reason).after(SOON)
-            }
-            Stage::Joined(owner) => {
-                self.ledger.leave(owner, request);
+        let (service, verdict) = (job.service.clone(), job.verdict());
+        let (status, verdict, reason) = match job.stage {
+            Stage::Waiting => (503, verdict, "no slot was free in time"),
+            Stage::Sent { .. } => (504, Verdict::MayHaveRun, "the answer did not begin in time"),
+            Stage::Joined(_) => {
                 let reason = "the first send of this key is still running";
-                Reply::new(504, Verdict::MayHaveRun, reason).after(SOON)
+                (504, Verdict::MayHaveRun, reason)
             }
         };
+        self.withdraw(request, out);
+        let reply = Reply::new(status, verdict, reason).after(SOON);
         self.finish(request, reply, out);
         self.drain(now, &service, out);
     }
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -421,19 +421,30 @@
                     Verdict::NotRun => vec![Outcome::Failed(verdict, Cause::Refused)],
                     Verdict::MayHaveRun => vec![Outcome::Failed(verdict, Cause::Broken)],
                 };
-                for outcome in outcomes {
-                    self.items.push(Item::Outcome {
-                        to: at,
-                        life,
-                        request,
-                        attempt,
-                        outcome,
-                    });
-                }
+                self.under_way(at, life, request, attempt, &outcomes);
             }
         }
     }
 
+    /// Puts outcomes of an attempt on their way to the box that waits for them.
+    fn under_way(
+        &mut self,
+        to: usize,
+        life: u64,
+        request: id::Request,
+        attempt: id::Attempt,
+        outcomes: &[Outcome],
+    ) {
+        let item = |outcome: &Outcome| Item::Outcome {
+            to,
+            life,
+            request,
+            attempt,
+            outcome: *outcome,
+        };
+        self.items.extend(outcomes.iter().map(item));
+    }
+
     fn answered(&mut self, root: usize, verdict: Verdict) {
         let count = self.sent.len();
         let sent = &mut self.sent[root];
@@ -596,15 +607,13 @@
                 attempt,
                 ..
             } => {
-                for outcome in [Outcome::Begun, Outcome::Ended(whole)] {
-                    self.items.push(Item::Outcome {
-                        to: at,
-                        life,
-                        request,
-                        attempt,
-                        outcome,
-                    });
-                }
+                self.under_way(
+                    at,
+                    life,
+                    request,
+                    attempt,
+                    &[Outcome::Begun, Outcome::Ended(whole)],
+                );
             }
         }
     }
@@ -660,15 +669,8 @@
             }
             other => {
                 self.run(root);
-                for outcome in [Outcome::Begun, Outcome::Ended(other != 3)] {
-                    self.items.push(Item::Outcome {
-                        to: from,
-                        life,
-                        request: send.request,
-                        attempt: send.attempt,
-                        outcome,
-                    });
-                }
+                let outcomes = [Outcome::Begun, Outcome::Ended(other != 3)];
+                self.under_way(from, life, send.request, send.attempt, &outcomes);
             }
         }
     }
