--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -19,7 +19,7 @@
     check: bool,
 }
 
-/// Starts logging to standard error.
+/// Starts logging to standard output.
 fn start_log(level: log::LevelFilter) {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
@@ -28,7 +28,7 @@
         .add_filter_allow_str("petreldrum")
         .build();
     // A second logger in one process is not an error.
-    let _ = TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never);
+    let _ = TermLogger::init(level, config, TerminalMode::Stdout, ColorChoice::Never);
 }
 
 pub(super) fn run(args: Args) -> eyre::Result<ExitCode> {
@@ -38,7 +38,11 @@
         return Ok(ExitCode::SUCCESS);
     }
     start_log(settings.log);
-    let runtime = tokio::runtime::Runtime::new().wrap_err("cannot start the runtime")?;
+    // Boxes are small: one thread spares the hand-over between threads.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("cannot start the runtime")?;
     runtime.block_on(serve(settings))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -103,6 +103,16 @@
     pub tail: f64,
 }
 
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            cost: 1.0,
+            away: 100.0,
+            tail: 1.0,
+        }
+    }
+}
+
 /// A region and how it is reached.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RegionEntry {
@@ -164,6 +174,62 @@
     pub regions: Vec<Region>,
     /// How long an answer may take to begin, where the caller does not say.
     pub deadline: Millis,
+    /// The host that its requests name; none takes every host.
+    pub host: Option<String>,
+    /// The services that share its requests by weight; empty means the route's own.
+    pub shares: Vec<Share>,
+    /// Whether a request that may not be repeated needs an idempotency key. Without that, each
+    /// send counts as a request of its own.
+    pub keyed: bool,
+    /// Most attempts that one request may have.
+    pub attempts: u32,
+    /// How long a request may be held in all, its whole answer included.
+    pub hold: Option<Millis>,
+    /// Time within which an answer should begin.
+    pub target: Option<Millis>,
+    /// Its rank among the requests of a backend server; 0 is the most urgent.
+    pub priority: u8,
+    /// How its answers stream; none where they come whole.
+    pub stream: Option<Stream>,
+}
+
+/// How a route's answers stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stream {
+    /// Whether another backend server may continue an answer after its last event.
+    pub resumable: bool,
+    /// The longest pause between two events that is still in time.
+    pub gap: Millis,
+}
+
+/// A service's share of a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The service.
+    pub service: Service,
+    /// Its weight among the others.
+    pub weight: u32,
+}
+
+impl FromStr for Share {
+    type Err = String;
+    /// Reads `NAME:WEIGHT`.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (service, weight) = text.split_once(':').ok_or("expected NAME:WEIGHT")?;
+        Ok(Self {
+            service: service.parse().map_err(|e| format!("service: {e}"))?,
+            weight: weight.parse().map_err(|e| format!("weight: {e}"))?,
+        })
+    }
+}
+
+/// What the backend servers of one service have in common.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Profile {
+    /// Requests a second that a backend server bears while it is cold; none where that is unbounded.
+    pub cold_rate: Option<Rate>,
+    /// Tokens that fit into the memory of a model engine; none for an application.
+    pub memory_tokens: Option<u64>,
 }
 
 /// A model.
@@ -200,6 +266,8 @@
     pub leaving: bool,
     /// An answer with this header means that the request did not run there.
     pub refusal_header: Option<String>,
+    /// How long it stays cold after it became known.
+    pub cold: Millis,
 }
 
 /// One line of who may go where; the first that matches decides.
@@ -242,8 +310,63 @@
     pub backends: HashMap<id::Backend, Backend>,
     /// The selectors, in order.
     pub selectors: Vec<Selector>,
+    /// What is known of services beyond their backend servers.
+    pub profiles: HashMap<Service, Profile>,
+    /// The caller that requests without an API key count as; none refuses them.
+    pub anonymous: Option<id::Caller>,
     keys: HashMap<KeyHash, id::Caller>,
-    services: HashMap<Service, HashMap<Region, Vec<id::Backend>>>,
+    index: route::Index,
+}
+
+/// The parts of a configuration, before what is derived from them.
+#[derive(Debug, Default)]
+pub struct Draft {
+    /// Its number.
+    pub version: Version,
+    /// The mark of the write that brought it.
+    pub write: String,
+    /// What the deployment weighs, where it says so.
+    pub weights: Option<Weights>,
+    /// The regions.
+    pub regions: HashMap<Region, RegionEntry>,
+    /// The callers.
+    pub callers: HashMap<id::Caller, Caller>,
+    /// The routes.
+    pub routes: Vec<Route>,
+    /// The models.
+    pub models: HashMap<Service, Model>,
+    /// The backend servers that the configuration names.
+    pub backends: HashMap<id::Backend, Backend>,
+    /// The selectors, in order.
+    pub selectors: Vec<Selector>,
+    /// What is known of services.
+    pub profiles: HashMap<Service, Profile>,
+    /// The caller that requests without an API key count as.
+    pub anonymous: Option<id::Caller>,
+}
+
+impl Draft {
+    /// Derives what a configuration is looked up by.
+    pub fn finish(self) -> Config {
+        let mut routes = self.routes;
+        routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        let keys = self.callers.values().map(|c| (c.key, c.name.clone()));
+        Config {
+            version: self.version,
+            write: self.write,
+            weights: self.weights.unwrap_or_default(),
+            regions: self.regions,
+            keys: keys.collect(),
+            callers: self.callers,
+            index: route::Index::new(&routes),
+            routes,
+            models: self.models,
+            backends: self.backends,
+            selectors: self.selectors,
+            profiles: self.profiles,
+            anonymous: self.anonymous,
+        }
+    }
 }
 
 impl Config {
@@ -256,14 +379,6 @@
         self.callers.get(name)
     }
 
-    /// The backend servers of `region` that serve `service`, in the order of their names.
-    pub fn serving(&self, service: &Service, region: &Region) -> impl Iterator<Item = &Backend> {
-        let regions = self.services.get(service);
-        let names = regions.and_then(|regions| regions.get(region));
-        let names = names.map_or(&[][..], Vec::as_slice);
-        names.iter().filter_map(|name| self.backends.get(name))
-    }
-
     /// The round trip from `from` to `to`; zero at home.
     pub fn hop(&self, from: &Region, to: &Region) -> Millis {
         if from == to {
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -1,10 +1,11 @@
 //! Checks a configuration's text whole: every fault names its section and key.
 
-use std::{cmp::Reverse, collections::HashMap, collections::HashSet};
+use std::collections::HashSet;
 
 use crate::{
     config::{
-        Backend, Caller, Config, Envelope, Kind, Model, RegionEntry, Route, Selector, Weights,
+        Backend, Caller, Config, Draft, Envelope, Kind, Model, RegionEntry, Route, Selector, Share,
+        Stream, Weights,
     },
     id::{Region, Service},
     ini::{Faults, Reader, Section},
@@ -17,6 +18,10 @@
 const DEFAULT_DEADLINE: Millis = Millis(30_000);
 const DEFAULT_SLOTS: u32 = 8;
 const DEFAULT_RATE: Rate = Rate(100.0);
+/// Attempts of one request in all, where the route does not say.
+const DEFAULT_ATTEMPTS: u32 = 3;
+const DEFAULT_PRIORITY: u8 = 5;
+const LOWEST_PRIORITY: u8 = 9;
 
 impl Config {
     /// Checks the text of `envelope`; `file` is the name that faults carry.
@@ -36,55 +41,9 @@
         reader.fault("", "", "no [region NAME] section");
     }
     check_references(reader, &draft);
-    let mut routes = draft.routes;
-    routes.sort_by_key(|route| Reverse(route.prefix.len()));
-    let keys = draft.callers.values().map(|c| (c.key, c.name.clone()));
-    let services = index(&draft.backends);
-    Some(Config {
-        version: envelope.version,
-        write: envelope.write.clone(),
-        weights: draft.weights.unwrap_or(Weights {
-            cost: 1.0,
-            away: 100.0,
-            tail: 1.0,
-        }),
-        regions: draft.regions,
-        keys: keys.collect(),
-        callers: draft.callers,
-        routes,
-        models: draft.models,
-        backends: draft.backends,
-        selectors: draft.selectors,
-        services,
-    })
-}
-
-/// The names of the backend servers by what they serve and where.
-fn index(backends: &Backends) -> HashMap<Service, HashMap<Region, Vec<crate::id::Backend>>> {
-    let mut services: HashMap<Service, HashMap<Region, Vec<_>>> = HashMap::new();
-    let mut sorted: Vec<&Backend> = backends.values().collect();
-    sorted.sort_by(|a, b| a.name.cmp(&b.name));
-    for backend in sorted {
-        for service in &backend.serves {
-            let regions = services.entry(service.clone()).or_default();
-            let names = regions.entry(backend.region.clone()).or_default();
-            names.push(backend.name.clone());
-        }
-    }
-    services
-}
-
-type Backends = HashMap<crate::id::Backend, Backend>;
-
-#[derive(Default)]
-struct Draft {
-    weights: Option<Weights>,
-    regions: HashMap<Region, RegionEntry>,
-    callers: HashMap<crate::id::Caller, Caller>,
-    routes: Vec<Route>,
-    models: HashMap<Service, Model>,
-    backends: Backends,
-    selectors: Vec<Selector>,
+    draft.version = envelope.version;
+    draft.write = envelope.write.clone();
+    Some(draft.finish())
 }
 
 fn read_section(reader: &mut Reader, title: &str, draft: &mut Draft) {
@@ -183,6 +142,24 @@
     let labels = section.or("labels", Default::default());
     let regions = section.list("regions");
     let deadline = section.or("deadline", DEFAULT_DEADLINE);
+    let host = section.optional("host");
+    let shares: Vec<Share> = section.list("services");
+    if shares.iter().any(|s| s.weight == 0) {
+        section.fault("services", "a weight is zero");
+    }
+    let keyed = section.or("keyed", true);
+    let attempts = section.or("attempts", DEFAULT_ATTEMPTS);
+    if attempts == 0 {
+        section.fault("attempts", "is zero");
+    }
+    let hold = section.optional("hold");
+    let target = section.optional("target");
+    let priority = section.or("priority", DEFAULT_PRIORITY);
+    if priority > LOWEST_PRIORITY {
+        section.fault("priority", "is not between 0 and 9");
+    }
+    let gap: Option<Millis> = section.optional("stream_gap");
+    let resumable = section.or("resumable", false);
     Some(Route {
         name: name?,
         prefix: prefix?,
@@ -191,6 +168,14 @@
         labels,
         regions,
         deadline,
+        host,
+        shares,
+        keyed,
+        attempts,
+        hold,
+        target,
+        priority,
+        stream: gap.map(|gap| Stream { resumable, gap }),
     })
 }
 
@@ -233,6 +218,7 @@
         price,
         leaving,
         refusal_header,
+        cold: Millis(0),
     })
 }
 
@@ -287,7 +273,8 @@
             std::slice::from_ref(&backend.region),
         );
         for service in &backend.serves {
-            let route = draft.routes.iter().any(|r| r.name == *service);
+            let shared = |r: &Route| r.shares.iter().any(|s| s.service == *service);
+            let route = draft.routes.iter().any(|r| r.name == *service || shared(r));
             if !route && !draft.models.contains_key(service) {
                 serves.push((
                     section.clone(),
@@ -315,7 +302,7 @@
         if draft.models.contains_key(&route.name) {
             found.push((section.clone(), "", "is a model's name too".to_owned()));
         }
-        if !prefixes.insert(&route.prefix) {
+        if !prefixes.insert((&route.host, &route.prefix)) {
             found.push((section, "prefix", "is another route's too".to_owned()));
         }
     }
--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -1,6 +1,6 @@
 //! From a request's head to the places that may run it.
 
-use std::fmt;
+use std::{collections::HashMap, fmt};
 
 use crate::{
     config::{Backend, Caller, Config, Kind, Matcher, Route},
@@ -16,6 +16,47 @@
     pub path: String,
     /// The model that the body names.
     pub model: Option<Service>,
+    /// The host that the request names.
+    pub host: Option<String>,
+    /// A random number, the same for as long as the request is in hand: it chooses among the
+    /// services that share a route.
+    pub draw: u64,
+}
+
+/// Finds routes by host and path, however many there are.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(super) struct Index {
+    hosts: HashMap<String, HashMap<String, usize>>,
+    any: HashMap<String, usize>,
+}
+
+impl Index {
+    /// An index of `routes` by their positions.
+    pub(super) fn new(routes: &[Route]) -> Self {
+        let mut index = Self::default();
+        for (position, route) in routes.iter().enumerate() {
+            let prefix = route.prefix.trim_end_matches('/').to_owned();
+            let paths = match &route.host {
+                Some(host) => index.hosts.entry(host.clone()).or_default(),
+                None => &mut index.any,
+            };
+            paths.entry(prefix).or_insert(position);
+        }
+        index
+    }
+
+    /// The positions whose prefix may begin `path`, longest first; a named host goes first.
+    fn find(&self, host: Option<&str>, path: &str) -> impl Iterator<Item = usize> {
+        let named = host.and_then(|host| self.hosts.get(host));
+        let tables = named.into_iter().chain([&self.any]);
+        tables.flat_map(move |table| {
+            let borders = path.match_indices('/').map(|(at, _)| at);
+            let ends = borders.chain([path.len()]).collect::<Vec<_>>();
+            ends.into_iter()
+                .rev()
+                .filter_map(move |end| table.get(&path[..end]).copied())
+        })
+    }
 }
 
 /// Why no place may run a request.
@@ -83,7 +124,9 @@
             .callers
             .get(&ask.caller)
             .ok_or(Refusal::UnknownCaller)?;
-        let route = self.route(&ask.path).ok_or(Refusal::NoRoute)?;
+        let route = self
+            .route(ask.host.as_deref(), &ask.path)
+            .ok_or(Refusal::NoRoute)?;
         let model = match route.kind {
             Kind::Application => None,
             Kind::Model => {
@@ -109,7 +152,7 @@
             caller,
             route,
             selector: &selector.name,
-            service: model.map_or_else(|| route.name.clone(), |m| m.name.clone()),
+            service: model.map_or_else(|| route.service(ask.draw), |m| m.name.clone()),
             backends: &selector.backends,
             limits,
             home: caller.home.as_ref().filter(|_| selector.home_only),
@@ -120,11 +163,31 @@
         Ok(plan)
     }
 
-    /// The route with the longest prefix of `path`, at a segment's border.
-    pub fn route(&self, path: &str) -> Option<&Route> {
-        self.routes.iter().find(|route| {
-            let rest = path.strip_prefix(route.prefix.as_str());
-            rest.is_some_and(|r| r.is_empty() || r.starts_with('/') || route.prefix.ends_with('/'))
-        })
+    /// The route of `host` with the longest prefix of `path`, at a segment's border.
+    pub fn route(&self, host: Option<&str>, path: &str) -> Option<&Route> {
+        let found = self.index.find(host, path);
+        let routes = found.filter_map(|position| self.routes.get(position));
+        // A prefix that ends with a slash does not stand for the path without it.
+        routes
+            .into_iter()
+            .find(|route| path.starts_with(&route.prefix))
+    }
+}
+
+impl Route {
+    /// The service that a request with this `draw` goes to.
+    fn service(&self, draw: u64) -> Service {
+        let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let Some(mut point) = draw.checked_rem(total) else {
+            return self.name.clone();
+        };
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                return share.service.clone();
+            }
+            point -= weight;
+        }
+        self.name.clone()
     }
 }
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,178 @@
+//! The backend servers that a box may use: those that the configuration names, and those that
+//! registered themselves with the platform.
+//!
+//! A registration that vanishes in steady state means that the server leaves. One that vanishes
+//! around an outage of the store is in doubt for a while, because the store may have dropped it by
+//! itself and the server may register again.
+
+use std::collections::{HashMap, HashSet};
+
+use crate::{
+    config::Backend,
+    id::{self, Region, Service},
+    unit::{Millis, Time},
+};
+
+/// How long a registration that vanished around an outage of the store is still believed. Servers
+/// that live are back about two seconds after the store; the rest covers the way of the news.
+pub const DOUBT: Millis = Millis(2300);
+
+/// What became known of the registered backend servers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// All of them.
+    List {
+        /// The backend servers.
+        backends: Vec<Backend>,
+        /// Whether a missing one may be missing by the store's fault.
+        doubtful: bool,
+    },
+    /// One is new or changed.
+    Put(Backend),
+    /// One vanished.
+    Gone {
+        /// Its name.
+        name: id::Backend,
+        /// Whether that may be the store's fault.
+        doubtful: bool,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    backend: Backend,
+    registered: bool,
+    cold_until: Time,
+    /// When it is taken out unless it comes back.
+    missing_until: Option<Time>,
+}
+
+type Names = HashMap<Service, HashMap<Region, Vec<id::Backend>>>;
+
+/// All backend servers that a box knows.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    members: HashMap<id::Backend, Member>,
+    names: Names,
+}
+
+impl Fleet {
+    /// Takes over the backend servers that a new configuration names.
+    pub fn configure(&mut self, backends: &HashMap<id::Backend, Backend>) {
+        self.members.retain(|_, m| m.registered);
+        for backend in backends.values() {
+            self.put(backend.clone(), false, Time(0));
+        }
+        self.reindex();
+    }
+
+    /// Takes in what became known at `now`.
+    pub fn apply(&mut self, change: Change, now: Time) {
+        match change {
+            Change::List { backends, doubtful } => self.list(backends, doubtful, now),
+            Change::Put(backend) => self.put(backend, true, now),
+            Change::Gone { name, doubtful } => self.miss(&name, doubtful, now),
+        }
+        self.reindex();
+    }
+
+    fn list(&mut self, backends: Vec<Backend>, doubtful: bool, now: Time) {
+        let listed: HashSet<id::Backend> = backends.iter().map(|b| b.name.clone()).collect();
+        let registered = self.members.iter().filter(|(_, m)| m.registered);
+        let missing: Vec<id::Backend> = registered
+            .map(|(name, _)| name.clone())
+            .filter(|name| !listed.contains(name))
+            .collect();
+        for name in missing {
+            self.miss(&name, doubtful, now);
+        }
+        for backend in backends {
+            self.put(backend, true, now);
+        }
+    }
+
+    fn put(&mut self, backend: Backend, registered: bool, now: Time) {
+        let known = self.members.get(&backend.name);
+        let cold_until = known.map_or(now + backend.cold, |m| m.cold_until);
+        let member = Member {
+            registered,
+            cold_until,
+            missing_until: None,
+            backend,
+        };
+        self.members.insert(member.backend.name.clone(), member);
+    }
+
+    fn miss(&mut self, name: &id::Backend, doubtful: bool, now: Time) {
+        if !doubtful {
+            self.members.remove(name);
+            return;
+        }
+        if let Some(member) = self.members.get_mut(name) {
+            member.missing_until.get_or_insert(now + DOUBT);
+        }
+    }
+
+    /// Takes out those that stayed missing.
+    pub fn sweep(&mut self, now: Time) {
+        let before = self.members.len();
+        self.members
+            .retain(|_, m| m.missing_until.is_none_or(|until| now < until));
+        if self.members.len() != before {
+            self.reindex();
+        }
+    }
+
+    fn reindex(&mut self) {
+        self.names.clear();
+        let mut sorted: Vec<&Backend> = self.members.values().map(|m| &m.backend).collect();
+        sorted.sort_by(|a, b| a.name.cmp(&b.name));
+        for backend in sorted {
+            for service in &backend.serves {
+                let regions = self.names.entry(service.clone()).or_default();
+                let names = regions.entry(backend.region.clone()).or_default();
+                names.push(backend.name.clone());
+            }
+        }
+    }
+
+    /// The backend server called `name`.
+    pub fn get(&self, name: &id::Backend) -> Option<&Backend> {
+        self.members.get(name).map(|m| &m.backend)
+    }
+
+    /// Whether `name` is known.
+    pub fn contains(&self, name: &id::Backend) -> bool {
+        self.members.contains_key(name)
+    }
+
+    /// Whether `name` is still cold at `now`.
+    pub fn is_cold(&self, name: &id::Backend, now: Time) -> bool {
+        self.members.get(name).is_some_and(|m| now < m.cold_until)
+    }
+
+    /// Notes that `name` said it stays cold for `span`.
+    pub fn chill(&mut self, name: &id::Backend, span: Millis, now: Time) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.cold_until = member.cold_until.max(now + span);
+        }
+    }
+
+    /// All backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.members.values().map(|m| &m.backend)
+    }
+
+    /// What the backend servers serve.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.names.keys()
+    }
+
+    /// The backend servers of `region` that serve `service`, in the order of their names.
+    pub fn serving(&self, service: &Service, region: &Region) -> impl Iterator<Item = &Backend> {
+        let regions = self.names.get(service);
+        let names = regions.and_then(|regions| regions.get(region));
+        let names = names.map_or(&[][..], Vec::as_slice);
+        names.iter().filter_map(|name| self.get(name))
+    }
+}
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -157,6 +157,8 @@
         Err(error) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
     };
     let ask = Ask {
+        host: None,
+        draw: 0,
         caller: question.caller,
         path: question.path,
         model: question.model,
@@ -225,7 +227,7 @@
 /// The box that made a change has it at once.
 fn accepted(shell: &Shell, envelope: Envelope) -> Change {
     let version = envelope.version;
-    follow::offer(&shell.core, envelope, Source::Store);
+    follow::offer(&shell.core, &shell.settings, envelope, Source::Store);
     Change::Accepted { version }
 }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,13 +15,16 @@
     gateway::{
         Shell,
         dial::{Failure, Lease},
+        exchange::Door,
         head,
         trace::Span,
     },
+    platform::{self, head::Outcome},
     reducer::{
         effect::{Send, Target},
         event::Cause,
     },
+    settings::Interface,
     verdict::Verdict,
 };
 
@@ -35,6 +38,8 @@
     pub(crate) _memory: Option<OwnedSemaphorePermit>,
     pub(crate) span: Span,
     pub(crate) came: Instant,
+    /// How it came.
+    pub(crate) door: Door,
 }
 
 /// An answer that begins.
@@ -44,12 +49,32 @@
     pub(crate) span: Span,
 }
 
-/// Tries a request once; an error says whether it may have run, and why there is no answer.
+/// Why an attempt brought no answer that settles the request.
+pub(crate) struct Miss {
+    /// Whether the request may have run there.
+    pub(crate) verdict: Verdict,
+    /// Why.
+    pub(crate) cause: Cause,
+    /// An error of the backend server, which is the answer if there is no further attempt.
+    pub(crate) answer: Option<Box<Found>>,
+}
+
+impl Miss {
+    fn new(verdict: Verdict, cause: Cause) -> Self {
+        Self {
+            verdict,
+            cause,
+            answer: None,
+        }
+    }
+}
+
+/// Tries a request once.
 pub(crate) async fn try_once(
     shell: &Arc<Shell>,
     prepared: &Prepared,
     send: &Send,
-) -> Result<Found, (Verdict, Cause)> {
+) -> Result<Found, Miss> {
     let now = shell.clock.now();
     let label = match send.target {
         Target::Backend { .. } => "backend",
@@ -66,7 +91,7 @@
     if now > send.not_after {
         // The process stood still between the decision and now.
         count("late");
-        return Err((Verdict::NotRun, Cause::Late));
+        return Err(Miss::new(Verdict::NotRun, Cause::Late));
     }
     let (address, request, span) = outgoing(shell, prepared, send);
     let sent = shell.pool.send(address, request, !send.repeatable).await;
@@ -76,24 +101,61 @@
             Failure::Unreachable => Cause::Unreachable,
             Failure::Broken => Cause::Broken,
         };
-        (failure.verdict(), cause)
+        Miss::new(failure.verdict(), cause)
     })?;
     span.note("http.response.status_code", response.status().as_u16());
-    if let Some(refused) = refusal(&send.target, response.headers()) {
-        count("refused");
-        return Err(refused);
-    }
-    count("answered");
-    Ok(Found {
+    let refused = refusal(shell, prepared, &send.target, &response);
+    let found = Found {
         response,
         lease,
         span,
-    })
+    };
+    match refused {
+        None => {
+            count("answered");
+            Ok(found)
+        }
+        Some((Verdict::Ran, cause)) => {
+            count("errored");
+            Err(Miss {
+                verdict: Verdict::Ran,
+                cause,
+                answer: Some(Box::new(found)),
+            })
+        }
+        Some((verdict, cause)) => {
+            count("refused");
+            Err(Miss::new(verdict, cause))
+        }
+    }
+}
+
+/// What an answer on the platform says of the request, where it is not the answer to it.
+fn judge(prepared: &Prepared, response: &Response<Incoming>) -> Option<(Verdict, Cause)> {
+    let (status, headers) = (response.status(), response.headers());
+    let outcome = platform::head::judge(&prepared.headers, status, headers);
+    let cause = match outcome {
+        Outcome::Answer => return None,
+        Outcome::Error => Cause::Errored,
+        Outcome::Full => Cause::Full,
+        Outcome::Replaced => Cause::Replaced,
+        Outcome::Unusable => Cause::Broken,
+    };
+    Some((outcome.verdict(), cause))
 }
 
 /// Whether an answer says that the request did not run, or may not have.
-fn refusal(target: &Target, headers: &HeaderMap) -> Option<(Verdict, Cause)> {
+fn refusal(
+    shell: &Shell,
+    prepared: &Prepared,
+    target: &Target,
+    response: &Response<Incoming>,
+) -> Option<(Verdict, Cause)> {
+    let headers = response.headers();
     match target {
+        Target::Backend { .. } if shell.settings.interface == Interface::Platform => {
+            judge(prepared, response)
+        }
         Target::Backend { refusal_header, .. } => {
             let header = refusal_header.as_ref()?;
             headers
@@ -117,10 +179,15 @@
 ) -> (SocketAddr, Request<Full<Bytes>>, Span) {
     let mut headers = prepared.headers.clone();
     let left = send.not_after.since(shell.clock.now());
-    headers.insert(head::LEFT, head::value(left.0));
+    let platform = shell.settings.interface == Interface::Platform;
     let own = |name: &'static str| HeaderName::from_static(name);
     let (address, name) = match &send.target {
-        Target::Backend { address, .. } => (*address, "send to backend server"),
+        Target::Backend { address, name, .. } => {
+            if platform {
+                platform::head::address(&mut headers, name, send.priority, left);
+            }
+            (*address, "send to backend server")
+        }
         Target::Relay { peer, .. } => {
             headers.insert(own(head::HOP), head::value(head::HOP_RELAY));
             (*peer, "relay to region")
@@ -130,13 +197,20 @@
             (*peer, "pass to key's box")
         }
     };
-    if !matches!(send.target, Target::Backend { .. }) {
+    let to_box = !matches!(send.target, Target::Backend { .. });
+    if to_box || !platform {
+        headers.insert(head::LEFT, head::value(left.0));
+    }
+    if to_box {
+        headers.insert(own(head::RUNS), head::value(send.runs));
         headers.insert(own(head::FROM), head::value(&shell.settings.region));
         headers.insert(own(head::CALLER), head::value(&send.caller));
         let secret = shell.settings.cluster_secret.expose();
         headers.insert(own(head::SECRET), head::value(secret));
     }
-    headers.insert(HOST, head::value(address));
+    if !platform {
+        headers.insert(HOST, head::value(address));
+    }
     let span = shell.tracer.send(name, &prepared.span, &mut headers);
     span.note("server.address", address);
     let mut request = Request::new(Full::new(prepared.body.clone()));
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -18,7 +18,11 @@
 };
 
 use crate::{
-    gateway::{core::Handle, dial::Lease, trace::Span},
+    gateway::{
+        core::{Handle, Order},
+        dial::Lease,
+        trace::Span,
+    },
     id,
     reducer::event::Event,
 };
@@ -107,7 +111,9 @@
     incoming: Incoming,
     lease: Option<Lease>,
     core: Handle,
+    orders: mpsc::UnboundedReceiver<Order>,
     source: Source,
+    /// Whether the end of the connection is not the end of the answer.
     framed: bool,
     stall: Pin<Box<Sleep>>,
     done: bool,
@@ -119,14 +125,17 @@
         response: Response<Incoming>,
         lease: Lease,
         core: Handle,
+        orders: mpsc::UnboundedReceiver<Order>,
         source: Source,
+        framed: bool,
         span: Span,
     ) -> Self {
         Self {
-            framed: is_framed(&response),
+            framed,
             incoming: response.into_body(),
             lease: Some(lease),
             core,
+            orders,
             source,
             stall: Box::pin(sleep(STALL)),
             done: false,
@@ -150,6 +159,10 @@
 
     /// The next piece; the one who reads it calls [`Stream::end`] at the end.
     pub(crate) fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
+        // The only orders after an answer began are to break it off.
+        if let Poll::Ready(Some(_)) = self.orders.poll_recv(cx) {
+            return Poll::Ready(Piece::Cut);
+        }
         loop {
             match Pin::new(&mut self.incoming).poll_frame(cx) {
                 Poll::Pending => {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -21,7 +21,7 @@
         event::{Event, Source},
         status::{Explanation, Status},
     },
-    settings::Secret,
+    settings::Settings,
     wire::Phase,
 };
 
@@ -56,7 +56,7 @@
     pub(crate) clock: Clock,
     pub(crate) links: Links,
     pub(crate) pool: Arc<Pool>,
-    pub(crate) secret: Secret,
+    pub(crate) settings: Arc<Settings>,
     pub(crate) replay: Arc<Replay>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) duty: watch::Sender<bool>,
@@ -86,6 +86,11 @@
     source: Source,
 }
 
+struct PhaseQuery;
+
+#[derive(ActorReply)]
+struct PhaseAnswer(Phase);
+
 struct StatusQuery;
 
 #[derive(ActorReply)]
@@ -163,6 +168,11 @@
         self.0.wait_for_shutdown().await;
     }
 
+    /// Whether this box takes work.
+    pub(crate) async fn phase(&self) -> Option<Phase> {
+        self.0.ask(PhaseQuery).await.ok().map(|answer| answer.0)
+    }
+
     /// This box's view.
     pub(crate) async fn status(&self) -> Option<Status> {
         self.0.ask(StatusQuery).await.ok().map(|answer| answer.0)
@@ -191,7 +201,7 @@
     async fn handle(&mut self, input: Input, _: &mut Context<Self, ()>) {
         let opened = match &input.event {
             Event::Arrived(arrival) => Some(arrival.request),
-            Event::Asked { request, .. } => Some(*request),
+            Event::Asked { request, .. } | Event::Resolve { request, .. } => Some(*request),
             _ => None,
         };
         if let Some((request, orders)) = opened.zip(input.orders) {
@@ -221,6 +231,13 @@
     }
 }
 
+impl Message<PhaseQuery> for Core {
+    type Reply = PhaseAnswer;
+    async fn handle(&mut self, _: PhaseQuery, _: &mut Context<Self, Self::Reply>) -> PhaseAnswer {
+        PhaseAnswer(self.state.phase(self.parts.clock.now()))
+    }
+}
+
 impl Message<StatusQuery> for Core {
     type Reply = StatusAnswer;
     async fn handle(&mut self, _: StatusQuery, _: &mut Context<Self, Self::Reply>) -> StatusAnswer {
@@ -307,10 +324,10 @@
         let Some(handle) = self.handle.clone() else {
             return;
         };
-        let (pool, secret) = (self.parts.pool.clone(), self.parts.secret.clone());
+        let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
         tokio::spawn(async move {
-            match follow::fetch(&pool, peer, &secret).await {
-                Ok(envelope) => follow::offer(&handle, envelope, Source::Peer),
+            match follow::fetch(&pool, peer, &settings.cluster_secret).await {
+                Ok(envelope) => follow::offer(&handle, &settings, envelope, Source::Peer),
                 Err(error) => log::warn!("config: {version}: {error:#}"),
             }
         });
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -11,11 +11,29 @@
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
-
-use crate::verdict::Verdict;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    task::JoinHandle,
+    time::{Instant, timeout},
+};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+use crate::{platform, verdict::Verdict};
+
+/// Three times the longest way to another region and back; inside a region a connection takes a
+/// few milliseconds, and a machine that is gone says nothing.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// A peer that does not acknowledge what was written for this long is gone: several times the
+/// longest round trip, so that a lost packet is sent again in time.
+const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// A silent peer is asked whether it is there after this long, and as often again.
+const PROBE: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a peer is gone.
+const PROBES: u32 = 2;
+/// An idle connection is left this long before its other side closes it.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// How long an idle connection is used where the other side does not say.
+const IDLE: Duration = Duration::from_secs(30);
 /// Idle connections kept for one address.
 const MAX_IDLE: usize = 16;
 
@@ -43,6 +61,8 @@
 struct Link {
     sender: Sender,
     task: JoinHandle<()>,
+    /// When it is not used any more.
+    expires: Instant,
 }
 
 impl Drop for Link {
@@ -62,6 +82,7 @@
     pool: Arc<Pool>,
     address: SocketAddr,
     link: Link,
+    idle: Duration,
 }
 
 impl Lease {
@@ -70,12 +91,15 @@
         let Self {
             pool,
             address,
-            link,
+            mut link,
+            idle,
         } = self;
-        let mut idle = pool.idle.lock().expect("the pool's lock is never poisoned");
-        let links = idle.entry(address).or_default();
-        links.retain(|l| !l.sender.is_closed());
-        if links.len() < MAX_IDLE && !link.sender.is_closed() {
+        let now = Instant::now();
+        link.expires = now + idle;
+        let mut pools = pool.idle.lock().expect("the pool's lock is never poisoned");
+        let links = pools.entry(address).or_default();
+        links.retain(|l| !l.sender.is_closed() && l.expires > now);
+        if links.len() < MAX_IDLE && !link.sender.is_closed() && !idle.is_zero() {
             links.push(link);
         }
     }
@@ -87,7 +111,9 @@
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) | Err(_) => return Err(Failure::Unreachable),
     };
-    let _ = stream.set_nodelay(true);
+    if let Err(error) = tune(&stream) {
+        log::debug!("dial: {address}: {error}");
+    }
     let shaken = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = shaken.map_err(|_| Failure::Unreachable)?;
     let task = tokio::spawn(async move {
@@ -95,7 +121,23 @@
             log::trace!("dial: {address}: {error}");
         }
     });
-    Ok(Link { sender, task })
+    Ok(Link {
+        sender,
+        task,
+        expires: Instant::now(),
+    })
+}
+
+/// Small writes go out at once, and a peer that is gone is noticed.
+pub(crate) fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(ACKNOWLEDGE_TIMEOUT))
 }
 
 impl Pool {
@@ -112,7 +154,7 @@
                 continue;
             }
             match link.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, self.lease(address, link))),
+                Ok(response) => return Ok(self.lease(address, link, response)),
                 Err(mut error) => match error.take_message() {
                     // Handed back unwritten.
                     Some(unsent) => request = unsent,
@@ -122,7 +164,7 @@
         }
         let mut link = connect(address).await?;
         match link.sender.try_send_request(request).await {
-            Ok(response) => Ok((response, self.lease(address, link))),
+            Ok(response) => Ok(self.lease(address, link, response)),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => Failure::Unreachable,
                 None => Failure::Broken,
@@ -130,12 +172,21 @@
         }
     }
 
-    fn lease(self: &Arc<Self>, address: SocketAddr, link: Link) -> Lease {
-        Lease {
+    fn lease(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        link: Link,
+        response: Response<Incoming>,
+    ) -> (Response<Incoming>, Lease) {
+        let told = platform::head::keep_alive(response.headers());
+        let idle = told.map_or(IDLE, |told| told.saturating_sub(IDLE_MARGIN));
+        let lease = Lease {
             pool: self.clone(),
             address,
             link,
-        }
+            idle,
+        };
+        (response, lease)
     }
 
     fn idle_link(&self, address: SocketAddr, fresh: bool) -> Option<Link> {
@@ -143,6 +194,13 @@
             return None;
         }
         let mut idle = self.idle.lock().expect("the pool's lock is never poisoned");
-        idle.get_mut(&address)?.pop()
+        let links = idle.get_mut(&address)?;
+        let now = Instant::now();
+        while let Some(link) = links.pop() {
+            if link.expires > now && !link.sender.is_closed() {
+                return Some(link);
+            }
+        }
+        None
     }
 }
--- /dev/null
+++ b/src/gateway/directory.rs
@@ -0,0 +1,87 @@
+//! The platform's readiness checks and callers' look-ups of boxes, each by a listener of its own.
+
+use std::sync::Arc;
+
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+
+use crate::{
+    gateway::{Shell, body::Body, core::Order, head, serve},
+    platform::door,
+    reducer::event::Event,
+    settings::Settings,
+    unit::Millis,
+};
+
+/// How long callers may use the boxes of a look-up: long enough to spare look-ups, and short enough
+/// that callers leave a box that stops well before its end.
+const LIFE: Millis = Millis(3000);
+
+/// The listeners that the settings ask for.
+pub(super) struct Listeners {
+    ready: Option<TcpListener>,
+    directory: Option<TcpListener>,
+}
+
+/// Binds them.
+pub(super) async fn bind(settings: &Settings) -> eyre::Result<Listeners> {
+    let ready = match settings.ready {
+        Some(address) => Some(serve::bind(address, "readiness checks").await?),
+        None => None,
+    };
+    let directory = match settings.directory {
+        Some(address) => Some(serve::bind(address, "look-ups").await?),
+        None => None,
+    };
+    Ok(Listeners { ready, directory })
+}
+
+/// Serves them until `closing`.
+pub(super) fn serve(
+    shell: &Arc<Shell>,
+    listeners: Listeners,
+    closing: &watch::Sender<bool>,
+) -> Vec<JoinHandle<()>> {
+    let both = [listeners.ready, listeners.directory];
+    let serve = |listener| {
+        let shared = shell.clone();
+        let handler = move |request| answer(shared.clone(), request);
+        let max_head = shell.settings.max_head.0 as usize;
+        let metrics = shell.metrics.clone();
+        tokio::spawn(serve::run(
+            listener,
+            max_head,
+            metrics,
+            closing.subscribe(),
+            handler,
+        ))
+    };
+    both.into_iter().flatten().map(serve).collect()
+}
+
+async fn answer(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
+    match request.uri().path() {
+        door::READY_PATH => shell.readiness().await,
+        door::RESOLVE_PATH => resolve(&shell, &request).await,
+        _ => head::whole(StatusCode::NOT_FOUND, "text/plain", "no such call\n"),
+    }
+}
+
+async fn resolve(shell: &Arc<Shell>, request: &Request<Incoming>) -> Response<Body> {
+    let region = door::region(request.uri().query());
+    let region = region.unwrap_or_else(|| shell.settings.region.clone());
+    let request = shell.next_request();
+    let mut orders = shell.core.open(Event::Resolve { request, region });
+    let Some(Order::Boxes(boxes)) = orders.recv().await else {
+        return head::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
+    };
+    if boxes.is_empty() {
+        return head::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no boxes\n");
+    }
+    let addresses = boxes.iter().map(|entry| entry.contact.public);
+    head::whole(
+        StatusCode::OK,
+        "application/json",
+        door::answer(addresses, LIFE),
+    )
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,8 +18,8 @@
     config::KeyHash,
     gateway::{
         Shell,
-        attempt::{Found, Prepared, try_once},
-        body::{Body, Cut, Piece, STALL, Source, Stream},
+        attempt::{Found, Miss, Prepared, try_once},
+        body::{Body, Cut, Piece, STALL, Source, Stream, is_framed},
         core::{Handle, Order},
         head, pack,
         read::{self, deny},
@@ -28,10 +28,12 @@
     },
     id,
     pin::{self, Pin},
+    platform,
     reducer::{
         effect::{Entry, Reply, Send, Target},
         event::{Arrival, Credential, Event, Hop, Key},
     },
+    settings::Interface,
     unit::Millis,
     verdict::Verdict,
 };
@@ -115,8 +117,15 @@
     });
     span.note("http.response.status_code", response.status().as_u16());
     let headers = response.headers_mut();
-    headers.insert(head::BOX, head::value(&shell.settings.name));
-    headers.insert("trace-id", head::value(span.trace_id()));
+    if shell.settings.interface == Interface::Own {
+        headers.insert(head::BOX, head::value(&shell.settings.name));
+    }
+    if let Some(trace) = span.trace_id() {
+        headers.insert("trace-id", head::value(trace));
+    }
+    if shell.is_stopping() {
+        platform::head::close(headers);
+    }
     response
 }
 
@@ -126,7 +135,7 @@
     let prefix = reply
         .offer_key
         .then(|| shell.own_pin().prefix(&shell.settings.cluster_secret));
-    head::problem(reply, prefix.as_deref())
+    head::problem(reply, prefix.as_deref(), shell.settings.interface)
 }
 
 async fn public(
@@ -134,6 +143,9 @@
     inbound: &mut Inbound,
     span: &Span,
 ) -> Result<Response<Body>, Reply> {
+    if shell.settings.interface == Interface::Platform {
+        return forward(shell, inbound, Credential::Missing, Hop::Direct, span).await;
+    }
     let credential = match head::api_key(&inbound.parts.headers) {
         Some(key) => Credential::Key(KeyHash::of(key)),
         None => Credential::Missing,
@@ -225,6 +237,10 @@
         Hop::Relay(_) => "relay",
         Hop::Pass => "pass",
     };
+    let door = match hop {
+        Hop::Direct => Door::Public,
+        Hop::Relay(_) | Hop::Pass => Door::Peer,
+    };
     shell.metrics.requests.with_label_values(&[label]).inc();
     let parts = &inbound.parts;
     if parts.method == Method::CONNECT {
@@ -232,7 +248,23 @@
     }
     let (body, memory) = read::read_body(shell, &mut inbound.body).await?;
     let path = parts.uri.path().to_owned();
-    let prompt = read::read_prompt(shell, &path, &body)?;
+    let headers = &parts.headers;
+    let (routing, key, told) = match shell.settings.interface {
+        Interface::Own => (
+            read::read_prompt(shell, &path, &body)?,
+            read::read_key(shell, headers, &parts.method, &parts.uri, &body)?,
+            head::left(headers),
+        ),
+        Interface::Platform => (
+            Default::default(),
+            Key::Absent,
+            platform::head::left(headers),
+        ),
+    };
+    let left = match door {
+        Door::Public => told,
+        Door::Peer => head::left(headers),
+    };
     let uri = parts
         .uri
         .path_and_query()
@@ -243,21 +275,26 @@
     let arrival = Arrival {
         request: id,
         credential,
+        host: head::host(headers),
         path,
-        model: prompt.model,
-        prefix: prompt.prefix,
-        key: read::read_key(shell, &parts.headers, &parts.method, &uri, &body)?,
-        left: head::left(&parts.headers),
+        model: routing.model,
+        prefix: routing.prefix,
+        prompt: platform::head::prompt(headers),
+        draw: rand::random(),
+        runs: (door == Door::Peer).then(|| head::runs(headers)).flatten(),
+        key,
+        left,
         hop,
     };
     let detached = matches!(arrival.key, Key::Good(_));
     let prepared = Prepared {
         method: parts.method.clone(),
         uri,
-        headers: head::request(parts.headers.clone()),
+        headers: head::request(parts.headers.clone(), shell.settings.interface),
         body,
         _memory: memory,
         span: span.clone(),
+        door,
         came,
     };
     let mut guard = Guard {
@@ -289,6 +326,8 @@
     request: id::Request,
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) -> Result<Response<Body>, Reply> {
+    // An error of a backend server is the answer where nothing better comes.
+    let mut error: Option<(Send, Box<Found>)> = None;
     loop {
         let Some(order) = orders.recv().await else {
             return Err(lost());
@@ -296,7 +335,10 @@
         let send = match order {
             Order::Send(send) => send,
             Order::Abort => continue,
-            Order::Reply(reply) => return Err(reply),
+            Order::Reply(reply) => {
+                let (send, found) = error.ok_or(reply)?;
+                return Ok(stream(&shell, &prepared, &send, *found, orders));
+            }
             Order::Replay(answer) => return replayed(&shell, answer),
             Order::Boxes(_) => return Err(lost()),
         };
@@ -308,14 +350,17 @@
                     shell.core.tell(Event::Begun { request, attempt });
                     let took = prepared.came.elapsed().as_secs_f64();
                     shell.metrics.first_byte.observe(took);
-                    return Ok(stream(&shell, &send, found));
+                    return Ok(stream(&shell, &prepared, &send, found, orders));
+                }
+                Err(Miss { verdict, cause, answer }) => {
+                    error = answer.map(|found| (send, found)).or(error);
+                    shell.core.tell(Event::Failed {
+                        request,
+                        attempt,
+                        verdict,
+                        cause,
+                    });
                 }
-                Err((verdict, cause)) => shell.core.tell(Event::Failed {
-                    request,
-                    attempt,
-                    verdict,
-                    cause,
-                }),
             },
             order = orders.recv() => match order {
                 // The drop of the attempt closes its connection and so cancels it there.
@@ -340,7 +385,13 @@
 }
 
 /// Makes the answer to the caller out of one that begins.
-fn stream(shell: &Arc<Shell>, send: &Send, found: Found) -> Response<Body> {
+fn stream(
+    shell: &Arc<Shell>,
+    prepared: &Prepared,
+    send: &Send,
+    found: Found,
+    orders: mpsc::UnboundedReceiver<Order>,
+) -> Response<Body> {
     let (verdict, region) = match &send.target {
         Target::Backend { .. } => (Verdict::Ran, shell.settings.region.clone()),
         Target::Relay { region, .. } => (Verdict::Ran, region.clone()),
@@ -354,14 +405,27 @@
     };
     let status = found.response.status();
     let mut headers = head::response(found.response.headers().clone());
-    headers.insert(head::VERDICT, head::value(verdict));
-    headers.insert(head::REGION, head::value(region));
+    let platform = shell.settings.interface == Interface::Platform;
+    if prepared.door == Door::Peer || !platform {
+        headers.insert(head::VERDICT, head::value(verdict));
+        headers.insert(head::REGION, head::value(region));
+    }
     let source = Source {
         request: send.request,
         attempt: send.attempt,
     };
     let core = shell.core.clone();
-    let stream = Stream::new(found.response, found.lease, core, source, found.span);
+    // On the platform a connection that is closed, and not reset, ends an answer without length.
+    let framed = platform || is_framed(&found.response);
+    let stream = Stream::new(
+        found.response,
+        found.lease,
+        core,
+        orders,
+        source,
+        framed,
+        found.span,
+    );
     let body = if send.record {
         let answer = Answer {
             status,
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,8 +18,9 @@
         head, pack,
         store::Store,
     },
+    platform,
     reducer::event::Source,
-    settings::Secret,
+    settings::{Interface, Secret, Settings},
 };
 
 /// A watch that brought nothing for this long is checked by a read.
@@ -31,9 +32,9 @@
 const MAX_CONFIG: usize = 2 << 20;
 
 /// Checks `envelope` and tells `core`.
-pub(crate) fn offer(core: &Handle, envelope: Envelope, source: Source) {
+pub(crate) fn offer(core: &Handle, settings: &Settings, envelope: Envelope, source: Source) {
     let version = envelope.version;
-    match checked(envelope) {
+    match checked(settings, envelope) {
         Ok(current) => core.offer(current, source),
         Err(error) => {
             log::error!("config: {version} does not check:\n{error:#}");
@@ -42,8 +43,11 @@
     }
 }
 
-fn checked(envelope: Envelope) -> eyre::Result<Current> {
-    let config = Config::parse(&format!("configuration {}", envelope.version), &envelope)?;
+fn checked(settings: &Settings, envelope: Envelope) -> eyre::Result<Current> {
+    let config = match settings.interface {
+        Interface::Own => Config::parse(&format!("configuration {}", envelope.version), &envelope)?,
+        Interface::Platform => platform::record::config(&envelope, &settings.places)?,
+    };
     Ok(Current {
         packed: pack::pack(&envelope)?,
         envelope: Arc::new(envelope),
@@ -52,13 +56,18 @@
 }
 
 /// Watches the store while `duty` says so.
-pub(crate) async fn run(store: Store, core: Handle, mut duty: watch::Receiver<bool>) {
+pub(crate) async fn run(
+    store: Store,
+    core: Handle,
+    settings: Arc<Settings>,
+    mut duty: watch::Receiver<bool>,
+) {
     loop {
         if duty.wait_for(|on| *on).await.is_err() {
             return;
         }
         tokio::select! {
-            error = watch_once(&store, &core) => log::warn!("store: {error:#}"),
+            error = watch_once(&store, &core, &settings) => log::warn!("store: {error:#}"),
             off = duty.wait_for(|on| !*on) => match off {
                 Ok(_) => continue,
                 Err(_) => return,
@@ -70,14 +79,14 @@
 }
 
 /// Reads, then watches, until something fails.
-async fn watch_once(store: &Store, core: &Handle) -> eyre::Report {
+async fn watch_once(store: &Store, core: &Handle, settings: &Settings) -> eyre::Report {
     loop {
         let stored = match store.read().await {
             Ok(stored) => stored,
             Err(error) => return error,
         };
         if let Some(envelope) = stored.envelope {
-            offer(core, envelope, Source::Store);
+            offer(core, settings, envelope, Source::Store);
         }
         let mut watch = match store.watch(stored.revision).await {
             Ok(watch) => watch,
@@ -89,7 +98,7 @@
                 Ok(Err(error)) => return error,
                 Ok(Ok(stored)) => {
                     if let Some(envelope) = stored.envelope {
-                        offer(core, envelope, Source::Store);
+                        offer(core, settings, envelope, Source::Store);
                     }
                 }
             }
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -10,7 +10,10 @@
 };
 use serde_json::json;
 
-use crate::{gateway::body::Body, reducer::effect::Reply, unit::Millis, verdict::Verdict};
+use crate::{
+    gateway::body::Body, platform, reducer::effect::Reply, settings::Interface, unit::Millis,
+    verdict::Verdict,
+};
 
 /// Whether the request may have run; on every answer.
 pub const VERDICT: &str = "petreldrum-verdict";
@@ -26,6 +29,8 @@
 pub const SECRET: &str = "petreldrum-secret";
 /// Between boxes: how the request goes, [`HOP_RELAY`] or [`HOP_PASS`].
 pub const HOP: &str = "petreldrum-hop";
+/// Between boxes: how many backend servers may still run the request.
+pub const RUNS: &str = "petreldrum-runs";
 /// Between boxes: the region that sends.
 pub const FROM: &str = "petreldrum-from";
 /// Between boxes: the caller whose key was checked.
@@ -67,17 +72,31 @@
     }
 }
 
-/// What of a caller's head goes on: neither its API key nor its connection.
-pub(crate) fn request(mut headers: HeaderMap) -> HeaderMap {
+/// What of a caller's head goes on: nothing of its connection and, in our own interface, not its
+/// API key.
+pub(crate) fn request(mut headers: HeaderMap, interface: Interface) -> HeaderMap {
     strip(&mut headers);
-    for name in [AUTHORIZATION, CONTENT_LENGTH, HOST] {
-        headers.remove(name);
-    }
-    headers.remove(API_KEY);
+    headers.remove(CONTENT_LENGTH);
     headers.remove("expect");
+    match interface {
+        Interface::Own => {
+            headers.remove(AUTHORIZATION);
+            headers.remove(HOST);
+            headers.remove(API_KEY);
+        }
+        Interface::Platform => platform::head::strip(&mut headers),
+    }
     headers
 }
 
+/// The answer to a request whose length is told twice; nothing after it can be believed.
+pub(crate) fn ambiguous() -> Response<Body> {
+    let reply = Reply::new(400, Verdict::NotRun, "the length is told twice");
+    let mut response = problem(&reply, None, Interface::Own);
+    platform::head::close(response.headers_mut());
+    response
+}
+
 /// What of a place's head goes back to the caller.
 pub(crate) fn response(mut headers: HeaderMap) -> HeaderMap {
     strip(&mut headers);
@@ -104,6 +123,16 @@
     headers.get(LEFT)?.to_str().ok()?.parse().ok().map(Millis)
 }
 
+/// The host that `headers` name.
+pub(crate) fn host(headers: &HeaderMap) -> Option<String> {
+    headers.get(HOST)?.to_str().ok().map(str::to_owned)
+}
+
+/// How many backend servers may still run the request, as another box says.
+pub(crate) fn runs(headers: &HeaderMap) -> Option<u32> {
+    headers.get(RUNS)?.to_str().ok()?.parse().ok()
+}
+
 /// The verdict that another box gave.
 pub(crate) fn verdict(headers: &HeaderMap) -> Option<Verdict> {
     headers.get(VERDICT)?.to_str().ok()?.parse().ok()
@@ -118,9 +147,24 @@
     status.canonical_reason().unwrap_or("error")
 }
 
-/// Writes `reply` as problem+json; `key_prefix` goes with it where one is offered.
-pub(crate) fn problem(reply: &Reply, key_prefix: Option<&str>) -> Response<Body> {
+/// The status of `reply`. On the platform some statuses promise that the request did not run, and
+/// are given for nothing else.
+fn status(reply: &Reply, interface: Interface) -> StatusCode {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let promise = platform::head::PROMISES.contains(&status);
+    match interface {
+        Interface::Platform if promise && !reply.verdict.is_not_run() => StatusCode::BAD_GATEWAY,
+        Interface::Platform | Interface::Own => status,
+    }
+}
+
+/// Writes `reply` as problem+json; `key_prefix` goes with it where one is offered.
+pub(crate) fn problem(
+    reply: &Reply,
+    key_prefix: Option<&str>,
+    interface: Interface,
+) -> Response<Body> {
+    let status = status(reply, interface);
     let mut content = json!({
         "type": "about:blank",
         "title": title(status),
@@ -135,7 +179,11 @@
     let headers = response.headers_mut();
     headers.insert(VERDICT, value(reply.verdict));
     if let Some(wait) = reply.retry_after {
-        headers.insert(RETRY_AFTER, value(wait.retry_seconds()));
+        let seconds = match interface {
+            Interface::Own => wait.retry_seconds().to_string(),
+            Interface::Platform => platform::head::retry_after(wait),
+        };
+        headers.insert(RETRY_AFTER, value(seconds));
     }
     if let Some(prefix) = key_prefix {
         headers.insert(KEY_PREFIX, value(prefix));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,9 +4,10 @@
 //! |---|---|
 //! | `core` | the actor that owns the reducer and carries out its effects |
 //! | `exchange`, `read`, `attempt` | one request and its answer |
-//! | `serve`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
+//! | `serve`, `framing`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
 //! | `gossip` | nng between boxes |
-//! | `store`, `follow`, `list` | the platform |
+//! | `store`, `follow`, `list` | the platform, by our own interface |
+//! | `sync`, `directory` | the users' platform |
 //! | [`admin`] | the operators' interface |
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
 
@@ -15,9 +16,11 @@
 mod body;
 mod clock;
 mod core;
-mod dial;
+pub(crate) mod dial;
+mod directory;
 mod exchange;
 mod follow;
+mod framing;
 mod gossip;
 mod head;
 mod list;
@@ -27,6 +30,7 @@
 mod replay;
 mod serve;
 mod store;
+mod sync;
 mod trace;
 
 use std::{
@@ -51,12 +55,13 @@
     config::Version,
     id,
     pin::{self, Pin},
+    platform::store::Client,
     reducer::{
         Identity, TICK,
         effect::Reply,
         event::{Credential, Event},
     },
-    settings::Settings,
+    settings::{Interface, Settings},
     verdict::Verdict,
     wire::{Contact, Phase},
 };
@@ -79,7 +84,7 @@
 
 /// What all tasks of one box share.
 pub(crate) struct Shell {
-    settings: Settings,
+    settings: Arc<Settings>,
     identity: Identity,
     clock: Clock,
     core: Handle,
@@ -130,14 +135,15 @@
     }
 
     async fn readiness(&self) -> Response<Body> {
-        let status = self.core.status().await;
-        let ready = status.as_ref().is_some_and(|s| s.phase == Phase::Ready);
+        let phase = self.core.phase().await;
+        let ready = phase == Some(Phase::Ready);
         let code = if ready {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        let version = status.map_or(Version(0), |s| s.version);
+        let current = self.current.borrow().clone();
+        let version = current.map_or(Version(0), |c| c.config.version);
         let content = serde_json::json!({ "ready": ready, "version": version });
         head::json_answer(code, &content)
     }
@@ -145,6 +151,10 @@
     fn stop(&self) {
         self.stop.send_replace(true);
     }
+
+    fn is_stopping(&self) -> bool {
+        *self.stop.borrow()
+    }
 }
 
 /// Where a box listens; a port of 0 in the settings was chosen by the kernel.
@@ -197,6 +207,7 @@
 impl Gateway {
     /// Starts a box; every listener is bound before this returns.
     pub async fn start(settings: Settings) -> eyre::Result<Self> {
+        let settings = Arc::new(settings);
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new()?);
         let tracer = Tracer::new(&settings.name, settings.trace)?;
@@ -204,6 +215,7 @@
         let peer = serve::bind(settings.peer, "boxes").await?;
         let admin = serve::bind(settings.admin, "operators").await?;
         let gossip = gossip::bind(settings.gossip).await?;
+        let more = directory::bind(&settings).await?;
         let bound = Bound {
             public: public.local_addr()?,
             peer: peer.local_addr()?,
@@ -220,7 +232,7 @@
             clock,
             links: gossip::Links::new(secret.clone(), metrics.clone()),
             pool: pool.clone(),
-            secret: secret.clone(),
+            settings: settings.clone(),
             replay: replay.clone(),
             metrics: metrics.clone(),
             duty,
@@ -236,7 +248,7 @@
             pool.clone(),
             metrics.clone(),
         );
-        tokio::spawn(follow::run(store.clone(), core.clone(), duty_seen.clone()));
+        follow_store(&settings, &store, &pool, &core, &duty_seen);
         if let Some(address) = settings.list {
             tokio::spawn(list::run(address, pool.clone(), core.clone(), duty_seen));
         }
@@ -264,7 +276,8 @@
         );
         log::info!("box: listens on {bound}.");
         let closing = watch::Sender::new(false);
-        let listeners = listeners(&shell, public, peer, admin, &closing);
+        let mut listeners = listeners(&shell, public, peer, admin, &closing);
+        listeners.extend(directory::serve(&shell, more, &closing));
         Ok(Self {
             shell,
             listeners,
@@ -318,6 +331,29 @@
     }
 }
 
+/// Follows the store in the way of the interface in use.
+fn follow_store(
+    settings: &Arc<Settings>,
+    store: &Store,
+    pool: &Arc<Pool>,
+    core: &Handle,
+    duty: &watch::Receiver<bool>,
+) {
+    let (settings, core) = (settings.clone(), core.clone());
+    match settings.interface {
+        Interface::Own => {
+            tokio::spawn(follow::run(store.clone(), core, settings, duty.clone()));
+        }
+        Interface::Platform => {
+            let Some(&address) = settings.stores.first() else {
+                return log::error!("store: no address");
+            };
+            let client = Client::new(address, pool.clone());
+            tokio::spawn(sync::run(client, core, settings));
+        }
+    }
+}
+
 fn identity(settings: &Settings, bound: &Bound) -> Identity {
     let told = settings.advertise;
     Identity {
@@ -331,6 +367,8 @@
         },
         incarnation: clock::incarnation(),
         seeds: settings.seeds.clone(),
+        retry: settings.retry,
+        registry: settings.interface == Interface::Platform,
     }
 }
 
--- a/src/gateway/read.rs
+++ b/src/gateway/read.rs
@@ -81,7 +81,7 @@
 /// Reads what routing needs of a model request's body.
 pub(crate) fn read_prompt(shell: &Shell, path: &str, body: &[u8]) -> Result<Routing, Reply> {
     let current = shell.current.borrow().clone();
-    let kind = current.and_then(|c| c.config.route(path).map(|r| r.kind));
+    let kind = current.and_then(|c| c.config.route(None, path).map(|r| r.kind));
     if kind != Some(Kind::Model) {
         return Ok(Routing::default());
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -23,12 +23,18 @@
     time::{Instant, Sleep, sleep},
 };
 
-use crate::gateway::{body::Body, metrics::Metrics};
+use crate::gateway::{
+    body::Body,
+    dial,
+    framing::{Flags, Scanner},
+    head,
+    metrics::Metrics,
+};
 
 /// Connections open at one listener.
 const MAX_CONNECTIONS: usize = 4096;
-/// How long a request's head may take to arrive.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a connection may be idle, and a request's head may take to arrive.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// A peer that takes no bytes for this long is cut.
 const WRITE_STALL: Duration = Duration::from_secs(60);
 /// Wait after the system refused to accept.
@@ -38,6 +44,7 @@
 struct Stalling {
     stream: TcpStream,
     timer: Option<Pin<Box<Sleep>>>,
+    scanner: Scanner,
 }
 
 impl Stalling {
@@ -67,7 +74,10 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        self.scanner.read(&buffer.filled()[before..]);
+        polled
     }
 }
 
@@ -140,15 +150,28 @@
             metrics.refused_connections.inc();
             continue;
         };
-        let _ = stream.set_nodelay(true);
+        if let Err(error) = dial::tune(&stream) {
+            log::debug!("http: connection: {error}");
+        }
         let handler = handler.clone();
+        let flags = Flags::default();
+        let scanner = Scanner::new(flags.clone());
         let service = service_fn(move |request| {
-            let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            let flags = flags.clone();
+            let answer = (!flags.is_ambiguous()).then(|| handler(request));
+            async move {
+                let response = match answer {
+                    Some(answer) => answer.await,
+                    None => head::ambiguous(),
+                };
+                flags.answered();
+                Ok::<_, Infallible>(response)
+            }
         });
         let stream = Stalling {
             stream,
             timer: None,
+            scanner,
         };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- /dev/null
+++ b/src/gateway/sync.rs
@@ -0,0 +1,205 @@
+//! Follows the platform's store: the operator's configuration, the registered backend servers and
+//! the failure domains under evacuation.
+//!
+//! Every box follows it by itself: a stale read of everything, then one watch over all of it, which
+//! the store holds until something changes.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    config::Backend,
+    fleet::{self, Change as FleetChange},
+    gateway::{core::Handle, follow},
+    id::Domain,
+    platform::{
+        record::{self, Name},
+        store::{Change, Client, Error, Freshness, Item, Revision},
+    },
+    reducer::event::{Event, Source},
+    settings::Settings,
+};
+
+/// The prefix of everything that is followed: the whole store, by one watch.
+const ALL: &str = "";
+/// Wait after the first failure in a row, and the longest; each is spread by half.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1000));
+
+/// The follower's own state.
+struct Follower {
+    client: Client,
+    core: Handle,
+    settings: std::sync::Arc<Settings>,
+    /// Where the watch goes on; none before everything was read.
+    revision: Option<Revision>,
+    evacuated: BTreeSet<Domain>,
+    /// When the store last failed, or came back: what vanishes soon after is in doubt.
+    disturbed: Option<Instant>,
+    failures: u32,
+}
+
+/// Follows the store for as long as the process runs.
+pub(crate) async fn run(client: Client, core: Handle, settings: std::sync::Arc<Settings>) {
+    let mut follower = Follower {
+        client,
+        core,
+        settings,
+        revision: None,
+        evacuated: BTreeSet::new(),
+        disturbed: None,
+        failures: 0,
+    };
+    let mut freshness = Freshness::Stale;
+    loop {
+        let step = match follower.revision {
+            None => follower.read(freshness).await,
+            Some(revision) => follower.watch(revision).await,
+        };
+        match step {
+            Ok(()) => follower.recovered(),
+            Err(Error::HistoryLost) => {
+                log::warn!("store: its history is lost; reading everything again.");
+                follower.revision = None;
+                // A stale read may be older than the history.
+                freshness = Freshness::Linearizable;
+            }
+            Err(error) => follower.failed(&error).await,
+        }
+    }
+}
+
+impl Follower {
+    async fn read(&mut self, freshness: Freshness) -> Result<(), Error> {
+        let mut items = Vec::new();
+        let mut revision = None;
+        for prefix in record::PREFIXES {
+            let (found, as_of) = self.client.range(prefix, freshness).await?;
+            items.extend(found);
+            revision = Some(revision.map_or(as_of, |r: Revision| r.min(as_of)));
+        }
+        self.take_all(items);
+        self.revision = revision;
+        Ok(())
+    }
+
+    async fn watch(&mut self, revision: Revision) -> Result<(), Error> {
+        let (changes, as_of) = self.client.watch(ALL, revision).await?;
+        for change in changes {
+            self.take(change);
+        }
+        self.revision = Some(as_of.max(revision));
+        Ok(())
+    }
+
+    /// Takes over a full reading.
+    fn take_all(&mut self, items: Vec<Item>) {
+        let mut backends = Vec::new();
+        let mut evacuated = BTreeSet::new();
+        let mut config = None;
+        for item in items {
+            match Name::parse(&item.key) {
+                Some(Name::Config) => config = Some(item.value),
+                Some(Name::Evacuation(domain)) => {
+                    evacuated.insert(domain);
+                }
+                Some(Name::Server(name)) => backends.extend(self.backend(&name, &item.value)),
+                None => {}
+            }
+        }
+        if let Some(value) = config {
+            self.configure(value);
+        }
+        self.evacuated = evacuated;
+        self.core.tell(Event::Evacuated(self.evacuated.clone()));
+        let doubtful = self.in_doubt();
+        log::info!(
+            "store: read everything: {} backend servers, {} evacuations.",
+            backends.len(),
+            self.evacuated.len()
+        );
+        let list = FleetChange::List { backends, doubtful };
+        self.core.tell(Event::Fleet(list));
+    }
+
+    fn take(&mut self, change: Change) {
+        match change {
+            Change::Put(item) => match Name::parse(&item.key) {
+                Some(Name::Config) => self.configure(item.value),
+                Some(Name::Evacuation(domain)) => self.evacuate(domain, true),
+                Some(Name::Server(name)) => {
+                    if let Some(backend) = self.backend(&name, &item.value) {
+                        log::info!(
+                            "store: backend server {name}: {}.",
+                            if backend.leaving { "leaving" } else { "in use" }
+                        );
+                        self.core.tell(Event::Fleet(FleetChange::Put(backend)));
+                    }
+                }
+                None => {}
+            },
+            Change::Deleted(key) => match Name::parse(&key) {
+                Some(Name::Evacuation(domain)) => self.evacuate(domain, false),
+                Some(Name::Server(name)) => {
+                    let doubtful = self.in_doubt();
+                    log::info!("store: backend server {name} vanished, doubtful: {doubtful}.");
+                    let gone = FleetChange::Gone { name, doubtful };
+                    self.core.tell(Event::Fleet(gone));
+                }
+                Some(Name::Config) => log::error!("store: the configuration was deleted."),
+                None => {}
+            },
+        }
+    }
+
+    fn backend(&self, name: &crate::id::Backend, value: &[u8]) -> Option<Backend> {
+        match record::server(name, value, &self.settings.places) {
+            Ok(backend) => Some(backend),
+            Err(error) => {
+                log::warn!("store: {error:#}");
+                None
+            }
+        }
+    }
+
+    fn configure(&self, value: Vec<u8>) {
+        match record::envelope(value) {
+            Ok(envelope) => follow::offer(&self.core, &self.settings, envelope, Source::Store),
+            Err(error) => log::error!("store: {error:#}"),
+        }
+    }
+
+    fn evacuate(&mut self, domain: Domain, on: bool) {
+        log::info!("store: failure domain {domain} is evacuated: {on}.");
+        if on {
+            self.evacuated.insert(domain);
+        } else {
+            self.evacuated.remove(&domain);
+        }
+        self.core.tell(Event::Evacuated(self.evacuated.clone()));
+    }
+
+    fn in_doubt(&self) -> bool {
+        let doubt = fleet::DOUBT.duration();
+        self.disturbed.is_some_and(|at| at.elapsed() < doubt)
+    }
+
+    fn recovered(&mut self) {
+        if self.failures > 0 {
+            log::info!("store: back after {} failed calls.", self.failures);
+            self.failures = 0;
+            self.disturbed = Some(Instant::now());
+        }
+    }
+
+    async fn failed(&mut self, error: &Error) {
+        if self.failures == 0 {
+            log::warn!("store: lost: {error}.");
+        }
+        self.failures += 1;
+        self.disturbed = Some(Instant::now());
+        let doublings = self.failures.saturating_sub(1).min(8);
+        let wait = (BACKOFF.0 * (1 << doublings)).min(BACKOFF.1);
+        sleep(wait.mul_f64(rand::random_range(0.5..1.5))).await;
+    }
+}
--- a/src/gateway/trace.rs
+++ b/src/gateway/trace.rs
@@ -65,42 +65,70 @@
     }
 }
 
-/// Makes the spans of one box.
+/// Makes the spans of one box, or none where nobody collects them.
 #[derive(Clone, Debug)]
-pub struct Tracer {
+pub struct Tracer(Option<Spans>);
+
+#[derive(Clone, Debug)]
+struct Spans {
     provider: SdkTracerProvider,
     tracer: SdkTracer,
     propagator: Arc<TraceContextPropagator>,
 }
 
 impl Tracer {
-    /// Spans go to `collector` (OTLP over HTTP) or, without one, are discarded.
+    /// Spans go to `collector` (OTLP over HTTP); without one none are made.
     pub fn new(name: &BoxName, collector: Option<SocketAddr>) -> eyre::Result<Self> {
+        let spans = collector.map(|address| Spans::new(name, address));
+        spans.transpose().map(Self)
+    }
+
+    /// Begins the span of a request that came with `headers`.
+    pub fn receive(&self, name: &'static str, headers: &HeaderMap) -> Span {
+        let context = self.0.as_ref().map(|spans| spans.receive(name, headers));
+        Span { context }
+    }
+
+    /// Begins the span of an attempt below `parent` and names it in `headers`.
+    pub fn send(&self, name: &'static str, parent: &Span, headers: &mut HeaderMap) -> Span {
+        let pair = self.0.as_ref().zip(parent.context.as_ref());
+        let context = pair.map(|(spans, parent)| spans.send(name, parent, headers));
+        Span { context }
+    }
+
+    /// Sends what is left.
+    pub fn shutdown(&self) {
+        let Some(spans) = &self.0 else {
+            return;
+        };
+        if let Err(error) = spans.provider.shutdown() {
+            log::debug!("trace: shutdown: {error}");
+        }
+    }
+}
+
+impl Spans {
+    fn new(name: &BoxName, collector: SocketAddr) -> eyre::Result<Self> {
         let resource = Resource::builder()
             .with_service_name("petreldrum")
             .with_attribute(KeyValue::new("box", name.to_string()))
             .build();
-        let builder = SdkTracerProvider::builder().with_resource(resource);
-        let provider = match collector {
-            None => builder.build(),
-            Some(address) => {
-                let client = opentelemetry_http::hyper::HyperClient::with_default_connector(
-                    EXPORT_TIMEOUT,
-                    None,
-                );
-                let exporter = opentelemetry_otlp::SpanExporter::builder()
-                    .with_http()
-                    .with_http_client(client)
-                    .with_endpoint(format!("http://{address}/v1/traces"))
-                    .build()
-                    .wrap_err("cannot set up the trace exporter")?;
-                let exporter = OnRuntime {
-                    inner: Arc::new(exporter),
-                    runtime: tokio::runtime::Handle::current(),
-                };
-                builder.with_batch_exporter(exporter).build()
-            }
+        let client =
+            opentelemetry_http::hyper::HyperClient::with_default_connector(EXPORT_TIMEOUT, None);
+        let exporter = opentelemetry_otlp::SpanExporter::builder()
+            .with_http()
+            .with_http_client(client)
+            .with_endpoint(format!("http://{collector}/v1/traces"))
+            .build()
+            .wrap_err("cannot set up the trace exporter")?;
+        let exporter = OnRuntime {
+            inner: Arc::new(exporter),
+            runtime: tokio::runtime::Handle::current(),
         };
+        let provider = SdkTracerProvider::builder()
+            .with_resource(resource)
+            .with_batch_exporter(exporter)
+            .build();
         Ok(Self {
             tracer: provider.tracer("petreldrum"),
             provider,
@@ -108,53 +136,45 @@
         })
     }
 
-    /// Begins the span of a request that came with `headers`.
-    pub fn receive(&self, name: &'static str, headers: &HeaderMap) -> Span {
+    fn receive(&self, name: &'static str, headers: &HeaderMap) -> Context {
         let parent = self
             .propagator
             .extract_with_context(&Context::new(), &Reader(headers));
         self.begin(name, SpanKind::Server, &parent)
     }
 
-    /// Begins the span of an attempt below `parent` and names it in `headers`.
-    pub fn send(&self, name: &'static str, parent: &Span, headers: &mut HeaderMap) -> Span {
-        let span = self.begin(name, SpanKind::Client, &parent.context);
+    fn send(&self, name: &'static str, parent: &Context, headers: &mut HeaderMap) -> Context {
+        let context = self.begin(name, SpanKind::Client, parent);
         self.propagator
-            .inject_context(&span.context, &mut Writer(headers));
-        span
+            .inject_context(&context, &mut Writer(headers));
+        context
     }
 
-    fn begin(&self, name: &'static str, kind: SpanKind, parent: &Context) -> Span {
+    fn begin(&self, name: &'static str, kind: SpanKind, parent: &Context) -> Context {
         let builder = self.tracer.span_builder(name).with_kind(kind);
         let span = self.tracer.build_with_context(builder, parent);
-        Span {
-            context: parent.with_span(span),
-        }
-    }
-
-    /// Sends what is left.
-    pub fn shutdown(&self) {
-        if let Err(error) = self.provider.shutdown() {
-            log::debug!("trace: shutdown: {error}");
-        }
+        parent.with_span(span)
     }
 }
 
 /// One hop of a request; it ends when the last holder drops it.
 #[derive(Clone, Debug)]
 pub struct Span {
-    context: Context,
+    context: Option<Context>,
 }
 
 impl Span {
     /// Adds a fact to the span.
     pub fn note(&self, key: &'static str, value: impl ToString) {
-        let value = KeyValue::new(key, value.to_string());
-        self.context.span().set_attribute(value);
+        if let Some(context) = &self.context {
+            let value = KeyValue::new(key, value.to_string());
+            context.span().set_attribute(value);
+        }
     }
 
     /// The trace's number, as a caller may quote it.
-    pub fn trace_id(&self) -> String {
-        self.context.span().span_context().trace_id().to_string()
+    pub fn trace_id(&self) -> Option<String> {
+        let context = self.context.as_ref()?;
+        Some(context.span().span_context().trace_id().to_string())
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,14 +10,16 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`server`], [`queue`], [`limit`], [`retry`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`prompt`], [`queue`], [`limit`], [`retry`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
+//! | the users' platform: its names, formats and calls | [`platform`] |
 //! | sockets, clocks and tasks around the reducer | [`gateway`] |
 //! | subcommands of the binary | [`cmd`] |
 
 pub mod cmd;
 pub mod config;
+pub mod fleet;
 pub mod gateway;
 pub mod id;
 pub mod ini;
@@ -25,7 +27,10 @@
 pub mod limit;
 pub mod member;
 pub mod pin;
+#[path = "../platform/mod.rs"]
+pub mod platform;
 pub mod policy;
+pub mod prompt;
 pub mod queue;
 pub mod reducer;
 pub mod retry;
--- a/src/member.rs
+++ b/src/member.rs
@@ -2,7 +2,10 @@
 //!
 //! What stands here is a hint: it steers routing and never carries a promise.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 use crate::{
     config::Version,
@@ -262,6 +265,18 @@
         self.regions.iter().filter(alive)
     }
 
+    /// Whether `gossip` is the listener of a box that is known to stand in another region.
+    pub fn is_elsewhere(&self, gossip: &SocketAddr) -> bool {
+        let doors = self.regions.values().flat_map(|r| &r.digest.doors);
+        doors.into_iter().any(|d| d.contact.gossip == *gossip)
+    }
+
+    /// The boxes of all regions that were heard of lately, this one included.
+    pub fn boxes(&self, now: Time) -> usize {
+        let far = self.reachable(now).map(|(_, r)| r.digest.boxes as usize);
+        self.live(now).count() + 1 + far.sum::<usize>()
+    }
+
     /// Every known region.
     pub fn regions(&self) -> impl Iterator<Item = (&Region, &Remote)> {
         self.regions.iter()
--- a/src/policy/balanced.rs
+++ b/src/policy/balanced.rs
@@ -8,6 +8,9 @@
 /// Time that a cold prompt prefix costs on top of the expected first byte.
 const COLD_PREFILL: Millis = Millis(60);
 
+/// Time that a failed answer costs: the attempt itself and another one after it.
+const FAILURE: Millis = Millis(1000);
+
 /// Takes the place with the least weighed delay; leaves home only if that wins by the weights.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Balanced;
@@ -17,7 +20,8 @@
     let first = candidate.first.0 as f64;
     let crowd = first * candidate.load.min(1.0);
     let cold = if candidate.warm { 0 } else { COLD_PREFILL.0 };
-    (candidate.wait.0 + candidate.hop.0 + cold) as f64 + first + crowd
+    let failure = candidate.failing * FAILURE.0 as f64;
+    (candidate.wait.0 + candidate.hop.0 + cold) as f64 + first + crowd + failure
 }
 
 impl Policy for Balanced {
--- /dev/null
+++ b/src/prompt.rs
@@ -0,0 +1,31 @@
+//! What a caller tells of its prompt: how long it is and which parts it shares with others.
+
+/// A part of a prompt; requests with the same part send the same tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Part {
+    /// Its identity.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// The prompt of a request to a model engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Its length in tokens.
+    pub tokens: u32,
+    /// The most tokens that the answer may have.
+    pub output: u32,
+    /// Its parts, in order.
+    pub parts: Vec<Part>,
+}
+
+impl Prompt {
+    /// The part that most tells where the prompt is cached: the longest that others may share.
+    ///
+    /// The last part belongs to the request itself or its session.
+    pub fn shared(&self) -> Option<Part> {
+        let (_, shared) = self.parts.split_last()?;
+        shared.iter().copied().max_by_key(|part| part.tokens)
+    }
+}
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -65,8 +65,10 @@
             .ok_or_else(|| refusal(Refusal::UnknownCaller))?;
         let ask = Ask {
             caller,
+            host: arrival.host,
             path: arrival.path,
             model: arrival.model,
+            draw: arrival.draw,
         };
         let plan = config.plan(&ask).map_err(refusal)?;
         if matches!(arrival.hop, Hop::Relay(_)) && !plan.permits(&self.table.me.region) {
@@ -80,12 +82,19 @@
         // A re-send of a known key costs no new work.
         if arrival.hop == Hop::Direct && !known {
             self.charge(now, &ask.caller, plan.caller.rate)?;
+            self.budgets.earn(&plan.service);
         }
         let left = arrival.left.unwrap_or(plan.route.deadline).min(MAX_LEFT);
+        let left = plan.route.hold.map_or(left, |hold| left.min(hold));
+        let runs = plan.route.attempts.min(arrival.runs.unwrap_or(u32::MAX));
         let job = Job {
             service: plan.service.clone(),
             prefix: arrival.prefix,
+            prompt: arrival.prompt,
             repeatable: plan.route.repeatable,
+            runs,
+            priority: plan.route.priority,
+            bounded: plan.route.hold.is_some(),
             owns_key: false,
             deadline: now + left,
             attempts: 0,
@@ -97,7 +106,8 @@
             ask,
         };
         // A relay carries the decision of the box that owns the key, so it brings none itself.
-        if !job.repeatable && !matches!(job.hop, Hop::Relay(_)) {
+        let keyed = !job.repeatable && plan.route.keyed;
+        if keyed && !matches!(job.hop, Hop::Relay(_)) {
             return self.admit_key(now, arrival.request, job, &arrival.key, out);
         }
         self.begin(now, arrival.request, job, out);
@@ -113,14 +123,12 @@
     ) -> Result<(), Reply> {
         let boxes = self.table.ready(now).count() + 1;
         let over = |wait| Reply::new(429, Verdict::NotRun, "over the caller's rate").after(wait);
-        self.limiter.take(caller, rate, boxes, now).map_err(over)?;
-        self.budget.earn();
-        Ok(())
+        self.limiter.take(caller, rate, boxes, now).map_err(over)
     }
 
     pub(super) fn caller(&self, credential: &Credential) -> Option<id::Caller> {
         match credential {
-            Credential::Missing => None,
+            Credential::Missing => self.config.as_ref()?.anonymous.clone(),
             Credential::Key(hash) => {
                 let caller = self.config.as_ref()?.caller(hash)?;
                 Some(caller.name.clone())
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -43,6 +43,21 @@
         out.push(Effect::Boxes { request, boxes });
     }
 
+    /// Names the ready boxes of `region`, or of all regions where it has none.
+    pub(super) fn resolve(
+        &mut self,
+        now: Time,
+        request: id::Request,
+        region: &id::Region,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut boxes = self.entries(now, Some(region));
+        if boxes.iter().any(|entry| entry.contact.region == *region) {
+            boxes.retain(|entry| entry.contact.region == *region);
+        }
+        out.push(Effect::Boxes { request, boxes });
+    }
+
     pub(super) fn entries(&self, now: Time, home: Option<&id::Region>) -> Vec<Entry> {
         let me = (self.phase(now) == Phase::Ready).then(|| Entry {
             contact: self.table.me.clone(),
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::{Config, Version},
+    fleet::Change,
     id::{Backend, Region},
     policy::Policy,
     reducer::{
@@ -11,6 +12,7 @@
         effect::{Alarm, Effect},
         event::Source,
     },
+    settings::Seed,
     unit::{Millis, Time},
     wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short},
 };
@@ -82,6 +84,8 @@
         let period = self.table.heartbeat_period();
         if Control::due(&mut self.control.last_beat, period, now) {
             self.table.sweep(now);
+            self.fleet.sweep(now);
+            self.budgets.share(self.table.boxes(now));
             self.limiter.sweep(now);
             self.elect(now, out);
             self.beat(now, out);
@@ -116,7 +120,11 @@
     /// Sends a heartbeat to every box of the region, known or a seed.
     fn beat(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mine = &self.table.me.region;
-        let seeds = self.seeds.iter().filter(|s| s.region == *mine);
+        let here = |s: &&Seed| match &s.region {
+            Some(region) => region == mine,
+            None => !self.table.is_elsewhere(&s.gossip),
+        };
+        let seeds = self.seeds.iter().filter(here);
         let known = self.table.peers().map(|p| p.last.contact.gossip);
         let mut targets: BTreeSet<SocketAddr> = seeds.map(|s| s.gossip).chain(known).collect();
         targets.remove(&self.table.me.gossip);
@@ -166,9 +174,10 @@
     }
 
     fn other_regions(&self) -> Vec<Region> {
-        let seeded = self.seeds.iter().map(|s| s.region.clone());
+        let seeded = self.seeds.iter().filter_map(|s| s.region.clone());
+        let configured = self.config.iter().flat_map(|c| c.regions.keys().cloned());
         let heard = self.table.regions().map(|(region, _)| region.clone());
-        let mut regions: BTreeSet<Region> = seeded.chain(heard).collect();
+        let mut regions: BTreeSet<Region> = seeded.chain(configured).chain(heard).collect();
         regions.remove(&self.table.me.region);
         regions.into_iter().collect()
     }
@@ -180,7 +189,15 @@
     fn digest_target(&self, now: Time, region: &Region) -> Option<SocketAddr> {
         let remote = self.table.regions().find(|(name, _)| *name == region);
         let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
-        let seeds = self.seeds.iter().filter(|s| s.region == *region);
+        let near = |s: &Seed| {
+            self.table
+                .peers()
+                .any(|p| p.last.contact.gossip == s.gossip)
+        };
+        let seeds = self.seeds.iter().filter(|s| match &s.region {
+            Some(seeded) => seeded == region,
+            None => s.gossip != self.table.me.gossip && !near(s),
+        });
         let live = remote.is_some_and(|(_, r)| now.since(r.heard) <= self.table.region_suspect());
         let mut targets: Vec<SocketAddr> = doors.iter().map(|d| d.contact.gossip).collect();
         if !live || targets.is_empty() {
@@ -215,18 +232,13 @@
             version: near.max().unwrap_or_default().max(self.version()),
             doors: doors.into_iter().map(|(_, d)| d).take(DOORS).collect(),
             services: self.capacities(now),
+            boxes: self.table.live(now).count() as u32 + 1,
             spread: true,
         }
     }
 
     fn capacities(&self, now: Time) -> Vec<Capacity> {
-        let Some(config) = &self.config else {
-            return vec![];
-        };
-        let models = config.models.keys();
-        let services: BTreeSet<_> = models
-            .chain(config.routes.iter().map(|r| &r.name))
-            .collect();
+        let services: BTreeSet<_> = self.fleet.services().collect();
         let capacity = |service| {
             let mut total = Capacity {
                 service: Short::of(crate::id::Service::as_str(service)),
@@ -236,14 +248,14 @@
                 whole: Millis(0),
             };
             let mut servers = 0;
-            for backend in config.serving(service, &self.table.me.region) {
+            for backend in self.fleet.serving(service, &self.table.me.region) {
                 if self.excluded(now, backend).is_some() {
                     continue;
                 }
                 let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
                 total.slots += server.slots(backend.slots, now);
                 total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()));
-                total.first.0 += server.first().0;
+                total.first.0 += server.first_token(0).0;
                 total.whole.0 += server.whole().0;
                 servers += 1;
             }
@@ -297,8 +309,9 @@
                     self.spread(now, &frame, digest, out);
                 }
             }
+            Body::Heartbeat(beat) => self.introduce(now, &beat.contact.clone(), out),
             Body::Members(contacts) => self.meet(now, contacts, out),
-            Body::Heartbeat(_) | Body::Digest(_) => {}
+            Body::Digest(_) => {}
         }
         self.chase(now, out);
     }
@@ -313,6 +326,22 @@
         out.push(Effect::Gossip { to, frame });
     }
 
+    /// Answers a box of another region that took this one for a neighbour: what is known of the
+    /// boxes of its region, and a digest of this one.
+    fn introduce(&mut self, now: Time, stranger: &Contact, out: &mut Vec<Effect>) {
+        let remote = self.table.regions().find(|(r, _)| **r == stranger.region);
+        let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
+        let contacts: Vec<Contact> = doors.iter().map(|d| d.contact.clone()).collect();
+        let to = stranger.gossip;
+        let frame = self.frame(Body::Members(contacts));
+        out.push(Effect::Gossip { to, frame });
+        if self.phase(now) != Phase::Leaving {
+            let digest = self.summary(now);
+            let frame = self.frame(Body::Digest(digest));
+            out.push(Effect::Gossip { to, frame });
+        }
+    }
+
     /// Greets boxes of this region that another one named.
     fn meet(&mut self, now: Time, contacts: &[Contact], out: &mut Vec<Effect>) {
         let mine = self.table.me.clone();
@@ -371,15 +400,29 @@
             }
         }
         self.control.told = None;
-        let gone = |name: &Backend| !config.backends.contains_key(name);
-        self.servers.retain(|name, s| !gone(name) || s.busy > 0);
+        self.fleet.configure(&config.backends);
         self.config = Some(config);
+        self.forget_servers();
         out.push(Effect::Adopted(version));
         self.beat(now, out);
         self.report(now, out);
         self.drain_all(now, out);
     }
 
+    /// Takes in what became known of registered backend servers.
+    pub(super) fn supplied(&mut self, now: Time, change: Change, out: &mut Vec<Effect>) {
+        self.supplied |= matches!(change, Change::List { .. });
+        self.fleet.apply(change, now);
+        self.forget_servers();
+        self.drain_all(now, out);
+    }
+
+    /// Drops what was learned of backend servers that are gone.
+    fn forget_servers(&mut self) {
+        let known = |name: &Backend| self.fleet.contains(name);
+        self.servers.retain(|name, s| known(name) || s.busy > 0);
+    }
+
     pub(super) fn unreadable(&mut self, version: Version, out: &mut Vec<Effect>) {
         if version <= self.version() {
             return;
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -70,8 +70,16 @@
             let reply = Reply::new(503, verdict, "the place is gone").after(SOON);
             return self.finish(request, reply, out);
         };
+        let Some(job) = self.jobs.get(&request) else {
+            return;
+        };
+        let service = job.service.clone();
+        let work = self.work(now, job, &place);
         match &place {
-            Place::Backend(name) => self.servers.entry(name.clone()).or_default().start(),
+            Place::Backend(name) => {
+                self.charge_cold(now, &service, name);
+                self.servers.entry(name.clone()).or_default().start(work);
+            }
             Place::Region(region) => self.table.relayed(region),
         }
         let Some(job) = self.jobs.get_mut(&request) else {
@@ -83,6 +91,8 @@
             attempt,
             spot: Spot::Chosen(place, door),
             at: now,
+            work,
+            begun: false,
         };
         out.push(Effect::Send(Send {
             request,
@@ -90,15 +100,28 @@
             target,
             caller: job.ask.caller.clone(),
             repeatable: job.repeatable,
+            priority: job.priority,
+            runs: job.runs,
             record: job.owns_key,
             not_after: job.deadline,
         }));
     }
 
+    /// Prompt tokens that `place` has to read for `job`, as far as this box knows.
+    fn work(&self, now: Time, job: &Job, place: &Place) -> u32 {
+        let (Some(prompt), Place::Backend(name)) = (&job.prompt, place) else {
+            return 0;
+        };
+        match self.servers.get(name) {
+            Some(server) => server.unread(prompt, false, now),
+            None => prompt.tokens,
+        }
+    }
+
     pub(super) fn target(&self, place: &Place) -> Option<(Target, Option<id::BoxName>)> {
         match place {
             Place::Backend(name) => {
-                let backend = self.config.as_ref()?.backends.get(name)?;
+                let backend = self.fleet.get(name)?;
                 let target = Target::Backend {
                     name: name.clone(),
                     address: backend.address,
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -49,6 +49,10 @@
     pub caller: id::Caller,
     /// Whether the request may run twice; if not, it goes over a connection of its own.
     pub repeatable: bool,
+    /// Its rank among the requests of a backend server.
+    pub priority: u8,
+    /// Backend servers that may still run it, this attempt's included.
+    pub runs: u32,
     /// Whether the answer is kept for re-sends of the key.
     pub record: bool,
     /// The moment after which the order is void.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -4,8 +4,10 @@
 
 use crate::{
     config::{Config, KeyHash, Version},
-    id::{self, Region, Service},
+    fleet,
+    id::{self, Domain, Region, Service},
     pin,
+    prompt::Prompt,
     unit::Millis,
     verdict::Verdict,
     wire::Frame,
@@ -51,12 +53,20 @@
     pub request: id::Request,
     /// Who sends it.
     pub credential: Credential,
+    /// The host it names, where routes go by hosts.
+    pub host: Option<String>,
     /// Its path, without the query.
     pub path: String,
     /// The model that the body names.
     pub model: Option<Service>,
     /// A hash of the prompt's beginning.
     pub prefix: u64,
+    /// What the caller tells of its prompt.
+    pub prompt: Option<Prompt>,
+    /// A random number that chooses among the services of a shared route.
+    pub draw: u64,
+    /// The most backend servers that may run it, where another box has used up some.
+    pub runs: Option<u32>,
     /// Its key.
     pub key: Key,
     /// Time left until the answer must have begun, where the caller says.
@@ -76,6 +86,12 @@
     Broken,
     /// The effect was carried out too late.
     Late,
+    /// The place has no slot for it.
+    Full,
+    /// The place ran it and answered with an error of its own.
+    Errored,
+    /// The place says that it is another backend server than the one meant.
+    Replaced,
 }
 
 /// Where a configuration came from.
@@ -143,6 +159,17 @@
     Unreadable(Version),
     /// The platform's list names these addresses as leaving.
     Listed(BTreeSet<SocketAddr>),
+    /// Something became known of the backend servers that register themselves.
+    Fleet(fleet::Change),
+    /// Nothing new may go to the backend servers of these failure domains.
+    Evacuated(BTreeSet<Domain>),
+    /// A caller asks which boxes of its region to use.
+    Resolve {
+        /// The question.
+        request: id::Request,
+        /// The region.
+        region: Region,
+    },
     /// A planned stop begins.
     Stop,
 }
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -4,6 +4,7 @@
     config::Ask,
     id::{self, Service},
     policy::Place,
+    prompt::Prompt,
     reducer::event::Hop,
     unit::{Millis, Time},
     verdict::Verdict,
@@ -31,6 +32,10 @@
         attempt: id::Attempt,
         spot: Spot,
         at: Time,
+        /// Prompt tokens that the place was expected to read.
+        work: u32,
+        /// Whether its answer has begun.
+        begun: bool,
     },
     /// It waits for another request with its key.
     Joined(id::Request),
@@ -42,11 +47,18 @@
     pub(super) ask: Ask,
     pub(super) service: Service,
     pub(super) prefix: u64,
+    pub(super) prompt: Option<Prompt>,
     pub(super) hop: Hop,
     pub(super) repeatable: bool,
     pub(super) owns_key: bool,
     pub(super) deadline: Time,
+    /// Attempts so far.
     pub(super) attempts: u32,
+    /// Backend servers that may still run it.
+    pub(super) runs: u32,
+    pub(super) priority: u8,
+    /// Whether the deadline is that of the whole answer, and not of its beginning alone.
+    pub(super) bounded: bool,
     pub(super) tried: Vec<Place>,
     pub(super) may_have_run: bool,
     /// Its place in the line, once it was let in; it then stays until it is served or its time is
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -131,6 +131,8 @@
             attempt,
             spot: Spot::Pinned,
             at: now,
+            work: 0,
+            begun: false,
         };
         out.push(Effect::Send(Send {
             request,
@@ -138,6 +140,8 @@
             target: Target::Pass { peer },
             caller: job.ask.caller.clone(),
             repeatable: false,
+            priority: job.priority,
+            runs: job.runs,
             record: false,
             not_after: job.deadline,
         }));
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -32,13 +32,14 @@
 
 use crate::{
     config::{Config, Version},
-    id::{self, Incarnation},
+    fleet::Fleet,
+    id::{self, Domain, Incarnation},
     ledger::Ledger,
     limit::Limiter,
     member::Table,
     policy::Policy,
     queue::Queue,
-    retry::Budget,
+    retry::{self, Budgets},
     server::Server,
     settings::Seed,
     unit::{Millis, Time},
@@ -67,6 +68,10 @@
     pub incarnation: Incarnation,
     /// Boxes to greet.
     pub seeds: Vec<Seed>,
+    /// How many attempts beyond the first requests may have together.
+    pub retry: retry::Limits,
+    /// Whether backend servers register with the platform; the box then waits for their list.
+    pub registry: bool,
 }
 
 /// All that a box decides by.
@@ -82,8 +87,12 @@
     ledger: Ledger,
     limiter: Limiter,
     queue: Queue,
-    budget: Budget,
+    fleet: Fleet,
+    budgets: Budgets,
     listed: BTreeSet<SocketAddr>,
+    evacuated: BTreeSet<Domain>,
+    /// Whether the backend servers are known.
+    supplied: bool,
     attempts: u64,
     control: control::Control,
 }
@@ -102,8 +111,11 @@
             ledger: Ledger::default(),
             limiter: Limiter::default(),
             queue: Queue::default(),
-            budget: Budget::default(),
+            fleet: Fleet::default(),
+            budgets: Budgets::new(identity.retry),
             listed: BTreeSet::new(),
+            evacuated: BTreeSet::new(),
+            supplied: !identity.registry,
             attempts: 0,
             control: control::Control::default(),
         }
@@ -140,6 +152,12 @@
                 self.listed = listed;
                 self.drain_all(now, &mut out);
             }
+            Event::Fleet(change) => self.supplied(now, change, &mut out),
+            Event::Evacuated(domains) => {
+                self.evacuated = domains;
+                self.drain_all(now, &mut out);
+            }
+            Event::Resolve { request, region } => self.resolve(now, request, &region, &mut out),
             Event::Stop => self.stop(now, &mut out),
         }
         out
@@ -157,7 +175,8 @@
 
     /// Whether the box takes work at `now`.
     pub fn phase(&self, now: Time) -> Phase {
-        self.control.phase(self.config.is_some(), now)
+        self.control
+            .phase(self.config.is_some() && self.supplied, now)
     }
 
     /// Time between two heartbeats, and between two digests to one region.
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -16,33 +16,53 @@
     verdict::Verdict,
 };
 
+/// What an attempt in hand holds.
+pub(super) struct Held {
+    pub(super) spot: Spot,
+    pub(super) at: Time,
+    pub(super) work: u32,
+    pub(super) begun: bool,
+}
+
 impl<P: Policy> State<P> {
     /// The spot and start of `attempt`, where it is the one in hand.
-    pub(super) fn in_hand(
-        &self,
-        request: id::Request,
-        attempt: id::Attempt,
-    ) -> Option<(Spot, Time)> {
+    pub(super) fn in_hand(&self, request: id::Request, attempt: id::Attempt) -> Option<Held> {
         match &self.jobs.get(&request)?.stage {
             Stage::Sent {
                 attempt: current,
                 spot,
                 at,
-            } if *current == attempt => Some((spot.clone(), *at)),
+                work,
+                begun,
+            } if *current == attempt => Some(Held {
+                spot: spot.clone(),
+                at: *at,
+                work: *work,
+                begun: *begun,
+            }),
             _ => None,
         }
     }
 
     pub(super) fn begun(&mut self, now: Time, request: id::Request, attempt: id::Attempt) {
-        let Some((spot, at)) = self.in_hand(request, attempt) else {
+        let Some(held) = self.in_hand(request, attempt) else {
             return;
         };
-        if let Spot::Chosen(Place::Backend(name), _) = &spot
+        let Some(job) = self.jobs.get_mut(&request) else {
+            return;
+        };
+        if let Spot::Chosen(Place::Backend(name), _) = &held.spot
             && let Some(server) = self.servers.get_mut(name)
         {
-            server.begin(now.since(at), now);
+            server.begin(now.since(held.at), held.work, now);
+            if let Some(prompt) = &job.prompt {
+                server.remember(prompt, now);
+            }
         }
-        if let Some(job) = self.jobs.get(&request) {
+        if let Stage::Sent { begun, .. } = &mut job.stage {
+            *begun = true;
+        }
+        if !job.bounded {
             self.deadlines.remove(&(job.deadline, request));
         }
     }
@@ -55,10 +75,10 @@
         whole: bool,
         out: &mut Vec<Effect>,
     ) {
-        let Some((spot, at)) = self.in_hand(request, attempt) else {
+        let Some(held) = self.in_hand(request, attempt) else {
             return;
         };
-        self.release(&spot, at, whole.then_some(now.since(at)));
+        self.release(&held, whole.then_some(now.since(held.at)));
         let Some(job) = self.jobs.remove(&request) else {
             return;
         };
@@ -106,20 +126,35 @@
         cause: Cause,
         out: &mut Vec<Effect>,
     ) {
-        let Some((spot, at)) = self.in_hand(request, attempt) else {
+        let Some(held) = self.in_hand(request, attempt) else {
             return;
         };
-        self.release(&spot, at, None);
+        self.release(&held, None);
+        let spot = held.spot;
         self.blame(now, &spot, cause);
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
-        job.may_have_run |= !verdict.is_not_run();
+        if !verdict.is_not_run() {
+            job.may_have_run = true;
+            // How many backend servers ran it behind another box is not known.
+            let relayed = matches!(spot, Spot::Chosen(Place::Region(_), _));
+            job.runs = if relayed {
+                0
+            } else {
+                job.runs.saturating_sub(1)
+            };
+        }
+        if cause == Cause::Errored {
+            // It may well do better there next time, and there may be no other place.
+            job.tried.pop();
+        }
         job.stage = Stage::Waiting;
         let safe = job.repeatable || !job.may_have_run;
-        let again = safe && spot != Spot::Pinned && job.attempts < retry::MAX_ATTEMPTS;
+        let left = job.runs > 0 && job.attempts < retry::MAX_ATTEMPTS;
+        let again = safe && left && spot != Spot::Pinned;
         let service = job.service.clone();
-        if again && now < job.deadline && self.budget.spend() {
+        if again && now < job.deadline && self.budgets.spend(&service) {
             if !self.place(now, request, out) {
                 self.enqueue(request, out);
             }
@@ -130,15 +165,18 @@
         self.drain(now, &service, out);
     }
 
-    /// Gives back what an attempt that went out at `at` held; `took` tells of a whole answer.
-    pub(super) fn release(&mut self, spot: &Spot, at: Time, took: Option<Millis>) {
-        match spot {
+    /// Gives back what an attempt held; `took` tells of a whole answer.
+    pub(super) fn release(&mut self, held: &Held, took: Option<Millis>) {
+        match &held.spot {
             Spot::Chosen(Place::Backend(name), _) => {
                 if let Some(server) = self.servers.get_mut(name) {
+                    if !held.begun {
+                        server.withdraw(held.work);
+                    }
                     server.end(took);
                 }
             }
-            Spot::Chosen(Place::Region(region), _) => self.table.relay_ended(region, at),
+            Spot::Chosen(Place::Region(region), _) => self.table.relay_ended(region, held.at),
             Spot::Pinned => {}
         }
     }
@@ -146,9 +184,15 @@
     pub(super) fn blame(&mut self, now: Time, spot: &Spot, cause: Cause) {
         match (spot, cause) {
             (_, Cause::Late) | (Spot::Pinned, _) => {}
-            (Spot::Chosen(Place::Backend(name), _), Cause::Refused) => {
+            (Spot::Chosen(Place::Backend(name), _), Cause::Refused | Cause::Replaced) => {
                 self.servers.entry(name.clone()).or_default().refuse(now);
             }
+            (Spot::Chosen(Place::Backend(name), _), Cause::Full) => {
+                self.servers.entry(name.clone()).or_default().fill(now);
+            }
+            (Spot::Chosen(Place::Backend(name), _), Cause::Errored) => {
+                self.servers.entry(name.clone()).or_default().err();
+            }
             (Spot::Chosen(Place::Backend(name), _), _) => {
                 self.servers.entry(name.clone()).or_default().fail(now);
             }
@@ -197,9 +241,11 @@
                 let (service, caller) = (&job.service, &job.ask.caller);
                 self.queue.remove(service, caller, request);
             }
-            Stage::Sent { attempt, spot, at } => {
+            Stage::Sent { attempt, .. } => {
                 out.push(Effect::Abort { request, attempt });
-                self.release(&spot, at, None);
+                if let Some(held) = self.in_hand(request, attempt) {
+                    self.release(&held, None);
+                }
             }
             Stage::Joined(owner) => self.ledger.leave(owner, request),
         }
@@ -263,8 +309,11 @@
     let reason = match cause {
         Cause::Unreachable => "the place could not be reached",
         Cause::Refused => "the place refused it",
+        Cause::Full => "the place is full",
         Cause::Broken => "the connection broke before the answer began",
         Cause::Late => "the box was too late to send it",
+        Cause::Errored => "the place answered with an error",
+        Cause::Replaced => "the place is another backend server by now",
     };
     let status = if verdict.is_not_run() { 503 } else { 502 };
     Reply::new(status, verdict, reason).after(SOON)
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -4,15 +4,21 @@
 
 use crate::{
     config::{Backend, Config, Plan, Refusal},
-    id::Region,
+    id::{self, Region, Service},
     member::{Peer, Remote},
     policy::{Candidate, Choice, Place, Policy, View},
+    prompt::Prompt,
     reducer::{State, event::Hop, job::Job},
     server::{Bar, Server},
-    unit::{Millis, Time},
+    unit::{Millis, Rate, Time},
     wire::Short,
 };
 
+/// Boxes of a region that may send to one cold backend server: each may save up one request.
+const COLD_SENDERS: usize = 3;
+/// Part of a cold backend server's rate that is used: boxes may disagree on who sends.
+const COLD_SAFETY: f64 = 0.8;
+
 /// A policy's choice and what it chose from.
 pub(super) struct Decision {
     pub(super) choice: Choice,
@@ -24,6 +30,7 @@
 pub(super) enum Exclusion {
     Configured,
     Listed,
+    Evacuated,
     Barred(Bar),
 }
 
@@ -69,14 +76,18 @@
         found: &mut Vec<Candidate>,
     ) {
         let mine = &self.table.me.region;
-        let usable: Vec<&Backend> = config
+        let cold_rate = self.cold_rate(now, config, &plan.service);
+        let usable: Vec<&Backend> = self
+            .fleet
             .serving(&plan.service, mine)
             .filter(|b| plan.allows(b))
-            .filter(|b| self.excluded(now, b).is_none())
+            .filter(|b| self.excluded(now, b).is_none() && self.admits(now, b, cold_rate))
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .collect();
+        let shared = job.prompt.as_ref().and_then(Prompt::shared);
+        let prefix = shared.map_or(job.prefix, |part| part.id);
         let affinity = |b: &&&Backend| {
-            xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), job.prefix)
+            xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), prefix)
         };
         let warm = usable.iter().max_by_key(affinity).map(|b| b.name.clone());
         // The other boxes of the region send to the same servers and have lines of their own.
@@ -102,16 +113,22 @@
             } else {
                 Millis(server.whole().0 * ahead / u64::from(slots))
             };
+            let owner = warm.as_ref() == Some(&backend.name);
+            let first = match &job.prompt {
+                Some(prompt) => server.first_token(server.unread(prompt, owner, now)),
+                None => server.first(),
+            };
             found.push(Candidate {
                 place: Place::Backend(backend.name.clone()),
                 home: mine == home,
                 free,
                 load: f64::from(busy) / f64::from(slots),
                 wait,
-                first: server.first(),
+                first,
                 hop: Millis(0),
                 price: backend.price,
-                warm: warm.as_ref() == Some(&backend.name),
+                warm: owner || job.prompt.is_some(),
+                failing: server.failing(),
             });
         }
     }
@@ -133,7 +150,8 @@
             return None;
         }
         let usable = |b: &&Backend| plan.allows(b) && !self.leaving(now, b);
-        let price = config
+        let price = self
+            .fleet
             .serving(&plan.service, region)
             .filter(usable)
             .map(|b| b.price)
@@ -154,15 +172,59 @@
             free,
             load: f64::from(busy) / f64::from(slots),
             wait,
-            first: capacity.first,
+            first: capacity.first + self.reading(job),
             hop,
             price,
-            warm: false,
+            warm: job.prompt.is_some(),
+            failing: 0.0,
         })
     }
 
     fn leaving(&self, now: Time, backend: &Backend) -> bool {
-        backend.leaving || self.is_listed(now, &backend.address)
+        backend.leaving
+            || self.evacuated.contains(&backend.domain)
+            || self.is_listed(now, &backend.address)
+    }
+
+    /// Expected time to read the whole prompt of `job`, where it has one, at an unknown engine.
+    fn reading(&self, job: &Job) -> Millis {
+        let read = |p: &Prompt| Server::default().first_token(p.tokens);
+        let empty = Server::default().first_token(0);
+        job.prompt
+            .as_ref()
+            .map_or(Millis(0), |p| Millis(read(p).0 - empty.0))
+    }
+
+    /// What this box may send a second to one cold backend server of `service`.
+    ///
+    /// A few boxes of the region share the rate, so that the sum of what they may save up stays
+    /// small; the others send nothing there.
+    fn cold_rate(&self, now: Time, config: &Config, service: &Service) -> Option<Rate> {
+        let profile = config.profiles.get(service)?;
+        let rate = profile.cold_rate?;
+        let senders = COLD_SENDERS.min(self.table.ready(now).count() + 1);
+        let mine = self.table.rank(service.as_str(), now) < senders;
+        let share = COLD_SAFETY * rate.0 / senders as f64;
+        Some(Rate(if mine { share } else { 0.0 }))
+    }
+
+    /// Whether `backend` is warm, or may get a request all the same.
+    fn admits(&self, now: Time, backend: &Backend, cold_rate: Option<Rate>) -> bool {
+        let Some(rate) = cold_rate.filter(|_| self.fleet.is_cold(&backend.name, now)) else {
+            return true;
+        };
+        let server = self.servers.get(&backend.name);
+        rate.0 > 0.0 && server.is_none_or(|s| s.admits_cold(rate, now))
+    }
+
+    /// Counts a request to `name` against its rate while it is cold.
+    pub(super) fn charge_cold(&mut self, now: Time, service: &Service, name: &id::Backend) {
+        let config = self.config.as_deref();
+        let rate = config.and_then(|config| self.cold_rate(now, config, service));
+        if let Some(rate) = rate.filter(|_| self.fleet.is_cold(name, now)) {
+            let server = self.servers.entry(name.clone()).or_default();
+            server.spend_cold(rate, now);
+        }
     }
 
     /// Whether the platform's list names `address` as leaving, here or at a live box nearby.
@@ -176,6 +238,9 @@
         if backend.leaving {
             return Some(Exclusion::Configured);
         }
+        if self.evacuated.contains(&backend.domain) {
+            return Some(Exclusion::Evacuated);
+        }
         if self.is_listed(now, &backend.address) {
             return Some(Exclusion::Listed);
         }
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -124,6 +124,7 @@
         None => "in use",
         Some(Exclusion::Configured) => "leaving, by the configuration",
         Some(Exclusion::Listed) => "leaving, by the platform's list",
+        Some(Exclusion::Evacuated) => "its failure domain is evacuated",
         Some(Exclusion::Barred(Bar::Broken)) => "failing",
         Some(Exclusion::Barred(Bar::Refusing)) => "refusing work",
     }
@@ -166,12 +167,9 @@
     }
 
     fn backend_status(&self, now: Time) -> Vec<Backend> {
-        let Some(config) = &self.config else {
-            return vec![];
-        };
-        let mine = config
-            .backends
-            .values()
+        let mine = self
+            .fleet
+            .iter()
             .filter(|b| b.region == self.table.me.region);
         let mut rows: Vec<Backend> = mine
             .map(|b| {
@@ -198,11 +196,15 @@
         let job = Job {
             service: plan.service.clone(),
             prefix,
+            prompt: None,
             hop: Hop::Direct,
             repeatable: plan.route.repeatable,
             owns_key: false,
             deadline: now + plan.route.deadline,
             attempts: 0,
+            runs: plan.route.attempts,
+            priority: plan.route.priority,
+            bounded: plan.route.hold.is_some(),
             tried: vec![],
             may_have_run: false,
             position: None,
@@ -215,7 +217,8 @@
         let mut regions: Vec<Region> = config.regions.keys().cloned().collect();
         regions.retain(|region| plan.permits(region));
         regions.sort();
-        let left_out = config
+        let left_out = self
+            .fleet
             .serving(&plan.service, &self.table.me.region)
             .filter_map(|b| {
                 let excluded = self.excluded(now, b);
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,6 +1,11 @@
 //! What this box knows of one backend server from its own traffic: work in hand, times, health.
 
-use crate::unit::{Millis, Time};
+use std::collections::HashMap;
+
+use crate::{
+    prompt::Prompt,
+    unit::{Millis, Rate, Time},
+};
 
 /// Failures in a row that open the breaker.
 const FAILURES: u32 = 3;
@@ -8,6 +13,8 @@
 const OPEN: Millis = Millis(2000);
 /// How long a server that refused work is left alone.
 const COOL: Millis = Millis(2000);
+/// How long a server that was full is left alone: about one request of an application.
+const FULL: Millis = Millis(30);
 /// How long a returned server takes to its full share.
 const RAMP: Millis = Millis(10_000);
 /// Share of its slots that a returned server gets at once.
@@ -18,6 +25,19 @@
 const FIRST_GUESS: f64 = 100.0;
 /// Assumed time of a whole answer before one was seen.
 const WHOLE_GUESS: f64 = 500.0;
+/// Prompt tokens that an engine is assumed to read in a millisecond before one was seen to.
+const SPEED_GUESS: f64 = 45.0;
+/// A reading speed outside these bounds says more of the wait than of the engine, in tokens a
+/// millisecond.
+const SPEED_BOUNDS: (f64, f64) = (3.0, 200.0);
+/// Shortest prompt whose reading time tells of an engine's speed, in tokens.
+const SPEED_SAMPLE: u32 = 3000;
+/// Time to the first token besides reading prompts: a step of the batch and the way there.
+const STEP: f64 = 40.0;
+/// Prompt parts remembered for one server.
+const MAX_PARTS: usize = 256;
+/// A part unused for this long is taken to have given way to others.
+const PART_LIFE: Millis = Millis(60_000);
 
 /// Why a backend server gets no work now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +60,16 @@
     ramp_from: Option<Time>,
     first: f64,
     whole: f64,
+    /// Prompt tokens of this box's requests that wait there to be read.
+    backlog: u32,
+    /// Prompt tokens that it reads in a millisecond.
+    speed: f64,
+    /// Share of its answers that failed, lately.
+    failing: f64,
+    /// Parts of prompts that it has read, and when they were last used.
+    parts: HashMap<u64, Time>,
+    /// Requests that it may get while it is cold, and since when they are counted.
+    cold_tokens: Option<(f64, Time)>,
 }
 
 impl Default for Server {
@@ -53,6 +83,11 @@
             ramp_from: None,
             first: FIRST_GUESS,
             whole: WHOLE_GUESS,
+            backlog: 0,
+            speed: SPEED_GUESS,
+            failing: 0.0,
+            parts: HashMap::new(),
+            cold_tokens: None,
         }
     }
 }
@@ -82,19 +117,90 @@
         Millis(self.first as u64)
     }
 
+    /// Expected time to the first token of a prompt of which `unread` tokens are not cached there.
+    pub fn first_token(&self, unread: u32) -> Millis {
+        let reading = f64::from(self.backlog + unread) / self.speed;
+        Millis((STEP + reading) as u64)
+    }
+
+    /// Share of its answers that failed, lately.
+    pub fn failing(&self) -> f64 {
+        self.failing
+    }
+
+    /// Tokens of `prompt` that it has to read, as far as this box knows.
+    ///
+    /// A part counts as cached only if every part before it does. `owner` says that all boxes send
+    /// the prompt's shared parts here first.
+    pub fn unread(&self, prompt: &Prompt, owner: bool, now: Time) -> u32 {
+        let shared = prompt.parts.len().saturating_sub(1);
+        let cached = |(index, id): (usize, u64)| {
+            let own = self.parts.get(&id);
+            let fresh = own.is_some_and(|at| now.since(*at) < PART_LIFE);
+            fresh || (owner && index < shared)
+        };
+        let parts = prompt.parts.iter().enumerate();
+        let read: u32 = parts
+            .take_while(|(index, part)| cached((*index, part.id)))
+            .map(|(_, part)| part.tokens)
+            .sum();
+        prompt.tokens.saturating_sub(read)
+    }
+
+    /// Notes that it has read `prompt`.
+    pub fn remember(&mut self, prompt: &Prompt, now: Time) {
+        for part in &prompt.parts {
+            self.parts.insert(part.id, now);
+        }
+        if self.parts.len() > MAX_PARTS {
+            let mut uses: Vec<Time> = self.parts.values().copied().collect();
+            uses.sort_unstable();
+            let oldest = uses[uses.len() - MAX_PARTS / 2];
+            self.parts.retain(|_, at| *at >= oldest);
+        }
+    }
+
+    /// Whether it may get a request while it is cold, at `rate` for this box.
+    pub fn admits_cold(&self, rate: Rate, now: Time) -> bool {
+        self.cold_saved(rate, now) >= 1.0
+    }
+
+    /// Notes a request that it gets while it is cold.
+    pub fn spend_cold(&mut self, rate: Rate, now: Time) {
+        let saved = self.cold_saved(rate, now);
+        self.cold_tokens = Some((saved - 1.0, now));
+    }
+
+    fn cold_saved(&self, rate: Rate, now: Time) -> f64 {
+        let Some((saved, at)) = self.cold_tokens else {
+            return 1.0;
+        };
+        let earned = now.since(at).0 as f64 / 1000.0 * rate.0;
+        (saved + earned).min(1.0)
+    }
+
     /// Expected time of a whole answer.
     pub fn whole(&self) -> Millis {
         Millis(self.whole as u64)
     }
 
-    /// Notes an attempt that goes there.
-    pub fn start(&mut self) {
+    /// Notes an attempt that goes there with `work` prompt tokens to read.
+    pub fn start(&mut self, work: u32) {
         self.busy += 1;
+        self.backlog += work;
         self.probing = self.open_until.is_some();
     }
 
-    /// Notes the first byte of an answer after `took`.
-    pub fn begin(&mut self, took: Millis, now: Time) {
+    /// Notes the first byte of an answer after `took`; `work` prompt tokens were read for it.
+    pub fn begin(&mut self, took: Millis, work: u32, now: Time) {
+        self.backlog = self.backlog.saturating_sub(work);
+        self.failing -= ALPHA * self.failing;
+        if work >= SPEED_SAMPLE {
+            let reading = (took.0 as f64 - STEP).max(1.0);
+            let seen = f64::from(work) / reading;
+            let seen = seen.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+            self.speed += ALPHA * (seen - self.speed);
+        }
         self.first += ALPHA * (took.0 as f64 - self.first);
         self.failures = 0;
         self.probing = false;
@@ -112,14 +218,30 @@
         }
     }
 
+    /// Notes that an attempt ends before its answer began: its `work` is not read any more.
+    pub fn withdraw(&mut self, work: u32) {
+        self.backlog = self.backlog.saturating_sub(work);
+    }
+
+    /// Notes that it ran a request and answered with an error.
+    pub fn err(&mut self) {
+        self.failing += ALPHA * (1.0 - self.failing);
+    }
+
     /// Notes a failure of the server.
     pub fn fail(&mut self, now: Time) {
+        self.err();
         self.failures += 1;
         if self.failures >= FAILURES {
             self.open_until = Some(now + OPEN);
         }
     }
 
+    /// Notes that the server has no slot: others sent there too.
+    pub fn fill(&mut self, now: Time) {
+        self.cool_until = Some(now + FULL);
+    }
+
     /// Notes that the server refused work.
     pub fn refuse(&mut self, now: Time) {
         self.cool_until = Some(now + COOL);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,7 +7,8 @@
 use crate::{
     id::{BoxName, Domain, Region},
     ini::{Faults, Reader},
-    policy,
+    platform::Places,
+    policy, retry,
     unit::{Bytes, Millis},
 };
 
@@ -48,11 +49,12 @@
     }
 }
 
-/// Where another box may be found at start: `REGION/IP:PORT` of its gossip listener.
+/// Where another box may be found at start: `REGION/IP:PORT` of its gossip listener, or `IP:PORT`
+/// where its region is not known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seed {
-    /// The region of the box.
-    pub region: Region,
+    /// The region of the box, where it is known.
+    pub region: Option<Region>,
     /// Its gossip listener.
     pub gossip: SocketAddr,
 }
@@ -60,11 +62,13 @@
 impl FromStr for Seed {
     type Err = String;
     fn from_str(text: &str) -> Result<Self, String> {
-        let (region, gossip) = text
-            .split_once('/')
-            .ok_or("expected REGION/IP:PORT".to_owned())?;
+        let (region, gossip) = match text.split_once('/') {
+            Some((region, gossip)) => (Some(region), gossip),
+            None => (None, text),
+        };
+        let region = region.map(str::parse).transpose();
         Ok(Self {
-            region: region.parse().map_err(|e| format!("region: {e}"))?,
+            region: region.map_err(|e| format!("region: {e}"))?,
             gossip: gossip.parse().map_err(|e| format!("address: {e}"))?,
         })
     }
@@ -81,6 +85,41 @@
     pub gossip: Option<SocketAddr>,
 }
 
+/// How callers, backend servers and the platform speak to a box.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Interface {
+    /// The product's own way.
+    #[default]
+    Own,
+    /// The way of the users' platform.
+    Platform,
+}
+
+impl FromStr for Interface {
+    type Err = &'static str;
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "own" => Ok(Self::Own),
+            "platform" => Ok(Self::Platform),
+            _ => Err("expected own or platform"),
+        }
+    }
+}
+
+/// A failure domain and its region: `DOMAIN/REGION`.
+struct DomainEntry(Domain, Region);
+
+impl FromStr for DomainEntry {
+    type Err = String;
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (domain, region) = text.split_once('/').ok_or("expected DOMAIN/REGION")?;
+        Ok(Self(
+            domain.parse().map_err(|e| format!("failure domain: {e}"))?,
+            region.parse().map_err(|e| format!("region: {e}"))?,
+        ))
+    }
+}
+
 /// Everything one box is told at start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -90,6 +129,8 @@
     pub region: Region,
     /// The failure domain it stands in.
     pub domain: Domain,
+    /// How others speak to it.
+    pub interface: Interface,
     /// Listener for callers.
     pub public: SocketAddr,
     /// HTTP listener for other boxes.
@@ -98,6 +139,10 @@
     pub gossip: SocketAddr,
     /// Listener for operators.
     pub admin: SocketAddr,
+    /// Listener for the platform's readiness checks, where it has its own.
+    pub ready: Option<SocketAddr>,
+    /// Listener for look-ups of boxes, where it has its own.
+    pub directory: Option<SocketAddr>,
     /// The addresses that others are told, where they differ from the listeners.
     pub advertise: Advertise,
     /// The bearer token that operators send.
@@ -112,6 +157,8 @@
     pub store_key: String,
     /// The platform's list of live and leaving boxes, where there is one.
     pub list: Option<SocketAddr>,
+    /// Where failure domains lie, on the users' platform.
+    pub places: Places,
     /// Where spans go (OTLP over HTTP); none discards them.
     pub trace: Option<SocketAddr>,
     /// The lowest level that is logged.
@@ -124,6 +171,8 @@
     pub body_memory: Bytes,
     /// How long a planned stop keeps the listener open.
     pub linger: Millis,
+    /// How many attempts beyond the first requests may have.
+    pub retry: retry::Limits,
     /// How places are chosen.
     pub policy: policy::Named,
 }
@@ -160,6 +209,7 @@
     let region = section.required("region");
     let domain = section.required("failure_domain");
     let log = section.or("log", log::LevelFilter::Info);
+    let interface = section.or("interface", Interface::default());
     let tls: String = section.or("tls", "off".to_owned());
     if tls != "off" {
         section.fault("tls", "only \"off\" is built so far");
@@ -171,6 +221,8 @@
     let peer = section.required("peer");
     let gossip = section.required("gossip");
     let admin = section.required("admin");
+    let ready = section.optional("ready");
+    let directory = section.optional("directory");
     let admin_token = section.required("admin_token");
     section.end();
 
@@ -194,6 +246,14 @@
     }
     let store_key = section.or("store_key", "petreldrum/config".to_owned());
     let list = section.optional("list");
+    let domains: Vec<DomainEntry> = section.list("domains");
+    let places = Places {
+        domains: domains.into_iter().map(|d| (d.0, d.1)).collect(),
+        hop: section.or("hop", Millis(0)),
+    };
+    if interface == Interface::Platform && places.domains.is_empty() {
+        section.fault("domains", "names no failure domain");
+    }
     let trace = section.optional("trace");
     section.end();
 
@@ -205,6 +265,10 @@
         section.fault("body_memory", "is under max_body");
     }
     let linger = section.or("linger", Millis(3000));
+    let retry = retry::Limits {
+        ratio: section.or("retry_ratio", retry::Limits::RATIO),
+        slack: section.optional("retry_slack"),
+    };
     let policy = section.or("policy", policy::Named::default());
     if max_head.0 < 8 << 10 {
         section.fault("max_head", "is under 8KiB");
@@ -215,10 +279,13 @@
         name: name?,
         region: region?,
         domain: domain?,
+        interface,
         public: public?,
         peer: peer?,
         gossip: gossip?,
         admin: admin?,
+        ready,
+        directory,
         advertise,
         admin_token: admin_token?,
         cluster_secret: cluster_secret?,
@@ -226,12 +293,14 @@
         stores,
         store_key,
         list,
+        places,
         trace,
         log,
         max_head,
         max_body,
         body_memory,
         linger,
+        retry,
         policy,
     })
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -118,6 +118,8 @@
     pub version: Version,
     /// Some of its boxes, least busy first.
     pub doors: Vec<Door>,
+    /// Its boxes.
+    pub boxes: u32,
     /// What it can take.
     pub services: Vec<Capacity>,
     /// Whether the receiver passes it on inside its region.
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -123,6 +123,8 @@
         contact: contact(size, 0),
         incarnation: Incarnation(1),
         seeds: vec![],
+        retry: Default::default(),
+        registry: false,
     };
     let mut state = State::new(identity, Balanced);
     let source = Source::Store;
@@ -167,6 +169,7 @@
         whole: Millis(500),
     });
     let body = Body::Digest(Digest {
+        boxes: 1,
         region: name(format!("region-{region}")),
         version: Version(1),
         doors: doors.collect(),
@@ -190,6 +193,10 @@
     let caller = number as usize % size.callers;
     let model = number as usize % size.models;
     Event::Arrived(Arrival {
+        host: None,
+        prompt: None,
+        draw: 0,
+        runs: None,
         request: id::Request(number),
         credential: Credential::Key(KeyHash::of(format!("key-{caller}").as_bytes())),
         path: String::from("/v1/chat/completions"),
--- a/tests/config_text.rs
+++ b/tests/config_text.rs
@@ -92,6 +92,8 @@
             );
             let config = parse(&text).expect("checks");
             let ask = Ask {
+                host: None,
+                draw: 0,
                 caller: "a".parse().expect("a name"),
                 path: "/r/x".to_owned(),
                 model: None,
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -221,13 +221,15 @@
     fn slot(&mut self, index: usize) -> Slot {
         self.lives += 1;
         let seeds = (0..BOXES).filter(|i| *i != index).map(|i| Seed {
-            region: region(i).parse().expect("a name"),
+            region: Some(region(i).parse().expect("a name")),
             gossip: gossip(i),
         });
         let identity = Identity {
             contact: contact(index),
             incarnation: Incarnation(self.lives),
             seeds: seeds.collect(),
+            retry: Default::default(),
+            registry: false,
         };
         Slot {
             state: State::new(identity, Balanced),
@@ -489,6 +491,10 @@
             }
         };
         let arrival = Arrival {
+            host: None,
+            prompt: None,
+            draw: 0,
+            runs: None,
             request,
             credential,
             path: wish.path.to_owned(),
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -62,6 +62,8 @@
             contact: contact("box", "perth", 10),
             incarnation: Incarnation(7),
             seeds: vec![],
+            retry: Default::default(),
+            registry: false,
         };
         let mut solo = Self {
             state: State::new(identity, Balanced),
@@ -118,6 +120,7 @@
             whole: Millis(100),
         };
         let body = Body::Digest(Digest {
+            boxes: 1,
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
             doors: vec![door],
@@ -136,6 +139,10 @@
     pub fn arrive(&mut self, caller: &str, left: Option<u64>) -> Vec<Effect> {
         self.requests += 1;
         let arrival = Arrival {
+            host: None,
+            prompt: None,
+            draw: 0,
+            runs: None,
             request: id::Request(self.requests),
             credential: Credential::Key(KeyHash::of(caller.as_bytes())),
             path: "/read/x".to_owned(),
--- a/tests/pinned_keys.rs
+++ b/tests/pinned_keys.rs
@@ -43,6 +43,8 @@
         contact,
         incarnation: LIFE,
         seeds: vec![],
+        retry: Default::default(),
+        registry: false,
     };
     let mut state = State::new(identity, Balanced);
     let text = format!(
@@ -83,6 +85,10 @@
 
 fn arrive(state: &mut State<Balanced>, request: u64, key: Key, hop: Hop) -> Vec<Effect> {
     let arrival = Arrival {
+        host: None,
+        prompt: None,
+        draw: 0,
+        runs: None,
         request: id::Request(request),
         credential: Credential::Key(KeyHash::of(b"k")),
         path: "/book".to_owned(),
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -238,6 +238,8 @@
     let status = solo.state.explain(
         solo.now,
         petreldrum::config::Ask {
+            host: None,
+            draw: 0,
             caller: "a".parse().expect("a name"),
             path: "/read/x".to_owned(),
             model: None,
