Follow caches between boxes, and bound doubt by the store's return

Change: cold times only grow by news, and a domain whose evacuation ends counts as cold; doubt ends a fixed time after the store's return and is looked at every tick. Boxes tell each other at once of each long prompt that an engine begins to read, so all know what is cached and what still waits to be read; the policy weighs what reading costs those that run.

Tests: fleet_changes, prompt_cache, platform_records, platform_heads, retry_budget.

--- /dev/null
+++ b/src/cache.rs
@@ -0,0 +1,99 @@
+//! Which backend servers hold which long parts of prompts, as far as this box knows.
+//!
+//! A box knows what it sent itself, and hears from the others what they sent. An engine lets the
+//! parts that were unused longest give way, so what was read there since tells when to stop
+//! believing.
+
+use std::collections::HashMap;
+
+use crate::{
+    prompt::{Part, Prompt},
+    unit::{Millis, Time},
+    wire::Short,
+};
+
+/// Shortest part worth knowing about, in tokens; a shorter one is read in a few steps of a batch.
+pub const LONG: u32 = 1500;
+/// A part that nobody used for this long counts as gone.
+const LIFE: Millis = Millis(60_000);
+/// Parts remembered; the oldest half goes when there are more.
+const MAX_PARTS: usize = 8192;
+/// Part of an engine's memory that cached parts may fill before the oldest gives way: the rest
+/// holds requests that run, and what this box does not hear of.
+const USABLE: f64 = 0.6;
+
+/// One engine's copy of a part.
+#[derive(Clone, Copy, Debug)]
+struct Copy {
+    backend: Short,
+    /// When it was last used.
+    at: Time,
+    /// What the engine had read in all at that time, in tokens.
+    read: u64,
+}
+
+/// What this box knows of all engines' caches.
+#[derive(Clone, Debug, Default)]
+pub struct Cache {
+    parts: HashMap<u64, Vec<Copy>>,
+    read: HashMap<Short, u64>,
+}
+
+impl Cache {
+    /// Notes that `backend` reads `tokens` and then holds `part`.
+    pub fn note(&mut self, backend: Short, part: Option<Part>, tokens: u32, now: Time) {
+        let read = self.read.entry(backend).or_default();
+        *read += u64::from(tokens);
+        let copy = Copy {
+            backend,
+            at: now,
+            read: *read,
+        };
+        let Some(part) = part else {
+            return;
+        };
+        let copies = self.parts.entry(part.id).or_default();
+        copies.retain(|c| c.backend != backend);
+        copies.push(copy);
+        if self.parts.len() > MAX_PARTS {
+            self.shrink();
+        }
+    }
+
+    fn shrink(&mut self) {
+        let last = |copies: &Vec<Copy>| copies.iter().map(|c| c.at).max().unwrap_or_default();
+        let mut uses: Vec<Time> = self.parts.values().map(last).collect();
+        uses.sort_unstable();
+        let oldest = uses[uses.len() / 2];
+        self.parts.retain(|_, copies| last(copies) >= oldest);
+    }
+
+    /// Whether `backend`, with room for `memory` tokens, likely holds the part.
+    pub fn holds(&self, backend: Short, part: u64, memory: Option<u64>, now: Time) -> bool {
+        let copies = self.parts.get(&part).map_or(&[][..], Vec::as_slice);
+        let Some(copy) = copies.iter().find(|c| c.backend == backend) else {
+            return false;
+        };
+        let read = self.read.get(&backend).copied().unwrap_or_default();
+        let room = memory.map_or(u64::MAX, |tokens| (tokens as f64 * USABLE) as u64);
+        now.since(copy.at) < LIFE && read - copy.read < room
+    }
+
+    /// Tokens of `prompt` that `backend` has to read: a part counts as held only if every part
+    /// before it does. Short shared parts are not followed and count as held.
+    pub fn unread(&self, prompt: &Prompt, backend: Short, memory: Option<u64>, now: Time) -> u32 {
+        let shared = prompt.shared_parts().iter();
+        let held = |part: &&Part| part.tokens < LONG || self.holds(backend, part.id, memory, now);
+        let read: u32 = shared.take_while(held).map(|part| part.tokens).sum();
+        prompt.tokens.saturating_sub(read)
+    }
+
+    /// Forgets the engines that `known` does not name.
+    pub fn retain(&mut self, known: impl Fn(Short) -> bool) {
+        self.read.retain(|backend, _| known(*backend));
+        for copies in self.parts.values_mut() {
+            copies.retain(|c| known(c.backend));
+        }
+        self.parts.retain(|_, copies| !copies.is_empty());
+    }
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     config::Backend,
-    id::{self, Region, Service},
+    id::{self, Domain, Region, Service},
     unit::{Millis, Time},
+    wire::Short,
 };
 
 /// How long a registration that vanished around an outage of the store is still believed. Servers
@@ -24,8 +25,8 @@
     List {
         /// The backend servers.
         backends: Vec<Backend>,
-        /// Whether a missing one may be missing by the store's fault.
-        doubtful: bool,
+        /// How long a missing one may be missing by the store's fault; zero where it is not.
+        doubt: Millis,
     },
     /// One is new or changed.
     Put(Backend),
@@ -33,8 +34,8 @@
     Gone {
         /// Its name.
         name: id::Backend,
-        /// Whether that may be the store's fault.
-        doubtful: bool,
+        /// How long that may be the store's fault; zero where it is not.
+        doubt: Millis,
     },
 }
 
@@ -54,6 +55,7 @@
 pub struct Fleet {
     members: HashMap<id::Backend, Member>,
     names: Names,
+    shorts: HashMap<Short, id::Backend>,
 }
 
 impl Fleet {
@@ -69,14 +71,14 @@
     /// Takes in what became known at `now`.
     pub fn apply(&mut self, change: Change, now: Time) {
         match change {
-            Change::List { backends, doubtful } => self.list(backends, doubtful, now),
+            Change::List { backends, doubt } => self.list(backends, doubt, now),
             Change::Put(backend) => self.put(backend, true, now),
-            Change::Gone { name, doubtful } => self.miss(&name, doubtful, now),
+            Change::Gone { name, doubt } => self.miss(&name, doubt, now),
         }
         self.reindex();
     }
 
-    fn list(&mut self, backends: Vec<Backend>, doubtful: bool, now: Time) {
+    fn list(&mut self, backends: Vec<Backend>, doubt: Millis, now: Time) {
         let listed: HashSet<id::Backend> = backends.iter().map(|b| b.name.clone()).collect();
         let registered = self.members.iter().filter(|(_, m)| m.registered);
         let missing: Vec<id::Backend> = registered
@@ -84,7 +86,7 @@
             .filter(|name| !listed.contains(name))
             .collect();
         for name in missing {
-            self.miss(&name, doubtful, now);
+            self.miss(&name, doubt, now);
         }
         for backend in backends {
             self.put(backend, true, now);
@@ -93,7 +95,9 @@
 
     fn put(&mut self, backend: Backend, registered: bool, now: Time) {
         let known = self.members.get(&backend.name);
-        let cold_until = known.map_or(now + backend.cold, |m| m.cold_until);
+        // It may get cold again, and what it says of that only shrinks meanwhile.
+        let told = now + backend.cold;
+        let cold_until = known.map_or(told, |m| m.cold_until.max(told));
         let member = Member {
             registered,
             cold_until,
@@ -103,31 +107,36 @@
         self.members.insert(member.backend.name.clone(), member);
     }
 
-    fn miss(&mut self, name: &id::Backend, doubtful: bool, now: Time) {
-        if !doubtful {
+    fn miss(&mut self, name: &id::Backend, doubt: Millis, now: Time) {
+        if doubt == Millis(0) {
             self.members.remove(name);
             return;
         }
         if let Some(member) = self.members.get_mut(name) {
-            member.missing_until.get_or_insert(now + DOUBT);
+            member.missing_until.get_or_insert(now + doubt);
         }
     }
 
-    /// Takes out those that stayed missing.
-    pub fn sweep(&mut self, now: Time) {
+    /// Takes out those that stayed missing; true where there were any.
+    pub fn sweep(&mut self, now: Time) -> bool {
         let before = self.members.len();
         self.members
             .retain(|_, m| m.missing_until.is_none_or(|until| now < until));
-        if self.members.len() != before {
+        let some = self.members.len() != before;
+        if some {
             self.reindex();
         }
+        some
     }
 
     fn reindex(&mut self) {
         self.names.clear();
+        self.shorts.clear();
         let mut sorted: Vec<&Backend> = self.members.values().map(|m| &m.backend).collect();
         sorted.sort_by(|a, b| a.name.cmp(&b.name));
         for backend in sorted {
+            let short = Short::of(backend.name.as_str());
+            self.shorts.insert(short, backend.name.clone());
             for service in &backend.serves {
                 let regions = self.names.entry(service.clone()).or_default();
                 let names = regions.entry(backend.region.clone()).or_default();
@@ -141,6 +150,11 @@
         self.members.get(name).map(|m| &m.backend)
     }
 
+    /// The name that `short` stands for.
+    pub fn long(&self, short: Short) -> Option<&id::Backend> {
+        self.shorts.get(&short)
+    }
+
     /// Whether `name` is known.
     pub fn contains(&self, name: &id::Backend) -> bool {
         self.members.contains_key(name)
@@ -151,10 +165,14 @@
         self.members.get(name).is_some_and(|m| now < m.cold_until)
     }
 
-    /// Notes that `name` said it stays cold for `span`.
-    pub fn chill(&mut self, name: &id::Backend, span: Millis, now: Time) {
-        if let Some(member) = self.members.get_mut(name) {
-            member.cold_until = member.cold_until.max(now + span);
+    /// Notes that the backend servers of `domain` may just have become cold, for as long as `span`
+    /// says of their service.
+    pub fn chill(&mut self, domain: &Domain, span: impl Fn(&Service) -> Millis, now: Time) {
+        let there = |m: &&mut Member| m.backend.domain == *domain;
+        for member in self.members.values_mut().filter(there) {
+            let spans = member.backend.serves.iter().map(&span);
+            let longest = spans.max().unwrap_or_default();
+            member.cold_until = member.cold_until.max(now + longest);
         }
     }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -19,6 +19,7 @@
     },
     reducer::event::{Event, Source},
     settings::Settings,
+    unit::Millis,
 };
 
 /// The prefix of everything that is followed: the whole store, by one watch.
@@ -112,13 +113,13 @@
         }
         self.evacuated = evacuated;
         self.core.tell(Event::Evacuated(self.evacuated.clone()));
-        let doubtful = self.in_doubt();
+        let doubt = self.doubt();
         log::info!(
             "store: read everything: {} backend servers, {} evacuations.",
             backends.len(),
             self.evacuated.len()
         );
-        let list = FleetChange::List { backends, doubtful };
+        let list = FleetChange::List { backends, doubt };
         self.core.tell(Event::Fleet(list));
     }
 
@@ -141,9 +142,9 @@
             Change::Deleted(key) => match Name::parse(&key) {
                 Some(Name::Evacuation(domain)) => self.evacuate(domain, false),
                 Some(Name::Server(name)) => {
-                    let doubtful = self.in_doubt();
-                    log::info!("store: backend server {name} vanished, doubtful: {doubtful}.");
-                    let gone = FleetChange::Gone { name, doubtful };
+                    let doubt = self.doubt();
+                    log::info!("store: backend server {name} vanished, in doubt for {doubt}.");
+                    let gone = FleetChange::Gone { name, doubt };
                     self.core.tell(Event::Fleet(gone));
                 }
                 Some(Name::Config) => log::error!("store: the configuration was deleted."),
@@ -179,9 +180,11 @@
         self.core.tell(Event::Evacuated(self.evacuated.clone()));
     }
 
-    fn in_doubt(&self) -> bool {
-        let doubt = fleet::DOUBT.duration();
-        self.disturbed.is_some_and(|at| at.elapsed() < doubt)
+    /// How long what vanishes now may be back: until a while after the store came back.
+    fn doubt(&self) -> Millis {
+        let elapsed = self.disturbed.map(|at| at.elapsed());
+        let left = elapsed.map(|e| fleet::DOUBT.duration().saturating_sub(e));
+        Millis(left.unwrap_or_default().as_millis() as u64)
     }
 
     fn recovered(&mut self) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,13 +10,14 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`fleet`], [`server`], [`prompt`], [`queue`], [`limit`], [`retry`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`prompt`], [`cache`], [`queue`], [`limit`], [`retry`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
 //! | sockets, clocks and tasks around the reducer | [`gateway`] |
 //! | subcommands of the binary | [`cmd`] |
 
+pub mod cache;
 pub mod cmd;
 pub mod config;
 pub mod fleet;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -47,6 +47,8 @@
     pub price: f64,
     /// Whether the place likely holds the prompt's prefix.
     pub warm: bool,
+    /// What the request costs those that run there, as a delay of its own.
+    pub burden: Millis,
     /// Share of its answers that failed lately.
     pub failing: f64,
 }
--- a/src/prompt.rs
+++ b/src/prompt.rs
@@ -21,11 +21,14 @@
 }
 
 impl Prompt {
-    /// The part that most tells where the prompt is cached: the longest that others may share.
-    ///
-    /// The last part belongs to the request itself or its session.
-    pub fn shared(&self) -> Option<Part> {
-        let (_, shared) = self.parts.split_last()?;
-        shared.iter().copied().max_by_key(|part| part.tokens)
+    /// The parts that others may share; the last part belongs to the request or its session alone.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// The longest shared part: it tells where the prompt is best read.
+    pub fn longest(&self) -> Option<Part> {
+        let parts = self.shared_parts().iter().copied();
+        parts.max_by_key(|part| part.tokens)
     }
 }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -5,8 +5,9 @@
 use crate::{
     config::{Config, Version},
     fleet::Change,
-    id::{Backend, Region},
+    id::{Backend, Domain, Region, Service},
     policy::Policy,
+    prompt::Part,
     reducer::{
         FREEZE, JOIN_GRACE, State, WAKE_GRACE,
         effect::{Alarm, Effect},
@@ -14,7 +15,7 @@
     },
     settings::Seed,
     unit::{Millis, Time},
-    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short},
+    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Reading, Short},
 };
 
 /// Boxes of a region that watch the store.
@@ -79,12 +80,14 @@
 
     pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.expire(now, out);
+        if self.fleet.sweep(now) {
+            self.forget_servers();
+        }
         let forgotten = self.ledger.expire(now).into_iter().map(Effect::Forget);
         out.extend(forgotten);
         let period = self.table.heartbeat_period();
         if Control::due(&mut self.control.last_beat, period, now) {
             self.table.sweep(now);
-            self.fleet.sweep(now);
             self.budgets.share(self.table.boxes(now));
             self.limiter.sweep(now);
             self.elect(now, out);
@@ -255,7 +258,7 @@
                 let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
                 total.slots += server.slots(backend.slots, now);
                 total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()));
-                total.first.0 += server.first_token(0).0;
+                total.first.0 += server.first_token(0, now).0;
                 total.whole.0 += server.whole().0;
                 servers += 1;
             }
@@ -310,6 +313,7 @@
                 }
             }
             Body::Heartbeat(beat) => self.introduce(now, &beat.contact.clone(), out),
+            Body::Reading(reading) => self.hear_reading(now, &frame, *reading, out),
             Body::Members(contacts) => self.meet(now, contacts, out),
             Body::Digest(_) => {}
         }
@@ -421,6 +425,68 @@
     fn forget_servers(&mut self) {
         let known = |name: &Backend| self.fleet.contains(name);
         self.servers.retain(|name, s| known(name) || s.busy > 0);
+        self.cache.retain(|short| self.fleet.long(short).is_some());
+    }
+
+    /// Takes over which failure domains are evacuated; those that return may come back cold.
+    pub(super) fn evacuate(&mut self, now: Time, domains: BTreeSet<Domain>, out: &mut Vec<Effect>) {
+        let config = self.config.clone();
+        let profiles = config.as_ref().map(|c| &c.profiles);
+        let span = |service: &Service| {
+            let profile = profiles.and_then(|p| p.get(service));
+            profile.map_or(Millis(0), |p| p.cold_span)
+        };
+        for domain in self.evacuated.difference(&domains) {
+            self.fleet.chill(domain, span, now);
+        }
+        self.evacuated = domains;
+        self.drain_all(now, out);
+    }
+
+    /// Tells the boxes that a backend server here begins to read a long prompt.
+    pub(super) fn announce(&mut self, reading: Reading, out: &mut Vec<Effect>, now: Time) {
+        let near = self.table.live(now).map(|p| p.last.contact.gossip);
+        let far = self.table.reachable(now).filter_map(|(_, remote)| {
+            let doors = &remote.digest.doors;
+            let turn = (self.attempts as usize).checked_rem(doors.len())?;
+            Some(doors[turn].contact.gossip)
+        });
+        let targets: Vec<(SocketAddr, bool)> = near
+            .map(|to| (to, false))
+            .chain(far.map(|to| (to, true)))
+            .collect();
+        for (to, spread) in targets {
+            let frame = self.frame(Body::Reading(Reading { spread, ..reading }));
+            out.push(Effect::Gossip { to, frame });
+        }
+    }
+
+    /// Takes in that a backend server begins to read a long prompt, and passes it on where asked.
+    fn hear_reading(&mut self, now: Time, frame: &Frame, reading: Reading, out: &mut Vec<Effect>) {
+        let part = reading.part.map(|id| Part {
+            id,
+            tokens: reading.shared,
+        });
+        self.cache.note(reading.backend, part, reading.tokens, now);
+        if let Some(name) = self.fleet.long(reading.backend).cloned() {
+            self.servers
+                .entry(name)
+                .or_default()
+                .hear(reading.tokens, now);
+        }
+        if reading.spread {
+            let copy = Frame {
+                body: Body::Reading(Reading {
+                    spread: false,
+                    ..reading
+                }),
+                ..frame.clone()
+            };
+            out.extend(self.table.live(now).map(|peer| Effect::Gossip {
+                to: peer.last.contact.gossip,
+                frame: copy.clone(),
+            }));
+        }
     }
 
     pub(super) fn unreadable(&mut self, version: Version, out: &mut Vec<Effect>) {
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -1,17 +1,19 @@
 //! Finds a place for a request, sends it there, or lets it wait in line.
 
 use crate::{
+    cache,
     id::{self, Service},
     policy::{Choice, Place, Policy},
+    prompt::Part,
     reducer::{
         State,
         admit::refusal,
         effect::{Effect, Reply, Send, Target},
         job::{Job, SOON, Spot, Stage},
     },
-    unit::Time,
+    unit::{Millis, Time},
     verdict::Verdict,
-    wire::Phase,
+    wire::{Phase, Reading, Short},
 };
 
 /// Waiting requests without a place that are looked at in one go.
@@ -74,11 +76,15 @@
             return;
         };
         let service = job.service.clone();
-        let work = self.work(now, job, &place);
+        let reading = self.reading(now, job, &place);
+        let work = reading.map_or(0, |r| r.tokens);
+        let mut expected = Millis(0);
         match &place {
             Place::Backend(name) => {
                 self.charge_cold(now, &service, name);
-                self.servers.entry(name.clone()).or_default().start(work);
+                let server = self.servers.entry(name.clone()).or_default();
+                expected = server.first_token(work, now);
+                server.start(work, now);
             }
             Place::Region(region) => self.table.relayed(region),
         }
@@ -92,6 +98,7 @@
             spot: Spot::Chosen(place, door),
             at: now,
             work,
+            expected,
             begun: false,
         };
         out.push(Effect::Send(Send {
@@ -105,16 +112,37 @@
             record: job.owns_key,
             not_after: job.deadline,
         }));
+        if let Some(reading) = reading {
+            self.note_reading(now, reading, out);
+        }
     }
 
-    /// Prompt tokens that `place` has to read for `job`, as far as this box knows.
-    fn work(&self, now: Time, job: &Job, place: &Place) -> u32 {
+    /// What `place` has to read for `job`, as far as this box knows; none for another region.
+    fn reading(&self, now: Time, job: &Job, place: &Place) -> Option<Reading> {
         let (Some(prompt), Place::Backend(name)) = (&job.prompt, place) else {
-            return 0;
+            return None;
         };
-        match self.servers.get(name) {
-            Some(server) => server.unread(prompt, false, now),
-            None => prompt.tokens,
+        let backend = Short::of(name.as_str());
+        let memory = self.memory(&job.service);
+        let part = prompt.longest().filter(|part| part.tokens >= cache::LONG);
+        Some(Reading {
+            backend,
+            tokens: self.cache.unread(prompt, backend, memory, now),
+            part: part.map(|p| p.id),
+            shared: part.map_or(0, |p| p.tokens),
+            spread: false,
+        })
+    }
+
+    /// Remembers a reading, and tells the other boxes of a long one.
+    fn note_reading(&mut self, now: Time, reading: Reading, out: &mut Vec<Effect>) {
+        let part = reading.part.map(|id| Part {
+            id,
+            tokens: reading.shared,
+        });
+        self.cache.note(reading.backend, part, reading.tokens, now);
+        if part.is_some() || reading.tokens >= cache::LONG {
+            self.announce(reading, out, now);
         }
     }
 
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -34,6 +34,8 @@
         at: Time,
         /// Prompt tokens that the place was expected to read.
         work: u32,
+        /// When the answer was expected to begin, after the attempt went out.
+        expected: Millis,
         /// Whether its answer has begun.
         begun: bool,
     },
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -11,7 +11,7 @@
         event::{Credential, Hop, Key},
         job::{Job, SOON, Spot, Stage},
     },
-    unit::Time,
+    unit::{Millis, Time},
     verdict::Verdict,
 };
 
@@ -132,6 +132,7 @@
             spot: Spot::Pinned,
             at: now,
             work: 0,
+            expected: Millis(0),
             begun: false,
         };
         out.push(Effect::Send(Send {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -6,7 +6,7 @@
 //! | [`effect`] | what it wants done |
 //! | `job` | one request in hand |
 //! | `admit`, `key` | its arrival, and its idempotency key |
-//! | `place`, `dispatch` | the places that may run it now, and the way there or into the line |
+//! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
 //! | `control` | heartbeats, digests, configuration, freezes |
@@ -17,6 +17,7 @@
 mod control;
 mod dispatch;
 pub mod effect;
+mod estimate;
 pub mod event;
 mod job;
 mod key;
@@ -31,6 +32,7 @@
 };
 
 use crate::{
+    cache::Cache,
     config::{Config, Version},
     fleet::Fleet,
     id::{self, Domain, Incarnation},
@@ -88,6 +90,7 @@
     limiter: Limiter,
     queue: Queue,
     fleet: Fleet,
+    cache: Cache,
     budgets: Budgets,
     listed: BTreeSet<SocketAddr>,
     evacuated: BTreeSet<Domain>,
@@ -112,6 +115,7 @@
             limiter: Limiter::default(),
             queue: Queue::default(),
             fleet: Fleet::default(),
+            cache: Cache::default(),
             budgets: Budgets::new(identity.retry),
             listed: BTreeSet::new(),
             evacuated: BTreeSet::new(),
@@ -153,10 +157,7 @@
                 self.drain_all(now, &mut out);
             }
             Event::Fleet(change) => self.supplied(now, change, &mut out),
-            Event::Evacuated(domains) => {
-                self.evacuated = domains;
-                self.drain_all(now, &mut out);
-            }
+            Event::Evacuated(domains) => self.evacuate(now, domains, &mut out),
             Event::Resolve { request, region } => self.resolve(now, request, &region, &mut out),
             Event::Stop => self.stop(now, &mut out),
         }
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -21,6 +21,7 @@
     pub(super) spot: Spot,
     pub(super) at: Time,
     pub(super) work: u32,
+    pub(super) expected: Millis,
     pub(super) begun: bool,
 }
 
@@ -33,11 +34,13 @@
                 spot,
                 at,
                 work,
+                expected,
                 begun,
             } if *current == attempt => Some(Held {
                 spot: spot.clone(),
                 at: *at,
                 work: *work,
+                expected: *expected,
                 begun: *begun,
             }),
             _ => None,
@@ -54,10 +57,7 @@
         if let Spot::Chosen(Place::Backend(name), _) = &held.spot
             && let Some(server) = self.servers.get_mut(name)
         {
-            server.begin(now.since(held.at), held.work, now);
-            if let Some(prompt) = &job.prompt {
-                server.remember(prompt, now);
-            }
+            server.begin(now.since(held.at), held.expected, held.work, now);
         }
         if let Stage::Sent { begun, .. } = &mut job.stage {
             *begun = true;
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -7,8 +7,7 @@
     id::{self, Region, Service},
     member::{Peer, Remote},
     policy::{Candidate, Choice, Place, Policy, View},
-    prompt::Prompt,
-    reducer::{State, event::Hop, job::Job},
+    reducer::{State, estimate, event::Hop, job::Job},
     server::{Bar, Server},
     unit::{Millis, Rate, Time},
     wire::Short,
@@ -84,10 +83,8 @@
             .filter(|b| self.excluded(now, b).is_none() && self.admits(now, b, cold_rate))
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .collect();
-        let shared = job.prompt.as_ref().and_then(Prompt::shared);
-        let prefix = shared.map_or(job.prefix, |part| part.id);
         let affinity = |b: &&&Backend| {
-            xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), prefix)
+            xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), job.prefix)
         };
         let warm = usable.iter().max_by_key(affinity).map(|b| b.name.clone());
         // The other boxes of the region send to the same servers and have lines of their own.
@@ -98,6 +95,7 @@
         };
         let line = ahead * boxes / usable.len().max(1);
         let fresh = Server::default();
+        let memory = self.memory(&plan.service);
         for backend in &usable {
             let server = self.servers.get(&backend.name).unwrap_or(&fresh);
             let slots = server.slots(backend.slots, now);
@@ -114,9 +112,14 @@
                 Millis(server.whole().0 * ahead / u64::from(slots))
             };
             let owner = warm.as_ref() == Some(&backend.name);
-            let first = match &job.prompt {
-                Some(prompt) => server.first_token(server.unread(prompt, owner, now)),
-                None => server.first(),
+            let (first, burden) = match &job.prompt {
+                Some(prompt) => {
+                    let short = Short::of(backend.name.as_str());
+                    let unread = self.cache.unread(prompt, short, memory, now);
+                    let first = server.first_token(unread, now);
+                    (first, estimate::burden(prompt, unread, server, busy))
+                }
+                None => (server.first(), Millis(0)),
             };
             found.push(Candidate {
                 place: Place::Backend(backend.name.clone()),
@@ -129,6 +132,7 @@
                 price: backend.price,
                 warm: owner || job.prompt.is_some(),
                 failing: server.failing(),
+                burden,
             });
         }
     }
@@ -158,6 +162,7 @@
             .reduce(f64::min)?;
         let short = Short::of(plan.service.as_str());
         let capacity = remote.digest.services.iter().find(|c| c.service == short)?;
+        let (reading, burden) = self.remote_reading(now, plan, job, region, capacity);
         let hop = config.hop(&self.table.me.region, region);
         let free = remote.free(short, now);
         let (busy, slots) = (capacity.busy + remote.sent, capacity.slots.max(1));
@@ -172,7 +177,8 @@
             free,
             load: f64::from(busy) / f64::from(slots),
             wait,
-            first: capacity.first + self.reading(job),
+            first: capacity.first + reading,
+            burden,
             hop,
             price,
             warm: job.prompt.is_some(),
@@ -180,21 +186,12 @@
         })
     }
 
-    fn leaving(&self, now: Time, backend: &Backend) -> bool {
+    pub(super) fn leaving(&self, now: Time, backend: &Backend) -> bool {
         backend.leaving
             || self.evacuated.contains(&backend.domain)
             || self.is_listed(now, &backend.address)
     }
 
-    /// Expected time to read the whole prompt of `job`, where it has one, at an unknown engine.
-    fn reading(&self, job: &Job) -> Millis {
-        let read = |p: &Prompt| Server::default().first_token(p.tokens);
-        let empty = Server::default().first_token(0);
-        job.prompt
-            .as_ref()
-            .map_or(Millis(0), |p| Millis(read(p).0 - empty.0))
-    }
-
     /// What this box may send a second to one cold backend server of `service`.
     ///
     /// A few boxes of the region share the rate, so that the sum of what they may save up stays
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,11 +1,6 @@
 //! What this box knows of one backend server from its own traffic: work in hand, times, health.
 
-use std::collections::HashMap;
-
-use crate::{
-    prompt::Prompt,
-    unit::{Millis, Rate, Time},
-};
+use crate::unit::{Millis, Rate, Time};
 
 /// Failures in a row that open the breaker.
 const FAILURES: u32 = 3;
@@ -32,12 +27,10 @@
 const SPEED_BOUNDS: (f64, f64) = (3.0, 200.0);
 /// Shortest prompt whose reading time tells of an engine's speed, in tokens.
 const SPEED_SAMPLE: u32 = 3000;
-/// Time to the first token besides reading prompts: a step of the batch and the way there.
-const STEP: f64 = 40.0;
-/// Prompt parts remembered for one server.
-const MAX_PARTS: usize = 256;
-/// A part unused for this long is taken to have given way to others.
-const PART_LIFE: Millis = Millis(60_000);
+/// Assumed time to the first token besides reading, in ms: a step of the batch and the way there.
+const STEP_GUESS: f64 = 40.0;
+/// Longest such time that is learned from one answer, in ms: beyond it the server hung.
+const STEP_MOST: f64 = 2000.0;
 
 /// Why a backend server gets no work now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,14 +53,14 @@
     ramp_from: Option<Time>,
     first: f64,
     whole: f64,
-    /// Prompt tokens of this box's requests that wait there to be read.
-    backlog: u32,
+    /// Until when it reads the prompts that are known to have been sent there.
+    read_until: f64,
+    /// Time to the first token besides reading.
+    step: f64,
     /// Prompt tokens that it reads in a millisecond.
     speed: f64,
     /// Share of its answers that failed, lately.
     failing: f64,
-    /// Parts of prompts that it has read, and when they were last used.
-    parts: HashMap<u64, Time>,
     /// Requests that it may get while it is cold, and since when they are counted.
     cold_tokens: Option<(f64, Time)>,
 }
@@ -83,10 +76,10 @@
             ramp_from: None,
             first: FIRST_GUESS,
             whole: WHOLE_GUESS,
-            backlog: 0,
+            read_until: 0.0,
+            step: STEP_GUESS,
             speed: SPEED_GUESS,
             failing: 0.0,
-            parts: HashMap::new(),
             cold_tokens: None,
         }
     }
@@ -118,9 +111,25 @@
     }
 
     /// Expected time to the first token of a prompt of which `unread` tokens are not cached there.
-    pub fn first_token(&self, unread: u32) -> Millis {
-        let reading = f64::from(self.backlog + unread) / self.speed;
-        Millis((STEP + reading) as u64)
+    pub fn first_token(&self, unread: u32, now: Time) -> Millis {
+        let reading = self.pending(now) + f64::from(unread) / self.speed;
+        Millis((self.step + reading) as u64)
+    }
+
+    /// Time until it has read the prompts that are known to have been sent there.
+    fn pending(&self, now: Time) -> f64 {
+        (self.read_until - now.0 as f64).max(0.0)
+    }
+
+    /// Time that it takes to read `tokens`.
+    pub fn reading(&self, tokens: u32) -> f64 {
+        f64::from(tokens) / self.speed
+    }
+
+    /// Notes that `tokens` are sent there to be read.
+    pub fn hear(&mut self, tokens: u32, now: Time) {
+        let from = self.read_until.max(now.0 as f64);
+        self.read_until = from + self.reading(tokens);
     }
 
     /// Share of its answers that failed, lately.
@@ -128,38 +137,6 @@
         self.failing
     }
 
-    /// Tokens of `prompt` that it has to read, as far as this box knows.
-    ///
-    /// A part counts as cached only if every part before it does. `owner` says that all boxes send
-    /// the prompt's shared parts here first.
-    pub fn unread(&self, prompt: &Prompt, owner: bool, now: Time) -> u32 {
-        let shared = prompt.parts.len().saturating_sub(1);
-        let cached = |(index, id): (usize, u64)| {
-            let own = self.parts.get(&id);
-            let fresh = own.is_some_and(|at| now.since(*at) < PART_LIFE);
-            fresh || (owner && index < shared)
-        };
-        let parts = prompt.parts.iter().enumerate();
-        let read: u32 = parts
-            .take_while(|(index, part)| cached((*index, part.id)))
-            .map(|(_, part)| part.tokens)
-            .sum();
-        prompt.tokens.saturating_sub(read)
-    }
-
-    /// Notes that it has read `prompt`.
-    pub fn remember(&mut self, prompt: &Prompt, now: Time) {
-        for part in &prompt.parts {
-            self.parts.insert(part.id, now);
-        }
-        if self.parts.len() > MAX_PARTS {
-            let mut uses: Vec<Time> = self.parts.values().copied().collect();
-            uses.sort_unstable();
-            let oldest = uses[uses.len() - MAX_PARTS / 2];
-            self.parts.retain(|_, at| *at >= oldest);
-        }
-    }
-
     /// Whether it may get a request while it is cold, at `rate` for this box.
     pub fn admits_cold(&self, rate: Rate, now: Time) -> bool {
         self.cold_saved(rate, now) >= 1.0
@@ -185,22 +162,17 @@
     }
 
     /// Notes an attempt that goes there with `work` prompt tokens to read.
-    pub fn start(&mut self, work: u32) {
+    pub fn start(&mut self, work: u32, now: Time) {
         self.busy += 1;
-        self.backlog += work;
+        self.hear(work, now);
         self.probing = self.open_until.is_some();
     }
 
-    /// Notes the first byte of an answer after `took`; `work` prompt tokens were read for it.
-    pub fn begin(&mut self, took: Millis, work: u32, now: Time) {
-        self.backlog = self.backlog.saturating_sub(work);
+    /// Notes the first byte of an answer after `took`, where `expected` was expected and `work`
+    /// prompt tokens were to be read.
+    pub fn begin(&mut self, took: Millis, expected: Millis, work: u32, now: Time) {
         self.failing -= ALPHA * self.failing;
-        if work >= SPEED_SAMPLE {
-            let reading = (took.0 as f64 - STEP).max(1.0);
-            let seen = f64::from(work) / reading;
-            let seen = seen.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
-            self.speed += ALPHA * (seen - self.speed);
-        }
+        self.learn(took, expected, work);
         self.first += ALPHA * (took.0 as f64 - self.first);
         self.failures = 0;
         self.probing = false;
@@ -218,9 +190,24 @@
         }
     }
 
+    /// Corrects what is expected of the engine by what a request took.
+    fn learn(&mut self, took: Millis, expected: Millis, work: u32) {
+        let (took, expected) = (took.0 as f64, expected.0 as f64);
+        if work < SPEED_SAMPLE {
+            let step = (took - (expected - self.step)).max(0.0);
+            self.step += ALPHA * (step.min(STEP_MOST) - self.step);
+            return;
+        }
+        let reading = (took - self.step).max(1.0);
+        let ratio = (expected - self.step).max(1.0) / reading;
+        let speed = self.speed * ratio.clamp(0.25, 4.0);
+        let speed = speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+        self.speed += ALPHA * (speed - self.speed);
+    }
+
     /// Notes that an attempt ends before its answer began: its `work` is not read any more.
     pub fn withdraw(&mut self, work: u32) {
-        self.backlog = self.backlog.saturating_sub(work);
+        self.read_until -= self.reading(work);
     }
 
     /// Notes that it ran a request and answered with an error.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -126,6 +126,21 @@
     pub spread: bool,
 }
 
+/// A backend server begins to read a long prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reading {
+    /// The backend server.
+    pub backend: Short,
+    /// Tokens that it has to read.
+    pub tokens: u32,
+    /// The longest part that the prompt shares with others.
+    pub part: Option<u64>,
+    /// That part's length in tokens.
+    pub shared: u32,
+    /// Whether the receiver passes it on inside its region.
+    pub spread: bool,
+}
+
 /// A message's content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -135,6 +150,8 @@
     Digest(Digest),
     /// To a box that just appeared: the others of its region.
     Members(Vec<Contact>),
+    /// Within a region, and once to each other one: a long prompt begins to be read.
+    Reading(Reading),
 }
 
 /// One message.
--- /dev/null
+++ b/tests/platform_records.rs
@@ -0,0 +1,123 @@
+//! What stands in the platform's store becomes the product's own types, whole or not at all.
+
+use petreldrum::{
+    config::Config,
+    platform::{
+        Places,
+        record::{self, Name},
+    },
+    unit::Millis,
+};
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+ {"name":"r-1","host":"a.example","pathPrefix":"/crew/","kind":"streaming","timeoutMs":5000,
+  "targetLatencyMs":800,"priority":0,"service":"model","maxAttempts":2,"sticky":true,
+  "resumable":true,"gapAimMs":600,"homeRegions":["atl","mcn"]},
+ {"name":"r-2","host":"a.example","pathPrefix":"/crew/long/","kind":"streaming","timeoutMs":9000,
+  "targetLatencyMs":1200,"priority":1,"maxAttempts":1,"resumable":false,
+  "trafficSplit":[{"service":"model","weight":90},{"service":"app","weight":10}]},
+ {"name":"r-3","host":"a.example","pathPrefix":"/ack/","kind":"idempotent","timeoutMs":3000.0,
+  "service":"app","maxAttempts":2},
+ {"name":"r-4","host":"b.example","pathPrefix":"/ack/","kind":"non_idempotent","timeoutMs":3000,
+  "service":"app","maxAttempts":1}],
+ "services":[{"name":"model","coldStartS":3.0,"coldPerS":8.0,"engine":{"kvTokens":345351}},
+  {"name":"app","coldStartS":0.0,"coldPerS":0.0}],"limits":{}}"#;
+
+fn places() -> Places {
+    let domain = |d: &str, r: &str| (d.parse().expect("a name"), r.parse().expect("a name"));
+    Places {
+        domains: [domain("atl-a", "atl"), domain("mcn-a", "mcn")].into(),
+        hop: Millis(110),
+    }
+}
+
+fn config() -> Config {
+    let envelope = record::envelope(CONFIG.into()).expect("it reads");
+    record::config(&envelope, &places()).expect("it reads")
+}
+
+fn route(config: &Config, host: &str, path: &str) -> Option<String> {
+    let route = config.route(Some(host), path)?;
+    Some(route.name.to_string())
+}
+
+#[test]
+fn keys_are_told_apart() {
+    assert_eq!(Name::parse("op/config"), Some(Name::Config));
+    let domain = "atl-a".parse().expect("a name");
+    let evacuation = Some(Name::Evacuation(domain));
+    assert_eq!(Name::parse("op/evacuate/atl-a"), evacuation);
+    let server = "i-1".parse().expect("a name");
+    assert_eq!(Name::parse("servers/i-1"), Some(Name::Server(server)));
+    assert_eq!(Name::parse("op/other"), None);
+    assert_eq!(Name::parse("servers/"), None);
+}
+
+#[test]
+fn longest_prefix_of_the_host() {
+    let config = config();
+    let found = |host, path| route(&config, host, path);
+    assert_eq!(found("a.example", "/crew/x").as_deref(), Some("r-1"));
+    assert_eq!(found("a.example", "/crew/long/x").as_deref(), Some("r-2"));
+    assert_eq!(found("a.example", "/crew/longer").as_deref(), Some("r-1"));
+    assert_eq!(found("a.example", "/crew"), None);
+    assert_eq!(found("b.example", "/ack/1").as_deref(), Some("r-4"));
+    assert_eq!(found("c.example", "/ack/1"), None);
+}
+
+#[test]
+fn kinds_say_what_may_repeat() {
+    let config = config();
+    let repeatable = |name: &str| {
+        let route = config.routes.iter().find(|r| r.name.as_str() == name);
+        route.expect("it is there").repeatable
+    };
+    assert!(repeatable("r-1"), "a stream that may be resumed");
+    assert!(!repeatable("r-2"), "a stream that may not");
+    assert!(repeatable("r-3"));
+    assert!(!repeatable("r-4"));
+}
+
+#[test]
+fn shares_follow_the_draw() {
+    let config = config();
+    let caller = config.anonymous.clone().expect("there is one");
+    let service = |draw| {
+        let ask = petreldrum::config::Ask {
+            caller: caller.clone(),
+            path: "/crew/long/x".to_owned(),
+            model: None,
+            host: Some("a.example".to_owned()),
+            draw,
+        };
+        config.plan(&ask).expect("a place").service.to_string()
+    };
+    let draws = (0..100).map(service);
+    assert_eq!(draws.filter(|s| s == "model").count(), 90);
+}
+
+#[test]
+fn entries_of_servers() {
+    let entry = br#"{"service":"model","address":"10.128.0.9:8080","zone":"atl-a","version":"v1",
+        "slots":64,"state":"draining","coldRemainingMs":2500,"sequence":4,"timeLeftMs":2000}"#;
+    let name = "i-1".parse().expect("a name");
+    let server = record::server(&name, entry, &places()).expect("it reads");
+    assert!(server.leaving);
+    assert_eq!(server.region.as_str(), "atl");
+    assert_eq!(server.cold, Millis(2500));
+    let odd = br#"{"service":"model","address":"10.128.0.9:8080","zone":"x","slots":1,
+        "state":"ready"}"#;
+    assert!(record::server(&name, odd, &places()).is_err(), "nowhere");
+    assert!(record::server(&name, b"{", &places()).is_err());
+}
+
+#[test]
+fn any_bytes_are_refused_whole() {
+    bolero::check!().with_type::<Vec<u8>>().for_each(|bytes| {
+        let name = "i-1".parse().expect("a name");
+        let _ = record::server(&name, bytes, &places());
+        if let Ok(envelope) = record::envelope(bytes.clone()) {
+            let _ = record::config(&envelope, &places());
+        }
+    });
+}
--- /dev/null
+++ b/tests/prompt_cache.rs
@@ -0,0 +1,66 @@
+//! What a box believes of the parts of prompts that engines hold.
+
+use petreldrum::{
+    cache::{Cache, LONG},
+    prompt::{Part, Prompt},
+    unit::Time,
+    wire::Short,
+};
+
+const SHARED: Part = Part {
+    id: 7,
+    tokens: 13_000,
+};
+const MEMORY: u64 = 300_000;
+
+fn prompt() -> Prompt {
+    let own = Part { id: 8, tokens: 700 };
+    let short = Part { id: 9, tokens: 50 };
+    Prompt {
+        tokens: 13_750,
+        output: 100,
+        parts: vec![short, SHARED, own],
+    }
+}
+
+#[test]
+fn held_parts_are_not_read() {
+    let (here, there) = (Short(1), Short(2));
+    let mut cache = Cache::default();
+    let unread = |cache: &Cache, at| cache.unread(&prompt(), at, Some(MEMORY), Time(0));
+    assert_eq!(unread(&cache, here), 13_700, "a short part is not followed");
+    cache.note(here, Some(SHARED), 13_750, Time(0));
+    assert_eq!(unread(&cache, here), 700);
+    assert_eq!(unread(&cache, there), 13_700);
+}
+
+#[test]
+fn unused_parts_give_way() {
+    let here = Short(1);
+    let mut cache = Cache::default();
+    cache.note(here, Some(SHARED), 13_750, Time(0));
+    cache.note(here, None, 200_000, Time(10));
+    assert!(!cache.holds(here, SHARED.id, Some(MEMORY), Time(20)));
+    assert!(cache.holds(here, SHARED.id, None, Time(20)));
+    assert!(!cache.holds(here, SHARED.id, None, Time(60_000)), "too old");
+}
+
+#[test]
+fn engines_that_left_are_forgotten() {
+    let here = Short(1);
+    let mut cache = Cache::default();
+    cache.note(here, Some(SHARED), LONG, Time(0));
+    cache.retain(|short| short != here);
+    assert!(!cache.holds(here, SHARED.id, None, Time(1)));
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut cache = Cache::default();
+    for id in 0..20_000 {
+        let part = Part { id, tokens: LONG };
+        cache.note(Short(1), Some(part), 1, Time(id));
+    }
+    let held = (0..20_000).filter(|id| cache.holds(Short(1), *id, None, Time(20_000)));
+    assert!(held.count() <= 8192);
+}
