Let stopping boxes take no relays, and keep look-ups in homes

A stopping box told its last digest before it counted as leaving. 2. After a loss of power at all boxes, each waited up to 2 s for word of its peers before it took work, and read prompts again that engines held.

Change: a box that stops leaves the digests at once and refuses relays as not run, and the other region tries its next door. Look-ups prefer regions that all routes of the host permit. With a registry a box takes work as soon as it has read the store, by one reading. A new box is told what the engines hold, and all prefer the same engine for a part that nobody knows. A request that may be repeated leaves a place that stays silent.

--- a/src/cache.rs
+++ b/src/cache.rs
@@ -9,7 +9,7 @@
 use crate::{
     prompt::{Part, Prompt},
     unit::{Millis, Time},
-    wire::Short,
+    wire::{Holding, Short},
 };
 
 /// Shortest part worth knowing about, in tokens; a shorter one is read in a few steps of a batch.
@@ -88,6 +88,41 @@
         prompt.tokens.saturating_sub(read)
     }
 
+    /// The copies of parts that were used last, for a box that knows nothing yet.
+    pub fn holdings(&self, most: usize) -> Vec<Holding> {
+        let copies = self.parts.iter().flat_map(|(part, copies)| {
+            let holding = move |copy: &Copy| {
+                let backend = copy.backend;
+                (
+                    copy.at,
+                    Holding {
+                        backend,
+                        part: *part,
+                    },
+                )
+            };
+            copies.iter().map(holding)
+        });
+        let mut copies: Vec<(Time, Holding)> = copies.collect();
+        copies.sort_unstable_by_key(|(at, _)| std::cmp::Reverse(*at));
+        copies.truncate(most);
+        copies.into_iter().map(|(_, holding)| holding).collect()
+    }
+
+    /// Takes over what another box knows, where this one knows nothing.
+    pub fn learn(&mut self, holding: Holding, now: Time) {
+        let read = self.read.get(&holding.backend).copied().unwrap_or_default();
+        let copies = self.parts.entry(holding.part).or_default();
+        if copies.iter().any(|c| c.backend == holding.backend) {
+            return;
+        }
+        copies.push(Copy {
+            backend: holding.backend,
+            at: now,
+            read,
+        });
+    }
+
     /// Forgets the engines that `known` does not name.
     pub fn retain(&mut self, known: impl Fn(Short) -> bool) {
         self.read.retain(|backend, _| known(*backend));
--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -163,6 +163,14 @@
         Ok(plan)
     }
 
+    /// Whether every route of `host` permits `region`.
+    pub fn permits_host(&self, host: Option<&str>, region: &Region) -> bool {
+        let routes = self.routes.iter().filter(|r| r.host.as_deref() == host);
+        routes
+            .into_iter()
+            .all(|r| r.regions.is_empty() || r.regions.contains(region))
+    }
+
     /// The route of `host` with the longest prefix of `path`, at a segment's border.
     pub fn route(&self, host: Option<&str>, path: &str) -> Option<&Route> {
         let found = self.index.find(host, path);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -164,6 +164,9 @@
         }
         Target::Relay { .. } => match head::verdict(headers) {
             Some(Verdict::Ran) => None,
+            Some(Verdict::NotRun) if headers.contains_key(head::LEAVING) => {
+                Some((Verdict::NotRun, Cause::Leaving))
+            }
             Some(Verdict::NotRun) => Some((Verdict::NotRun, Cause::Refused)),
             Some(Verdict::MayHaveRun) | None => Some((Verdict::MayHaveRun, Cause::Broken)),
         },
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -68,10 +68,16 @@
 }
 
 async fn resolve(shell: &Arc<Shell>, request: &Request<Incoming>) -> Response<Body> {
-    let region = door::region(request.uri().query());
+    let query = request.uri().query();
+    let host = door::host(query);
+    let region = door::region(query);
     let region = region.unwrap_or_else(|| shell.settings.region.clone());
     let request = shell.next_request();
-    let mut orders = shell.core.open(Event::Resolve { request, region });
+    let mut orders = shell.core.open(Event::Resolve {
+        request,
+        region,
+        host,
+    });
     let Some(Order::Boxes(boxes)) = orders.recv().await else {
         return head::whole(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
     };
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -125,6 +125,9 @@
     }
     if shell.is_stopping() {
         platform::head::close(headers);
+        if door == Door::Peer {
+            headers.insert(head::LEAVING, head::value(true));
+        }
     }
     response
 }
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -35,6 +35,8 @@
 pub const FROM: &str = "petreldrum-from";
 /// Between boxes: the caller whose key was checked.
 pub const CALLER: &str = "petreldrum-caller";
+/// Between boxes: the answering box is stopping, and another one of its region may do better.
+pub const LEAVING: &str = "petreldrum-leaving";
 /// A request sent by the region that its caller reached.
 pub const HOP_RELAY: &str = "relay";
 /// A request sent to the box that its key names.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -22,7 +22,7 @@
     unit::Millis,
 };
 
-/// The prefix of everything that is followed: the whole store, by one watch.
+/// The prefix of everything that is followed: the whole store, by one reading and one watch.
 const ALL: &str = "";
 /// Wait after the first failure in a row, and the longest; each is spread by half.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1000));
@@ -72,15 +72,9 @@
 
 impl Follower {
     async fn read(&mut self, freshness: Freshness) -> Result<(), Error> {
-        let mut items = Vec::new();
-        let mut revision = None;
-        for prefix in record::PREFIXES {
-            let (found, as_of) = self.client.range(prefix, freshness).await?;
-            items.extend(found);
-            revision = Some(revision.map_or(as_of, |r: Revision| r.min(as_of)));
-        }
+        let (items, revision) = self.client.range(ALL, freshness).await?;
         self.take_all(items);
-        self.revision = revision;
+        self.revision = Some(revision);
         Ok(())
     }
 
--- a/src/member.rs
+++ b/src/member.rs
@@ -309,6 +309,14 @@
         self.live(now).filter(above).count()
     }
 
+    /// Whether this box ranks first for a duty among the live of its region, `other` left aside.
+    pub fn is_first(&self, duty: &str, other: &BoxName, now: Time) -> bool {
+        let mine = weight(&self.me.name, duty);
+        let above = |p: &Peer| weight(&p.last.contact.name, duty) > mine;
+        let others = self.live(now).filter(|p| p.last.contact.name != *other);
+        !others.into_iter().any(above)
+    }
+
     /// Forgets those unheard for long.
     pub fn sweep(&mut self, now: Time) {
         let dead = |heard: Time| now.since(heard) > FORGET;
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -60,6 +60,11 @@
         if self.phase(now) == Phase::Unready {
             return Err(unready());
         }
+        if self.phase(now) == Phase::Leaving && matches!(arrival.hop, Hop::Relay(_)) {
+            // It may outlast this box, and the other region can still send it elsewhere.
+            let reason = "this box is stopping";
+            return Err(Reply::new(503, Verdict::NotRun, reason).after(SOON));
+        }
         let caller = self
             .caller(&arrival.credential)
             .ok_or_else(|| refusal(Refusal::UnknownCaller))?;
@@ -94,6 +99,7 @@
             repeatable: plan.route.repeatable,
             runs,
             priority: plan.route.priority,
+            target: plan.route.target,
             bounded: plan.route.hold.is_some(),
             owns_key: false,
             deadline: now + left,
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -43,17 +43,25 @@
         out.push(Effect::Boxes { request, boxes });
     }
 
-    /// Names the ready boxes of `region`, or of all regions where it has none.
+    /// Names the ready boxes of the caller's region. Where it has none, those of regions that every
+    /// route of the host permits go first: a body must not go to a region where it may not run.
     pub(super) fn resolve(
         &mut self,
         now: Time,
         request: id::Request,
         region: &id::Region,
+        host: Option<&str>,
         out: &mut Vec<Effect>,
     ) {
         let mut boxes = self.entries(now, Some(region));
-        if boxes.iter().any(|entry| entry.contact.region == *region) {
-            boxes.retain(|entry| entry.contact.region == *region);
+        let config = self.config.as_deref();
+        let permitted = |r: &id::Region| config.is_none_or(|c| c.permits_host(host, r));
+        let near = |e: &Entry| e.contact.region == *region;
+        let proper = |e: &Entry| permitted(&e.contact.region);
+        if boxes.iter().any(near) {
+            boxes.retain(near);
+        } else if boxes.iter().any(proper) {
+            boxes.retain(proper);
         }
         out.push(Effect::Boxes { request, boxes });
     }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -5,7 +5,7 @@
 use crate::{
     config::{Config, Version},
     fleet::Change,
-    id::{Backend, Domain, Region, Service},
+    id::{Backend, BoxName, Domain, Region, Service},
     policy::Policy,
     prompt::Part,
     reducer::{
@@ -22,6 +22,8 @@
 const WATCHERS: usize = 2;
 /// Boxes that a digest names.
 const DOORS: usize = 3;
+/// Held parts that a new box is told of: about 8 KB.
+const MAX_HOLDINGS: usize = 512;
 /// How long a fetch may take before another is tried.
 const FETCH_PATIENCE: Millis = Millis(1000);
 
@@ -43,12 +45,13 @@
 }
 
 impl Control {
-    pub(super) fn phase(&self, configured: bool, now: Time) -> Phase {
+    /// Whether the box takes work; `alone` says that it need not wait for word from its peers.
+    pub(super) fn phase(&self, configured: bool, alone: bool, now: Time) -> Phase {
         if self.leaving {
             return Phase::Leaving;
         }
         let awake = self.woke.is_none_or(|woke| now.since(woke) >= WAKE_GRACE);
-        let joined = self.heard || now.0 >= JOIN_GRACE.0;
+        let joined = alone || self.heard || now.0 >= JOIN_GRACE.0;
         if configured && awake && joined {
             Phase::Ready
         } else {
@@ -98,6 +101,7 @@
         if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
         }
+        self.move_stalled(now, out);
         self.drain_all(now, out);
     }
 
@@ -176,6 +180,17 @@
         }
     }
 
+    /// Tells every other region that this box takes no relays any more; a box there passes it on.
+    fn bid_farewell(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let digest = self.summary(now);
+        for region in self.other_regions() {
+            if let Some(to) = self.digest_target(now, &region) {
+                let frame = self.frame(Body::Digest(digest.clone()));
+                out.push(Effect::Gossip { to, frame });
+            }
+        }
+    }
+
     fn other_regions(&self) -> Vec<Region> {
         let seeded = self.seeds.iter().filter_map(|s| s.region.clone());
         let configured = self.config.iter().flat_map(|c| c.regions.keys().cloned());
@@ -302,7 +317,7 @@
                 let to = beat.contact.gossip;
                 let fresh = self.table.heartbeat(frame.incarnation, beat.clone(), now);
                 if fresh {
-                    self.greet(now, to, out);
+                    self.greet(now, to, &frame.from, out);
                 }
             }
             Body::Digest(digest) if digest.region != self.table.me.region => {
@@ -314,6 +329,11 @@
             }
             Body::Heartbeat(beat) => self.introduce(now, &beat.contact.clone(), out),
             Body::Reading(reading) => self.hear_reading(now, &frame, *reading, out),
+            Body::Holdings(holdings) => {
+                for holding in holdings {
+                    self.cache.learn(*holding, now);
+                }
+            }
             Body::Members(contacts) => self.meet(now, contacts, out),
             Body::Digest(_) => {}
         }
@@ -321,7 +341,12 @@
     }
 
     /// Answers a box that just appeared: who is here, and a heartbeat at once.
-    fn greet(&mut self, now: Time, to: SocketAddr, out: &mut Vec<Effect>) {
+    fn greet(&mut self, now: Time, to: SocketAddr, name: &BoxName, out: &mut Vec<Effect>) {
+        if self.table.is_first("holdings", name, now) {
+            let holdings = self.cache.holdings(MAX_HOLDINGS);
+            let frame = self.frame(Body::Holdings(holdings));
+            out.push(Effect::Gossip { to, frame });
+        }
         let contacts = self.table.live(now).map(|p| p.last.contact.clone());
         let body = Body::Members(contacts.collect());
         let frame = self.frame(body);
@@ -507,8 +532,8 @@
     }
 
     pub(super) fn stop(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.report(now, out);
         self.control.leaving = true;
         self.beat(now, out);
+        self.bid_farewell(now, out);
     }
 }
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -78,16 +78,8 @@
         let service = job.service.clone();
         let reading = self.reading(now, job, &place);
         let work = reading.map_or(0, |r| r.tokens);
-        let mut expected = Millis(0);
-        match &place {
-            Place::Backend(name) => {
-                self.charge_cold(now, &service, name);
-                let server = self.servers.entry(name.clone()).or_default();
-                expected = server.first_token(work, now);
-                server.start(work, now);
-            }
-            Place::Region(region) => self.table.relayed(region),
-        }
+        let expected = self.count_send(now, &service, &place, work);
+        let relayed = matches!(place, Place::Region(_));
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
@@ -108,15 +100,36 @@
             caller: job.ask.caller.clone(),
             repeatable: job.repeatable,
             priority: job.priority,
-            runs: job.runs,
+            runs: match relayed {
+                true => job.lent(),
+                false => job.runs,
+            },
             record: job.owns_key,
             not_after: job.deadline,
         }));
+        self.watch_stall(now, request, attempt);
         if let Some(reading) = reading {
             self.note_reading(now, reading, out);
         }
     }
 
+    /// Counts an attempt at `place`; returns when its answer is expected to begin.
+    fn count_send(&mut self, now: Time, service: &Service, place: &Place, work: u32) -> Millis {
+        match place {
+            Place::Backend(name) => {
+                self.charge_cold(now, service, name);
+                let server = self.servers.entry(name.clone()).or_default();
+                let expected = server.first_token(work, now);
+                server.start(work, now);
+                expected
+            }
+            Place::Region(region) => {
+                self.table.relayed(region);
+                self.remote_first(now, service, region)
+            }
+        }
+    }
+
     /// What `place` has to read for `job`, as far as this box knows; none for another region.
     fn reading(&self, now: Time, job: &Job, place: &Place) -> Option<Reading> {
         let (Some(prompt), Place::Backend(name)) = (&job.prompt, place) else {
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -1,6 +1,7 @@
 //! What reading a prompt takes at a place, and what it costs those that run there.
 
 use crate::{
+    cache,
     config::{Backend, Plan},
     id::{Region, Service},
     policy::Policy,
@@ -16,6 +17,9 @@
 const HELD_UP: f64 = 0.1;
 /// Weight of the time to read shared parts once more, besides the wait for it.
 const READ_AGAIN: f64 = 2.0;
+/// What it counts to read a part elsewhere than at its preferred engine: about the wait for one
+/// other long prompt.
+const MISPLACED: Millis = Millis(100);
 
 /// What reading `unread` tokens of `prompt` costs others: the `busy` requests that run there get
 /// their tokens later, and a shared part that is read once more is time the engine lost.
@@ -26,6 +30,16 @@
     Millis((again * READ_AGAIN + held_up) as u64)
 }
 
+/// A small preference for the place that all boxes choose for a shared part without asking each
+/// other: after a restart of all of them the part is still held there.
+pub(super) fn misplaced(prompt: &Prompt, unread: u32, owner: bool) -> Millis {
+    let longest = prompt.longest().map_or(0, |part| part.tokens);
+    if owner || longest < cache::LONG || unread < longest {
+        return Millis(0);
+    }
+    MISPLACED
+}
+
 impl<P: Policy> State<P> {
     /// Tokens that fit into the memory of one engine of `service`.
     pub(super) fn memory(&self, service: &Service) -> Option<u64> {
@@ -33,6 +47,19 @@
         profile.memory_tokens
     }
 
+    /// Expected time to the first token of a short prompt in `region`, the way there included.
+    pub(super) fn remote_first(&self, now: Time, service: &Service, region: &Region) -> Millis {
+        let short = Short::of(service.as_str());
+        let hop = self
+            .config
+            .as_ref()
+            .map(|c| c.hop(&self.table.me.region, region));
+        let remote = self.table.reachable(now).find(|(name, _)| *name == region);
+        let services = remote.map_or(&[][..], |(_, r)| &r.digest.services);
+        let capacity = services.iter().find(|c| c.service == short);
+        hop.unwrap_or_default() + capacity.map_or(Millis(0), |c| c.first)
+    }
+
     /// Expected time to read the prompt of `job` at the best engine of `region`, and the burden on
     /// what runs there.
     pub(super) fn remote_reading(
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -86,6 +86,10 @@
     Broken,
     /// The effect was carried out too late.
     Late,
+    /// The box that was to take it for its region is stopping.
+    Leaving,
+    /// The place stayed silent for too long.
+    Silent,
     /// The place has no slot for it.
     Full,
     /// The place ran it and answered with an error of its own.
@@ -167,8 +171,10 @@
     Resolve {
         /// The question.
         request: id::Request,
-        /// The region.
+        /// The region that it calls from.
         region: Region,
+        /// The host that it wants to send requests to, where it says so.
+        host: Option<String>,
     },
     /// A planned stop begins.
     Stop,
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -59,6 +59,8 @@
     /// Backend servers that may still run it.
     pub(super) runs: u32,
     pub(super) priority: u8,
+    /// Time within which the answer should begin.
+    pub(super) target: Option<Millis>,
     /// Whether the deadline is that of the whole answer, and not of its beginning alone.
     pub(super) bounded: bool,
     pub(super) tried: Vec<Place>,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 //! | `job` | one request in hand |
 //! | `admit`, `key` | its arrival, and its idempotency key |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
+//! | `stall` | attempts that stay silent for too long |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
 //! | `control` | heartbeats, digests, configuration, freezes |
@@ -23,6 +24,7 @@
 mod key;
 mod outcome;
 mod place;
+mod stall;
 pub mod status;
 
 use std::{
@@ -85,6 +87,7 @@
     config: Option<Arc<Config>>,
     jobs: HashMap<id::Request, Job>,
     deadlines: BTreeSet<(Time, id::Request)>,
+    stalls: BTreeSet<(Time, id::Request, id::Attempt)>,
     servers: HashMap<id::Backend, Server>,
     ledger: Ledger,
     limiter: Limiter,
@@ -96,6 +99,8 @@
     evacuated: BTreeSet<Domain>,
     /// Whether the backend servers are known.
     supplied: bool,
+    /// Whether backend servers register with the platform.
+    registry: bool,
     attempts: u64,
     control: control::Control,
 }
@@ -110,6 +115,7 @@
             config: None,
             jobs: HashMap::new(),
             deadlines: BTreeSet::new(),
+            stalls: BTreeSet::new(),
             servers: HashMap::new(),
             ledger: Ledger::default(),
             limiter: Limiter::default(),
@@ -120,6 +126,7 @@
             listed: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             supplied: !identity.registry,
+            registry: identity.registry,
             attempts: 0,
             control: control::Control::default(),
         }
@@ -158,7 +165,11 @@
             }
             Event::Fleet(change) => self.supplied(now, change, &mut out),
             Event::Evacuated(domains) => self.evacuate(now, domains, &mut out),
-            Event::Resolve { request, region } => self.resolve(now, request, &region, &mut out),
+            Event::Resolve {
+                request,
+                region,
+                host,
+            } => self.resolve(now, request, &region, host.as_deref(), &mut out),
             Event::Stop => self.stop(now, &mut out),
         }
         out
@@ -176,8 +187,9 @@
 
     /// Whether the box takes work at `now`.
     pub fn phase(&self, now: Time) -> Phase {
-        self.control
-            .phase(self.config.is_some() && self.supplied, now)
+        // With a registry the store alone tells all that a box must know.
+        let configured = self.config.is_some() && self.supplied;
+        self.control.phase(configured, self.registry, now)
     }
 
     /// Time between two heartbeats, and between two digests to one region.
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -136,17 +136,10 @@
             return;
         };
         if !verdict.is_not_run() {
-            job.may_have_run = true;
-            // How many backend servers ran it behind another box is not known.
-            let relayed = matches!(spot, Spot::Chosen(Place::Region(_), _));
-            job.runs = if relayed {
-                0
-            } else {
-                job.runs.saturating_sub(1)
-            };
+            job.ran_at(&spot);
         }
-        if cause == Cause::Errored {
-            // It may well do better there next time, and there may be no other place.
+        if matches!(cause, Cause::Errored | Cause::Leaving) {
+            // It may well do better there next time, or by another door of the region.
             job.tried.pop();
         }
         job.stage = Stage::Waiting;
@@ -190,13 +183,16 @@
             (Spot::Chosen(Place::Backend(name), _), Cause::Full) => {
                 self.servers.entry(name.clone()).or_default().fill(now);
             }
-            (Spot::Chosen(Place::Backend(name), _), Cause::Errored) => {
+            (Spot::Chosen(Place::Backend(name), _), Cause::Errored | Cause::Silent) => {
                 self.servers.entry(name.clone()).or_default().err();
             }
             (Spot::Chosen(Place::Backend(name), _), _) => {
                 self.servers.entry(name.clone()).or_default().fail(now);
             }
-            (Spot::Chosen(Place::Region(region), Some(door)), Cause::Unreachable) => {
+            (
+                Spot::Chosen(Place::Region(region), Some(door)),
+                Cause::Unreachable | Cause::Leaving,
+            ) => {
                 self.table.lose_door(region, door);
             }
             (Spot::Chosen(Place::Region(region), _), Cause::Refused) => {
@@ -310,6 +306,8 @@
         Cause::Unreachable => "the place could not be reached",
         Cause::Refused => "the place refused it",
         Cause::Full => "the place is full",
+        Cause::Leaving => "the box there is stopping",
+        Cause::Silent => "the place stayed silent",
         Cause::Broken => "the connection broke before the answer began",
         Cause::Late => "the box was too late to send it",
         Cause::Errored => "the place answered with an error",
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -7,6 +7,7 @@
     id::{self, Region, Service},
     member::{Peer, Remote},
     policy::{Candidate, Choice, Place, Policy, View},
+    prompt::Prompt,
     reducer::{State, estimate, event::Hop, job::Job},
     server::{Bar, Server},
     unit::{Millis, Rate, Time},
@@ -83,8 +84,10 @@
             .filter(|b| self.excluded(now, b).is_none() && self.admits(now, b, cold_rate))
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .collect();
+        let shared = job.prompt.as_ref().and_then(Prompt::longest);
+        let prefix = shared.map_or(job.prefix, |part| part.id);
         let affinity = |b: &&&Backend| {
-            xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), job.prefix)
+            xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), prefix)
         };
         let warm = usable.iter().max_by_key(affinity).map(|b| b.name.clone());
         // The other boxes of the region send to the same servers and have lines of their own.
@@ -117,7 +120,8 @@
                     let short = Short::of(backend.name.as_str());
                     let unread = self.cache.unread(prompt, short, memory, now);
                     let first = server.first_token(unread, now);
-                    (first, estimate::burden(prompt, unread, server, busy))
+                    let burden = estimate::burden(prompt, unread, server, busy);
+                    (first, burden + estimate::misplaced(prompt, unread, owner))
                 }
                 None => (server.first(), Millis(0)),
             };
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -204,6 +204,7 @@
             attempts: 0,
             runs: plan.route.attempts,
             priority: plan.route.priority,
+            target: plan.route.target,
             bounded: plan.route.hold.is_some(),
             tried: vec![],
             may_have_run: false,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -141,6 +141,15 @@
     pub spread: bool,
 }
 
+/// An engine holds a long part of prompts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The engine.
+    pub backend: Short,
+    /// The part's identity.
+    pub part: u64,
+}
+
 /// A message's content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -152,6 +161,8 @@
     Members(Vec<Contact>),
     /// Within a region, and once to each other one: a long prompt begins to be read.
     Reading(Reading),
+    /// To a box that just appeared: which engines hold which parts.
+    Holdings(Vec<Holding>),
 }
 
 /// One message.
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -106,9 +106,18 @@
 
     /// A digest of Bunbury with `slots` for the route, `busy` of them in use.
     pub fn digest(&mut self, slots: u32, busy: u32) {
+        self.digest_by(slots, busy, &["far"]);
+    }
+
+    /// A digest of Bunbury with free `slots` for the route, which these boxes take relays for.
+    pub fn doors(&mut self, slots: u32, names: &[&str]) {
+        self.digest_by(slots, 0, names);
+    }
+
+    fn digest_by(&mut self, slots: u32, busy: u32, names: &[&str]) {
         self.seq += 1;
-        let door = Door {
-            contact: contact("far", "bunbury", 20),
+        let door = |(index, name): (usize, &&str)| Door {
+            contact: contact(name, "bunbury", 20 + 10 * index as u16),
             incarnation: Incarnation(1),
             uptime: Time(0),
         };
@@ -123,7 +132,7 @@
             boxes: 1,
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
-            doors: vec![door],
+            doors: names.iter().enumerate().map(door).collect(),
             services: vec![capacity],
             spread: false,
         });
--- /dev/null
+++ b/tests/stopping_box.rs
@@ -0,0 +1,111 @@
+//! A box that stops takes no relays, and says so; look-ups name boxes that may take the request.
+
+mod harness;
+
+use harness::solo::{BASE, Solo, caller, contact, replies, sends, server};
+use petreldrum::{
+    id,
+    reducer::{
+        effect::{Effect, Target},
+        event::{Arrival, Cause, Credential, Event, Hop, Key},
+    },
+    unit::Millis,
+    verdict::Verdict,
+    wire::Body,
+};
+
+fn relayed(request: u64) -> Event {
+    Event::Arrived(Arrival {
+        request: id::Request(request),
+        credential: Credential::Vouched("a".parse().expect("a name")),
+        host: None,
+        path: "/read/x".to_owned(),
+        model: None,
+        prefix: 0,
+        prompt: None,
+        draw: 0,
+        runs: None,
+        key: Key::Absent,
+        left: Some(Millis(1000)),
+        hop: Hop::Relay("bunbury".parse().expect("a name")),
+    })
+}
+
+fn text(more: &str) -> String {
+    let parts = [
+        caller("a", ""),
+        server("near", "perth", 4),
+        server("far", "bunbury", 4),
+    ];
+    BASE.to_owned() + &parts.concat() + "[selector all]\n" + more
+}
+
+#[test]
+fn refuses_relays() {
+    let mut solo = Solo::new(&text(""));
+    assert_eq!(sends(&solo.step(relayed(900))).len(), 1);
+    solo.step(Event::Stop);
+    let effects = solo.step(relayed(901));
+    assert!(sends(&effects).is_empty());
+    assert_eq!(replies(&effects)[0].verdict, Verdict::NotRun);
+    assert_eq!(
+        sends(&solo.arrive("a", None)).len(),
+        1,
+        "callers are served"
+    );
+}
+
+#[test]
+fn tells_other_regions() {
+    let mut solo = Solo::new(&text(""));
+    solo.digest(4, 0);
+    let effects = solo.step(Event::Stop);
+    let doors = effects.iter().find_map(|e| match e {
+        Effect::Gossip { frame, .. } => match &frame.body {
+            Body::Digest(digest) => Some(digest.doors.len()),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(doors, Some(0), "it names itself no more");
+}
+
+#[test]
+fn another_door_after_a_stop() {
+    let only_far = text("").replace("[backend near]", "[backend near]\nleaving=true");
+    let mut solo = Solo::new(&only_far);
+    solo.doors(4, &["far", "further"]);
+    let first = sends(&solo.arrive("a", None)).remove(0);
+    let again = solo.failed(&first, Verdict::NotRun, Cause::Leaving);
+    let second = sends(&again).remove(0);
+    assert_ne!(first.target, second.target);
+    assert!(matches!(second.target, Target::Relay { .. }));
+}
+
+fn resolved(solo: &mut Solo, region: &str, host: &str) -> Vec<String> {
+    let effects = solo.step(Event::Resolve {
+        request: id::Request(950),
+        region: region.parse().expect("a name"),
+        host: Some(host.to_owned()),
+    });
+    let boxes = effects.into_iter().find_map(|e| match e {
+        Effect::Boxes { boxes, .. } => Some(boxes),
+        _ => None,
+    });
+    let boxes = boxes.expect("an answer");
+    boxes.iter().map(|b| b.contact.name.to_string()).collect()
+}
+
+#[test]
+fn look_ups_stay_where_bodies_may_go() {
+    let route = "[region geraldton]\n[route home]\nprefix=/home\nkind=application\n\
+                 repeatable=true\nhost=h\nregions=bunbury\n";
+    let mut solo = Solo::new(&text(route));
+    solo.digest(4, 0);
+    assert_eq!(resolved(&mut solo, "perth", "h"), ["box"], "its own region");
+    assert_eq!(resolved(&mut solo, "bunbury", "h"), ["far"]);
+    assert_eq!(resolved(&mut solo, "geraldton", "h"), ["far"], "a home");
+    assert_eq!(resolved(&mut solo, "geraldton", "other").len(), 2);
+    // The harness's contacts are what the answers are made of.
+    assert_eq!(contact("far", "bunbury", 20).name.as_str(), "far");
+}
