Serve those in time first, and forget what made a server look bad

Change: what was learned fades with a half-life of 1.5 s, errors of the application weigh less, the ramp takes 3 s from half the slots. A line a route, the most urgent first; those that can begin in time go before those that cannot, and a request that would begin too late is refused at once, with a spread time to come back. A returned domain counts as cold only until the entries must have told. One line in the log for each decision on a request, with what it rested on, through a writer that never blocks.

Test changed: placing::callers_take_turns looks for exactly one waiting note instead of no effect at all; waiting is now told for the log.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -3,10 +3,13 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use eyre::WrapErr;
-use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use simplelog::{ConfigBuilder, WriteLogger};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::{gateway::Gateway, settings::Settings};
+use crate::{
+    gateway::{Gateway, lines::Lines},
+    settings::Settings,
+};
 
 /// Run a box until SIGTERM or SIGINT; both begin a planned stop that cuts nothing off.
 #[derive(Debug, clap::Args)]
@@ -20,7 +23,8 @@
 }
 
 /// Starts logging to standard output.
-fn start_log(level: log::LevelFilter) {
+fn start_log(level: log::LevelFilter) -> eyre::Result<Lines> {
+    let lines = Lines::start(std::io::stdout()).wrap_err("cannot start the log")?;
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_target_level(log::LevelFilter::Off)
@@ -28,7 +32,8 @@
         .add_filter_allow_str("petreldrum")
         .build();
     // A second logger in one process is not an error.
-    let _ = TermLogger::init(level, config, TerminalMode::Stdout, ColorChoice::Never);
+    let _ = WriteLogger::init(level, config, lines.clone());
+    Ok(lines)
 }
 
 pub(super) fn run(args: Args) -> eyre::Result<ExitCode> {
@@ -37,13 +42,15 @@
         println!("{}: good", args.settings.display());
         return Ok(ExitCode::SUCCESS);
     }
-    start_log(settings.log);
+    let lines = start_log(settings.log)?;
     // Boxes are small: one thread spares the hand-over between threads.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .wrap_err("cannot start the runtime")?;
-    runtime.block_on(serve(settings))?;
+    let served = runtime.block_on(serve(settings));
+    lines.flush_all();
+    served?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -228,8 +228,8 @@
 pub struct Profile {
     /// Requests a second that a backend server bears while it is cold; none where that is unbounded.
     pub cold_rate: Option<Rate>,
-    /// How long a backend server is cold after it started or was idle.
-    pub cold_span: Millis,
+    /// How long a backend server may be cold before its entry says so.
+    pub cold_lag: Millis,
     /// Tokens that fit into the memory of a model engine; none for an application.
     pub memory_tokens: Option<u64>,
 }
--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -97,6 +97,8 @@
     pub selector: &'a id::Selector,
     /// What must serve it.
     pub service: Service,
+    /// The line that such requests wait in: they may go to the same places.
+    pub line: Service,
     backends: &'a Matcher,
     limits: Vec<&'a [Region]>,
     home: Option<&'a Region>,
@@ -148,7 +150,9 @@
         }
         let mut limits = vec![&caller.regions[..], &route.regions, &selector.regions];
         limits.extend(model.map(|m| &m.regions[..]));
+        let line = model.map_or_else(|| route.name.clone(), |m| m.name.clone());
         let plan = Plan {
+            line,
             caller,
             route,
             selector: &selector.name,
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -13,11 +13,14 @@
 
 use crate::{
     config::{Ask, Config, Envelope, Version},
-    gateway::{clock::Clock, dial::Pool, follow, gossip::Links, metrics::Metrics, replay::Replay},
+    gateway::{
+        clock::Clock, dial::Pool, follow, gossip::Links, lines::Quota, metrics::Metrics,
+        replay::Replay,
+    },
     id, policy,
     reducer::{
         Identity, State,
-        effect::{Effect, Entry, Reply, Send as SendOrder},
+        effect::{Effect, Entry, Reply, Send as SendOrder, Target},
         event::{Event, Source},
         status::{Explanation, Status},
     },
@@ -70,11 +73,19 @@
 pub(crate) struct Core {
     state: State<policy::Named>,
     parts: Parts,
-    orders: HashMap<id::Request, mpsc::UnboundedSender<Order>>,
+    orders: HashMap<id::Request, Open>,
+    quota: Quota,
     offered: Option<Current>,
     handle: Option<Handle>,
 }
 
+/// A request in hand, as its task and the log know it.
+struct Open {
+    orders: mpsc::UnboundedSender<Order>,
+    /// The caller's own name for it.
+    tag: Option<String>,
+}
+
 /// An event, with the way back for a request that it opens.
 struct Input {
     event: Event,
@@ -117,6 +128,7 @@
             state: State::new(parts.identity.clone(), parts.policy),
             parts,
             orders: HashMap::new(),
+            quota: Quota::default(),
             offered: None,
             handle: None,
         };
@@ -205,7 +217,11 @@
             _ => None,
         };
         if let Some((request, orders)) = opened.zip(input.orders) {
-            self.orders.insert(request, orders);
+            let tag = match &input.event {
+                Event::Arrived(arrival) => arrival.tag.clone(),
+                _ => None,
+            };
+            self.orders.insert(request, Open { orders, tag });
         }
         let closed = match &input.event {
             Event::Gone(request) | Event::Ended { request, .. } => Some(*request),
@@ -257,8 +273,42 @@
     }
 }
 
+/// Where an attempt goes and what decided it, as the log tells it.
+struct SendLine<'a>(&'a SendOrder);
+
+impl std::fmt::Display for SendLine<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let SendOrder {
+            attempt,
+            target,
+            basis,
+            ..
+        } = self.0;
+        write!(f, "sent attempt={} number={} to=", attempt.0, basis.number)?;
+        match target {
+            Target::Backend { name, address, .. } => write!(f, "{name}@{address}")?,
+            Target::Relay { region, peer } => write!(f, "{region}@{peer}")?,
+            Target::Pass { peer } => write!(f, "key@{peer}")?,
+        }
+        write!(
+            f,
+            " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={}",
+            basis.version,
+            basis.places,
+            basis.wait,
+            basis.first,
+            basis.hop,
+            basis.burden,
+            basis.free,
+            basis.age,
+            basis.waited
+        )
+    }
+}
+
 impl Core {
     fn step(&mut self, event: Event) {
+        self.log_event(&event);
         let ticked = matches!(event, Event::Tick);
         let effects = self.state.step(self.parts.clock.now(), event);
         for effect in effects {
@@ -279,13 +329,81 @@
         metrics.version.set(self.state.version().0 as i64);
     }
 
+    /// Writes one line of a request, within the quota.
+    fn log_request(&mut self, request: id::Request, line: impl std::fmt::Display) {
+        let now = self.parts.clock.now();
+        if !log::log_enabled!(log::Level::Info) || !self.quota.take(now) {
+            return;
+        }
+        let open = self.orders.get(&request);
+        let tag = open.and_then(|o| o.tag.as_deref()).unwrap_or("-");
+        log::info!("request: id={tag} box_id={request} {line}");
+    }
+
+    fn log_event(&mut self, event: &Event) {
+        match event {
+            Event::Failed {
+                request,
+                attempt,
+                verdict,
+                cause,
+            } => {
+                let line = format!(
+                    "failed attempt={} cause={cause:?} verdict={verdict}",
+                    attempt.0
+                );
+                self.log_request(*request, line);
+            }
+            Event::Ended {
+                request,
+                attempt,
+                whole,
+            } => {
+                let line = format!("ended attempt={} whole={whole}", attempt.0);
+                self.log_request(*request, line);
+            }
+            Event::Gone(request) if self.state.holds(*request) => {
+                self.log_request(*request, "abandoned by=caller");
+            }
+            _ => {}
+        }
+    }
+
+    fn log_effect(&mut self, effect: &Effect) {
+        match effect {
+            Effect::Send(send) => {
+                let line = SendLine(send).to_string();
+                self.log_request(send.request, line);
+            }
+            Effect::Queued { request, waiting } => {
+                self.log_request(*request, format!("queued waiting={waiting}"));
+            }
+            Effect::Abort { request, attempt } => {
+                self.log_request(*request, format!("aborted attempt={}", attempt.0));
+            }
+            Effect::Reply { request, reply } => {
+                let Reply {
+                    status,
+                    verdict,
+                    reason,
+                    ..
+                } = reply;
+                let line = format!("answered status={status} verdict={verdict} reason={reason:?}");
+                self.log_request(*request, line);
+            }
+            _ => {}
+        }
+    }
+
     fn carry_out(&mut self, effect: Effect) {
+        self.log_effect(&effect);
         match effect {
             Effect::Send(send) => self.order(send.request, Order::Send(send)),
             Effect::Abort { request, .. } => self.order(request, Order::Abort),
             Effect::Reply { request, reply } => self.last_order(request, Order::Reply(reply)),
             Effect::Replay { request, answer } => self.last_order(request, Order::Replay(answer)),
             Effect::Boxes { request, boxes } => self.last_order(request, Order::Boxes(boxes)),
+            Effect::Queued { .. } => {}
             Effect::Forget(answer) => self.parts.replay.forget(answer),
             Effect::Gossip { to, frame } => self.parts.links.send(to, &frame),
             Effect::Fetch { peer, version } => self.fetch(peer, version),
@@ -309,9 +427,9 @@
     }
 
     fn order(&mut self, request: id::Request, order: Order) {
-        if let Some(orders) = self.orders.get(&request) {
+        if let Some(open) = self.orders.get(&request) {
             // A closed channel means that the request's task ended; its drop tells the reducer.
-            let _ = orders.send(order);
+            let _ = open.orders.send(order);
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -277,6 +277,7 @@
     span.note("request", id);
     let arrival = Arrival {
         request: id,
+        tag: head::tag(headers),
         credential,
         host: head::host(headers),
         path,
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -125,6 +125,12 @@
     headers.get(LEFT)?.to_str().ok()?.parse().ok().map(Millis)
 }
 
+/// The caller's own name for a request.
+pub(crate) fn tag(headers: &HeaderMap) -> Option<String> {
+    let tag = headers.get(platform::head::REQUEST_ID)?;
+    tag.to_str().ok().map(str::to_owned)
+}
+
 /// The host that `headers` name.
 pub(crate) fn host(headers: &HeaderMap) -> Option<String> {
     headers.get(HOST)?.to_str().ok().map(str::to_owned)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! | `store`, `follow`, `list` | the platform, by our own interface |
 //! | `sync`, `directory` | the users' platform |
 //! | [`admin`] | the operators' interface |
+//! | [`lines`] | the log's way out |
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
 
 pub mod admin;
@@ -23,6 +24,7 @@
 mod framing;
 mod gossip;
 mod head;
+pub mod lines;
 mod list;
 mod metrics;
 pub mod pack;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -25,7 +25,7 @@
 /// The prefix of everything that is followed: the whole store, by one reading and one watch.
 const ALL: &str = "";
 /// Wait after the first failure in a row, and the longest; each is spread by half.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(1000));
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(400));
 
 /// The follower's own state.
 struct Follower {
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,4 +1,4 @@
-//! Requests that wait for a slot, in fair turns between callers.
+//! Requests that wait for a slot: a line a route, and in each line fair turns between callers.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -7,14 +7,38 @@
 /// Most requests that wait at one box.
 pub const MAX_WAITING: usize = 1024;
 
-/// One service's line: a queue a caller, and whose turn is next.
-#[derive(Debug, Default)]
+/// Where a request stands: its line, and its caller's place in it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spot {
+    /// The line's name: requests that may go to the same places.
+    pub line: Service,
+    /// What they wait for.
+    pub service: Service,
+    /// The line's rank among those of its service; 0 goes first.
+    pub priority: u8,
+    /// The caller.
+    pub caller: Caller,
+}
+
+/// One line: a queue a caller, and whose turn is next.
+#[derive(Debug)]
 struct Line {
+    service: Service,
+    priority: u8,
     turns: VecDeque<Caller>,
     waiting: HashMap<Caller, VecDeque<Request>>,
 }
 
 impl Line {
+    fn new(spot: &Spot) -> Self {
+        Self {
+            service: spot.service.clone(),
+            priority: spot.priority,
+            turns: VecDeque::new(),
+            waiting: HashMap::new(),
+        }
+    }
+
     fn len(&self) -> usize {
         self.waiting.values().map(VecDeque::len).sum()
     }
@@ -28,15 +52,20 @@
 }
 
 impl Queue {
+    fn line(&mut self, spot: &Spot) -> &mut Line {
+        let name = spot.line.clone();
+        self.lines.entry(name).or_insert_with(|| Line::new(spot))
+    }
+
     /// Adds a request at the end of its caller's queue; false where the box holds too many.
-    pub fn push(&mut self, service: &Service, caller: &Caller, request: Request) -> bool {
+    pub fn push(&mut self, spot: &Spot, request: Request) -> bool {
         if self.count >= MAX_WAITING {
             return false;
         }
-        let line = self.lines.entry(service.clone()).or_default();
-        let queue = line.waiting.entry(caller.clone()).or_default();
+        let line = self.line(spot);
+        let queue = line.waiting.entry(spot.caller.clone()).or_default();
         if queue.is_empty() {
-            line.turns.push_back(caller.clone());
+            line.turns.push_back(spot.caller.clone());
         }
         queue.push_back(request);
         self.count += 1;
@@ -44,18 +73,19 @@
     }
 
     /// Puts a request back that was popped and still has no place; its caller keeps the turn.
-    pub fn put_back(&mut self, service: &Service, caller: &Caller, request: Request) {
-        let line = self.lines.entry(service.clone()).or_default();
-        line.turns.retain(|c| c != caller);
-        line.turns.push_front(caller.clone());
-        let queue = line.waiting.entry(caller.clone()).or_default();
+    pub fn put_back(&mut self, spot: &Spot, request: Request) {
+        let line = self.line(spot);
+        line.turns.retain(|c| *c != spot.caller);
+        line.turns.push_front(spot.caller.clone());
+        let queue = line.waiting.entry(spot.caller.clone()).or_default();
         queue.push_front(request);
         self.count += 1;
     }
 
-    /// Takes the next request of `service`; its caller goes to the end of the turns.
-    pub fn pop(&mut self, service: &Service) -> Option<Request> {
-        let line = self.lines.get_mut(service)?;
+    /// Takes the next request of a line; its caller goes to the end of the turns.
+    pub fn pop(&mut self, line: &Service) -> Option<Request> {
+        let name = line;
+        let line = self.lines.get_mut(name)?;
         let caller = line.turns.pop_front()?;
         let queue = line.waiting.get_mut(&caller)?;
         let request = queue.pop_front();
@@ -65,40 +95,43 @@
             line.turns.push_back(caller);
         }
         if line.turns.is_empty() {
-            self.lines.remove(service);
+            self.lines.remove(name);
         }
         self.count -= usize::from(request.is_some());
         request
     }
 
     /// Takes a request out, wherever it stands.
-    pub fn remove(&mut self, service: &Service, caller: &Caller, request: Request) {
-        let Some(line) = self.lines.get_mut(service) else {
+    pub fn remove(&mut self, spot: &Spot, request: Request) {
+        let Some(line) = self.lines.get_mut(&spot.line) else {
             return;
         };
-        let Some(queue) = line.waiting.get_mut(caller) else {
+        let Some(queue) = line.waiting.get_mut(&spot.caller) else {
             return;
         };
         let before = queue.len();
         queue.retain(|r| *r != request);
         self.count -= before - queue.len();
         if queue.is_empty() {
-            line.waiting.remove(caller);
-            line.turns.retain(|c| c != caller);
+            line.waiting.remove(&spot.caller);
+            line.turns.retain(|c| *c != spot.caller);
         }
         if line.turns.is_empty() {
-            self.lines.remove(service);
+            self.lines.remove(&spot.line);
         }
     }
 
-    /// The requests that go before a new one of `caller`, by fair turns: of another caller's line,
-    /// however long, only as many as `caller` will have itself.
-    pub fn ahead(&self, service: &Service, caller: &Caller) -> usize {
-        let Some(line) = self.lines.get(service) else {
+    /// The requests that go before a new one of `spot`, by fair turns: of another caller's queue,
+    /// however long, only as many as its own caller will have itself.
+    pub fn ahead(&self, spot: &Spot) -> usize {
+        let Some(line) = self.lines.get(&spot.line) else {
             return 0;
         };
-        let own = line.waiting.get(caller).map_or(0, VecDeque::len);
-        let others = line.waiting.iter().filter(|(name, _)| *name != caller);
+        let own = line.waiting.get(&spot.caller).map_or(0, VecDeque::len);
+        let others = line
+            .waiting
+            .iter()
+            .filter(|(name, _)| **name != spot.caller);
         own + others
             .map(|(_, queue)| queue.len().min(own + 1))
             .sum::<usize>()
@@ -106,12 +139,24 @@
 
     /// The requests that wait for `service`.
     pub fn waiting(&self, service: &Service) -> usize {
-        self.lines.get(service).map_or(0, Line::len)
+        let lines = self.lines.values().filter(|l| l.service == *service);
+        lines.map(Line::len).sum()
+    }
+
+    /// The lines for `service`, the most urgent first.
+    pub fn lines(&self, service: &Service) -> Vec<Service> {
+        let lines = self.lines.iter().filter(|(_, l)| l.service == *service);
+        let mut ranked: Vec<(u8, &Service)> = lines.map(|(n, l)| (l.priority, n)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, name)| name.clone()).collect()
     }
 
     /// The services that somebody waits for.
     pub fn services(&self) -> Vec<Service> {
-        self.lines.keys().cloned().collect()
+        let mut services: Vec<Service> = self.lines.values().map(|l| l.service.clone()).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
     }
 
     /// All requests that wait.
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -94,14 +94,16 @@
         let runs = plan.route.attempts.min(arrival.runs.unwrap_or(u32::MAX));
         let job = Job {
             service: plan.service.clone(),
+            line: plan.line.clone(),
             prefix: arrival.prefix,
             prompt: arrival.prompt,
             repeatable: plan.route.repeatable,
             runs,
             priority: plan.route.priority,
-            target: plan.route.target,
+            target: plan.route.target.map(|t| self.remaining(&arrival.hop, t)),
             bounded: plan.route.hold.is_some(),
             owns_key: false,
+            came: now,
             deadline: now + left,
             attempts: 0,
             tried: vec![],
@@ -120,6 +122,15 @@
         Ok(())
     }
 
+    /// What of a target is left for a request that came by `hop`.
+    fn remaining(&self, hop: &Hop, target: Millis) -> Millis {
+        let way = match (hop, &self.config) {
+            (Hop::Relay(from), Some(config)) => config.hop(from, &self.table.me.region),
+            _ => Millis(0),
+        };
+        Millis(target.0.saturating_sub(way.0))
+    }
+
     /// Takes a fresh request off its caller's share.
     pub(super) fn charge(
         &mut self,
@@ -158,7 +169,7 @@
         self.hold(request, job);
         // Those who already wait go first.
         let service = self.jobs[&request].service.clone();
-        if self.queue.waiting(&service) > 0 {
+        if self.waiting_for(&service) > 0 {
             self.drain(now, &service, out);
         }
         if self.place(now, request, out) {
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -279,7 +279,7 @@
             }
             total.first.0 = total.first.0.checked_div(servers)?;
             total.whole.0 = total.whole.0.checked_div(servers)?;
-            total.busy += self.queue.waiting(service) as u32;
+            total.busy += self.waiting_for(service) as u32;
             Some(total)
         };
         services.into_iter().filter_map(capacity).collect()
@@ -459,7 +459,7 @@
         let profiles = config.as_ref().map(|c| &c.profiles);
         let span = |service: &Service| {
             let profile = profiles.and_then(|p| p.get(service));
-            profile.map_or(Millis(0), |p| p.cold_span)
+            profile.map_or(Millis(0), |p| p.cold_lag)
         };
         for domain in self.evacuated.difference(&domains) {
             self.fleet.chill(domain, span, now);
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -8,7 +8,7 @@
     reducer::{
         State,
         admit::refusal,
-        effect::{Effect, Reply, Send, Target},
+        effect::{Basis, Effect, Reply, Send, Target},
         job::{Job, SOON, Spot, Stage},
     },
     unit::{Millis, Time},
@@ -16,9 +16,6 @@
     wire::{Phase, Reading, Short},
 };
 
-/// Waiting requests without a place that are looked at in one go.
-const SCAN: usize = 8;
-
 impl<P: Policy> State<P> {
     /// Finds a place for a request; false where it has to wait.
     pub(super) fn place(&mut self, now: Time, request: id::Request, out: &mut Vec<Effect>) -> bool {
@@ -42,14 +39,20 @@
         };
         match decision.choice {
             Choice::Wait => return false,
-            Choice::Send(place) => self.send(now, request, place, out),
+            Choice::Send(place) => {
+                let basis = self.basis(now, job, &place, &decision.candidates);
+                self.send(now, request, place, basis, out);
+            }
+            Choice::Refuse(_) if decision.candidates.is_empty() && job.may_linger(now) => {
+                return false;
+            }
             Choice::Refuse(wait) => {
                 let reason = if decision.candidates.is_empty() {
                     "no allowed place can take it now"
                 } else {
                     "no allowed place can begin the answer in time"
                 };
-                let reply = Reply::new(503, verdict, reason).after(wait.max(SOON));
+                let reply = Reply::new(503, verdict, reason).after(job.come_back(wait));
                 self.finish(request, reply, out);
             }
         }
@@ -61,6 +64,7 @@
         now: Time,
         request: id::Request,
         place: Place,
+        basis: Basis,
         out: &mut Vec<Effect>,
     ) {
         let attempt = self.next_attempt();
@@ -106,6 +110,7 @@
             },
             record: job.owns_key,
             not_after: job.deadline,
+            basis,
         }));
         self.watch_stall(now, request, attempt);
         if let Some(reading) = reading {
@@ -185,45 +190,4 @@
         self.attempts += 1;
         id::Attempt(self.attempts)
     }
-
-    /// Lets a request wait, at the end of its caller's line.
-    pub(super) fn enqueue(&mut self, request: id::Request, out: &mut Vec<Effect>) {
-        let Some(job) = self.jobs.get_mut(&request) else {
-            return;
-        };
-        job.position = Some(SCAN);
-        let (service, caller, verdict) =
-            (job.service.clone(), job.ask.caller.clone(), job.verdict());
-        if !self.queue.push(&service, &caller, request) {
-            let reply = Reply::new(503, verdict, "too many requests wait").after(SOON);
-            self.finish(request, reply, out);
-        }
-    }
-
-    /// Gives free slots of a service to those who wait, in fair turns.
-    pub(super) fn drain(&mut self, now: Time, service: &Service, out: &mut Vec<Effect>) {
-        let mut stuck = Vec::new();
-        while stuck.len() < SCAN {
-            let Some(request) = self.queue.pop(service) else {
-                break;
-            };
-            if let Some(job) = self.jobs.get_mut(&request) {
-                job.position = Some(stuck.len());
-            }
-            if !self.place(now, request, out) {
-                stuck.push(request);
-            }
-        }
-        for request in stuck.into_iter().rev() {
-            if let Some(job) = self.jobs.get(&request) {
-                self.queue.put_back(service, &job.ask.caller, request);
-            }
-        }
-    }
-
-    pub(super) fn drain_all(&mut self, now: Time, out: &mut Vec<Effect>) {
-        for service in self.queue.services() {
-            self.drain(now, &service, out);
-        }
-    }
 }
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -57,6 +57,33 @@
     pub record: bool,
     /// The moment after which the order is void.
     pub not_after: Time,
+    /// What decided for the place.
+    pub basis: Basis,
+}
+
+/// What a choice of a place rested on, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// The configuration in force.
+    pub version: Version,
+    /// Which attempt of the request it is, from 1.
+    pub number: u32,
+    /// Places that could have taken it.
+    pub places: usize,
+    /// Expected wait for a slot.
+    pub wait: Millis,
+    /// Expected time to the first byte once a slot is free.
+    pub first: Millis,
+    /// Round trip to the place.
+    pub hop: Millis,
+    /// What the request costs those that run there.
+    pub burden: Millis,
+    /// Free slots there.
+    pub free: u32,
+    /// Age of what the other boxes told of their load.
+    pub age: Millis,
+    /// Time since the request came.
+    pub waited: Millis,
 }
 
 /// A final answer of the gateway itself.
@@ -137,6 +164,13 @@
 pub enum Effect {
     /// Try a request.
     Send(Send),
+    /// A request waits for a slot; there is nothing to do.
+    Queued {
+        /// The request.
+        request: id::Request,
+        /// Requests of its service that wait at this box, itself included.
+        waiting: usize,
+    },
     /// Give an attempt up, so that it is cancelled at its place.
     Abort {
         /// The request.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -51,6 +51,8 @@
 pub struct Arrival {
     /// The request.
     pub request: id::Request,
+    /// The caller's own name for it, for the log.
+    pub tag: Option<String>,
     /// Who sends it.
     pub credential: Credential,
     /// The host it names, where routes go by hosts.
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -48,11 +48,14 @@
 pub(super) struct Job {
     pub(super) ask: Ask,
     pub(super) service: Service,
+    /// The line that it waits in, where it has to.
+    pub(super) line: Service,
     pub(super) prefix: u64,
     pub(super) prompt: Option<Prompt>,
     pub(super) hop: Hop,
     pub(super) repeatable: bool,
     pub(super) owns_key: bool,
+    pub(super) came: Time,
     pub(super) deadline: Time,
     /// Attempts so far.
     pub(super) attempts: u32,
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -7,7 +7,7 @@
     policy::Policy,
     reducer::{
         State,
-        effect::{Effect, Reply, Send, Target},
+        effect::{Basis, Effect, Reply, Send, Target},
         event::{Credential, Hop, Key},
         job::{Job, SOON, Spot, Stage},
     },
@@ -145,6 +145,7 @@
             runs: job.runs,
             record: false,
             not_after: job.deadline,
+            basis: Basis::default(),
         }));
         self.hold(request, job);
         Ok(())
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 //! | `job` | one request in hand |
 //! | `admit`, `key` | its arrival, and its idempotency key |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
+//! | `line` | who waits, and who goes first |
 //! | `stall` | attempts that stay silent for too long |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
@@ -22,6 +23,7 @@
 pub mod event;
 mod job;
 mod key;
+mod line;
 mod outcome;
 mod place;
 mod stall;
@@ -92,6 +94,8 @@
     ledger: Ledger,
     limiter: Limiter,
     queue: Queue,
+    /// Waiting requests that cannot begin in time any more.
+    late: Queue,
     fleet: Fleet,
     cache: Cache,
     budgets: Budgets,
@@ -120,6 +124,7 @@
             ledger: Ledger::default(),
             limiter: Limiter::default(),
             queue: Queue::default(),
+            late: Queue::default(),
             fleet: Fleet::default(),
             cache: Cache::default(),
             budgets: Budgets::new(identity.retry),
@@ -209,7 +214,7 @@
 
     /// Requests that wait for a slot.
     pub fn waiting(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.late.len()
     }
 
     /// Keys remembered.
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -183,8 +183,11 @@
             (Spot::Chosen(Place::Backend(name), _), Cause::Full) => {
                 self.servers.entry(name.clone()).or_default().fill(now);
             }
-            (Spot::Chosen(Place::Backend(name), _), Cause::Errored | Cause::Silent) => {
-                self.servers.entry(name.clone()).or_default().err();
+            (Spot::Chosen(Place::Backend(name), _), Cause::Errored) => {
+                self.servers.entry(name.clone()).or_default().err(now);
+            }
+            (Spot::Chosen(Place::Backend(name), _), Cause::Silent) => {
+                self.servers.entry(name.clone()).or_default().stall(now);
             }
             (Spot::Chosen(Place::Backend(name), _), _) => {
                 self.servers.entry(name.clone()).or_default().fail(now);
@@ -234,8 +237,9 @@
         };
         match job.stage.clone() {
             Stage::Waiting => {
-                let (service, caller) = (&job.service, &job.ask.caller);
-                self.queue.remove(service, caller, request);
+                let spot = job.spot();
+                self.queue.remove(&spot, request);
+                self.late.remove(&spot, request);
             }
             Stage::Sent { attempt, .. } => {
                 out.push(Effect::Abort { request, attempt });
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -8,7 +8,7 @@
     member::{Peer, Remote},
     policy::{Candidate, Choice, Place, Policy, View},
     prompt::Prompt,
-    reducer::{State, estimate, event::Hop, job::Job},
+    reducer::{State, effect::Basis, estimate, event::Hop, job::Job},
     server::{Bar, Server},
     unit::{Millis, Rate, Time},
     wire::Short,
@@ -35,6 +35,24 @@
 }
 
 impl<P: Policy> State<P> {
+    /// What the choice of `place` among `candidates` rests on.
+    pub(super) fn basis(&self, now: Time, job: &Job, place: &Place, among: &[Candidate]) -> Basis {
+        let chosen = among.iter().find(|c| c.place == *place);
+        let ages = self.table.live(now).map(|peer| now.since(peer.heard));
+        Basis {
+            version: self.version(),
+            number: job.attempts + 1,
+            places: among.len(),
+            wait: chosen.map_or(Millis(0), |c| c.wait),
+            first: chosen.map_or(Millis(0), |c| c.first),
+            hop: chosen.map_or(Millis(0), |c| c.hop),
+            burden: chosen.map_or(Millis(0), |c| c.burden),
+            free: chosen.map_or(0, |c| c.free),
+            age: ages.max().unwrap_or_default(),
+            waited: now.since(job.came),
+        }
+    }
+
     /// Chooses a place for `job` by the configuration in force at this moment.
     pub(super) fn decide(&self, now: Time, job: &Job) -> Result<Decision, Refusal> {
         let config = self.config.as_ref().ok_or(Refusal::NoRegion)?;
@@ -43,7 +61,7 @@
         let view = View {
             candidates: &candidates,
             weights: config.weights,
-            left: job.deadline.since(now),
+            left: job.patience(now),
         };
         let choice = self.policy.pick(&view);
         Ok(Decision { choice, candidates })
@@ -94,7 +112,7 @@
         let boxes = self.table.ready(now).count() + 1;
         let ahead = match job.position {
             Some(position) => position,
-            None => self.queue.ahead(&plan.service, &job.ask.caller),
+            None => self.queue.ahead(&job.spot()),
         };
         let line = ahead * boxes / usable.len().max(1);
         let fresh = Server::default();
@@ -135,7 +153,7 @@
                 hop: Millis(0),
                 price: backend.price,
                 warm: owner || job.prompt.is_some(),
-                failing: server.failing(),
+                failing: server.failing(now),
                 burden,
             });
         }
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -8,7 +8,7 @@
     policy::{Choice, Place, Policy},
     reducer::{
         State,
-        effect::Effect,
+        effect::{Basis, Effect},
         event::Cause,
         job::{Job, Spot, Stage},
     },
@@ -59,7 +59,7 @@
         let Some(held) = self.in_hand(request, attempt).filter(|held| !held.begun) else {
             return;
         };
-        let Some(place) = self.better_place(now, request) else {
+        let Some((place, basis)) = self.better_place(now, request) else {
             return;
         };
         let service = self.jobs[&request].service.clone();
@@ -73,19 +73,21 @@
             job.ran_at(&held.spot);
             job.stage = Stage::Waiting;
         }
-        self.send(now, request, place, out);
+        self.send(now, request, place, basis, out);
     }
 
     /// Another place that would take the request at once, where it may run once more.
-    fn better_place(&self, now: Time, request: id::Request) -> Option<Place> {
+    fn better_place(&self, now: Time, request: id::Request) -> Option<(Place, Basis)> {
         let job = self.jobs.get(&request)?;
         if job.runs < 2 || job.attempts >= retry::MAX_ATTEMPTS {
             return None;
         }
-        match self.decide(now, job).ok()?.choice {
-            Choice::Send(place) => Some(place),
-            Choice::Wait | Choice::Refuse(_) => None,
-        }
+        let decision = self.decide(now, job).ok()?;
+        let Choice::Send(place) = decision.choice else {
+            return None;
+        };
+        let basis = self.basis(now, job, &place, &decision.candidates);
+        Some((place, basis))
     }
 }
 
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -158,7 +158,7 @@
             phase: self.phase(now),
             watching: self.control.watching,
             requests: self.jobs.len(),
-            waiting: self.queue.len(),
+            waiting: self.waiting(),
             keys: self.ledger.len(),
             boxes: peers.collect(),
             regions: regions.collect(),
@@ -195,11 +195,13 @@
         let plan = config.plan(&ask).map_err(|refusal| refusal.to_string())?;
         let job = Job {
             service: plan.service.clone(),
+            line: plan.line.clone(),
             prefix,
             prompt: None,
             hop: Hop::Direct,
             repeatable: plan.route.repeatable,
             owns_key: false,
+            came: now,
             deadline: now + plan.route.deadline,
             attempts: 0,
             runs: plan.route.attempts,
--- a/src/server.rs
+++ b/src/server.rs
@@ -11,11 +11,16 @@
 /// How long a server that was full is left alone: about one request of an application.
 const FULL: Millis = Millis(30);
 /// How long a returned server takes to its full share.
-const RAMP: Millis = Millis(10_000);
+const RAMP: Millis = Millis(3000);
 /// Share of its slots that a returned server gets at once.
-const RAMP_START: f64 = 0.2;
+const RAMP_START: f64 = 0.5;
 /// Weight of a new time in the moving averages.
 const ALPHA: f64 = 0.2;
+/// Weight of one answer in the share of errors: some requests fail wherever they run.
+const ERROR_ALPHA: f64 = 0.05;
+/// Half of what was learned is forgotten in this time without news, so that a server that looked
+/// bad gets a request now and then and can show that it is well.
+const HALF_LIFE: Millis = Millis(1500);
 /// Assumed time to the first byte before one was seen.
 const FIRST_GUESS: f64 = 100.0;
 /// Assumed time of a whole answer before one was seen.
@@ -61,6 +66,8 @@
     speed: f64,
     /// Share of its answers that failed, lately.
     failing: f64,
+    /// When the last answer told something of it.
+    heard: Time,
     /// Requests that it may get while it is cold, and since when they are counted.
     cold_tokens: Option<(f64, Time)>,
 }
@@ -80,6 +87,7 @@
             step: STEP_GUESS,
             speed: SPEED_GUESS,
             failing: 0.0,
+            heard: Time(0),
             cold_tokens: None,
         }
     }
@@ -105,6 +113,19 @@
         ((f64::from(slots) * share).ceil() as u32).max(1)
     }
 
+    /// What is left of something learned at the last answer.
+    fn faded(&self, learned: f64, guess: f64, now: Time) -> f64 {
+        let age = now.since(self.heard).0 as f64 / HALF_LIFE.0 as f64;
+        guess + (learned - guess) * 0.5_f64.powf(age)
+    }
+
+    /// Forgets a part of what was learned before `now`.
+    fn fade(&mut self, now: Time) {
+        self.step = self.faded(self.step, STEP_GUESS, now);
+        self.failing = self.faded(self.failing, 0.0, now);
+        self.heard = now;
+    }
+
     /// Expected time to the first byte.
     pub fn first(&self) -> Millis {
         Millis(self.first as u64)
@@ -113,7 +134,8 @@
     /// Expected time to the first token of a prompt of which `unread` tokens are not cached there.
     pub fn first_token(&self, unread: u32, now: Time) -> Millis {
         let reading = self.pending(now) + f64::from(unread) / self.speed;
-        Millis((self.step + reading) as u64)
+        let step = self.faded(self.step, STEP_GUESS, now);
+        Millis((step + reading) as u64)
     }
 
     /// Time until it has read the prompts that are known to have been sent there.
@@ -133,8 +155,8 @@
     }
 
     /// Share of its answers that failed, lately.
-    pub fn failing(&self) -> f64 {
-        self.failing
+    pub fn failing(&self, now: Time) -> f64 {
+        self.faded(self.failing, 0.0, now)
     }
 
     /// Whether it may get a request while it is cold, at `rate` for this box.
@@ -171,7 +193,8 @@
     /// Notes the first byte of an answer after `took`, where `expected` was expected and `work`
     /// prompt tokens were to be read.
     pub fn begin(&mut self, took: Millis, expected: Millis, work: u32, now: Time) {
-        self.failing -= ALPHA * self.failing;
+        self.fade(now);
+        self.failing -= ERROR_ALPHA * self.failing;
         self.learn(took, expected, work);
         self.first += ALPHA * (took.0 as f64 - self.first);
         self.failures = 0;
@@ -211,13 +234,20 @@
     }
 
     /// Notes that it ran a request and answered with an error.
-    pub fn err(&mut self) {
+    pub fn err(&mut self, now: Time) {
+        self.fade(now);
+        self.failing += ERROR_ALPHA * (1.0 - self.failing);
+    }
+
+    /// Notes that it stayed silent for too long, or broke an answer off.
+    pub fn stall(&mut self, now: Time) {
+        self.fade(now);
         self.failing += ALPHA * (1.0 - self.failing);
     }
 
     /// Notes a failure of the server.
     pub fn fail(&mut self, now: Time) {
-        self.err();
+        self.stall(now);
         self.failures += 1;
         if self.failures >= FAILURES {
             self.open_until = Some(now + OPEN);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -250,6 +250,7 @@
     let places = Places {
         domains: domains.into_iter().map(|d| (d.0, d.1)).collect(),
         hop: section.or("hop", Millis(0)),
+        beat: section.or("beat", Millis(0)),
     };
     if interface == Interface::Platform && places.domains.is_empty() {
         section.fault("domains", "names no failure domain");
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -193,6 +193,7 @@
     let caller = number as usize % size.callers;
     let model = number as usize % size.models;
     Event::Arrived(Arrival {
+        tag: None,
         host: None,
         prompt: None,
         draw: 0,
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -321,6 +321,7 @@
                 self.slots[index].open.remove(&request);
             }
             Effect::Boxes { .. }
+            | Effect::Queued { .. }
             | Effect::Forget(_)
             | Effect::Watch(_)
             | Effect::Adopted(_)
@@ -491,6 +492,7 @@
             }
         };
         let arrival = Arrival {
+            tag: None,
             host: None,
             prompt: None,
             draw: 0,
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -148,6 +148,7 @@
     pub fn arrive(&mut self, caller: &str, left: Option<u64>) -> Vec<Effect> {
         self.requests += 1;
         let arrival = Arrival {
+            tag: None,
             host: None,
             prompt: None,
             draw: 0,
--- a/tests/pinned_keys.rs
+++ b/tests/pinned_keys.rs
@@ -85,6 +85,7 @@
 
 fn arrive(state: &mut State<Balanced>, request: u64, key: Key, hop: Hop) -> Vec<Effect> {
     let arrival = Arrival {
+        tag: None,
         host: None,
         prompt: None,
         draw: 0,
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -4,7 +4,10 @@
 
 use harness::solo::{BASE, Solo, caller, replies, sends, server};
 use petreldrum::{
-    reducer::{effect::Target, event::Cause},
+    reducer::{
+        effect::{Effect, Target},
+        event::Cause,
+    },
     unit::Millis,
     verdict::Verdict,
 };
@@ -21,6 +24,11 @@
     BASE.to_owned() + &parts.concat() + "[selector all]\n"
 }
 
+/// Whether the one thing that happened is that the request waits.
+fn waits(effects: &[Effect]) -> bool {
+    matches!(effects, [Effect::Queued { .. }])
+}
+
 #[test]
 fn ended_relays_free_slots() {
     let mut solo = Solo::new(&text(&[caller("a", ""), server("far", "bunbury", 4)]));
@@ -66,10 +74,10 @@
     // One caller floods the line before the other comes; its line does not count against the other.
     let long = Some(2600);
     for _ in 0..3 {
-        assert!(solo.arrive("a", long).is_empty(), "waits");
+        assert!(waits(&solo.arrive("a", long)));
     }
     for _ in 0..2 {
-        assert!(solo.arrive("b", long).is_empty(), "waits");
+        assert!(waits(&solo.arrive("b", long)));
     }
     let mut order = Vec::new();
     while solo.state.busy() > 0 {
--- a/tests/platform_records.rs
+++ b/tests/platform_records.rs
@@ -28,6 +28,7 @@
     Places {
         domains: [domain("atl-a", "atl"), domain("mcn-a", "mcn")].into(),
         hop: Millis(110),
+        beat: Millis(1200),
     }
 }
 
