Prove the platform path by process tests with stand-ins

Change: a stand-in of the platform's store (pages, held watches, lost history, resets, silence, 429 and 503) and of a backend server that gets answers wrong as each request asks (full, moved, unsigned, another's, surplus, unframed, cut, garbage, lost, silent, streams). The box says where its readiness checks and look-ups listen.

They were not each seen to fail first; the harness itself was, by two Host headers.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -1,6 +1,6 @@
 //! The platform's readiness checks and callers' look-ups of boxes, each by a listener of its own.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
@@ -23,6 +23,18 @@
     directory: Option<TcpListener>,
 }
 
+impl Listeners {
+    /// Where readiness checks go.
+    pub(super) fn ready_address(&self) -> Option<SocketAddr> {
+        self.ready.as_ref()?.local_addr().ok()
+    }
+
+    /// Where look-ups go.
+    pub(super) fn directory_address(&self) -> Option<SocketAddr> {
+        self.directory.as_ref()?.local_addr().ok()
+    }
+}
+
 /// Binds them.
 pub(super) async fn bind(settings: &Settings) -> eyre::Result<Listeners> {
     let ready = match settings.ready {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -170,6 +170,10 @@
     pub gossip: SocketAddr,
     /// For operators.
     pub admin: SocketAddr,
+    /// For the platform's readiness checks.
+    pub ready: Option<SocketAddr>,
+    /// For look-ups of boxes.
+    pub directory: Option<SocketAddr>,
 }
 
 impl fmt::Display for Bound {
@@ -179,11 +183,20 @@
             peer,
             gossip,
             admin,
+            ready,
+            directory,
         } = self;
         write!(
             f,
             "public={public} peer={peer} gossip={gossip} admin={admin}"
-        )
+        )?;
+        let more = [("ready", ready), ("directory", directory)];
+        for (name, address) in more {
+            if let Some(address) = address {
+                write!(f, " {name}={address}")?;
+            }
+        }
+        Ok(())
     }
 }
 
@@ -223,6 +236,8 @@
             peer: peer.local_addr()?,
             gossip: gossip.address,
             admin: admin.local_addr()?,
+            ready: more.ready_address(),
+            directory: more.directory_address(),
         };
         let identity = identity(&settings, &bound);
         let pool = Arc::new(Pool::default());
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -192,10 +192,10 @@
     stream.set_nodelay(true)?;
     let (mut sender, connection) = client::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(connection);
-    let mut request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", address.to_string());
+    let mut request = Request::builder().method(method).uri(path);
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        request = request.header("host", address.to_string());
+    }
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,8 @@
 //! |---|---|
 //! | [`store`] | the key-value service (etcd v3 JSON over HTTP) |
 //! | [`platform`] | the list of live and leaving boxes, and the client directory |
+//! | [`registry`] | the users' platform's store |
+//! | [`worker`] | a backend server of the users' platform that gets things wrong |
 //! | [`engine`] | a model engine (OpenAI-style, SSE) |
 //! | [`app`] | an application service that counts what it ran |
 //! | [`collector`] | a trace collector that counts the spans it was sent |
@@ -22,5 +24,7 @@
 pub mod link;
 pub mod measure;
 pub mod platform;
+pub mod registry;
 pub mod store;
 pub mod system;
+pub mod worker;
--- /dev/null
+++ b/standin/src/registry.rs
@@ -0,0 +1,235 @@
+//! The users' platform's store: items with revisions, watches that are held, and faults on order.
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use hyper::{Response, StatusCode};
+use serde_json::{Value, json};
+use tokio::{sync::watch, time::timeout};
+
+use crate::http::{Body, Service, Whole, json as json_answer, whole};
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It answers.
+    #[default]
+    None,
+    /// It closes every connection without an answer.
+    Reset,
+    /// It says nothing.
+    Silent,
+    /// It answers 503.
+    Busy,
+    /// It answers 429.
+    TooMany,
+}
+
+/// Changes that are remembered; older ones are gone.
+const HISTORY: usize = 1000;
+/// Items of one page.
+const PAGE: usize = 3;
+
+#[derive(Clone, Debug)]
+struct Change {
+    key: String,
+    revision: u64,
+    value: Option<String>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    items: BTreeMap<String, (String, u64)>,
+    history: VecDeque<Change>,
+    /// Changes up to this revision are not known any more.
+    forgotten: u64,
+    revision: u64,
+    fault: Fault,
+    calls: BTreeMap<&'static str, u64>,
+}
+
+/// The store; clones share one content.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    inner: Arc<Mutex<Inner>>,
+    changed: Arc<watch::Sender<u64>>,
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        Self {
+            inner: Arc::default(),
+            changed: Arc::new(watch::Sender::new(0)),
+        }
+    }
+}
+
+impl Registry {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("the lock is never poisoned")
+    }
+
+    fn change(&self, key: &str, value: Option<String>) {
+        let mut inner = self.lock();
+        inner.revision += 1;
+        let revision = inner.revision;
+        match &value {
+            Some(value) => {
+                let item = (value.clone(), revision);
+                inner.items.insert(key.to_owned(), item);
+            }
+            None => {
+                inner.items.remove(key);
+            }
+        }
+        inner.history.push_back(Change {
+            key: key.to_owned(),
+            revision,
+            value,
+        });
+        if inner.history.len() > HISTORY {
+            let oldest = inner.history.pop_front();
+            inner.forgotten = oldest.map_or(0, |c| c.revision);
+        }
+        drop(inner);
+        self.changed.send_replace(revision);
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, content: &Value) {
+        self.change(key, Some(BASE64.encode(content.to_string())));
+    }
+
+    /// Takes an item out.
+    pub fn remove(&self, key: &str) {
+        self.change(key, None);
+    }
+
+    /// Misbehaves from now on; watches that are held hear nothing of it.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+        self.changed.send_replace(0);
+    }
+
+    /// Forgets what changed so far.
+    pub fn forget(&self) {
+        let mut inner = self.lock();
+        inner.forgotten = inner.revision;
+        inner.history.clear();
+    }
+
+    /// Calls so far, by name.
+    pub fn calls(&self, name: &str) -> u64 {
+        self.lock().calls.get(name).copied().unwrap_or(0)
+    }
+
+    fn count(&self, name: &'static str) -> Fault {
+        let mut inner = self.lock();
+        *inner.calls.entry(name).or_default() += 1;
+        inner.fault
+    }
+
+    fn range(&self, query: &HashMap<String, String>) -> Value {
+        let inner = self.lock();
+        let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
+        let after = query.get("after").cloned().unwrap_or_default();
+        let all = inner.items.iter();
+        let found: Vec<_> = all
+            .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
+            .take(PAGE + 1)
+            .collect();
+        let rows = found.iter().take(PAGE).map(|(key, (value, revision))| {
+            json!({ "key": key, "value": value, "revision": revision, "created": revision })
+        });
+        json!({
+            "items": rows.collect::<Vec<_>>(),
+            "truncated": found.len() > PAGE,
+            "asOf": inner.revision,
+        })
+    }
+
+    /// What changed after a revision; an error where that is not known any more.
+    fn changes(&self, prefix: &str, after: u64) -> Result<Value, StatusCode> {
+        let inner = self.lock();
+        if after < inner.forgotten {
+            return Err(StatusCode::GONE);
+        }
+        let later = inner.history.iter().filter(|c| c.revision > after);
+        let rows = later.filter(|c| c.key.starts_with(prefix)).map(|c| {
+            let Change {
+                key,
+                revision,
+                value,
+            } = c;
+            match value {
+                Some(value) => json!({ "key": key, "revision": revision, "value": value }),
+                None => json!({ "key": key, "revision": revision, "deleted": true }),
+            }
+        });
+        let events: Vec<Value> = rows.collect();
+        Ok(json!({ "events": events, "asOf": inner.revision }))
+    }
+
+    async fn watch(&self, query: &HashMap<String, String>) -> Option<Response<Body>> {
+        let number = |name: &str| query.get(name).and_then(|v| v.parse().ok()).unwrap_or(0);
+        let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
+        let after = number("after");
+        let mut news = self.changed.subscribe();
+        let wait = Duration::from_millis(number("waitMs"));
+        let _ = timeout(wait, async {
+            loop {
+                let fault = self.lock().fault;
+                let found = self.changes(&prefix, after);
+                let some = found.is_ok_and(|f| f["events"] != json!([]));
+                if some || fault != Fault::None || news.changed().await.is_err() {
+                    return;
+                }
+            }
+        })
+        .await;
+        let fault = self.lock().fault;
+        if fault != Fault::None {
+            return misbehave(fault).await;
+        }
+        Some(match self.changes(&prefix, after) {
+            Ok(content) => json_answer(&content),
+            Err(status) => whole(status, ""),
+        })
+    }
+}
+
+async fn misbehave(fault: Fault) -> Option<Response<Body>> {
+    match fault {
+        Fault::None | Fault::Reset => None,
+        Fault::Silent => std::future::pending().await,
+        Fault::Busy => Some(whole(StatusCode::SERVICE_UNAVAILABLE, "")),
+        Fault::TooMany => Some(whole(StatusCode::TOO_MANY_REQUESTS, "")),
+    }
+}
+
+fn query(request: &Whole) -> HashMap<String, String> {
+    let pairs = request.uri().query().unwrap_or_default().split('&');
+    let pairs = pairs.filter_map(|pair| pair.split_once('='));
+    pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect()
+}
+
+impl Service for Registry {
+    async fn answer(&self, request: Whole) -> Option<Response<Body>> {
+        let query = query(&request);
+        match request.uri().path() {
+            "/v1/kv-range" => match self.count("range") {
+                Fault::None => Some(json_answer(&self.range(&query))),
+                fault => misbehave(fault).await,
+            },
+            "/v1/kv-watch" => match self.count("watch") {
+                Fault::None => self.watch(&query).await,
+                fault => misbehave(fault).await,
+            },
+            _ => Some(whole(StatusCode::NOT_FOUND, "")),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/worker.rs
@@ -0,0 +1,203 @@
+//! A backend server of the users' platform that misbehaves as each request asks it to.
+//!
+//! It writes bytes as they stand, since an HTTP library would not write what it must get wrong.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+/// The header by which a request says how it is to be answered.
+pub const MODE: &str = "x-mode";
+
+/// A request as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Seen {
+    /// The first line.
+    pub line: String,
+    /// The headers, by their names in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// The backend server; clones share what was seen.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    left: Arc<Mutex<Vec<String>>>,
+}
+
+impl Worker {
+    /// Starts one on loopback.
+    pub async fn start(name: &str) -> eyre::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let worker = Self {
+            name: name.to_owned(),
+            address: listener.local_addr()?,
+            seen: Arc::default(),
+            left: Arc::default(),
+        };
+        let served = worker.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let worker = served.clone();
+                tokio::spawn(async move {
+                    let _ = worker.serve(stream).await;
+                });
+            }
+        });
+        Ok(worker)
+    }
+
+    /// The requests that came with this id.
+    pub fn seen(&self, id: &str) -> Vec<Seen> {
+        let seen = self.seen.lock().expect("the lock is never poisoned");
+        let same = |s: &&Seen| s.headers.get("request-id").is_some_and(|i| i == id);
+        seen.iter().filter(same).cloned().collect()
+    }
+
+    /// The ids of requests whose connection was closed while they ran.
+    pub fn left(&self) -> Vec<String> {
+        self.left
+            .lock()
+            .expect("the lock is never poisoned")
+            .clone()
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut buffer = Vec::new();
+        while let Some(request) = read(&mut stream, &mut buffer).await? {
+            let id = request.headers.get("request-id").cloned();
+            let mode = request.headers.get(MODE).cloned().unwrap_or_default();
+            let mine = request.headers.get("target-instance") == Some(&self.name);
+            self.seen
+                .lock()
+                .expect("the lock is never poisoned")
+                .push(request);
+            let id = id.unwrap_or_default();
+            let mode = if mine { mode.as_str() } else { "replaced" };
+            if !self.answer(&mut stream, &id, mode).await? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers one request; false where the connection ends with it.
+    async fn answer(&self, stream: &mut TcpStream, id: &str, mode: &str) -> std::io::Result<bool> {
+        let head =
+            |status: &str, more: &str| format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{more}");
+        let signed = "Response-Signature: signed\r\n";
+        let body = format!("{}:{id}", self.name);
+        let length = format!("Content-Length: {}\r\n\r\n", body.len());
+        let good = head("200 OK", signed) + &length + &body;
+        let (bytes, stays) = match mode {
+            "full" => (
+                head("503 Full", "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
+                true,
+            ),
+            "promise" => (head("503 Hm", signed) + &length + &body, true),
+            "error" => (head("500 Error", signed) + &length + &body, true),
+            "unsigned" => (head("200 OK", "") + &length + &body, true),
+            "replaced" => (
+                "HTTP/1.1 421 Other\r\nServed-By: x\r\nContent-Length: 0\r\n\r\n".to_owned(),
+                true,
+            ),
+            "other" => (
+                good.replace(&format!("Request-Id: {id}"), "Request-Id: other"),
+                true,
+            ),
+            "surplus" => (good.clone() + &good.replace(id, "surplus"), true),
+            "unframed" => (head("200 OK", signed) + "\r\n" + &body, false),
+            "cut" => (good[..good.len() - 2].to_owned(), false),
+            "garbage" => ("%%% no protocol %%%\r\n\r\n".to_owned(), false),
+            "lost" => (String::new(), false),
+            "stream" => return self.stream(stream, id, &head("200 OK", signed)).await,
+            "silent" => return self.wait(stream, id).await,
+            "slow" => {
+                sleep(Duration::from_millis(400)).await;
+                (good, true)
+            }
+            _ => (good, true),
+        };
+        stream.write_all(bytes.as_bytes()).await?;
+        Ok(stays)
+    }
+
+    /// Streams events until the other side leaves or all are sent.
+    async fn stream(&self, stream: &mut TcpStream, id: &str, head: &str) -> std::io::Result<bool> {
+        let start =
+            format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        stream.write_all(start.as_bytes()).await?;
+        for number in 1..=20 {
+            let event = format!("id: {number}\ndata: {}\n\n", self.name);
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            if stream.write_all(chunk.as_bytes()).await.is_err() {
+                self.note_left(id);
+                return Ok(false);
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        stream.write_all(b"0\r\n\r\n").await?;
+        Ok(true)
+    }
+
+    /// Runs until the other side leaves.
+    async fn wait(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<bool> {
+        let mut byte = [0; 1];
+        if !matches!(stream.read(&mut byte).await, Ok(n) if n > 0) {
+            self.note_left(id);
+        }
+        Ok(false)
+    }
+
+    fn note_left(&self, id: &str) {
+        let mut left = self.left.lock().expect("the lock is never poisoned");
+        left.push(id.to_owned());
+    }
+}
+
+/// Reads one request; none at the end of the connection.
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<Option<Seen>> {
+    let end = loop {
+        if let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+            break end;
+        }
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    buffer.drain(..end + 4);
+    let mut lines = head.split("\r\n");
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|l| l.split_once(':'))
+        .map(|(name, value)| (name.to_lowercase(), value.trim().to_owned()))
+        .collect();
+    let length = headers.get("content-length");
+    let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+    while buffer.len() < length {
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+    let body = buffer.drain(..length).collect();
+    Ok(Some(Seen {
+        line,
+        headers,
+        body,
+    }))
+}
--- /dev/null
+++ b/tests/harness/cloud.rs
@@ -0,0 +1,196 @@
+//! Boxes on the users' platform: its store and backend servers are stand-ins in the test's process.
+
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
+
+use hyper::Method;
+use nix::sys::signal::Signal;
+use petreldrum_standin::{
+    http::{Answer, Begun, begin, call, start},
+    registry::Registry,
+    worker::{MODE, Worker},
+};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+use tokio::process::{Child, Command};
+
+use super::{SECRET, TOKEN, eventually, signal, spawn};
+
+pub const HOST: &str = "a.example";
+
+/// A box process that runs on the platform.
+pub struct CloudBox {
+    pub public: SocketAddr,
+    pub gossip: SocketAddr,
+    pub ready: SocketAddr,
+    pub directory: SocketAddr,
+    pub admin: SocketAddr,
+    child: Child,
+}
+
+impl CloudBox {
+    pub fn signal(&self, name: Signal) {
+        signal(&self.child, name);
+    }
+
+    pub async fn wait(&mut self) -> bool {
+        self.child.wait().await.expect("the box ends").success()
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let answer = call(self.ready, Method::GET, "/v1/ready", &[], "").await;
+        answer.is_ok_and(|a| a.status.is_success())
+    }
+
+    /// The boxes that a look-up names.
+    pub async fn resolve(&self, region: &str) -> Vec<String> {
+        let path = format!("/v1/resolve?name={HOST}&region={region}&zone={region}-a");
+        let answer = call(self.directory, Method::GET, &path, &[], "").await;
+        let content = answer.expect("the directory answers").json();
+        let rows = content["addresses"].as_array().cloned().unwrap_or_default();
+        let text = |row: &Value| row.as_str().unwrap_or_default().to_owned();
+        rows.iter().map(text).collect()
+    }
+
+    /// Sends a request that its backend server answers in `mode`.
+    pub async fn send(&self, path: &str, id: &str, mode: &str) -> Answer {
+        self.begin(path, id, mode).await.finish().await
+    }
+
+    pub async fn begin(&self, path: &str, id: &str, mode: &str) -> Begun {
+        let headers = [
+            ("host", HOST),
+            ("request-id", id),
+            ("deadline-ms", "4000"),
+            (MODE, mode),
+        ];
+        begin(self.public, Method::POST, path, &headers, id.to_owned())
+            .await
+            .expect("the box answers")
+    }
+}
+
+/// The platform and the boxes on it.
+pub struct Cloud {
+    pub registry: Registry,
+    pub boxes: Vec<CloudBox>,
+    pub workers: BTreeMap<String, Worker>,
+    store: SocketAddr,
+    folder: TempDir,
+    seeds: Vec<String>,
+}
+
+impl Cloud {
+    /// A platform with a store, and no box or backend server yet.
+    pub async fn start() -> Self {
+        let registry = Registry::default();
+        let store = start(registry.clone()).await.expect("the store starts");
+        Self {
+            registry,
+            boxes: Vec::new(),
+            workers: BTreeMap::new(),
+            store,
+            folder: TempDir::new().expect("a folder"),
+            seeds: Vec::new(),
+        }
+    }
+
+    /// One box and these backend servers, ready.
+    pub async fn serving(workers: &[&str]) -> Self {
+        let mut cloud = Self::start().await;
+        cloud.configure(1);
+        for name in workers {
+            cloud.add_worker(name, "atl").await;
+        }
+        cloud.add_box("atl").await;
+        cloud.settled().await;
+        cloud
+    }
+
+    /// Waits until every box takes work.
+    pub async fn settled(&self) {
+        for process in &self.boxes {
+            eventually("a box is ready", || process.is_ready()).await;
+        }
+    }
+
+    /// Puts a configuration: `/safe/`, `/once/`, `/stream/`, and `/vN/` for its version.
+    pub fn configure(&self, version: u64) {
+        let route = |prefix: &str, kind: &str, resumable: bool, attempts: u32| {
+            json!({
+                "name": format!("r-{prefix}"), "host": HOST, "pathPrefix": format!("/{prefix}/"),
+                "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 800, "priority": 0,
+                "service": "app", "maxAttempts": attempts, "resumable": resumable,
+                "gapAimMs": 600, "homeRegions": [],
+            })
+        };
+        let versioned = format!("v{version}");
+        let content = json!({
+            "version": version,
+            "routes": [
+                route("safe", "idempotent", false, 2),
+                route("once", "non_idempotent", false, 1),
+                route("stream", "streaming", true, 2),
+                route(&versioned, "idempotent", false, 1),
+            ],
+            "services": [{ "name": "app", "healthPath": "/health", "coldPerS": 0.0 }],
+            "limits": {},
+        });
+        self.registry.put("op/config", &content);
+    }
+
+    pub async fn add_worker(&mut self, name: &str, region: &str) {
+        let worker = Worker::start(name).await.expect("the worker starts");
+        self.register(name, worker.address, region, "ready");
+        self.workers.insert(name.to_owned(), worker);
+    }
+
+    pub fn register(&self, name: &str, address: SocketAddr, region: &str, state: &str) {
+        let content = json!({
+            "service": "app", "address": address, "zone": format!("{region}-a"), "version": "v1",
+            "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
+        });
+        self.registry.put(&format!("servers/{name}"), &content);
+    }
+
+    pub async fn add_box(&mut self, region: &str) {
+        let number = self.boxes.len();
+        let text = format!(
+            "[box]\nname = box-{number}\nregion = {region}\nfailure_domain = {region}-a\n\
+             interface = platform\n\
+             [listen]\npublic = 127.0.0.1:0\npeer = 127.0.0.1:0\ngossip = 127.0.0.1:0\n\
+             admin = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
+             admin_token = {TOKEN}\n\
+             [peers]\nsecret = {SECRET}\nseeds = {}\n\
+             [platform]\nstore = {}\ndomains = atl-a/atl, mcn-a/mcn\nhop = 10ms\nbeat = 300ms\n\
+             [limits]\nlinger = 300ms\nretry_slack = 50\n",
+            self.seeds.join(", "),
+            self.store,
+        );
+        let path = self.folder.path().join(format!("box-{number}.ini"));
+        std::fs::write(&path, text).expect("the settings are written");
+        let mut command = Command::new(PathBuf::from(env!("CARGO_BIN_EXE_petreldrum")));
+        command.args(["gateway", "--settings"]).arg(&path);
+        let (child, line) = spawn(command).await;
+        let pairs = line.split(' ').filter_map(|pair| pair.split_once('='));
+        let bound: BTreeMap<&str, SocketAddr> = pairs
+            .map(|(name, address)| (name, address.parse().expect("an address")))
+            .collect();
+        self.seeds.push(bound["gossip"].to_string());
+        self.boxes.push(CloudBox {
+            public: bound["public"],
+            gossip: bound["gossip"],
+            ready: bound["ready"],
+            directory: bound["directory"],
+            admin: bound["admin"],
+            child,
+        });
+    }
+
+    /// The runs of a request over all backend servers.
+    pub fn runs(&self, id: &str) -> usize {
+        self.workers.values().map(|w| w.seen(id).len()).sum()
+    }
+}
+
+/// Long enough for news of the store to reach the boxes.
+pub const NEWS: Duration = Duration::from_millis(500);
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod cloud;
 pub mod oracle;
 pub mod solo;
 
@@ -49,7 +50,7 @@
     }
 }
 
-async fn spawn(mut command: Command) -> (Child, String) {
+pub(crate) async fn spawn(mut command: Command) -> (Child, String) {
     let mut child = command
         .stdout(Stdio::piped())
         .kill_on_drop(true)
@@ -57,15 +58,18 @@
         .expect("the program starts; build the workspace first");
     let out = child.stdout.take().expect("stdout is piped");
     let mut lines = BufReader::new(out).lines();
-    let line = lines
-        .next_line()
-        .await
-        .expect("stdout reads")
-        .unwrap_or_default();
-    (child, line)
+    // The log goes to the same place.
+    let told = |line: &String| line.starts_with("public=") || line.starts_with("listening ");
+    loop {
+        let line = lines.next_line().await.expect("stdout reads");
+        let line = line.expect("the program says where it listens");
+        if told(&line) {
+            return (child, line);
+        }
+    }
 }
 
-fn signal(child: &Child, signal: Signal) {
+pub(crate) fn signal(child: &Child, signal: Signal) {
     let pid = child.id().expect("the process runs");
     kill(Pid::from_raw(pid as i32), signal).expect("the signal is sent");
 }
--- /dev/null
+++ b/tests/platform_store.rs
@@ -0,0 +1,130 @@
+//! The platform's store fails in every way that it may, and service goes on.
+
+mod harness;
+
+use harness::{
+    cloud::{Cloud, NEWS},
+    eventually,
+};
+use petreldrum_standin::registry::Fault;
+use tokio::time::sleep;
+
+/// Whether a request to this path and version of the configuration is served.
+async fn served(cloud: &Cloud, path: &str, id: &str) -> bool {
+    cloud.boxes[0].send(path, id, "").await.status.is_success()
+}
+
+#[tokio::test]
+async fn pages_and_news() {
+    let mut cloud = Cloud::serving(&["i-1", "i-2", "i-3", "i-4", "i-5"]).await;
+    assert!(served(&cloud, "/v1/x", "a").await);
+    cloud.configure(2);
+    eventually("the change is in force", || served(&cloud, "/v2/x", "b")).await;
+    let old = cloud.boxes[0].send("/v1/x", "c", "").await;
+    assert_eq!(old.status.as_u16(), 404);
+    for name in ["i-1", "i-2", "i-3", "i-4", "i-5"] {
+        cloud.registry.remove(&format!("servers/{name}"));
+    }
+    cloud.add_worker("i-6", "atl").await;
+    sleep(NEWS).await;
+    for number in 0..10 {
+        let answer = cloud.boxes[0]
+            .send("/safe/x", &format!("n{number}"), "")
+            .await;
+        assert!(answer.body.starts_with(b"i-6:"), "the others are gone");
+    }
+}
+
+#[tokio::test]
+async fn lost_history_is_read_again() {
+    let cloud = Cloud::serving(&["i-1", "i-2"]).await;
+    cloud.registry.set_fault(Fault::Reset);
+    sleep(NEWS).await;
+    cloud.configure(2);
+    cloud.registry.remove("servers/i-1");
+    cloud.registry.forget();
+    cloud.registry.set_fault(Fault::None);
+    eventually("the change is found", || served(&cloud, "/v2/x", "a")).await;
+    sleep(petreldrum::fleet::DOUBT.duration()).await;
+    for number in 0..10 {
+        let answer = cloud.boxes[0]
+            .send("/safe/x", &format!("n{number}"), "")
+            .await;
+        assert!(answer.body.starts_with(b"i-2:"), "i-1 left in the gap");
+    }
+}
+
+#[tokio::test]
+async fn outages_take_nobody_out() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    for fault in [Fault::Reset, Fault::Busy, Fault::TooMany, Fault::Silent] {
+        cloud.registry.set_fault(fault);
+        sleep(NEWS).await;
+        // The entry lapses while the store is away, and comes back after it.
+        cloud.registry.remove("servers/i-1");
+        assert!(served(&cloud, "/safe/x", "during").await, "{fault:?}");
+        cloud.registry.set_fault(Fault::None);
+        sleep(NEWS).await;
+        assert!(served(&cloud, "/safe/x", "after").await, "{fault:?}");
+        let address = cloud.workers["i-1"].address;
+        cloud.register("i-1", address, "atl", "ready");
+        sleep(petreldrum::fleet::DOUBT.duration()).await;
+        assert!(served(&cloud, "/safe/x", "later").await, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn evacuation_and_leaving() {
+    let mut cloud = Cloud::serving(&["i-1"]).await;
+    let address = cloud.workers["i-1"].address;
+    cloud.register("i-1", address, "atl", "draining");
+    eventually("nothing goes to it", || async {
+        !served(&cloud, "/safe/x", "a").await
+    })
+    .await;
+    cloud.add_worker("i-2", "atl").await;
+    eventually("the other serves", || served(&cloud, "/safe/x", "b")).await;
+    let nothing = serde_json::json!({});
+    cloud.registry.put("op/evacuate/atl-a", &nothing);
+    eventually("its domain is empty", || async {
+        !served(&cloud, "/safe/x", "c").await
+    })
+    .await;
+    cloud.registry.remove("op/evacuate/atl-a");
+    eventually("it is back", || served(&cloud, "/safe/x", "d")).await;
+}
+
+#[tokio::test]
+async fn few_calls_at_rest() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    sleep(NEWS).await;
+    let before = cloud.registry.calls("watch") + cloud.registry.calls("range");
+    sleep(std::time::Duration::from_secs(3)).await;
+    let after = cloud.registry.calls("watch") + cloud.registry.calls("range");
+    assert!(
+        after - before <= 1,
+        "a held watch: {} calls",
+        after - before
+    );
+}
+
+#[tokio::test]
+async fn regions_help_each_other() {
+    let mut cloud = Cloud::start().await;
+    cloud.configure(1);
+    cloud.add_worker("i-1", "mcn").await;
+    cloud.add_box("atl").await;
+    cloud.add_box("mcn").await;
+    cloud.settled().await;
+    eventually("a relay is served", || served(&cloud, "/once/x", "a")).await;
+    let mut begun = cloud.boxes[0].begin("/stream/x", "far", "stream").await;
+    assert!(begun.next().await.is_some());
+    drop(begun);
+    let worker = cloud.workers["i-1"].clone();
+    eventually("the run is stopped through the relay", || async {
+        worker.left().contains(&"far".to_owned())
+    })
+    .await;
+    let named = cloud.boxes[0].resolve("mcn").await;
+    assert_eq!(named, [cloud.boxes[1].public.to_string()]);
+}
