Reread the settings on SIGHUP, and end answers with their last byte

Seen in the request lines: an answer of a told length was never read to its end, so it counted as abandoned by its caller, its connection was closed, and its time was never learned.

Change: SIGHUP, or a settings file that changed without one, brings new seeds and retry limits; the rest waits for a restart, and a bad file changes nothing. A body whose length is told ends with its last byte.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,13 +1,16 @@
 //! `petreldrum gateway`: runs a box.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use eyre::WrapErr;
 use simplelog::{ConfigBuilder, WriteLogger};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::sleep,
+};
 
 use crate::{
-    gateway::{Gateway, lines::Lines},
+    gateway::{Gateway, Reloader, lines::Lines},
     settings::Settings,
 };
 
@@ -48,17 +51,37 @@
         .enable_all()
         .build()
         .wrap_err("cannot start the runtime")?;
-    let served = runtime.block_on(serve(settings));
+    let served = runtime.block_on(serve(settings, args.settings));
     lines.flush_all();
     served?;
     Ok(ExitCode::SUCCESS)
 }
 
-async fn serve(settings: Settings) -> eyre::Result<()> {
+/// How often the settings are looked at without a signal.
+const RECHECK: Duration = Duration::from_secs(5);
+
+/// Reads the settings again on SIGHUP, and now and then without one.
+async fn follow_settings(path: PathBuf, mut reloader: Reloader, mut hangup: Signal) {
+    loop {
+        let signalled = tokio::select! {
+            _ = hangup.recv() => true,
+            () = sleep(RECHECK) => false,
+        };
+        match Settings::load(&path) {
+            Ok(settings) if signalled || reloader.is_news(&settings) => reloader.reload(settings),
+            Ok(_) => {}
+            Err(error) => log::error!("settings: kept as they are: {error:#}"),
+        }
+    }
+}
+
+async fn serve(settings: Settings, path: PathBuf) -> eyre::Result<()> {
     let mut term = signal(SignalKind::terminate()).wrap_err("cannot watch for SIGTERM")?;
     let mut int = signal(SignalKind::interrupt()).wrap_err("cannot watch for SIGINT")?;
+    let hangup = signal(SignalKind::hangup()).wrap_err("cannot watch for SIGHUP")?;
     let gateway = Gateway::start(settings).await?;
     println!("{}", gateway.bound());
+    tokio::spawn(follow_settings(path, gateway.reloader(), hangup));
     let stopper = gateway.stopper();
     tokio::spawn(async move {
         tokio::select! {
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -77,7 +77,11 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Stream(stream) => stream.done,
+            Self::Kept(_) => false,
+        }
     }
 }
 
@@ -187,7 +191,13 @@
             return Poll::Ready(None);
         }
         let next = match ready!(self.poll_piece(cx)) {
-            Piece::Data(bytes) => Some(Ok(bytes)),
+            Piece::Data(bytes) => {
+                if self.incoming.is_end_stream() {
+                    // Nobody asks again for a body whose length is told.
+                    self.end(true);
+                }
+                Some(Ok(bytes))
+            }
             Piece::End => {
                 self.end(true);
                 None
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -211,6 +211,39 @@
     }
 }
 
+/// Takes over settings that were read again.
+#[derive(Clone)]
+pub struct Reloader {
+    core: Handle,
+    current: Settings,
+}
+
+impl Reloader {
+    /// Takes over what may change while a box runs; the rest waits for a restart.
+    pub fn reload(&mut self, settings: Settings) {
+        if settings == self.current {
+            return log::info!("settings: read again, unchanged.");
+        }
+        let Settings { seeds, retry, .. } = settings.clone();
+        self.current.seeds.clone_from(&seeds);
+        self.current.retry = retry;
+        log::info!(
+            "settings: read again, seeds={} retry={retry:?}.",
+            seeds.len()
+        );
+        if settings != self.current {
+            log::warn!("settings: other changes wait for a restart.");
+        }
+        self.current = settings;
+        self.core.tell(Event::Reloaded { seeds, retry });
+    }
+
+    /// Whether `settings` differ from those last taken over.
+    pub fn is_news(&self, settings: &Settings) -> bool {
+        self.current != *settings
+    }
+}
+
 /// A box that runs.
 pub struct Gateway {
     shell: Arc<Shell>,
@@ -308,6 +341,14 @@
         self.bound
     }
 
+    /// A way to bring settings that were read again.
+    pub fn reloader(&self) -> Reloader {
+        Reloader {
+            core: self.shell.core.clone(),
+            current: Settings::clone(&self.shell.settings),
+        }
+    }
+
     /// A way to begin the planned stop from elsewhere.
     pub fn stopper(&self) -> Stopper {
         Stopper(self.shell.stop.clone())
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -8,6 +8,8 @@
     id::{self, Domain, Region, Service},
     pin,
     prompt::Prompt,
+    retry,
+    settings::Seed,
     unit::Millis,
     verdict::Verdict,
     wire::Frame,
@@ -178,6 +180,13 @@
         /// The host that it wants to send requests to, where it says so.
         host: Option<String>,
     },
+    /// The settings were read again.
+    Reloaded {
+        /// Boxes to greet.
+        seeds: Vec<Seed>,
+        /// How many attempts beyond the first requests may have.
+        retry: retry::Limits,
+    },
     /// A planned stop begins.
     Stop,
 }
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -175,6 +175,10 @@
                 region,
                 host,
             } => self.resolve(now, request, &region, host.as_deref(), &mut out),
+            Event::Reloaded { seeds, retry } => {
+                self.seeds = seeds;
+                self.budgets.limit(retry);
+            }
             Event::Stop => self.stop(now, &mut out),
         }
         out
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Takes over new limits; the share of the slack follows with the next count of boxes.
+    pub fn limit(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
     /// Takes over how many boxes share the slack.
     pub fn share(&mut self, boxes: usize) {
         if let Some(slack) = self.limits.slack {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -75,7 +75,7 @@
 }
 
 /// The addresses that callers and other boxes are told; none means the listener's own.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Advertise {
     /// For callers.
     pub public: Option<SocketAddr>,
@@ -121,7 +121,7 @@
 }
 
 /// Everything one box is told at start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The box's own name.
     pub name: BoxName,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -5,7 +5,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -37,6 +40,7 @@
     pub address: SocketAddr,
     seen: Arc<Mutex<Vec<Seen>>>,
     left: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicUsize>,
 }
 
 impl Worker {
@@ -48,11 +52,13 @@
             address: listener.local_addr()?,
             seen: Arc::default(),
             left: Arc::default(),
+            connections: Arc::default(),
         };
         let served = worker.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let worker = served.clone();
+                worker.connections.fetch_add(1, Ordering::Relaxed);
                 tokio::spawn(async move {
                     let _ = worker.serve(stream).await;
                 });
@@ -76,6 +82,11 @@
             .clone()
     }
 
+    /// Connections that were opened to it so far.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(request) = read(&mut stream, &mut buffer).await? {
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -152,6 +152,28 @@
         self.registry.put(&format!("servers/{name}"), &content);
     }
 
+    /// Later boxes are told of no others.
+    pub fn forget_seeds(&mut self) {
+        self.seeds.clear();
+    }
+
+    fn settings(&self, number: usize) -> PathBuf {
+        self.folder.path().join(format!("box-{number}.ini"))
+    }
+
+    /// Tells a box of a seed, in its settings.
+    pub fn seed(&self, number: usize, seed: SocketAddr) {
+        let path = self.settings(number);
+        let text = std::fs::read_to_string(&path).expect("the settings read");
+        let text = text.replace("seeds = ", &format!("seeds = {seed}, "));
+        std::fs::write(&path, text).expect("the settings are written");
+    }
+
+    /// Makes a box's settings unreadable.
+    pub fn spoil_settings(&self, number: usize) {
+        std::fs::write(self.settings(number), "[box]\nname = \n").expect("they are written");
+    }
+
     pub async fn add_box(&mut self, region: &str) {
         let number = self.boxes.len();
         let text = format!(
@@ -166,7 +188,7 @@
             self.seeds.join(", "),
             self.store,
         );
-        let path = self.folder.path().join(format!("box-{number}.ini"));
+        let path = self.settings(number);
         std::fs::write(&path, text).expect("the settings are written");
         let mut command = Command::new(PathBuf::from(env!("CARGO_BIN_EXE_petreldrum")));
         command.args(["gateway", "--settings"]).arg(&path);
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -95,6 +95,23 @@
     }
 }
 
+#[tokio::test]
+async fn connections_are_kept() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    for number in 0..20 {
+        let answer = cloud.boxes[0]
+            .send("/safe/x", &format!("k{number}"), "")
+            .await;
+        assert!(answer.whole);
+    }
+    let opened = cloud.workers["i-1"].connections();
+    assert!(
+        opened <= 2,
+        "{opened} connections for one request at a time"
+    );
+    assert!(cloud.workers["i-1"].left().is_empty());
+}
+
 #[tokio::test]
 async fn leaving_callers_stop_the_run() {
     let cloud = Cloud::serving(&["i-1"]).await;
