Hear of lost regions sooner, and send callers where requests may run

Change: heartbeats twice a second and digests every 0.7 s at the least (the periods still grow with the fleet). Look-ups without a ready box in the caller's region name those of the region where most of the requests that this box has seen may run; a box sends nobody away in its first 3 s. Such look-ups are logged.

--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -167,12 +167,13 @@
         Ok(plan)
     }
 
-    /// Whether every route of `host` permits `region`.
-    pub fn permits_host(&self, host: Option<&str>, region: &Region) -> bool {
-        let routes = self.routes.iter().filter(|r| r.host.as_deref() == host);
-        routes
-            .into_iter()
-            .all(|r| r.regions.is_empty() || r.regions.contains(region))
+    /// The routes of `host` whose requests may run in `region`.
+    pub fn permitted(&self, host: Option<&str>, region: &Region) -> impl Iterator<Item = &Route> {
+        let routes = self
+            .routes
+            .iter()
+            .filter(move |r| r.host.as_deref() == host);
+        routes.filter(|r| r.regions.is_empty() || r.regions.contains(region))
     }
 
     /// The route of `host` with the longest prefix of `path`, at a segment's border.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -378,6 +378,18 @@
             Effect::Queued { request, waiting } => {
                 self.log_request(*request, format!("queued waiting={waiting}"));
             }
+            Effect::Boxes {
+                request,
+                boxes,
+                without: Some(region),
+            } => {
+                let named: Vec<&str> = boxes.iter().map(|b| b.contact.name.as_str()).collect();
+                let line = format!(
+                    "look-up region={region} none-ready named={}",
+                    named.join(",")
+                );
+                self.log_request(*request, line);
+            }
             Effect::Abort { request, attempt } => {
                 self.log_request(*request, format!("aborted attempt={}", attempt.0));
             }
@@ -402,7 +414,7 @@
             Effect::Abort { request, .. } => self.order(request, Order::Abort),
             Effect::Reply { request, reply } => self.last_order(request, Order::Reply(reply)),
             Effect::Replay { request, answer } => self.last_order(request, Order::Replay(answer)),
-            Effect::Boxes { request, boxes } => self.last_order(request, Order::Boxes(boxes)),
+            Effect::Boxes { request, boxes, .. } => self.last_order(request, Order::Boxes(boxes)),
             Effect::Queued { .. } => {}
             Effect::Forget(answer) => self.parts.replay.forget(answer),
             Effect::Gossip { to, frame } => self.parts.links.send(to, &frame),
--- a/src/gateway/lines.rs
+++ b/src/gateway/lines.rs
@@ -17,6 +17,8 @@
 /// Request lines a second that a box may write for long: three lines for each of the requests that
 /// it is built for.
 const LINES_PER_SECOND: f64 = 400.0;
+/// How often dropped request lines are told of.
+const TELL: Millis = Millis(1000);
 /// Request lines that it may write at once.
 const BURST: f64 = 800.0;
 
@@ -117,6 +119,8 @@
     saved: f64,
     at: Time,
     dropped: u64,
+    /// When the dropped lines were last told of.
+    told: Time,
 }
 
 impl Default for Quota {
@@ -125,6 +129,7 @@
             saved: BURST,
             at: Time(0),
             dropped: 0,
+            told: Time(0),
         }
     }
 }
@@ -140,9 +145,10 @@
             return false;
         }
         self.saved -= 1.0;
-        if self.dropped > 0 {
+        if self.dropped > 0 && now.since(self.told) >= TELL {
             log::warn!("log: dropped={} reason=too-many-requests", self.dropped);
             self.dropped = 0;
+            self.told = now;
         }
         true
     }
--- a/src/member.rs
+++ b/src/member.rs
@@ -15,11 +15,11 @@
 };
 
 /// Shortest time between two heartbeats.
-const HEARTBEAT: Millis = Millis(1000);
+const HEARTBEAT: Millis = Millis(500);
 /// Time between heartbeats for each other box of the region: the bytes stay bounded as it grows.
 const HEARTBEAT_EACH: u64 = 150;
 /// Shortest time between two digests to one region.
-const DIGEST: Millis = Millis(2000);
+const DIGEST: Millis = Millis(700);
 /// Time between digests for each other region.
 const DIGEST_EACH: u64 = 170;
 /// Messages that may be missed before a box or a region is not used.
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -88,6 +88,7 @@
         if arrival.hop == Hop::Direct && !known {
             self.charge(now, &ask.caller, plan.caller.rate)?;
             self.budgets.earn(&plan.service);
+            *self.demand.entry(plan.route.name.clone()).or_default() += 1;
         }
         let left = arrival.left.unwrap_or(plan.route.deadline).min(MAX_LEFT);
         let left = plan.route.hold.map_or(left, |hold| left.min(hold));
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -1,7 +1,7 @@
 //! Which boxes a caller should use.
 
 use crate::{
-    config::Refusal,
+    config::{Refusal, Route},
     id,
     policy::Policy,
     reducer::{
@@ -11,11 +11,15 @@
         event::Credential,
         job::SOON,
     },
-    unit::Time,
+    unit::{Millis, Time},
     verdict::Verdict,
     wire::Phase,
 };
 
+/// How long a box that started does not send callers away from their region: by then it has heard
+/// of every region that lives.
+const LEARNING: Millis = Millis(3000);
+
 impl<P: Policy> State<P> {
     pub(super) fn boxes(
         &mut self,
@@ -40,11 +44,15 @@
         };
         let home = caller.home.clone();
         let boxes = self.entries(now, home.as_ref());
-        out.push(Effect::Boxes { request, boxes });
+        out.push(Effect::Boxes {
+            request,
+            boxes,
+            without: None,
+        });
     }
 
-    /// Names the ready boxes of the caller's region. Where it has none, those of regions that every
-    /// route of the host permits go first: a body must not go to a region where it may not run.
+    /// Names the ready boxes of the caller's region. Where it has none, those of the regions where
+    /// most of the host's requests may run: a body should not go to a region where it may not.
     pub(super) fn resolve(
         &mut self,
         now: Time,
@@ -54,16 +62,36 @@
         out: &mut Vec<Effect>,
     ) {
         let mut boxes = self.entries(now, Some(region));
-        let config = self.config.as_deref();
-        let permitted = |r: &id::Region| config.is_none_or(|c| c.permits_host(host, r));
         let near = |e: &Entry| e.contact.region == *region;
-        let proper = |e: &Entry| permitted(&e.contact.region);
-        if boxes.iter().any(near) {
+        let any_near = boxes.iter().any(near);
+        if any_near {
             boxes.retain(near);
-        } else if boxes.iter().any(proper) {
-            boxes.retain(proper);
+        } else if now < Time(0) + LEARNING {
+            // It may not have heard of the better ones yet; another box can say more.
+            boxes.clear();
+        } else {
+            let fit = |e: &Entry| self.fitness(host, &e.contact.region);
+            let best = boxes.iter().map(fit).max();
+            boxes.retain(|e| Some(fit(e)) == best);
         }
-        out.push(Effect::Boxes { request, boxes });
+        out.push(Effect::Boxes {
+            request,
+            boxes,
+            without: (!any_near).then(|| region.clone()),
+        });
+    }
+
+    /// How many requests of `host` that this box has seen may run in `region`, and how many of its
+    /// routes: the more the better.
+    fn fitness(&self, host: Option<&str>, region: &id::Region) -> (u64, usize) {
+        let Some(config) = &self.config else {
+            return (0, 0);
+        };
+        let seen = |route: &Route| self.demand.get(&route.name).copied().unwrap_or(0);
+        let permitted = config.permitted(host, region);
+        permitted.fold((0, 0), |(requests, routes), route| {
+            (requests + seen(route), routes + 1)
+        })
     }
 
     pub(super) fn entries(&self, now: Time, home: Option<&id::Region>) -> Vec<Entry> {
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -430,6 +430,8 @@
         }
         self.control.told = None;
         self.fleet.configure(&config.backends);
+        self.demand
+            .retain(|name, _| config.routes.iter().any(|r| r.name == *name));
         self.config = Some(config);
         self.forget_servers();
         out.push(Effect::Adopted(version));
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -200,6 +200,8 @@
         request: id::Request,
         /// The boxes, best first.
         boxes: Vec<Entry>,
+        /// The caller's region, where none of its boxes could be named.
+        without: Option<Region>,
     },
     /// Send a message to another box.
     Gossip {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -99,6 +99,8 @@
     fleet: Fleet,
     cache: Cache,
     budgets: Budgets,
+    /// Requests that came from callers, by route.
+    demand: HashMap<id::Service, u64>,
     listed: BTreeSet<SocketAddr>,
     evacuated: BTreeSet<Domain>,
     /// Whether the backend servers are known.
@@ -128,6 +130,7 @@
             fleet: Fleet::default(),
             cache: Cache::default(),
             budgets: Budgets::new(identity.retry),
+            demand: HashMap::new(),
             listed: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             supplied: !identity.registry,
