Let resumable streams go on elsewhere after a cut

Cause: a stream that may be resumed was cut for its caller when its backend server died midway, though another one could have continued it.

Change: such streams pass on whole events only; after a cut the reducer chooses another place, within the route's attempts and the budget, and the answer goes on after the last whole event. The connection to the first place is closed before. A relayed stream may go on in the same region.

Tests: resumed_streams (process tests, and any pieces of a stream).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -69,11 +69,12 @@
     }
 }
 
-/// Tries a request once.
+/// Tries a request once; a stream goes on after `last_event`.
 pub(crate) async fn try_once(
     shell: &Arc<Shell>,
     prepared: &Prepared,
     send: &Send,
+    last_event: Option<&str>,
 ) -> Result<Found, Miss> {
     let now = shell.clock.now();
     let label = match send.target {
@@ -93,7 +94,11 @@
         count("late");
         return Err(Miss::new(Verdict::NotRun, Cause::Late));
     }
-    let (address, request, span) = outgoing(shell, prepared, send);
+    let (address, mut request, span) = outgoing(shell, prepared, send);
+    if let Some(last) = last_event {
+        let headers = request.headers_mut();
+        headers.insert(platform::head::LAST_EVENT, head::value(last));
+    }
     let sent = shell.pool.send(address, request, !send.repeatable).await;
     let (response, lease) = sent.map_err(|failure| {
         count("failed");
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -21,6 +21,7 @@
     gateway::{
         core::{Handle, Order},
         dial::Lease,
+        resume::{Next, Resume},
         trace::Span,
     },
     id,
@@ -108,6 +109,8 @@
     End,
     /// An end before the whole.
     Cut,
+    /// An order to break it off.
+    Stopped,
 }
 
 /// A body on its way through; its end, or its drop, is told to the reducer once.
@@ -120,6 +123,10 @@
     /// Whether the end of the connection is not the end of the answer.
     framed: bool,
     stall: Pin<Box<Sleep>>,
+    /// What it needs to go on at another place, where it may.
+    resume: Option<Box<Resume>>,
+    /// Whether it is on its way to another place.
+    moving: bool,
     done: bool,
     _span: Span,
 }
@@ -132,6 +139,7 @@
         orders: mpsc::UnboundedReceiver<Order>,
         source: Source,
         framed: bool,
+        resume: Option<Resume>,
         span: Span,
     ) -> Self {
         Self {
@@ -142,6 +150,8 @@
             orders,
             source,
             stall: Box::pin(sleep(STALL)),
+            resume: resume.map(Box::new),
+            moving: false,
             done: false,
             _span: span,
         }
@@ -163,9 +173,9 @@
 
     /// The next piece; the one who reads it calls [`Stream::end`] at the end.
     pub(crate) fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
-        // The only orders after an answer began are to break it off.
+        // The only orders while an answer comes are to break it off.
         if let Poll::Ready(Some(_)) = self.orders.poll_recv(cx) {
-            return Poll::Ready(Piece::Cut);
+            return Poll::Ready(Piece::Stopped);
         }
         loop {
             match Pin::new(&mut self.incoming).poll_frame(cx) {
@@ -187,27 +197,94 @@
     }
 
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
-        if self.done {
-            return Poll::Ready(None);
-        }
-        let next = match ready!(self.poll_piece(cx)) {
-            Piece::Data(bytes) => {
-                if self.incoming.is_end_stream() {
-                    // Nobody asks again for a body whose length is told.
+        loop {
+            if self.done {
+                return Poll::Ready(None);
+            }
+            if self.moving && !ready!(self.poll_move(cx)) {
+                self.end(false);
+                return Poll::Ready(Some(Err(Cut)));
+            }
+            let next = match ready!(self.poll_piece(cx)) {
+                Piece::Data(bytes) => self.data(bytes).map(Ok),
+                Piece::End => {
                     self.end(true);
+                    let rest = self.resume.as_mut().map(|r| r.events.rest());
+                    rest.filter(|rest| !rest.is_empty()).map(Ok)
+                }
+                Piece::Cut if self.resume.is_some() => {
+                    self.leave();
+                    None
+                }
+                Piece::Cut | Piece::Stopped => {
+                    self.end(false);
+                    Some(Err(Cut))
                 }
-                Some(Ok(bytes))
+            };
+            if next.is_some() {
+                return Poll::Ready(next);
             }
-            Piece::End => {
-                self.end(true);
-                None
+        }
+    }
+
+    /// The part of `bytes` that may be passed on now.
+    fn data(&mut self, bytes: Bytes) -> Option<Bytes> {
+        if self.incoming.is_end_stream() {
+            // Nobody asks again for a body whose length is told.
+            self.end(true);
+            return Some(bytes);
+        }
+        let Some(resume) = &mut self.resume else {
+            return Some(bytes);
+        };
+        Some(resume.events.push(bytes)).filter(|whole| !whole.is_empty())
+    }
+
+    /// Leaves a place that broke the stream off; the reducer says where it goes on.
+    fn leave(&mut self) {
+        self.lease = None;
+        self.moving = true;
+        if let Some(resume) = &mut self.resume {
+            resume.events.forget_partial();
+        }
+        let Source { request, attempt } = self.source;
+        self.core.tell(Event::Broke { request, attempt });
+    }
+
+    /// Goes on at another place; false where there is none.
+    fn poll_move(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+        let Some(resume) = &mut self.resume else {
+            return Poll::Ready(false);
+        };
+        let request = self.source.request;
+        loop {
+            match self.orders.poll_recv(cx) {
+                Poll::Ready(Some(Order::Send(send))) => {
+                    self.source.attempt = send.attempt;
+                    resume.start(send);
+                }
+                Poll::Ready(Some(Order::Abort)) => resume.abort(),
+                Poll::Ready(_) => return Poll::Ready(false),
+                Poll::Pending => {}
             }
-            Piece::Cut => {
-                self.end(false);
-                Some(Err(Cut))
+            let attempt = self.source.attempt;
+            match ready!(resume.poll(cx)) {
+                Next::Found(found) => {
+                    self.core.tell(Event::Begun { request, attempt });
+                    self.incoming = found.response.into_body();
+                    self.lease = Some(found.lease);
+                    self.stall.as_mut().reset(Instant::now() + STALL);
+                    self.moving = false;
+                    return Poll::Ready(true);
+                }
+                Next::Missed(verdict, cause) => self.core.tell(Event::Failed {
+                    request,
+                    attempt,
+                    verdict,
+                    cause,
+                }),
             }
-        };
-        Poll::Ready(next)
+        }
     }
 }
 
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -362,6 +362,9 @@
                 let line = format!("ended attempt={} whole={whole}", attempt.0);
                 self.log_request(*request, line);
             }
+            Event::Broke { request, attempt } => {
+                self.log_request(*request, format!("cut attempt={}", attempt.0));
+            }
             Event::Gone(request) if self.state.holds(*request) => {
                 self.log_request(*request, "abandoned by=caller");
             }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -7,6 +7,7 @@
 use hyper::{
     Method, Request, Response, StatusCode, Uri,
     body::{Body as _, Incoming},
+    header::CONTENT_LENGTH,
     http::request::Parts,
 };
 use tokio::{
@@ -24,6 +25,7 @@
         head, pack,
         read::{self, deny},
         replay::{Answer, MAX_ANSWER},
+        resume::Resume,
         trace::Span,
     },
     id,
@@ -291,7 +293,7 @@
         hop,
     };
     let detached = matches!(arrival.key, Key::Good(_));
-    let prepared = Prepared {
+    let prepared = Arc::new(Prepared {
         method: parts.method.clone(),
         uri,
         headers: head::request(parts.headers.clone(), shell.settings.interface),
@@ -300,7 +302,7 @@
         span: span.clone(),
         door,
         came,
-    };
+    });
     let mut guard = Guard {
         core: shell.core.clone(),
         request: id,
@@ -326,7 +328,7 @@
 /// Follows the reducer's orders until the answer begins.
 async fn drive(
     shell: Arc<Shell>,
-    prepared: Prepared,
+    prepared: Arc<Prepared>,
     request: id::Request,
     mut orders: mpsc::UnboundedReceiver<Order>,
 ) -> Result<Response<Body>, Reply> {
@@ -349,7 +351,7 @@
         let attempt = send.attempt;
         tokio::select! {
             biased;
-            tried = try_once(&shell, &prepared, &send) => match tried {
+            tried = try_once(&shell, &prepared, &send, None) => match tried {
                 Ok(found) => {
                     shell.core.tell(Event::Begun { request, attempt });
                     let took = prepared.came.elapsed().as_secs_f64();
@@ -391,7 +393,7 @@
 /// Makes the answer to the caller out of one that begins.
 fn stream(
     shell: &Arc<Shell>,
-    prepared: &Prepared,
+    prepared: &Arc<Prepared>,
     send: &Send,
     found: Found,
     orders: mpsc::UnboundedReceiver<Order>,
@@ -421,6 +423,8 @@
     let core = shell.core.clone();
     // On the platform a connection that is closed, and not reset, ends an answer without length.
     let framed = platform || is_framed(&found.response);
+    let resumable = send.resumable && !found.response.headers().contains_key(CONTENT_LENGTH);
+    let resume = resumable.then(|| Resume::new(shell.clone(), prepared.clone()));
     let stream = Stream::new(
         found.response,
         found.lease,
@@ -428,6 +432,7 @@
         orders,
         source,
         framed,
+        resume,
         found.span,
     );
     let body = if send.record {
@@ -474,7 +479,7 @@
                     }
                     return stream.end(true);
                 }
-                Piece::Cut => {
+                Piece::Cut | Piece::Stopped => {
                     stream.end(false);
                     hand_on(listener, Err(Cut)).await;
                     return;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! | module | job |
 //! |---|---|
 //! | `core` | the actor that owns the reducer and carries out its effects |
-//! | `exchange`, `read`, `attempt` | one request and its answer |
+//! | `exchange`, `read`, `attempt`, [`resume`] | one request and its answer |
 //! | `serve`, `framing`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
 //! | `gossip` | nng between boxes |
 //! | `store`, `follow`, `list` | the platform, by our own interface |
@@ -30,6 +30,7 @@
 pub mod pack;
 mod read;
 mod replay;
+pub mod resume;
 mod serve;
 mod store;
 mod sync;
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -99,6 +99,7 @@
             prefix: arrival.prefix,
             prompt: arrival.prompt,
             repeatable: plan.route.repeatable,
+            resumable: plan.route.stream.is_some_and(|s| s.resumable),
             runs,
             priority: plan.route.priority,
             target: plan.route.target.map(|t| self.remaining(&arrival.hop, t)),
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -103,6 +103,7 @@
             target,
             caller: job.ask.caller.clone(),
             repeatable: job.repeatable,
+            resumable: job.resumable,
             priority: job.priority,
             runs: match relayed {
                 true => job.lent(),
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -49,6 +49,8 @@
     pub caller: id::Caller,
     /// Whether the request may run twice; if not, it goes over a connection of its own.
     pub repeatable: bool,
+    /// Whether another place may continue its stream after a cut.
+    pub resumable: bool,
     /// Its rank among the requests of a backend server.
     pub priority: u8,
     /// Backend servers that may still run it, this attempt's included.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -143,6 +143,13 @@
         /// Whether it ended whole.
         whole: bool,
     },
+    /// A stream that had begun was cut, and may go on elsewhere.
+    Broke {
+        /// The request.
+        request: id::Request,
+        /// The attempt that brought it.
+        attempt: id::Attempt,
+    },
     /// An attempt brought no answer.
     Failed {
         /// The request.
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -141,6 +141,7 @@
             target: Target::Pass { peer },
             caller: job.ask.caller.clone(),
             repeatable: false,
+            resumable: false,
             priority: job.priority,
             runs: job.runs,
             record: false,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -158,6 +158,7 @@
                 attempt,
                 whole,
             } => self.ended(now, request, attempt, whole, &mut out),
+            Event::Broke { request, attempt } => self.broke(now, request, attempt, &mut out),
             Event::Failed {
                 request,
                 attempt,
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -138,7 +138,10 @@
         if !verdict.is_not_run() {
             job.ran_at(&spot);
         }
-        if matches!(cause, Cause::Errored | Cause::Leaving) {
+        // Behind a box another backend server may do better.
+        let relayed = matches!(spot, Spot::Chosen(Place::Region(_), _));
+        let elsewhere = relayed && cause == Cause::Broken;
+        if elsewhere || matches!(cause, Cause::Errored | Cause::Leaving) {
             // It may well do better there next time, or by another door of the region.
             job.tried.pop();
         }
@@ -158,6 +161,23 @@
         self.drain(now, &service, out);
     }
 
+    /// Lets a stream that was cut go on elsewhere, where it may.
+    pub(super) fn broke(
+        &mut self,
+        now: Time,
+        request: id::Request,
+        attempt: id::Attempt,
+        out: &mut Vec<Effect>,
+    ) {
+        if self
+            .in_hand(request, attempt)
+            .is_some_and(|held| held.begun)
+        {
+            let verdict = Verdict::MayHaveRun;
+            self.failed(now, request, attempt, verdict, Cause::Broken, out);
+        }
+    }
+
     /// Gives back what an attempt held; `took` tells of a whole answer.
     pub(super) fn release(&mut self, held: &Held, took: Option<Millis>) {
         match &held.spot {
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -18,6 +18,8 @@
     time::sleep,
 };
 
+/// Events of a whole stream.
+pub const EVENTS: u32 = 20;
 /// The header by which a request says how it is to be answered.
 pub const MODE: &str = "x-mode";
 
@@ -92,6 +94,8 @@
         while let Some(request) = read(&mut stream, &mut buffer).await? {
             let id = request.headers.get("request-id").cloned();
             let mode = request.headers.get(MODE).cloned().unwrap_or_default();
+            let last = request.headers.get("last-event-id");
+            let last: u32 = last.and_then(|l| l.parse().ok()).unwrap_or(0);
             let mine = request.headers.get("target-instance") == Some(&self.name);
             self.seen
                 .lock()
@@ -99,7 +103,7 @@
                 .push(request);
             let id = id.unwrap_or_default();
             let mode = if mine { mode.as_str() } else { "replaced" };
-            if !self.answer(&mut stream, &id, mode).await? {
+            if !self.answer(&mut stream, &id, mode, last).await? {
                 return Ok(());
             }
         }
@@ -107,7 +111,13 @@
     }
 
     /// Answers one request; false where the connection ends with it.
-    async fn answer(&self, stream: &mut TcpStream, id: &str, mode: &str) -> std::io::Result<bool> {
+    async fn answer(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        mode: &str,
+        last: u32,
+    ) -> std::io::Result<bool> {
         let head =
             |status: &str, more: &str| format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{more}");
         let signed = "Response-Signature: signed\r\n";
@@ -135,7 +145,16 @@
             "cut" => (good[..good.len() - 2].to_owned(), false),
             "garbage" => ("%%% no protocol %%%\r\n\r\n".to_owned(), false),
             "lost" => (String::new(), false),
-            "stream" => return self.stream(stream, id, &head("200 OK", signed)).await,
+            "stream" | "break" => {
+                let end = if mode == "break" && last == 0 {
+                    5
+                } else {
+                    EVENTS
+                };
+                return self
+                    .stream(stream, id, &head("200 OK", signed), last, end)
+                    .await;
+            }
             "silent" => return self.wait(stream, id).await,
             "slow" => {
                 sleep(Duration::from_millis(400)).await;
@@ -147,12 +166,20 @@
         Ok(stays)
     }
 
-    /// Streams events until the other side leaves or all are sent.
-    async fn stream(&self, stream: &mut TcpStream, id: &str, head: &str) -> std::io::Result<bool> {
+    /// Streams the events after `last` until the other side leaves or all are sent; fewer than all
+    /// end within an event, and with the connection.
+    async fn stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        head: &str,
+        last: u32,
+        end: u32,
+    ) -> std::io::Result<bool> {
         let start =
             format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         stream.write_all(start.as_bytes()).await?;
-        for number in 1..=20 {
+        for number in last + 1..=end {
             let event = format!("id: {number}\ndata: {}\n\n", self.name);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
@@ -161,6 +188,12 @@
             }
             sleep(Duration::from_millis(50)).await;
         }
+        if end < EVENTS {
+            let half = format!("id: {}\nda", end + 1);
+            let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+            stream.write_all(chunk.as_bytes()).await?;
+            return Ok(false);
+        }
         stream.write_all(b"0\r\n\r\n").await?;
         Ok(true)
     }
--- /dev/null
+++ b/tests/resumed_streams.rs
@@ -0,0 +1,86 @@
+//! Streams that are cut go on at another place, within one answer, without a gap or a repeat.
+
+mod harness;
+
+use bytes::Bytes;
+use harness::cloud::Cloud;
+use petreldrum::gateway::resume::Events;
+use petreldrum_standin::worker::EVENTS;
+
+/// The ids of the events of a stream; every event must be whole.
+fn ids(body: &[u8]) -> Vec<u32> {
+    let text = String::from_utf8_lossy(body);
+    let events = text.split_terminator("\n\n");
+    let id = |event: &str| {
+        let (id, data) = event.split_once('\n').expect("two lines");
+        assert!(data.starts_with("data: i-"), "a whole event: {event:?}");
+        id.trim_start_matches("id: ").parse().expect("a number")
+    };
+    events.map(id).collect()
+}
+
+#[tokio::test]
+async fn goes_on_elsewhere() {
+    let cloud = Cloud::serving(&["i-1", "i-2"]).await;
+    let answer = cloud.boxes[0].send("/stream/x", "one", "break").await;
+    assert!(answer.whole);
+    assert_eq!(ids(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
+    let seen: Vec<_> = cloud.workers.values().flat_map(|w| w.seen("one")).collect();
+    assert_eq!(seen.len(), 2, "two ran a part each");
+    let after = seen.iter().filter_map(|s| s.headers.get("last-event-id"));
+    assert_eq!(after.collect::<Vec<_>>(), ["5"]);
+}
+
+#[tokio::test]
+async fn ends_where_nobody_goes_on() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    let answer = cloud.boxes[0].send("/stream/x", "one", "break").await;
+    assert!(!answer.whole, "a cut looks like one");
+    assert_eq!(ids(&answer.body), [1, 2, 3, 4, 5]);
+}
+
+#[tokio::test]
+async fn goes_on_behind_a_relay() {
+    let mut cloud = Cloud::start().await;
+    cloud.configure(1);
+    cloud.add_worker("i-1", "mcn").await;
+    cloud.add_worker("i-2", "mcn").await;
+    cloud.add_box("atl").await;
+    cloud.add_box("mcn").await;
+    cloud.settled().await;
+    harness::eventually("relays are served", || async {
+        cloud.boxes[0].send("/safe/x", "first", "").await.status == 200
+    })
+    .await;
+    let answer = cloud.boxes[0].send("/stream/x", "far", "break").await;
+    // The box there may use one run; this one asks it once more.
+    assert!(answer.whole);
+    assert_eq!(ids(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
+}
+
+#[test]
+fn any_pieces_make_whole_events() {
+    bolero::check!()
+        .with_type::<(Vec<u8>, Vec<u8>)>()
+        .for_each(|(cuts, seed)| {
+            let text: Vec<u8> = (1..40)
+                .flat_map(|n| {
+                    let pad = "x".repeat(usize::from(seed.get(n).copied().unwrap_or(3)));
+                    format!("id: {n}\ndata: {pad}\n\n").into_bytes()
+                })
+                .collect();
+            let mut events = Events::default();
+            let (mut rest, mut passed) = (&text[..], Vec::new());
+            for cut in cuts {
+                let (now, later) = rest.split_at(usize::from(*cut).min(rest.len()));
+                passed.extend(events.push(Bytes::copy_from_slice(now)));
+                rest = later;
+                assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
+                let whole = passed.windows(2).filter(|w| w == b"\n\n").count();
+                let last = events.last().map_or(0, |id| id.parse().expect("a number"));
+                assert_eq!(whole, last, "the last whole event is known");
+            }
+            passed.extend(events.push(Bytes::copy_from_slice(rest)));
+            assert_eq!(passed, text);
+        });
+}
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -104,7 +104,10 @@
     let mut solo = Solo::new(&text(route));
     solo.digest(4, 0);
     let early = resolved(&mut solo, "bunbury-2", "h");
-    assert!(early.is_empty(), "a box that just started sends nobody away");
+    assert!(
+        early.is_empty(),
+        "a box that just started sends nobody away"
+    );
     solo.pass(1000);
     solo.digest(4, 0);
     assert_eq!(resolved(&mut solo, "perth", "h"), ["box"], "its own region");
