--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -19,6 +19,7 @@
 
 use crate::{
     gateway::{
+        attempt::Found,
         core::{Handle, Order},
         dial::Lease,
         resume::{Next, Resume},
@@ -133,19 +134,17 @@
 
 impl Stream {
     pub(crate) fn new(
-        response: Response<Incoming>,
-        lease: Lease,
+        found: Found,
         core: Handle,
         orders: mpsc::UnboundedReceiver<Order>,
         source: Source,
         framed: bool,
         resume: Option<Resume>,
-        span: Span,
     ) -> Self {
         Self {
             framed,
-            incoming: response.into_body(),
-            lease: Some(lease),
+            incoming: found.response.into_body(),
+            lease: Some(found.lease),
             core,
             orders,
             source,
@@ -153,7 +152,7 @@
             resume: resume.map(Box::new),
             moving: false,
             done: false,
-            _span: span,
+            _span: found.span,
         }
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -425,16 +425,7 @@
     let framed = platform || is_framed(&found.response);
     let resumable = send.resumable && !found.response.headers().contains_key(CONTENT_LENGTH);
     let resume = resumable.then(|| Resume::new(shell.clone(), prepared.clone()));
-    let stream = Stream::new(
-        found.response,
-        found.lease,
-        core,
-        orders,
-        source,
-        framed,
-        resume,
-        found.span,
-    );
+    let stream = Stream::new(found, core, orders, source, framed, resume);
     let body = if send.record {
         let answer = Answer {
             status,
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -159,7 +159,7 @@
 
     fn configure(&self, value: Vec<u8>) {
         match record::envelope(value) {
-            Ok(envelope) => follow::offer(&self.core, &self.settings, envelope, Source::Store),
+            Ok(envelope) => follow::offer(&self.core, &self.settings, envelope, Source::News),
             Err(error) => log::error!("store: {error:#}"),
         }
     }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -7,7 +7,6 @@
     fleet::Change,
     id::{Backend, BoxName, Domain, Region, Service},
     policy::Policy,
-    prompt::Part,
     reducer::{
         FREEZE, JOIN_GRACE, State, WAKE_GRACE,
         effect::{Alarm, Effect},
@@ -15,15 +14,13 @@
     },
     settings::Seed,
     unit::{Millis, Time},
-    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Reading, Short},
+    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short},
 };
 
 /// Boxes of a region that watch the store.
 const WATCHERS: usize = 2;
 /// Boxes that a digest names.
 const DOORS: usize = 3;
-/// Held parts that a new box is told of: about 8 KB.
-const MAX_HOLDINGS: usize = 512;
 /// How long a fetch may take before another is tried.
 const FETCH_PATIENCE: Millis = Millis(1000);
 
@@ -114,7 +111,7 @@
         }
     }
 
-    fn frame(&mut self, body: Body) -> Frame {
+    pub(super) fn frame(&mut self, body: Body) -> Frame {
         self.control.seq += 1;
         Frame {
             from: self.table.me.name.clone(),
@@ -329,11 +326,7 @@
             }
             Body::Heartbeat(beat) => self.introduce(now, &beat.contact.clone(), out),
             Body::Reading(reading) => self.hear_reading(now, &frame, *reading, out),
-            Body::Holdings(holdings) => {
-                for holding in holdings {
-                    self.cache.learn(*holding, now);
-                }
-            }
+            Body::Holdings(holdings) => self.learn_holdings(now, holdings),
             Body::Members(contacts) => self.meet(now, contacts, out),
             Body::Digest(_) => {}
         }
@@ -342,11 +335,7 @@
 
     /// Answers a box that just appeared: who is here, and a heartbeat at once.
     fn greet(&mut self, now: Time, to: SocketAddr, name: &BoxName, out: &mut Vec<Effect>) {
-        if self.table.is_first("holdings", name, now) {
-            let holdings = self.cache.holdings(MAX_HOLDINGS);
-            let frame = self.frame(Body::Holdings(holdings));
-            out.push(Effect::Gossip { to, frame });
-        }
+        self.share_holdings(now, to, name, out);
         let contacts = self.table.live(now).map(|p| p.last.contact.clone());
         let body = Body::Members(contacts.collect());
         let frame = self.frame(body);
@@ -470,52 +459,6 @@
         self.drain_all(now, out);
     }
 
-    /// Tells the boxes that a backend server here begins to read a long prompt.
-    pub(super) fn announce(&mut self, reading: Reading, out: &mut Vec<Effect>, now: Time) {
-        let near = self.table.live(now).map(|p| p.last.contact.gossip);
-        let far = self.table.reachable(now).filter_map(|(_, remote)| {
-            let doors = &remote.digest.doors;
-            let turn = (self.attempts as usize).checked_rem(doors.len())?;
-            Some(doors[turn].contact.gossip)
-        });
-        let targets: Vec<(SocketAddr, bool)> = near
-            .map(|to| (to, false))
-            .chain(far.map(|to| (to, true)))
-            .collect();
-        for (to, spread) in targets {
-            let frame = self.frame(Body::Reading(Reading { spread, ..reading }));
-            out.push(Effect::Gossip { to, frame });
-        }
-    }
-
-    /// Takes in that a backend server begins to read a long prompt, and passes it on where asked.
-    fn hear_reading(&mut self, now: Time, frame: &Frame, reading: Reading, out: &mut Vec<Effect>) {
-        let part = reading.part.map(|id| Part {
-            id,
-            tokens: reading.shared,
-        });
-        self.cache.note(reading.backend, part, reading.tokens, now);
-        if let Some(name) = self.fleet.long(reading.backend).cloned() {
-            self.servers
-                .entry(name)
-                .or_default()
-                .hear(reading.tokens, now);
-        }
-        if reading.spread {
-            let copy = Frame {
-                body: Body::Reading(Reading {
-                    spread: false,
-                    ..reading
-                }),
-                ..frame.clone()
-            };
-            out.extend(self.table.live(now).map(|peer| Effect::Gossip {
-                to: peer.last.contact.gossip,
-                frame: copy.clone(),
-            }));
-        }
-    }
-
     pub(super) fn unreadable(&mut self, version: Version, out: &mut Vec<Effect>) {
         if version <= self.version() {
             return;
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -1,10 +1,8 @@
 //! Finds a place for a request, sends it there, or lets it wait in line.
 
 use crate::{
-    cache,
     id::{self, Service},
     policy::{Choice, Place, Policy},
-    prompt::Part,
     reducer::{
         State,
         admit::refusal,
@@ -13,7 +11,7 @@
     },
     unit::{Millis, Time},
     verdict::Verdict,
-    wire::{Phase, Reading, Short},
+    wire::Phase,
 };
 
 impl<P: Policy> State<P> {
@@ -136,35 +134,6 @@
         }
     }
 
-    /// What `place` has to read for `job`, as far as this box knows; none for another region.
-    fn reading(&self, now: Time, job: &Job, place: &Place) -> Option<Reading> {
-        let (Some(prompt), Place::Backend(name)) = (&job.prompt, place) else {
-            return None;
-        };
-        let backend = Short::of(name.as_str());
-        let memory = self.memory(&job.service);
-        let part = prompt.longest().filter(|part| part.tokens >= cache::LONG);
-        Some(Reading {
-            backend,
-            tokens: self.cache.unread(prompt, backend, memory, now),
-            part: part.map(|p| p.id),
-            shared: part.map_or(0, |p| p.tokens),
-            spread: false,
-        })
-    }
-
-    /// Remembers a reading, and tells the other boxes of a long one.
-    fn note_reading(&mut self, now: Time, reading: Reading, out: &mut Vec<Effect>) {
-        let part = reading.part.map(|id| Part {
-            id,
-            tokens: reading.shared,
-        });
-        self.cache.note(reading.backend, part, reading.tokens, now);
-        if part.is_some() || reading.tokens >= cache::LONG {
-            self.announce(reading, out, now);
-        }
-    }
-
     pub(super) fn target(&self, place: &Place) -> Option<(Target, Option<id::BoxName>)> {
         match place {
             Place::Backend(name) => {
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -105,8 +105,10 @@
 /// Where a configuration came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
-    /// The platform's store.
+    /// The platform's store, as it stands.
     Store,
+    /// What the store told of late: an older one than the one in force is no surprise.
+    News,
     /// Another box.
     Peer,
 }
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -8,6 +8,7 @@
 //! | `admit`, `key` | its arrival, and its idempotency key |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
 //! | `line` | who waits, and who goes first |
+//! | `reading` | long prompts, and what the boxes tell each other of them |
 //! | `stall` | attempts that stay silent for too long |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
@@ -26,6 +27,7 @@
 mod line;
 mod outcome;
 mod place;
+mod reading;
 mod stall;
 pub mod status;
 
--- /dev/null
+++ b/src/reducer/reading.rs
@@ -0,0 +1,124 @@
+//! Long prompts: what a place has to read for a request, and how the boxes tell each other of it.
+//!
+//! All boxes hear at once of each long prompt that an engine begins to read, so that they know where
+//! its parts are held, and which engine is busy reading.
+
+use std::net::SocketAddr;
+
+use crate::{
+    cache,
+    id::BoxName,
+    policy::{Place, Policy},
+    prompt::Part,
+    reducer::{State, effect::Effect, job::Job},
+    unit::Time,
+    wire::{Body, Frame, Holding, Reading, Short},
+};
+
+/// Held parts that a new box is told of: about 8 KB.
+const MAX_HOLDINGS: usize = 512;
+
+impl<P: Policy> State<P> {
+    /// What `place` has to read for `job`, as far as this box knows; none for another region.
+    pub(super) fn reading(&self, now: Time, job: &Job, place: &Place) -> Option<Reading> {
+        let (Some(prompt), Place::Backend(name)) = (&job.prompt, place) else {
+            return None;
+        };
+        let backend = Short::of(name.as_str());
+        let memory = self.memory(&job.service);
+        let part = prompt.longest().filter(|part| part.tokens >= cache::LONG);
+        Some(Reading {
+            backend,
+            tokens: self.cache.unread(prompt, backend, memory, now),
+            part: part.map(|p| p.id),
+            shared: part.map_or(0, |p| p.tokens),
+            spread: false,
+        })
+    }
+
+    /// Remembers a reading, and tells the other boxes of a long one.
+    pub(super) fn note_reading(&mut self, now: Time, reading: Reading, out: &mut Vec<Effect>) {
+        let part = reading.part.map(|id| Part {
+            id,
+            tokens: reading.shared,
+        });
+        self.cache.note(reading.backend, part, reading.tokens, now);
+        if part.is_some() || reading.tokens >= cache::LONG {
+            self.announce(reading, out, now);
+        }
+    }
+
+    /// Tells the boxes that a backend server here begins to read a long prompt.
+    fn announce(&mut self, reading: Reading, out: &mut Vec<Effect>, now: Time) {
+        let near = self.table.live(now).map(|p| p.last.contact.gossip);
+        let far = self.table.reachable(now).filter_map(|(_, remote)| {
+            let doors = &remote.digest.doors;
+            let turn = (self.attempts as usize).checked_rem(doors.len())?;
+            Some(doors[turn].contact.gossip)
+        });
+        let targets: Vec<(SocketAddr, bool)> = near
+            .map(|to| (to, false))
+            .chain(far.map(|to| (to, true)))
+            .collect();
+        for (to, spread) in targets {
+            let frame = self.frame(Body::Reading(Reading { spread, ..reading }));
+            out.push(Effect::Gossip { to, frame });
+        }
+    }
+
+    /// Takes in that a backend server begins to read a long prompt, and passes it on where asked.
+    pub(super) fn hear_reading(
+        &mut self,
+        now: Time,
+        frame: &Frame,
+        reading: Reading,
+        out: &mut Vec<Effect>,
+    ) {
+        let part = reading.part.map(|id| Part {
+            id,
+            tokens: reading.shared,
+        });
+        self.cache.note(reading.backend, part, reading.tokens, now);
+        if let Some(name) = self.fleet.long(reading.backend).cloned() {
+            self.servers
+                .entry(name)
+                .or_default()
+                .hear(reading.tokens, now);
+        }
+        if reading.spread {
+            let copy = Frame {
+                body: Body::Reading(Reading {
+                    spread: false,
+                    ..reading
+                }),
+                ..frame.clone()
+            };
+            out.extend(self.table.live(now).map(|peer| Effect::Gossip {
+                to: peer.last.contact.gossip,
+                frame: copy.clone(),
+            }));
+        }
+    }
+
+    /// Tells a box that just appeared which engines hold which parts, as one box's duty.
+    pub(super) fn share_holdings(
+        &mut self,
+        now: Time,
+        to: SocketAddr,
+        name: &BoxName,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.table.is_first("holdings", name, now) {
+            let holdings = self.cache.holdings(MAX_HOLDINGS);
+            let frame = self.frame(Body::Holdings(holdings));
+            out.push(Effect::Gossip { to, frame });
+        }
+    }
+
+    /// Takes over what another box knows of held parts.
+    pub(super) fn learn_holdings(&mut self, now: Time, holdings: &[Holding]) {
+        for holding in holdings {
+            self.cache.learn(*holding, now);
+        }
+    }
+}
