--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -57,6 +57,7 @@
         true
     }
 
+    /// Sends a request to `place`, and counts it there.
     pub(super) fn send(
         &mut self,
         now: Time,
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -5,6 +5,7 @@
 use petreldrum::{
     config::{Config, Envelope, KeyHash, Version},
     id::{self, Incarnation},
+    platform::Places,
     policy::Balanced,
     reducer::{
         Identity, State,
@@ -16,6 +17,16 @@
     wire::{Body, Capacity, Contact, Digest, Door, Frame, Short},
 };
 
+/// Two regions of one failure domain each.
+pub fn places() -> Places {
+    let domain = |d: &str, r: &str| (d.parse().expect("a name"), r.parse().expect("a name"));
+    Places {
+        domains: [domain("atl-a", "atl"), domain("mcn-a", "mcn")].into(),
+        hop: Millis(110),
+        beat: Millis(1200),
+    }
+}
+
 pub fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
--- a/tests/platform_records.rs
+++ b/tests/platform_records.rs
@@ -1,11 +1,11 @@
 //! What stands in the platform's store becomes the product's own types, whole or not at all.
 
+mod harness;
+
+use harness::solo::places;
 use petreldrum::{
     config::Config,
-    platform::{
-        Places,
-        record::{self, Name},
-    },
+    platform::record::{self, Name},
     unit::Millis,
 };
 
@@ -23,15 +23,6 @@
  "services":[{"name":"model","coldStartS":3.0,"coldPerS":8.0,"engine":{"kvTokens":345351}},
   {"name":"app","coldStartS":0.0,"coldPerS":0.0}],"limits":{}}"#;
 
-fn places() -> Places {
-    let domain = |d: &str, r: &str| (d.parse().expect("a name"), r.parse().expect("a name"));
-    Places {
-        domains: [domain("atl-a", "atl"), domain("mcn-a", "mcn")].into(),
-        hop: Millis(110),
-        beat: Millis(1200),
-    }
-}
-
 fn config() -> Config {
     let envelope = record::envelope(CONFIG.into()).expect("it reads");
     record::config(&envelope, &places()).expect("it reads")
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -8,12 +8,12 @@
     sync::Arc,
 };
 
-use harness::solo::contact;
+use harness::solo::{contact, places};
 use petreldrum::{
     config::Backend,
     fleet::Change,
     id::{self, Domain, Incarnation},
-    platform::{Places, record},
+    platform::record,
     policy::Balanced,
     reducer::{
         Identity, State,
@@ -73,15 +73,6 @@
     record::server(&name, entry.as_bytes(), &places()).expect("it reads")
 }
 
-fn places() -> Places {
-    let domain = |d: &str, r: &str| (d.parse().expect("a name"), r.parse().expect("a name"));
-    Places {
-        domains: [domain("atl-a", "atl"), domain("mcn-a", "mcn")].into(),
-        hop: Millis(110),
-        beat: Millis(1200),
-    }
-}
-
 impl World {
     fn new() -> Self {
         let identity = Identity {
