--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -434,6 +434,7 @@
                 self.parts.metrics.version.set(version.0 as i64);
                 self.parts.current.send_replace(self.offered.clone());
             }
+            Effect::Noted(note) => log::info!("peers: {note}"),
             Effect::Alarm(alarm) => {
                 log::error!("core: alarm: {alarm}.");
                 self.parts.metrics.alarms.inc();
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -9,7 +9,7 @@
     policy::Policy,
     reducer::{
         FREEZE, JOIN_GRACE, State, WAKE_GRACE,
-        effect::{Alarm, Effect},
+        effect::{Alarm, Effect, Note},
         event::Source,
     },
     settings::Seed,
@@ -39,6 +39,8 @@
     fetching: Option<(Version, Time)>,
     unreadable: Option<Version>,
     told: Option<Alarm>,
+    /// The boxes and regions that were live when they were last looked at.
+    live: (BTreeSet<BoxName>, BTreeSet<Region>),
 }
 
 impl Control {
@@ -91,6 +93,7 @@
             self.budgets.share(self.table.boxes(now));
             self.limiter.sweep(now);
             self.elect(now, out);
+            self.note_others(now, out);
             self.beat(now, out);
             self.chase(now, out);
         }
@@ -102,6 +105,24 @@
         self.drain_all(now, out);
     }
 
+    /// Tells which boxes and regions came or went since the last look.
+    fn note_others(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let boxes = self.table.live(now).map(|p| p.last.contact.name.clone());
+        let regions = self.table.reachable(now).map(|(name, _)| name.clone());
+        let live = (boxes.collect(), regions.collect());
+        let (boxes, regions) = std::mem::replace(&mut self.control.live, live);
+        let (new_boxes, new_regions) = &self.control.live;
+        let heard = new_boxes.difference(&boxes).cloned().map(Note::Heard);
+        let lost = boxes.difference(new_boxes).cloned().map(Note::Lost);
+        let reached = new_regions.difference(&regions).cloned().map(Note::Reached);
+        let unreached = regions
+            .difference(new_regions)
+            .cloned()
+            .map(Note::Unreached);
+        let notes = heard.chain(lost).chain(reached).chain(unreached);
+        out.extend(notes.map(Effect::Noted));
+    }
+
     /// Takes or leaves the duty to watch the store.
     fn elect(&mut self, now: Time, out: &mut Vec<Effect>) {
         let watch = self.table.rank("watch", now) < WATCHERS;
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -161,6 +161,30 @@
     }
 }
 
+/// What a box believes of the others, where that changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A box of this region was heard.
+    Heard(id::BoxName),
+    /// A box of this region is silent for too long.
+    Lost(id::BoxName),
+    /// Another region was heard.
+    Reached(Region),
+    /// Another region is silent for too long.
+    Unreached(Region),
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Heard(name) => write!(f, "box={name} state=heard"),
+            Self::Lost(name) => write!(f, "box={name} state=silent"),
+            Self::Reached(region) => write!(f, "region={region} state=heard"),
+            Self::Unreached(region) => write!(f, "region={region} state=silent"),
+        }
+    }
+}
+
 /// Everything a box can be told to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -225,4 +249,6 @@
     Adopted(Version),
     /// Tell the operators.
     Alarm(Alarm),
+    /// Write down what changed.
+    Noted(Note),
 }
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -322,6 +322,7 @@
             }
             Effect::Boxes { .. }
             | Effect::Queued { .. }
+            | Effect::Noted(_)
             | Effect::Forget(_)
             | Effect::Watch(_)
             | Effect::Adopted(_)
