Read what a request tells by one function a way of speaking

Cause: forward had grown, hashed an idempotency key's content by the whole URI where it had been the path, and read the platform's prompt headers in our own interface too.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -253,28 +253,13 @@
     }
     let (body, memory) = read::read_body(shell, &mut inbound.body).await?;
     let path = parts.uri.path().to_owned();
-    let headers = &parts.headers;
-    let (routing, key, told) = match shell.settings.interface {
-        Interface::Own => (
-            read::read_prompt(shell, &path, &body)?,
-            read::read_key(shell, headers, &parts.method, &parts.uri, &body)?,
-            head::left(headers),
-        ),
-        Interface::Platform => (
-            Default::default(),
-            Key::Absent,
-            platform::head::left(headers),
-        ),
-    };
-    let left = match door {
-        Door::Public => told,
-        Door::Peer => head::left(headers),
-    };
     let uri = parts
         .uri
         .path_and_query()
         .cloned()
         .map_or(Uri::from_static("/"), Uri::from);
+    let headers = &parts.headers;
+    let told = read::read_told(shell, parts, &uri, &body, door)?;
     let id = shell.next_request();
     span.note("request", id);
     let arrival = Arrival {
@@ -283,13 +268,13 @@
         credential,
         host: head::host(headers),
         path,
-        model: routing.model,
-        prefix: routing.prefix,
-        prompt: platform::head::prompt(headers),
+        model: told.routing.model,
+        prefix: told.routing.prefix,
+        prompt: told.prompt,
         draw: rand::random(),
         runs: (door == Door::Peer).then(|| head::runs(headers)).flatten(),
-        key,
-        left,
+        key: told.key,
+        left: told.left,
         hop,
     };
     let detached = matches!(arrival.key, Key::Good(_));
--- a/src/gateway/read.rs
+++ b/src/gateway/read.rs
@@ -7,6 +7,7 @@
 use hyper::{
     HeaderMap, Method, Uri,
     body::{Body as _, Incoming},
+    http::request::Parts,
 };
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -14,10 +15,13 @@
 
 use crate::{
     config::Kind,
-    gateway::{Shell, head},
+    gateway::{Shell, exchange::Door, head},
     id::Service,
     pin::{self, Pin},
+    platform,
+    prompt::Prompt,
     reducer::{effect::Reply, event::Key},
+    settings::Interface,
     unit::Millis,
     verdict::Verdict,
 };
@@ -63,7 +67,7 @@
 }
 
 #[derive(Deserialize)]
-struct Prompt<'a> {
+struct Content<'a> {
     model: Option<String>,
     #[serde(borrow)]
     messages: Option<&'a RawValue>,
@@ -78,14 +82,51 @@
     pub(crate) prefix: u64,
 }
 
+/// What a request tells of itself besides its path, in the way of the interface.
+pub(crate) struct Told {
+    pub(crate) routing: Routing,
+    pub(crate) key: Key,
+    pub(crate) prompt: Option<Prompt>,
+    /// Time left for it.
+    pub(crate) left: Option<Millis>,
+}
+
+/// Reads what a request tells of itself; another box says itself how much time is left.
+pub(crate) fn read_told(
+    shell: &Shell,
+    parts: &Parts,
+    uri: &Uri,
+    body: &[u8],
+    door: Door,
+) -> Result<Told, Reply> {
+    let headers = &parts.headers;
+    match shell.settings.interface {
+        Interface::Own => Ok(Told {
+            routing: read_prompt(shell, uri.path(), body)?,
+            key: read_key(shell, headers, &parts.method, uri, body)?,
+            prompt: None,
+            left: head::left(headers),
+        }),
+        Interface::Platform => Ok(Told {
+            routing: Routing::default(),
+            key: Key::Absent,
+            prompt: platform::head::prompt(headers),
+            left: match door {
+                Door::Public => platform::head::left(headers),
+                Door::Peer => head::left(headers),
+            },
+        }),
+    }
+}
+
 /// Reads what routing needs of a model request's body.
-pub(crate) fn read_prompt(shell: &Shell, path: &str, body: &[u8]) -> Result<Routing, Reply> {
+fn read_prompt(shell: &Shell, path: &str, body: &[u8]) -> Result<Routing, Reply> {
     let current = shell.current.borrow().clone();
     let kind = current.and_then(|c| c.config.route(None, path).map(|r| r.kind));
     if kind != Some(Kind::Model) {
         return Ok(Routing::default());
     }
-    let prompt: Prompt<'_> = serde_json::from_slice(body)
+    let prompt: Content<'_> = serde_json::from_slice(body)
         .map_err(|e| deny(400, &format!("the body is not a model request: {e}")))?;
     let text = prompt.messages.or(prompt.prompt).map_or("", RawValue::get);
     let beginning = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
@@ -96,7 +137,7 @@
 }
 
 /// Reads the idempotency key.
-pub(crate) fn read_key(
+fn read_key(
     shell: &Shell,
     headers: &HeaderMap,
     method: &Method,
