Prove early answers and a store that turns some boxes away

Change: the stand-ins answer before a long body is in and keep the connection, and give some boxes a store with a fault of its own.

--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -48,14 +48,14 @@
     /// Changes up to this revision are not known any more.
     forgotten: u64,
     revision: u64,
-    fault: Fault,
     calls: BTreeMap<&'static str, u64>,
 }
 
-/// The store; clones share one content.
+/// The store; clones share one content and one fault.
 #[derive(Clone, Debug)]
 pub struct Registry {
     inner: Arc<Mutex<Inner>>,
+    fault: Arc<Mutex<Fault>>,
     changed: Arc<watch::Sender<u64>>,
 }
 
@@ -63,6 +63,7 @@
     fn default() -> Self {
         Self {
             inner: Arc::default(),
+            fault: Arc::default(),
             changed: Arc::new(watch::Sender::new(0)),
         }
     }
@@ -109,9 +110,21 @@
         self.change(key, None);
     }
 
+    /// The same content for other boxes, with a fault of its own.
+    pub fn beside(&self) -> Self {
+        Self {
+            fault: Arc::default(),
+            ..self.clone()
+        }
+    }
+
+    fn fault(&self) -> Fault {
+        *self.fault.lock().expect("the lock is never poisoned")
+    }
+
     /// Misbehaves from now on; watches that are held hear nothing of it.
     pub fn set_fault(&self, fault: Fault) {
-        self.lock().fault = fault;
+        *self.fault.lock().expect("the lock is never poisoned") = fault;
         self.changed.send_replace(0);
     }
 
@@ -128,9 +141,8 @@
     }
 
     fn count(&self, name: &'static str) -> Fault {
-        let mut inner = self.lock();
-        *inner.calls.entry(name).or_default() += 1;
-        inner.fault
+        *self.lock().calls.entry(name).or_default() += 1;
+        self.fault()
     }
 
     fn range(&self, query: &HashMap<String, String>) -> Value {
@@ -182,7 +194,7 @@
         let wait = Duration::from_millis(number("waitMs"));
         let _ = timeout(wait, async {
             loop {
-                let fault = self.lock().fault;
+                let fault = self.fault();
                 let found = self.changes(&prefix, after);
                 let some = found.is_ok_and(|f| f["events"] != json!([]));
                 if some || fault != Fault::None || news.changed().await.is_err() {
@@ -191,7 +203,7 @@
             }
         })
         .await;
-        let fault = self.lock().fault;
+        let fault = self.fault();
         if fault != Fault::None {
             return misbehave(fault).await;
         }
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -91,16 +91,33 @@
 
     async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let mut buffer = Vec::new();
-        while let Some(request) = read(&mut stream, &mut buffer).await? {
+        while let Some((mut request, length)) = read_head(&mut stream, &mut buffer).await? {
+            let early = request
+                .headers
+                .get(MODE)
+                .is_some_and(|mode| mode == "early");
+            if early {
+                // Before the body is in; the connection stays, and the rest is read after it.
+                let id = request
+                    .headers
+                    .get("request-id")
+                    .cloned()
+                    .unwrap_or_default();
+                self.answer(&mut stream, &id, "full", 0).await?;
+            }
+            if !read_body(&mut stream, &mut buffer, length, &mut request).await? {
+                return Ok(());
+            }
+            if early {
+                self.note(request);
+                continue;
+            }
             let id = request.headers.get("request-id").cloned();
             let mode = request.headers.get(MODE).cloned().unwrap_or_default();
             let last = request.headers.get("last-event-id");
             let last: u32 = last.and_then(|l| l.parse().ok()).unwrap_or(0);
             let mine = request.headers.get("target-instance") == Some(&self.name);
-            self.seen
-                .lock()
-                .expect("the lock is never poisoned")
-                .push(request);
+            self.note(request);
             let id = id.unwrap_or_default();
             let mode = if mine { mode.as_str() } else { "replaced" };
             if !self.answer(&mut stream, &id, mode, last).await? {
@@ -110,6 +127,11 @@
         Ok(())
     }
 
+    fn note(&self, request: Seen) {
+        let mut seen = self.seen.lock().expect("the lock is never poisoned");
+        seen.push(request);
+    }
+
     /// Answers one request; false where the connection ends with it.
     async fn answer(
         &self,
@@ -213,8 +235,11 @@
     }
 }
 
-/// Reads one request; none at the end of the connection.
-async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> std::io::Result<Option<Seen>> {
+/// Reads the head of a request and the length of its body; none at the end of the connection.
+async fn read_head(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> std::io::Result<Option<(Seen, usize)>> {
     let end = loop {
         if let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
             break end;
@@ -233,15 +258,26 @@
         .collect();
     let length = headers.get("content-length");
     let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+    let seen = Seen {
+        line,
+        headers,
+        body: Vec::new(),
+    };
+    Ok(Some((seen, length)))
+}
+
+/// Reads the body of a request; false at the end of the connection.
+async fn read_body(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    length: usize,
+    request: &mut Seen,
+) -> std::io::Result<bool> {
     while buffer.len() < length {
         if stream.read_buf(buffer).await? == 0 {
-            return Ok(None);
+            return Ok(false);
         }
     }
-    let body = buffer.drain(..length).collect();
-    Ok(Some(Seen {
-        line,
-        headers,
-        body,
-    }))
+    request.body = buffer.drain(..length).collect();
+    Ok(true)
 }
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -57,13 +57,17 @@
     }
 
     pub async fn begin(&self, path: &str, id: &str, mode: &str) -> Begun {
+        self.begin_with(path, id, mode, id.to_owned()).await
+    }
+
+    pub async fn begin_with(&self, path: &str, id: &str, mode: &str, body: String) -> Begun {
         let headers = [
             ("host", HOST),
             ("request-id", id),
             ("deadline-ms", "4000"),
             (MODE, mode),
         ];
-        begin(self.public, Method::POST, path, &headers, id.to_owned())
+        begin(self.public, Method::POST, path, &headers, body)
             .await
             .expect("the box answers")
     }
@@ -106,6 +110,13 @@
         cloud
     }
 
+    /// Later boxes reach the store by another way, which may fail by itself.
+    pub async fn another_store(&mut self) -> Registry {
+        let beside = self.registry.beside();
+        self.store = start(beside.clone()).await.expect("the store starts");
+        beside
+    }
+
     /// Waits until every box takes work.
     pub async fn settled(&self) {
         for process in &self.boxes {
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -85,6 +85,25 @@
     assert!(!answer.whole, "an end before the length is a cut");
 }
 
+#[tokio::test]
+async fn early_answers_spoil_no_connection() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    let process = &cloud.boxes[0];
+    for number in 0..5 {
+        let id = format!("early-{number}");
+        let body = "x".repeat(900 << 10);
+        let begun = process.begin_with("/safe/x", &id, "early", body.clone());
+        let answer = begun.await.finish().await;
+        assert_eq!(answer.status.as_u16(), 503, "refused before it was in");
+        let seen = cloud.workers["i-1"].seen(&id);
+        assert!(seen.iter().all(|s| s.body == body.as_bytes()));
+        let next = process.send("/safe/x", &format!("next-{number}"), "").await;
+        assert_eq!(next.status.as_u16(), 200);
+    }
+    let bodies = (0..5).flat_map(|n| cloud.workers["i-1"].seen(&format!("next-{n}")));
+    assert!(bodies.into_iter().all(|s| s.body.starts_with(b"next-")));
+}
+
 #[tokio::test]
 async fn surplus_answers_reach_nobody() {
     let cloud = Cloud::serving(&["i-1"]).await;
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -94,6 +94,24 @@
     eventually("it is back", || served(&cloud, "/safe/x", "d")).await;
 }
 
+#[tokio::test]
+async fn turned_away_hears_by_its_peers() {
+    let mut cloud = Cloud::serving(&["i-1"]).await;
+    let other = cloud.another_store().await;
+    cloud.add_box("atl").await;
+    cloud.settled().await;
+    for (version, fault) in [(2, Fault::Busy), (3, Fault::TooMany), (4, Fault::Silent)] {
+        other.set_fault(fault);
+        cloud.configure(version);
+        let path = format!("/v{version}/x");
+        let turned_away = &cloud.boxes[1];
+        eventually("the change is in force", || async {
+            turned_away.send(&path, "a", "").await.status == 200
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn few_calls_at_rest() {
     let cloud = Cloud::serving(&["i-1"]).await;
