Pass frames on by one function, and format only lines that are written

Cause, from the last read of the change: a digest and a long prompt were passed on inside a region by two copies of one loop, a reading was remembered by two copies of one step, and each request line was formatted before it was asked whether it would be written.

Change: pass_on, remember, and format_args.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -348,22 +348,26 @@
                 verdict,
                 cause,
             } => {
-                let line = format!(
-                    "failed attempt={} cause={cause:?} verdict={verdict}",
-                    attempt.0
+                self.log_request(
+                    *request,
+                    format_args!(
+                        "failed attempt={} cause={cause:?} verdict={verdict}",
+                        attempt.0
+                    ),
                 );
-                self.log_request(*request, line);
             }
             Event::Ended {
                 request,
                 attempt,
                 whole,
             } => {
-                let line = format!("ended attempt={} whole={whole}", attempt.0);
-                self.log_request(*request, line);
+                self.log_request(
+                    *request,
+                    format_args!("ended attempt={} whole={whole}", attempt.0),
+                );
             }
             Event::Broke { request, attempt } => {
-                self.log_request(*request, format!("cut attempt={}", attempt.0));
+                self.log_request(*request, format_args!("cut attempt={}", attempt.0));
             }
             Event::Gone(request) if self.state.holds(*request) => {
                 self.log_request(*request, "abandoned by=caller");
@@ -375,11 +379,10 @@
     fn log_effect(&mut self, effect: &Effect) {
         match effect {
             Effect::Send(send) => {
-                let line = SendLine(send).to_string();
-                self.log_request(send.request, line);
+                self.log_request(send.request, SendLine(send));
             }
             Effect::Queued { request, waiting } => {
-                self.log_request(*request, format!("queued waiting={waiting}"));
+                self.log_request(*request, format_args!("queued waiting={waiting}"));
             }
             Effect::Boxes {
                 request,
@@ -387,14 +390,16 @@
                 without: Some(region),
             } => {
                 let named: Vec<&str> = boxes.iter().map(|b| b.contact.name.as_str()).collect();
-                let line = format!(
-                    "look-up region={region} none-ready named={}",
-                    named.join(",")
+                self.log_request(
+                    *request,
+                    format_args!(
+                        "look-up region={region} none-ready named={}",
+                        named.join(",")
+                    ),
                 );
-                self.log_request(*request, line);
             }
             Effect::Abort { request, attempt } => {
-                self.log_request(*request, format!("aborted attempt={}", attempt.0));
+                self.log_request(*request, format_args!("aborted attempt={}", attempt.0));
             }
             Effect::Reply { request, reply } => {
                 let Reply {
@@ -403,8 +408,10 @@
                     reason,
                     ..
                 } = reply;
-                let line = format!("answered status={status} verdict={verdict} reason={reason:?}");
-                self.log_request(*request, line);
+                self.log_request(
+                    *request,
+                    format_args!("answered status={status} verdict={verdict} reason={reason:?}"),
+                );
             }
             _ => {}
         }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -399,13 +399,20 @@
         }
     }
 
-    /// Passes a digest on inside this region, under its maker's name and number.
+    /// Passes a digest on inside this region.
     fn spread(&self, now: Time, frame: &Frame, digest: &Digest, out: &mut Vec<Effect>) {
+        let body = Body::Digest(Digest {
+            spread: false,
+            ..digest.clone()
+        });
+        self.pass_on(now, frame, body, out);
+    }
+
+    /// Sends `body` to the boxes of this region in place of that of `frame`, under its maker's name
+    /// and number.
+    pub(super) fn pass_on(&self, now: Time, frame: &Frame, body: Body, out: &mut Vec<Effect>) {
         let copy = Frame {
-            body: Body::Digest(Digest {
-                spread: false,
-                ..digest.clone()
-            }),
+            body,
             ..frame.clone()
         };
         out.extend(self.table.live(now).map(|peer| Effect::Gossip {
--- a/src/reducer/reading.rs
+++ b/src/reducer/reading.rs
@@ -38,12 +38,8 @@
 
     /// Remembers a reading, and tells the other boxes of a long one.
     pub(super) fn note_reading(&mut self, now: Time, reading: Reading, out: &mut Vec<Effect>) {
-        let part = reading.part.map(|id| Part {
-            id,
-            tokens: reading.shared,
-        });
-        self.cache.note(reading.backend, part, reading.tokens, now);
-        if part.is_some() || reading.tokens >= cache::LONG {
+        self.remember(now, reading);
+        if reading.part.is_some() || reading.tokens >= cache::LONG {
             self.announce(reading, out, now);
         }
     }
@@ -74,11 +70,7 @@
         reading: Reading,
         out: &mut Vec<Effect>,
     ) {
-        let part = reading.part.map(|id| Part {
-            id,
-            tokens: reading.shared,
-        });
-        self.cache.note(reading.backend, part, reading.tokens, now);
+        self.remember(now, reading);
         if let Some(name) = self.fleet.long(reading.backend).cloned() {
             self.servers
                 .entry(name)
@@ -86,20 +78,23 @@
                 .hear(reading.tokens, now);
         }
         if reading.spread {
-            let copy = Frame {
-                body: Body::Reading(Reading {
-                    spread: false,
-                    ..reading
-                }),
-                ..frame.clone()
-            };
-            out.extend(self.table.live(now).map(|peer| Effect::Gossip {
-                to: peer.last.contact.gossip,
-                frame: copy.clone(),
-            }));
+            let body = Body::Reading(Reading {
+                spread: false,
+                ..reading
+            });
+            self.pass_on(now, frame, body, out);
         }
     }
 
+    /// Remembers that a backend server holds a prompt's part once it has read it.
+    fn remember(&mut self, now: Time, reading: Reading) {
+        let part = reading.part.map(|id| Part {
+            id,
+            tokens: reading.shared,
+        });
+        self.cache.note(reading.backend, part, reading.tokens, now);
+    }
+
     /// Tells a box that just appeared which engines hold which parts, as one box's duty.
     pub(super) fn share_holdings(
         &mut self,
