Tell in the log how answers came and what decided for a place

Cause: a late answer could not be explained from the log: it told neither when an answer began nor how long it paused, nor what prompt was placed where. Change: the line at the end of an answer tells first=, took= and pause=; the line of a send tells route=, target=, prompt= and unread=.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -26,7 +26,8 @@
         trace::Span,
     },
     id,
-    reducer::event::Event,
+    reducer::event::{Event, Timing},
+    unit::Millis,
 };
 
 /// A stream without a byte for this long is cut.
@@ -114,6 +115,48 @@
     Stopped,
 }
 
+/// When the pieces of an answer came.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    /// When its request came.
+    came: Instant,
+    /// From then to the beginning of the answer.
+    first: Duration,
+    /// The last piece, or the beginning.
+    last: Instant,
+    /// The longest time between two pieces.
+    pause: Duration,
+}
+
+impl Pace {
+    /// An answer that begins now.
+    fn begin(came: Instant) -> Self {
+        let now = Instant::now();
+        Self {
+            came,
+            first: now - came,
+            last: now,
+            pause: Duration::ZERO,
+        }
+    }
+
+    /// Notes a piece that comes at `now`.
+    fn piece(&mut self, now: Instant) {
+        self.pause = self.pause.max(now - self.last);
+        self.last = now;
+    }
+
+    /// How it came, as of now.
+    fn timing(&self) -> Timing {
+        let millis = |span: Duration| Millis(span.as_millis() as u64);
+        Timing {
+            first: millis(self.first),
+            whole: millis(self.came.elapsed()),
+            pause: millis(self.pause),
+        }
+    }
+}
+
 /// A body on its way through; its end, or its drop, is told to the reducer once.
 pub struct Stream {
     incoming: Incoming,
@@ -124,6 +167,7 @@
     /// Whether the end of the connection is not the end of the answer.
     framed: bool,
     stall: Pin<Box<Sleep>>,
+    pace: Pace,
     /// What it needs to go on at another place, where it may.
     resume: Option<Box<Resume>>,
     /// Whether it is on its way to another place.
@@ -139,10 +183,12 @@
         orders: mpsc::UnboundedReceiver<Order>,
         source: Source,
         framed: bool,
+        came: Instant,
         resume: Option<Resume>,
     ) -> Self {
         Self {
             framed,
+            pace: Pace::begin(came),
             incoming: found.response.into_body(),
             lease: Some(found.lease),
             core,
@@ -167,6 +213,7 @@
             request,
             attempt,
             whole,
+            timing: self.pace.timing(),
         });
     }
 
@@ -183,7 +230,9 @@
                     return Poll::Ready(Piece::Cut);
                 }
                 Poll::Ready(Some(Ok(frame))) => {
-                    self.stall.as_mut().reset(Instant::now() + STALL);
+                    let now = Instant::now();
+                    self.pace.piece(now);
+                    self.stall.as_mut().reset(now + STALL);
                     if let Ok(bytes) = frame.into_data() {
                         return Poll::Ready(Piece::Data(bytes));
                     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -21,7 +21,7 @@
     reducer::{
         Identity, State,
         effect::{Effect, Entry, Reply, Send as SendOrder, Target},
-        event::{Event, Source},
+        event::{Event, Source, Timing},
         status::{Explanation, Status},
     },
     settings::Settings,
@@ -282,9 +282,15 @@
             attempt,
             target,
             basis,
+            route,
             ..
         } = self.0;
-        write!(f, "sent attempt={} number={} to=", attempt.0, basis.number)?;
+        let number = basis.number;
+        write!(
+            f,
+            "sent attempt={} number={number} route={route} to=",
+            attempt.0
+        )?;
         match target {
             Target::Backend { name, address, .. } => write!(f, "{name}@{address}")?,
             Target::Relay { region, peer } => write!(f, "{region}@{peer}")?,
@@ -292,7 +298,8 @@
         }
         write!(
             f,
-            " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={}",
+            " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
+             target={} prompt={} unread={}",
             basis.version,
             basis.places,
             basis.wait,
@@ -301,7 +308,10 @@
             basis.burden,
             basis.free,
             basis.age,
-            basis.waited
+            basis.waited,
+            basis.target,
+            basis.prompt,
+            basis.unread
         )
     }
 }
@@ -360,10 +370,19 @@
                 request,
                 attempt,
                 whole,
+                timing,
             } => {
+                let Timing {
+                    first,
+                    whole: took,
+                    pause,
+                } = timing;
                 self.log_request(
                     *request,
-                    format_args!("ended attempt={} whole={whole}", attempt.0),
+                    format_args!(
+                        "ended attempt={} whole={whole} first={first} took={took} pause={pause}",
+                        attempt.0
+                    ),
                 );
             }
             Event::Broke { request, attempt } => {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -410,7 +410,7 @@
     let framed = platform || is_framed(&found.response);
     let resumable = send.resumable && !found.response.headers().contains_key(CONTENT_LENGTH);
     let resume = resumable.then(|| Resume::new(shell.clone(), prepared.clone()));
-    let stream = Stream::new(found, core, orders, source, framed, resume);
+    let stream = Stream::new(found, core, orders, source, framed, prepared.came, resume);
     let body = if send.record {
         let answer = Answer {
             status,
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -101,6 +101,7 @@
             attempt,
             target,
             caller: job.ask.caller.clone(),
+            route: job.line.clone(),
             repeatable: job.repeatable,
             resumable: job.resumable,
             priority: job.priority,
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -47,6 +47,8 @@
     pub target: Target,
     /// The caller, for another box.
     pub caller: id::Caller,
+    /// The route, for the log.
+    pub route: id::Service,
     /// Whether the request may run twice; if not, it goes over a connection of its own.
     pub repeatable: bool,
     /// Whether another place may continue its stream after a cut.
@@ -86,6 +88,12 @@
     pub age: Millis,
     /// Time since the request came.
     pub waited: Millis,
+    /// Time within which its answer should begin, since it came; zero where nothing says so.
+    pub target: Millis,
+    /// Length of its prompt in tokens; zero where it tells of none.
+    pub prompt: u32,
+    /// Tokens of it that the place has to read.
+    pub unread: u32,
 }
 
 /// A final answer of the gateway itself.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -113,6 +113,17 @@
     Peer,
 }
 
+/// How an answer came, for whoever asks later why it was late.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Timing {
+    /// From the arrival of the request to the beginning of the answer.
+    pub first: Millis,
+    /// From the arrival of the request to the end of the answer.
+    pub whole: Millis,
+    /// The longest pause between two pieces of the answer.
+    pub pause: Millis,
+}
+
 /// Everything that can happen to a box.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -144,6 +155,8 @@
         attempt: id::Attempt,
         /// Whether it ended whole.
         whole: bool,
+        /// How it came.
+        timing: Timing,
     },
     /// A stream that had begun was cut, and may go on elsewhere.
     Broke {
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -140,6 +140,7 @@
             attempt,
             target: Target::Pass { peer },
             caller: job.ask.caller.clone(),
+            route: job.line.clone(),
             repeatable: false,
             resumable: false,
             priority: job.priority,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -159,6 +159,7 @@
                 request,
                 attempt,
                 whole,
+                ..
             } => self.ended(now, request, attempt, whole, &mut out),
             Event::Broke { request, attempt } => self.broke(now, request, attempt, &mut out),
             Event::Failed {
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -50,6 +50,9 @@
             free: chosen.map_or(0, |c| c.free),
             age: ages.max().unwrap_or_default(),
             waited: now.since(job.came),
+            target: job.target.unwrap_or_default(),
+            prompt: job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
+            unread: self.reading(now, job, place).map_or(0, |r| r.tokens),
         }
     }
 
--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -65,6 +65,7 @@
         request,
         attempt,
         whole,
+        timing: Default::default(),
     };
     state.step(Time(2), ended);
     effects.len()
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -590,6 +590,7 @@
                     request,
                     attempt,
                     whole,
+                    timing: Default::default(),
                 }
             }
             Outcome::Failed(verdict, cause) => Event::Failed {
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -188,6 +188,7 @@
             request: send.request,
             attempt: send.attempt,
             whole: true,
+            timing: Default::default(),
         })
     }
 
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -240,6 +240,7 @@
                     request,
                     attempt,
                     whole,
+                    timing: Default::default(),
                 }
             }
         };
