Tell the oracle of a server's end when the box is told

The test counted the old life as leaving before it told the box of that; the box could not know. Change: the old life counts as leaving from the moment the box is told, and from then on as strictly as before.

--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -274,16 +274,17 @@
                 self.step(Event::Fleet(Change::Gone { name, doubt }));
             }
             2 => {
-                self.leaving.insert(name);
+                // The box cannot know of the old life's end before it is told.
+                let mut old = self.leaving.clone();
+                old.insert(name);
                 self.lives[index] += 1;
                 let name = self.name(index);
                 let until = self.now + Millis(3000);
                 self.cold.insert(name.clone(), (until, Vec::new()));
                 let change = Change::Put(backend(&name, false, 3000));
-                // Its old life is gone from the list.
-                let old = self.leaving.clone();
                 self.step(Event::Fleet(change));
                 for name in old {
+                    self.leaving.insert(name.clone());
                     let name = name.parse().expect("a name");
                     let doubt = Millis(0);
                     self.step(Event::Fleet(Change::Gone { name, doubt }));
