Notice the end of boxes in seconds in regions of any size

Cause: all boxes of a region heard each other every 150 ms times their number, so at 26 boxes a dead one was named for 11 s, and at 100 for 45 s; and a box rebuilt its whole index of servers at each registration, and asked all peers for each server of each decision. Ruled out: leases in the store (they lapse while it is away), full heartbeats at 500 ms (60 KB a second at 100 boxes). Change: three monitors hear each box every 500 ms and tell the region of its silence; it denies that if it lives; a box left without its monitors is asked by the next. The index changes by one server at a time; what the list names as leaving is counted as it is heard; members are told only to who may not know.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -48,49 +48,97 @@
     missing_until: Option<Time>,
 }
 
-type Names = HashMap<Service, HashMap<Region, Vec<id::Backend>>>;
+/// What backend servers are looked up by: service and region, or the short form of a name.
+///
+/// Each change touches its own server alone: thousands register one after another.
+#[derive(Clone, Debug, Default)]
+struct Index {
+    /// Names in their order.
+    names: HashMap<Service, HashMap<Region, Vec<id::Backend>>>,
+    shorts: HashMap<Short, id::Backend>,
+}
+
+impl Index {
+    fn add(&mut self, backend: &Backend) {
+        let short = Short::of(backend.name.as_str());
+        self.shorts.insert(short, backend.name.clone());
+        for service in &backend.serves {
+            let regions = self.names.entry(service.clone()).or_default();
+            let names = regions.entry(backend.region.clone()).or_default();
+            if let Err(at) = names.binary_search(&backend.name) {
+                names.insert(at, backend.name.clone());
+            }
+        }
+    }
+
+    fn remove(&mut self, backend: &Backend) {
+        self.shorts.remove(&Short::of(backend.name.as_str()));
+        for service in &backend.serves {
+            let Some(regions) = self.names.get_mut(service) else {
+                continue;
+            };
+            if let Some(names) = regions.get_mut(&backend.region)
+                && let Ok(at) = names.binary_search(&backend.name)
+            {
+                names.remove(at);
+            }
+            regions.retain(|_, names| !names.is_empty());
+            if regions.is_empty() {
+                self.names.remove(service);
+            }
+        }
+    }
+}
 
 /// All backend servers that a box knows.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     members: HashMap<id::Backend, Member>,
-    names: Names,
-    shorts: HashMap<Short, id::Backend>,
+    index: Index,
+    /// Those whose registration is in doubt.
+    missing: HashSet<id::Backend>,
 }
 
 impl Fleet {
     /// Takes over the backend servers that a new configuration names.
     pub fn configure(&mut self, backends: &HashMap<id::Backend, Backend>) {
-        self.members.retain(|_, m| m.registered);
+        let configured = self.members.iter().filter(|(_, m)| !m.registered);
+        let old: Vec<id::Backend> = configured.map(|(name, _)| name.clone()).collect();
+        for name in old {
+            self.remove(&name);
+        }
         for backend in backends.values() {
             self.put(backend.clone(), false, Time(0));
         }
-        self.reindex();
     }
 
-    /// Takes in what became known at `now`.
-    pub fn apply(&mut self, change: Change, now: Time) {
+    /// Takes in what became known at `now`; true where that took a server out.
+    pub fn apply(&mut self, change: Change, now: Time) -> bool {
         match change {
             Change::List { backends, doubt } => self.list(backends, doubt, now),
-            Change::Put(backend) => self.put(backend, true, now),
+            Change::Put(backend) => {
+                self.put(backend, true, now);
+                false
+            }
             Change::Gone { name, doubt } => self.miss(&name, doubt, now),
         }
-        self.reindex();
     }
 
-    fn list(&mut self, backends: Vec<Backend>, doubt: Millis, now: Time) {
+    fn list(&mut self, backends: Vec<Backend>, doubt: Millis, now: Time) -> bool {
         let listed: HashSet<id::Backend> = backends.iter().map(|b| b.name.clone()).collect();
         let registered = self.members.iter().filter(|(_, m)| m.registered);
         let missing: Vec<id::Backend> = registered
             .map(|(name, _)| name.clone())
             .filter(|name| !listed.contains(name))
             .collect();
+        let mut removed = false;
         for name in missing {
-            self.miss(&name, doubt, now);
+            removed |= self.miss(&name, doubt, now);
         }
         for backend in backends {
             self.put(backend, true, now);
         }
+        removed
     }
 
     fn put(&mut self, backend: Backend, registered: bool, now: Time) {
@@ -98,6 +146,8 @@
         // It may get cold again, and what it says of that only shrinks meanwhile.
         let told = now + backend.cold;
         let cold_until = known.map_or(told, |m| m.cold_until.max(told));
+        self.remove(&backend.name);
+        self.index.add(&backend);
         let member = Member {
             registered,
             cold_until,
@@ -107,42 +157,39 @@
         self.members.insert(member.backend.name.clone(), member);
     }
 
-    fn miss(&mut self, name: &id::Backend, doubt: Millis, now: Time) {
+    fn remove(&mut self, name: &id::Backend) -> bool {
+        self.missing.remove(name);
+        let removed = self.members.remove(name);
+        if let Some(member) = &removed {
+            self.index.remove(&member.backend);
+        }
+        removed.is_some()
+    }
+
+    /// Takes one out, or believes it for as long as its absence is in doubt; true for the first.
+    fn miss(&mut self, name: &id::Backend, doubt: Millis, now: Time) -> bool {
         if doubt == Millis(0) {
-            self.members.remove(name);
-            return;
+            return self.remove(name);
         }
         if let Some(member) = self.members.get_mut(name) {
             member.missing_until.get_or_insert(now + doubt);
+            self.missing.insert(name.clone());
         }
+        false
     }
 
     /// Takes out those that stayed missing; true where there were any.
     pub fn sweep(&mut self, now: Time) -> bool {
-        let before = self.members.len();
-        self.members
-            .retain(|_, m| m.missing_until.is_none_or(|until| now < until));
-        let some = self.members.len() != before;
-        if some {
-            self.reindex();
-        }
-        some
-    }
-
-    fn reindex(&mut self) {
-        self.names.clear();
-        self.shorts.clear();
-        let mut sorted: Vec<&Backend> = self.members.values().map(|m| &m.backend).collect();
-        sorted.sort_by(|a, b| a.name.cmp(&b.name));
-        for backend in sorted {
-            let short = Short::of(backend.name.as_str());
-            self.shorts.insert(short, backend.name.clone());
-            for service in &backend.serves {
-                let regions = self.names.entry(service.clone()).or_default();
-                let names = regions.entry(backend.region.clone()).or_default();
-                names.push(backend.name.clone());
-            }
+        let over = |name: &&id::Backend| {
+            let member = self.members.get(*name);
+            let until = member.and_then(|m| m.missing_until);
+            until.is_none_or(|until| now >= until)
+        };
+        let over: Vec<id::Backend> = self.missing.iter().filter(over).cloned().collect();
+        for name in &over {
+            self.remove(name);
         }
+        !over.is_empty()
     }
 
     /// The backend server called `name`.
@@ -152,7 +199,7 @@
 
     /// The name that `short` stands for.
     pub fn long(&self, short: Short) -> Option<&id::Backend> {
-        self.shorts.get(&short)
+        self.index.shorts.get(&short)
     }
 
     /// Whether `name` is known.
@@ -183,12 +230,12 @@
 
     /// What the backend servers serve.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.names.keys()
+        self.index.names.keys()
     }
 
     /// The backend servers of `region` that serve `service`, in the order of their names.
     pub fn serving(&self, service: &Service, region: &Region) -> impl Iterator<Item = &Backend> {
-        let regions = self.names.get(service);
+        let regions = self.index.names.get(service);
         let names = regions.and_then(|regions| regions.get(region));
         let names = names.map_or(&[][..], Vec::as_slice);
         names.iter().filter_map(|name| self.get(name))
--- a/src/member.rs
+++ b/src/member.rs
@@ -3,7 +3,8 @@
 //! What stands here is a hint: it steers routing and never carries a promise.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet, hash_map::Entry},
+    hash::Hash,
     net::SocketAddr,
 };
 
@@ -15,7 +16,15 @@
 };
 
 /// Shortest time between two heartbeats.
-const HEARTBEAT: Millis = Millis(500);
+pub const HEARTBEAT: Millis = Millis(500);
+/// Boxes that hear each box at the shortest time: they tell the others of its end. Three, so that
+/// one is left where a box dies together with two of them.
+const MONITORS: usize = 3;
+/// How long a box may stay unheard by one that just became its monitor before it is asked: by then
+/// it has noticed that itself.
+const ASK_AFTER: Millis = Millis(500);
+/// The same, before the others are told: time for its answer.
+const ACCUSE_AFTER: Millis = Millis(1500);
 /// Time between heartbeats for each other box of the region: the bytes stay bounded as it grows.
 const HEARTBEAT_EACH: u64 = 150;
 /// Shortest time between two digests to one region.
@@ -42,15 +51,48 @@
     pub last: Heartbeat,
     /// When that came.
     pub heard: Time,
+    /// Whether it is taken for dead although it could still be heard by its own pace.
+    pub accused: bool,
+    /// Since when it should have been heard, where it is this box's to notice.
+    doubted: Option<Time>,
 }
 
 impl Peer {
+    /// Whether it is used at `now`.
+    fn is_live(&self, now: Time) -> bool {
+        !self.accused && now.since(self.heard) <= Millis(MISSED * self.last.pace.0)
+    }
+
     /// Its clock at `now`: never ahead of its real one.
     pub fn uptime(&self, now: Time) -> Time {
         self.last.uptime + now.since(self.heard)
     }
 }
 
+/// What is done about a box that is not heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It is asked whether it lives.
+    Asked,
+    /// The others are told.
+    Accused,
+}
+
+/// A box that was to be heard here and is not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// Its name.
+    pub name: BoxName,
+    /// Its life.
+    pub incarnation: Incarnation,
+    /// Its listener, where it can still hear of this.
+    pub gossip: SocketAddr,
+    /// How long it has not been heard.
+    pub silent: Millis,
+    /// What is done about it.
+    pub stage: Stage,
+}
+
 /// Another region.
 #[derive(Clone, Debug)]
 pub struct Remote {
@@ -100,6 +142,8 @@
     regions: BTreeMap<Region, Remote>,
     seen: HashMap<BoxName, Seen>,
     busy: HashMap<Short, u32>,
+    /// Addresses that live boxes tell of as leaving, and how many tell so.
+    listed: HashMap<SocketAddr, u32>,
 }
 
 impl Table {
@@ -112,6 +156,7 @@
             regions: BTreeMap::new(),
             seen: HashMap::new(),
             busy: HashMap::new(),
+            listed: HashMap::new(),
         }
     }
 
@@ -125,11 +170,6 @@
         DIGEST.max(Millis(DIGEST_EACH * self.regions.len() as u64))
     }
 
-    /// A box unheard for this long is not used.
-    pub fn suspect(&self) -> Millis {
-        Millis(MISSED * self.heartbeat_period().0)
-    }
-
     /// A region unheard for this long is not used.
     pub fn region_suspect(&self) -> Millis {
         Millis(MISSED * self.digest_period().0)
@@ -140,7 +180,7 @@
         if frame.from == self.me.name {
             return false;
         }
-        let silent = self.suspect().max(self.region_suspect());
+        let silent = self.region_suspect().max(Millis(MISSED * HEARTBEAT.0));
         let fresh = self.seen.get(&frame.from).is_none_or(|seen| {
             if frame.incarnation == seen.incarnation {
                 return frame.seq > seen.seq;
@@ -164,11 +204,16 @@
         for load in &beat.loads {
             *self.busy.entry(load.backend).or_default() += load.busy;
         }
+        for address in &beat.listed {
+            *self.listed.entry(*address).or_default() += 1;
+        }
         let name = beat.contact.name.clone();
         let peer = Peer {
             incarnation,
             last: beat,
             heard: now,
+            accused: false,
+            doubted: None,
         };
         let old = self.peers.insert(name, peer);
         if let Some(old) = &old {
@@ -179,13 +224,83 @@
 
     fn discount(&mut self, beat: &Heartbeat) {
         for load in &beat.loads {
-            if let Some(busy) = self.busy.get_mut(&load.backend) {
-                *busy = busy.saturating_sub(load.busy);
-                if *busy == 0 {
-                    self.busy.remove(&load.backend);
-                }
+            take_off(&mut self.busy, load.backend, load.busy);
+        }
+        for address in &beat.listed {
+            take_off(&mut self.listed, *address, 1);
+        }
+    }
+
+    /// Whether a box of this region tells that `address` is leaving.
+    pub fn is_listed(&self, address: &SocketAddr) -> bool {
+        self.listed.contains_key(address)
+    }
+
+    /// Notes that another box has heard nothing from `name` for `silent`; this box believes its own
+    /// ears where it heard something since.
+    pub fn accuse(&mut self, name: &BoxName, incarnation: Incarnation, silent: Millis, now: Time) {
+        let peer = self.peers.get_mut(name);
+        let peer = peer.filter(|p| p.incarnation == incarnation && now.since(p.heard) >= silent);
+        if let Some(peer) = peer {
+            peer.accused = true;
+        }
+    }
+
+    /// Looks after the boxes that should be heard often here: by their own word, or because they
+    /// have no nearer monitor left. The latter are asked before they are accused.
+    pub fn watch_over(&mut self, now: Time) -> Vec<Silence> {
+        let silent = Millis(MISSED * HEARTBEAT.0);
+        let period = self.heartbeat_period();
+        let wards = self.wards(now);
+        let mut found = Vec::new();
+        for peer in self.peers.values_mut().filter(|p| !p.accused) {
+            let quiet = now.since(peer.heard);
+            let promised = peer.last.pace < period;
+            let ward = wards.contains(&peer.last.contact.name);
+            if quiet <= silent || !(promised || ward) {
+                peer.doubted = None;
+                continue;
             }
+            let doubted = now.since(*peer.doubted.get_or_insert(now));
+            let stage = match doubted {
+                _ if promised => Stage::Accused,
+                age if age >= ACCUSE_AFTER => Stage::Accused,
+                age if age >= ASK_AFTER => Stage::Asked,
+                _ => continue,
+            };
+            peer.accused = stage == Stage::Accused;
+            found.push(Silence {
+                name: peer.last.contact.name.clone(),
+                incarnation: peer.incarnation,
+                gossip: peer.last.contact.gossip,
+                silent: quiet,
+                stage,
+            });
         }
+        found
+    }
+
+    /// The live boxes of which this one is a monitor, as far as it knows.
+    fn wards(&self, now: Time) -> HashSet<BoxName> {
+        let names: Vec<&BoxName> = self.live(now).map(|p| &p.last.contact.name).collect();
+        let nearer = |ward: &BoxName| {
+            let mine = weight(&self.me.name, ward.as_str());
+            let others = names.iter().filter(|name| **name != ward);
+            others
+                .filter(|name| weight(name, ward.as_str()) > mine)
+                .count()
+        };
+        let wards = names.iter().filter(|name| nearer(name) < MONITORS);
+        wards.map(|name| (*name).clone()).collect()
+    }
+
+    /// The boxes that this one is heard by often, so that its end is noticed soon.
+    pub fn monitors(&self, now: Time) -> Vec<&Contact> {
+        let mine = self.me.name.as_str();
+        let mut live: Vec<&Contact> = self.live(now).map(|p| &p.last.contact).collect();
+        live.sort_by_key(|contact| std::cmp::Reverse(weight(&contact.name, mine)));
+        live.truncate(MONITORS);
+        live
     }
 
     /// Takes a digest of another region.
@@ -243,9 +358,7 @@
 
     /// The boxes of this region that were heard lately, without this one.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
-        let silent = self.suspect();
-        let alive = move |p: &&Peer| now.since(p.heard) <= silent;
-        self.peers.values().filter(alive)
+        self.peers.values().filter(move |p| p.is_live(now))
     }
 
     /// The live boxes of this region that take work, without this one.
@@ -332,13 +445,15 @@
             }
         }
         // A silent box no longer holds slots; its last word is taken back.
-        let limit = self.suspect();
+        let tells = |p: &&mut Peer| !p.last.loads.is_empty() || !p.last.listed.is_empty();
         let silent: Vec<Heartbeat> = self
             .peers
             .values_mut()
-            .filter(|p| now.since(p.heard) > limit && !p.last.loads.is_empty())
+            .filter(|p| !p.is_live(now))
+            .filter(tells)
             .map(|p| Heartbeat {
                 loads: std::mem::take(&mut p.last.loads),
+                listed: std::mem::take(&mut p.last.listed),
                 ..p.last.clone()
             })
             .collect();
@@ -347,6 +462,18 @@
     }
 }
 
+/// Takes `amount` off what is counted under `key`, and forgets it at zero.
+fn take_off<K: Eq + Hash>(counts: &mut HashMap<K, u32>, key: K, amount: u32) {
+    if let Entry::Occupied(mut count) = counts.entry(key) {
+        let left = count.get().saturating_sub(amount);
+        if left == 0 {
+            count.remove();
+        } else {
+            count.insert(left);
+        }
+    }
+}
+
 /// Rendezvous weight of a box for a duty.
 pub fn weight(name: &BoxName, duty: &str) -> u64 {
     let seed = xxhash_rust::xxh3::xxh3_64(duty.as_bytes());
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -1,11 +1,16 @@
 //! Heartbeats, digests, the configuration's way between boxes, freezes and the planned stop.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use crate::{
     config::{Config, Version},
     fleet::Change,
     id::{Backend, BoxName, Domain, Region, Service},
+    member::{HEARTBEAT, Stage},
     policy::Policy,
     reducer::{
         FREEZE, JOIN_GRACE, State, WAKE_GRACE,
@@ -14,13 +19,15 @@
     },
     settings::Seed,
     unit::{Millis, Time},
-    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short},
+    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short, Silent},
 };
 
 /// Boxes of a region that watch the store.
 const WATCHERS: usize = 2;
 /// Boxes that a digest names.
 const DOORS: usize = 3;
+/// How long a box that others named has to answer a greeting before it is greeted again.
+const GREET_AGAIN: Millis = Millis(1000);
 /// How long a fetch may take before another is tried.
 const FETCH_PATIENCE: Millis = Millis(1000);
 
@@ -31,6 +38,12 @@
     last_step: Option<Time>,
     woke: Option<Time>,
     last_beat: Option<Time>,
+    last_pulse: Option<Time>,
+    last_denial: Option<Time>,
+    /// The boxes that hear this one often.
+    monitors: BTreeSet<SocketAddr>,
+    /// When addresses that others named were last greeted.
+    greeted: HashMap<SocketAddr, Time>,
     last_digest: Option<Time>,
     digests: u64,
     heard: bool,
@@ -49,7 +62,7 @@
         if self.leaving {
             return Phase::Leaving;
         }
-        let awake = self.woke.is_none_or(|woke| now.since(woke) >= WAKE_GRACE);
+        let awake = self.is_awake(now);
         let joined = alone || self.heard || now.0 >= JOIN_GRACE.0;
         if configured && awake && joined {
             Phase::Ready
@@ -58,6 +71,11 @@
         }
     }
 
+    /// Whether the box has heard the news since it last stood still.
+    fn is_awake(&self, now: Time) -> bool {
+        self.woke.is_none_or(|woke| now.since(woke) >= WAKE_GRACE)
+    }
+
     fn due(last: &mut Option<Time>, span: Millis, now: Time) -> bool {
         let due = last.is_none_or(|at| now.since(at) >= span);
         if due {
@@ -90,6 +108,8 @@
         let period = self.table.heartbeat_period();
         if Control::due(&mut self.control.last_beat, period, now) {
             self.table.sweep(now);
+            let greeted = &mut self.control.greeted;
+            greeted.retain(|_, at| now.since(*at) < GREET_AGAIN);
             self.budgets.share(self.table.boxes(now));
             self.limiter.sweep(now);
             self.elect(now, out);
@@ -97,6 +117,9 @@
             self.beat(now, out);
             self.chase(now, out);
         }
+        if Control::due(&mut self.control.last_pulse, HEARTBEAT, now) {
+            self.pulse(now, out);
+        }
         let period = self.table.digest_period();
         if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
@@ -153,14 +176,93 @@
         let known = self.table.peers().map(|p| p.last.contact.gossip);
         let mut targets: BTreeSet<SocketAddr> = seeds.map(|s| s.gossip).chain(known).collect();
         targets.remove(&self.table.me.gossip);
-        let frame = self.heartbeat(now);
-        for to in targets {
-            let frame = frame.clone();
-            out.push(Effect::Gossip { to, frame });
+        self.choose_monitors(now);
+        let (near, far): (Vec<_>, Vec<_>) = targets
+            .into_iter()
+            .partition(|to| self.control.monitors.contains(to));
+        self.send_heartbeat(now, HEARTBEAT, near, out);
+        let period = self.table.heartbeat_period();
+        self.send_heartbeat(now, period, far, out);
+    }
+
+    /// Lets the monitors hear this box, and looks after those that it monitors itself.
+    fn pulse(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let period = self.table.heartbeat_period();
+        if period <= HEARTBEAT {
+            return;
         }
+        let before = self.control.monitors.clone();
+        self.choose_monitors(now);
+        let left: Vec<SocketAddr> = before.difference(&self.control.monitors).copied().collect();
+        self.send_heartbeat(now, period, left, out);
+        let monitors = self.control.monitors.clone();
+        self.send_heartbeat(now, HEARTBEAT, monitors, out);
+        if self.control.is_awake(now) {
+            self.miss_silent(now, out);
+        }
+    }
+
+    /// Chooses who hears this box often: nobody in a region so small that all do.
+    fn choose_monitors(&mut self, now: Time) {
+        let large = self.table.heartbeat_period() > HEARTBEAT;
+        let monitors = self.table.monitors(now);
+        let monitors = monitors.into_iter().map(|contact| contact.gossip);
+        self.control.monitors = monitors.filter(|_| large).collect();
     }
 
-    fn heartbeat(&mut self, now: Time) -> Frame {
+    /// Asks the boxes that this one should hear and does not, or tells the region of them.
+    fn miss_silent(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for silence in self.table.watch_over(now) {
+            let others = self.table.live(now).map(|p| p.last.contact.gossip);
+            let others = others.filter(|_| silence.stage == Stage::Accused);
+            // It may live after all, and says so then.
+            let targets: Vec<SocketAddr> = others.chain([silence.gossip]).collect();
+            let silent = Silent {
+                name: silence.name,
+                incarnation: silence.incarnation,
+                since: silence.silent,
+            };
+            for to in targets {
+                let frame = self.frame(Body::Silent(silent.clone()));
+                out.push(Effect::Gossip { to, frame });
+            }
+        }
+    }
+
+    /// Believes another box that it does not hear a third one; denies it where it is this one.
+    fn hear_silent(&mut self, now: Time, silent: &Silent, out: &mut Vec<Effect>) {
+        if silent.name != self.table.me.name {
+            let Silent {
+                name,
+                incarnation,
+                since,
+            } = silent;
+            return self.table.accuse(name, *incarnation, *since, now);
+        }
+        if Control::due(&mut self.control.last_denial, HEARTBEAT, now) {
+            self.beat(now, out);
+        }
+    }
+
+    fn send_heartbeat(
+        &mut self,
+        now: Time,
+        pace: Millis,
+        targets: impl IntoIterator<Item = SocketAddr>,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut targets = targets.into_iter().peekable();
+        if targets.peek().is_none() {
+            return;
+        }
+        let frame = self.heartbeat(now, pace);
+        out.extend(targets.map(|to| Effect::Gossip {
+            to,
+            frame: frame.clone(),
+        }));
+    }
+
+    fn heartbeat(&mut self, now: Time, pace: Millis) -> Frame {
         let busy = self.servers.iter().filter(|(_, s)| s.busy > 0);
         let loads = busy.map(|(name, server)| Load {
             backend: Short::of(name.as_str()),
@@ -171,6 +273,8 @@
             uptime: now,
             version: self.version(),
             phase: self.phase(now),
+            pace,
+            boxes: self.table.live(now).count() as u32,
             busy: self.jobs.len() as u32,
             loads: loads.collect(),
             listed: self.listed.iter().copied().collect(),
@@ -335,7 +439,7 @@
                 let to = beat.contact.gossip;
                 let fresh = self.table.heartbeat(frame.incarnation, beat.clone(), now);
                 if fresh {
-                    self.greet(now, to, &frame.from, out);
+                    self.greet(now, to, &frame.from, beat.boxes, out);
                 }
             }
             Body::Digest(digest) if digest.region != self.table.me.region => {
@@ -349,20 +453,31 @@
             Body::Reading(reading) => self.hear_reading(now, &frame, *reading, out),
             Body::Holdings(holdings) => self.learn_holdings(now, holdings),
             Body::Members(contacts) => self.meet(now, contacts, out),
+            Body::Silent(silent) => self.hear_silent(now, silent, out),
             Body::Digest(_) => {}
         }
         self.chase(now, out);
     }
 
-    /// Answers a box that just appeared: who is here, and a heartbeat at once.
-    fn greet(&mut self, now: Time, to: SocketAddr, name: &BoxName, out: &mut Vec<Effect>) {
+    /// Answers a box that just appeared and knows `boxes` others: who is here, where that can be
+    /// news to it, and a heartbeat at once.
+    fn greet(
+        &mut self,
+        now: Time,
+        to: SocketAddr,
+        name: &BoxName,
+        boxes: u32,
+        out: &mut Vec<Effect>,
+    ) {
         self.share_holdings(now, to, name, out);
         let contacts = self.table.live(now).map(|p| p.last.contact.clone());
-        let body = Body::Members(contacts.collect());
-        let frame = self.frame(body);
-        out.push(Effect::Gossip { to, frame });
-        let frame = self.heartbeat(now);
-        out.push(Effect::Gossip { to, frame });
+        let contacts: Vec<Contact> = contacts.collect();
+        if contacts.len() as u32 > boxes {
+            let frame = self.frame(Body::Members(contacts));
+            out.push(Effect::Gossip { to, frame });
+        }
+        let period = self.table.heartbeat_period();
+        self.send_heartbeat(now, period, [to], out);
     }
 
     /// Answers a box of another region that took this one for a neighbour: what is known of the
@@ -392,11 +507,16 @@
                     .peers()
                     .any(|p| p.last.contact.gossip == c.gossip)
         };
-        let targets: Vec<SocketAddr> = contacts.iter().filter(unknown).map(|c| c.gossip).collect();
-        for to in targets {
-            let frame = self.heartbeat(now);
-            out.push(Effect::Gossip { to, frame });
-        }
+        let unknown: Vec<SocketAddr> = contacts.iter().filter(unknown).map(|c| c.gossip).collect();
+        let greeted = &mut self.control.greeted;
+        let mut targets = unknown;
+        targets.retain(|to| {
+            let last = greeted.get(to);
+            last.is_none_or(|at| now.since(*at) >= GREET_AGAIN)
+        });
+        greeted.extend(targets.iter().map(|to| (*to, now)));
+        let period = self.table.heartbeat_period();
+        self.send_heartbeat(now, period, targets, out);
     }
 
     /// Passes a digest on inside this region.
@@ -460,8 +580,9 @@
     /// Takes in what became known of registered backend servers.
     pub(super) fn supplied(&mut self, now: Time, change: Change, out: &mut Vec<Effect>) {
         self.supplied |= matches!(change, Change::List { .. });
-        self.fleet.apply(change, now);
-        self.forget_servers();
+        if self.fleet.apply(change, now) {
+            self.forget_servers();
+        }
         self.drain_all(now, out);
     }
 
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -75,7 +75,7 @@
         };
         let memory = self.memory(&plan.service);
         let servers = self.fleet.serving(&plan.service, region);
-        let usable = servers.filter(|b| plan.allows(b) && !self.leaving(now, b));
+        let usable = servers.filter(|b| plan.allows(b) && !self.leaving(b));
         let unread = |b: &Backend| {
             let short = Short::of(b.name.as_str());
             self.cache.unread(prompt, short, memory, now)
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -5,7 +5,7 @@
 use crate::{
     config::{Backend, Config, Plan, Refusal},
     id::{self, Region, Service},
-    member::{Peer, Remote},
+    member::Remote,
     policy::{Candidate, Choice, Place, Policy, View},
     prompt::Prompt,
     reducer::{State, effect::Basis, estimate, event::Hop, job::Job},
@@ -178,7 +178,7 @@
         if closed || job.tried.contains(&place) {
             return None;
         }
-        let usable = |b: &&Backend| plan.allows(b) && !self.leaving(now, b);
+        let usable = |b: &&Backend| plan.allows(b) && !self.leaving(b);
         let price = self
             .fleet
             .serving(&plan.service, region)
@@ -211,10 +211,10 @@
         })
     }
 
-    pub(super) fn leaving(&self, now: Time, backend: &Backend) -> bool {
+    pub(super) fn leaving(&self, backend: &Backend) -> bool {
         backend.leaving
             || self.evacuated.contains(&backend.domain)
-            || self.is_listed(now, &backend.address)
+            || self.is_listed(&backend.address)
     }
 
     /// What this box may send a second to one cold backend server of `service`.
@@ -250,9 +250,8 @@
     }
 
     /// Whether the platform's list names `address` as leaving, here or at a live box nearby.
-    fn is_listed(&self, now: Time, address: &SocketAddr) -> bool {
-        let told = |peer: &Peer| peer.last.listed.contains(address);
-        self.listed.contains(address) || self.table.live(now).any(told)
+    fn is_listed(&self, address: &SocketAddr) -> bool {
+        self.listed.contains(address) || self.table.is_listed(address)
     }
 
     /// Why `backend` gets no new work at `now`, where that is so.
@@ -263,7 +262,7 @@
         if self.evacuated.contains(&backend.domain) {
             return Some(Exclusion::Evacuated);
         }
-        if self.is_listed(now, &backend.address) {
+        if self.is_listed(&backend.address) {
             return Some(Exclusion::Listed);
         }
         let bar = self.servers.get(&backend.name)?.bar(now)?;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -75,6 +75,10 @@
     pub version: Version,
     /// Whether it takes work.
     pub phase: Phase,
+    /// When the receiver hears of it again at the latest.
+    pub pace: Millis,
+    /// Live boxes of its region that it knows of.
+    pub boxes: u32,
     /// Requests in hand.
     pub busy: u32,
     /// Where that work is; servers without any are left out.
@@ -150,6 +154,17 @@
     pub part: u64,
 }
 
+/// A box is not heard by one that should hear it often.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Silent {
+    /// Its name.
+    pub name: BoxName,
+    /// The life that was heard last.
+    pub incarnation: Incarnation,
+    /// How long that was ago.
+    pub since: Millis,
+}
+
 /// A message's content.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
@@ -163,6 +178,8 @@
     Reading(Reading),
     /// To a box that just appeared: which engines hold which parts.
     Holdings(Vec<Holding>),
+    /// Within a region: a box that should be heard is not.
+    Silent(Silent),
 }
 
 /// One message.
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -147,6 +147,8 @@
             uptime: Time(seq * 1000),
             version: Version(1),
             phase: Phase::Ready,
+            pace: Millis(500.max(150 * size.region_boxes() as u64)),
+            boxes: size.region_boxes() as u32,
             busy: 20,
             loads: loads.collect(),
             listed: vec![],
--- a/tests/fleet_changes.rs
+++ b/tests/fleet_changes.rs
@@ -5,6 +5,7 @@
     fleet::{Change, DOUBT, Fleet},
     id::Domain,
     unit::{Millis, Time},
+    wire::Short,
 };
 
 const NO_DOUBT: Millis = Millis(0);
@@ -101,3 +102,92 @@
     assert!(fleet.is_cold(&name, Time(7999)));
     assert!(!fleet.is_cold(&name, Time(8000)));
 }
+
+/// What a fleet is told in a run of any changes.
+#[derive(Clone, Debug, bolero::TypeGenerator)]
+enum Told {
+    Put {
+        name: u8,
+        service: u8,
+        leaving: bool,
+    },
+    Gone {
+        name: u8,
+        doubt: bool,
+    },
+    List {
+        names: [u8; 3],
+        doubt: bool,
+    },
+    Sweep,
+}
+
+const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+const SERVICES: [&str; 2] = ["model", "other"];
+
+fn any_backend(name: u8, service: u8) -> Backend {
+    Backend {
+        serves: vec![SERVICES[usize::from(service) % 2].parse().expect("a name")],
+        ..backend(NAMES[usize::from(name) % NAMES.len()], 0)
+    }
+}
+
+/// Whatever order servers come and go in, they are found by service as a plain list would tell.
+#[test]
+fn index_matches_the_members() {
+    bolero::check!()
+        .with_type::<Vec<Told>>()
+        .for_each(|all: &Vec<Told>| {
+            let mut fleet = Fleet::default();
+            let doubt = |on: &bool| if *on { DOUBT } else { NO_DOUBT };
+            for (second, told) in all.iter().enumerate() {
+                let now = Time(1000 * second as u64);
+                let change = match told {
+                    Told::Put {
+                        name,
+                        service,
+                        leaving,
+                    } => Change::Put(Backend {
+                        leaving: *leaving,
+                        ..any_backend(*name, *service)
+                    }),
+                    Told::Gone { name, doubt: on } => Change::Gone {
+                        name: any_backend(*name, 0).name,
+                        doubt: doubt(on),
+                    },
+                    Told::List { names, doubt: on } => Change::List {
+                        backends: names.iter().map(|n| any_backend(*n, *n / 7)).collect(),
+                        doubt: doubt(on),
+                    },
+                    Told::Sweep => {
+                        fleet.sweep(now);
+                        continue;
+                    }
+                };
+                fleet.apply(change, now);
+                check_index(&fleet);
+            }
+        });
+}
+
+fn check_index(fleet: &Fleet) {
+    let region = "atl".parse().expect("a name");
+    for service in SERVICES {
+        let service = service.parse().expect("a name");
+        let mut expected: Vec<String> = fleet
+            .iter()
+            .filter(|b| b.serves.contains(&service))
+            .map(|b| b.name.to_string())
+            .collect();
+        expected.sort();
+        let found = fleet.serving(&service, &region);
+        let found: Vec<String> = found.map(|b| b.name.to_string()).collect();
+        assert_eq!(found, expected);
+        let told = fleet.services().any(|s| *s == service);
+        assert_eq!(told, !expected.is_empty(), "services without servers go");
+    }
+    for backend in fleet.iter() {
+        let short = Short::of(backend.name.as_str());
+        assert_eq!(fleet.long(short), Some(&backend.name));
+    }
+}
