Ask engines what they have cached when boxes start

Change: in its first 4 s a box asks those engines of its region that nobody told anything of, each engine by the box that ranks first, and tells the others.

--- a/src/cache.rs
+++ b/src/cache.rs
@@ -4,7 +4,7 @@
 //! parts that were unused longest give way, so what was read there since tells when to stop
 //! believing.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::{
     prompt::{Part, Prompt},
@@ -37,6 +37,8 @@
 pub struct Cache {
     parts: HashMap<u64, Vec<Copy>>,
     read: HashMap<Short, u64>,
+    /// Engines that another box told of, or that told of themselves.
+    learned: HashSet<Short>,
 }
 
 impl Cache {
@@ -68,6 +70,11 @@
         self.parts.retain(|_, copies| last(copies) >= oldest);
     }
 
+    /// Whether anything is known of what `backend` holds.
+    pub fn knows(&self, backend: Short) -> bool {
+        self.read.contains_key(&backend) || self.learned.contains(&backend)
+    }
+
     /// Whether `backend`, with room for `memory` tokens, likely holds the part.
     pub fn holds(&self, backend: Short, part: u64, memory: Option<u64>, now: Time) -> bool {
         let copies = self.parts.get(&part).map_or(&[][..], Vec::as_slice);
@@ -111,6 +118,7 @@
 
     /// Takes over what another box knows, where this one knows nothing.
     pub fn learn(&mut self, holding: Holding, now: Time) {
+        self.learned.insert(holding.backend);
         let read = self.read.get(&holding.backend).copied().unwrap_or_default();
         let copies = self.parts.entry(holding.part).or_default();
         if copies.iter().any(|c| c.backend == holding.backend) {
@@ -126,6 +134,7 @@
     /// Forgets the engines that `known` does not name.
     pub fn retain(&mut self, known: impl Fn(Short) -> bool) {
         self.read.retain(|backend, _| known(*backend));
+        self.learned.retain(|backend| known(*backend));
         for copies in self.parts.values_mut() {
             copies.retain(|c| known(c.backend));
         }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -17,7 +17,9 @@
         clock::Clock, dial::Pool, follow, gossip::Links, lines::Quota, metrics::Metrics,
         replay::Replay,
     },
-    id, policy,
+    id,
+    platform::engine,
+    policy,
     reducer::{
         Identity, State,
         effect::{Effect, Entry, Reply, Send as SendOrder, Target},
@@ -448,6 +450,7 @@
             Effect::Forget(answer) => self.parts.replay.forget(answer),
             Effect::Gossip { to, frame } => self.parts.links.send(to, &frame),
             Effect::Fetch { peer, version } => self.fetch(peer, version),
+            Effect::Inventory { backend, address } => self.ask_cached(backend, address),
             Effect::Watch(on) => {
                 log::info!(
                     "core: {} the store.",
@@ -480,6 +483,23 @@
         self.orders.remove(&request);
     }
 
+    /// Asks an engine what it has cached; without an answer its parts count as unknown.
+    fn ask_cached(&self, backend: id::Backend, address: std::net::SocketAddr) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        let pool = self.parts.pool.clone();
+        tokio::spawn(async move {
+            match engine::cached(&pool, address).await {
+                Ok(parts) => {
+                    log::info!("cache: backend={backend} parts={}", parts.len());
+                    handle.tell(Event::Cached { backend, parts });
+                }
+                Err(error) => log::warn!("cache: backend={backend} unknown: {error}"),
+            }
+        });
+    }
+
     fn fetch(&self, peer: std::net::SocketAddr, version: Version) {
         let Some(handle) = self.handle.clone() else {
             return;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -14,8 +14,9 @@
     gateway::{core::Handle, follow},
     id::Domain,
     platform::{
+        call::Error,
         record::{self, Name},
-        store::{Change, Client, Error, Freshness, Item, Revision},
+        store::{Change, Client, Freshness, Item, Revision},
     },
     reducer::event::{Event, Source},
     settings::Settings,
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -124,6 +124,7 @@
         if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
         }
+        self.ask_caches(now, out);
         self.move_stalled(now, out);
         self.drain_all(now, out);
     }
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -205,6 +205,13 @@
         /// Requests of its service that wait at this box, itself included.
         waiting: usize,
     },
+    /// Ask a model engine which parts of prompts it has cached.
+    Inventory {
+        /// The engine.
+        backend: id::Backend,
+        /// Its address.
+        address: SocketAddr,
+    },
     /// Give an attempt up, so that it is cancelled at its place.
     Abort {
         /// The request.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -7,7 +7,7 @@
     fleet,
     id::{self, Domain, Region, Service},
     pin,
-    prompt::Prompt,
+    prompt::{Part, Prompt},
     retry,
     settings::Seed,
     unit::Millis,
@@ -191,6 +191,13 @@
     Listed(BTreeSet<SocketAddr>),
     /// Something became known of the backend servers that register themselves.
     Fleet(fleet::Change),
+    /// A model engine told which parts of prompts it has cached.
+    Cached {
+        /// The engine.
+        backend: id::Backend,
+        /// The parts.
+        parts: Vec<Part>,
+    },
     /// Nothing new may go to the backend servers of these failure domains.
     Evacuated(BTreeSet<Domain>),
     /// A caller asks which boxes of its region to use.
--- /dev/null
+++ b/src/reducer/inventory.rs
@@ -0,0 +1,86 @@
+//! What engines had cached before the boxes knew: after a restart of all boxes nobody can tell them.
+//!
+//! A box that starts asks its region's engines once, each engine by one box, and tells the others.
+//! Long shared parts then are not read again by engines that lack them.
+
+use std::net::SocketAddr;
+
+use crate::{
+    cache, id,
+    policy::Policy,
+    prompt::Part,
+    reducer::{State, effect::Effect},
+    unit::{Millis, Time},
+    wire::{Body, Holding, Short},
+};
+
+/// How long a new box waits for others to tell it what engines have cached: a greeting and its
+/// answer inside a region.
+const LISTEN: Millis = Millis(100);
+/// For how long after its start a box asks engines that it newly hears of: later ones are new.
+const ASK: Millis = Millis(4000);
+
+impl<P: Policy> State<P> {
+    /// Asks the engines of this region that nobody has told anything of.
+    pub(super) fn ask_caches(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let age = now.since(Time(0));
+        if !self.registry || !self.supplied || age < LISTEN || age > ASK {
+            return;
+        }
+        let Some(config) = self.config.clone() else {
+            return;
+        };
+        let engines = config
+            .profiles
+            .iter()
+            .filter(|(_, p)| p.memory_tokens.is_some());
+        for (service, _) in engines {
+            let backends = self.fleet.serving(service, &self.table.me.region);
+            let unknown = backends.filter(|b| self.may_ask(now, b));
+            let unknown: Vec<(id::Backend, SocketAddr)> =
+                unknown.map(|b| (b.name.clone(), b.address)).collect();
+            for (backend, address) in unknown {
+                self.asked.insert(backend.clone());
+                out.push(Effect::Inventory { backend, address });
+            }
+        }
+    }
+
+    /// Whether it is this box's to ask `engine`; a cold one has nothing and may bear no call.
+    fn may_ask(&self, now: Time, engine: &crate::config::Backend) -> bool {
+        let known = self.cache.knows(Short::of(engine.name.as_str()));
+        let busy = engine.leaving || self.fleet.is_cold(&engine.name, now);
+        let mine = || self.table.rank(engine.name.as_str(), now) == 0;
+        !known && !busy && !self.asked.contains(&engine.name) && mine()
+    }
+
+    /// Takes in what an engine has cached, and tells the boxes here and in the other regions.
+    pub(super) fn learn_cached(
+        &mut self,
+        now: Time,
+        backend: &id::Backend,
+        parts: &[Part],
+        out: &mut Vec<Effect>,
+    ) {
+        let short = Short::of(backend.as_str());
+        let long = parts.iter().filter(|part| part.tokens >= cache::LONG);
+        let holdings: Vec<Holding> = long
+            .map(|part| Holding {
+                backend: short,
+                part: part.id,
+            })
+            .collect();
+        if holdings.is_empty() {
+            return;
+        }
+        self.learn_holdings(now, &holdings);
+        let near = self.table.live(now).map(|p| p.last.contact.gossip);
+        let remotes = self.table.reachable(now);
+        let far = remotes.flat_map(|(_, r)| r.digest.doors.iter().map(|d| d.contact.gossip));
+        let targets: Vec<SocketAddr> = near.chain(far).collect();
+        for to in targets {
+            let frame = self.frame(Body::Holdings(holdings.clone()));
+            out.push(Effect::Gossip { to, frame });
+        }
+    }
+}
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 //! | `job` | one request in hand |
 //! | `admit`, `key` | its arrival, and its idempotency key |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
+//! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
 //! | `reading` | long prompts, and what the boxes tell each other of them |
 //! | `stall` | attempts that stay silent for too long |
@@ -22,6 +23,7 @@
 pub mod effect;
 mod estimate;
 pub mod event;
+mod inventory;
 mod job;
 mod key;
 mod line;
@@ -109,6 +111,8 @@
     supplied: bool,
     /// Whether backend servers register with the platform.
     registry: bool,
+    /// Engines that were asked what they have cached.
+    asked: BTreeSet<id::Backend>,
     attempts: u64,
     control: control::Control,
 }
@@ -137,6 +141,7 @@
             evacuated: BTreeSet::new(),
             supplied: !identity.registry,
             registry: identity.registry,
+            asked: BTreeSet::new(),
             attempts: 0,
             control: control::Control::default(),
         }
@@ -176,6 +181,9 @@
                 self.drain_all(now, &mut out);
             }
             Event::Fleet(change) => self.supplied(now, change, &mut out),
+            Event::Cached { backend, parts } => {
+                self.learn_cached(now, &backend, &parts, &mut out);
+            }
             Event::Evacuated(domains) => self.evacuate(now, domains, &mut out),
             Event::Resolve {
                 request,
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -322,6 +322,7 @@
             }
             Effect::Boxes { .. }
             | Effect::Queued { .. }
+            | Effect::Inventory { .. }
             | Effect::Noted(_)
             | Effect::Forget(_)
             | Effect::Watch(_)
