Take the backend servers from a peer while the store is away

Ruled out: a copy in the store's own keys (it helps only where all boxes start together, and costs writes); telling it by frames (100 KB at 1,300 servers). Change: a box without a list after 600 ms fetches one from a box that takes work, of its region or another; it says who leaves, who is cold and what is evacuated. The store's own list takes its place.

--- a/src/config/label.rs
+++ b/src/config/label.rs
@@ -2,8 +2,10 @@
 
 use std::{collections::BTreeMap, fmt, str::FromStr};
 
+use serde::{Deserialize, Serialize};
+
 /// What operators hang on a caller, route, model or backend server: `team=ward, pool=new`.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Labels(BTreeMap<String, String>);
 
 impl Labels {
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -246,7 +246,7 @@
 }
 
 /// A backend server.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Backend {
     /// Its name.
     pub name: id::Backend,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,7 +5,9 @@
 //! around an outage of the store is in doubt for a while, because the store may have dropped it by
 //! itself and the server may register again.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
+
+use serde::{Deserialize, Serialize};
 
 use crate::{
     config::Backend,
@@ -18,6 +20,15 @@
 /// that live are back about two seconds after the store; the rest covers the way of the news.
 pub const DOUBT: Millis = Millis(2300);
 
+/// All that a box knows of registered backend servers, for a box that cannot ask the store.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Roster {
+    /// The backend servers.
+    pub backends: Vec<Backend>,
+    /// The failure domains under evacuation.
+    pub evacuated: BTreeSet<Domain>,
+}
+
 /// What became known of the registered backend servers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
@@ -228,6 +239,17 @@
         self.members.values().map(|m| &m.backend)
     }
 
+    /// The backend servers that registered themselves, as of `now`.
+    pub fn registered(&self, now: Time) -> Vec<Backend> {
+        let registered = self.members.values().filter(|m| m.registered);
+        registered
+            .map(|m| Backend {
+                cold: m.cold_until.since(now),
+                ..m.backend.clone()
+            })
+            .collect()
+    }
+
     /// What the backend servers serve.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.index.names.keys()
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -13,8 +13,9 @@
 
 use crate::{
     config::{Ask, Config, Envelope, Version},
+    fleet::Roster,
     gateway::{
-        clock::Clock, dial::Pool, follow, gossip::Links, lines::Quota, metrics::Metrics,
+        clock::Clock, dial::Pool, follow, gossip::Links, head, lines::Quota, metrics::Metrics,
         replay::Replay,
     },
     id,
@@ -109,6 +110,11 @@
 #[derive(ActorReply)]
 struct StatusAnswer(Status);
 
+struct RosterQuery;
+
+#[derive(ActorReply)]
+struct RosterAnswer(Option<Roster>);
+
 struct ExplainQuery {
     ask: Ask,
     prefix: u64,
@@ -192,6 +198,11 @@
         self.0.ask(StatusQuery).await.ok().map(|answer| answer.0)
     }
 
+    /// What this box knows of registered backend servers.
+    pub(crate) async fn roster(&self) -> Option<Roster> {
+        self.0.ask(RosterQuery).await.ok()?.0
+    }
+
     /// Where a request would go.
     pub(crate) async fn explain(
         &self,
@@ -263,6 +274,13 @@
     }
 }
 
+impl Message<RosterQuery> for Core {
+    type Reply = RosterAnswer;
+    async fn handle(&mut self, _: RosterQuery, _: &mut Context<Self, Self::Reply>) -> RosterAnswer {
+        RosterAnswer(self.state.roster(self.parts.clock.now()))
+    }
+}
+
 impl Message<ExplainQuery> for Core {
     type Reply = ExplainAnswer;
     async fn handle(
@@ -450,6 +468,7 @@
             Effect::Forget(answer) => self.parts.replay.forget(answer),
             Effect::Gossip { to, frame } => self.parts.links.send(to, &frame),
             Effect::Fetch { peer, version } => self.fetch(peer, version),
+            Effect::FetchRoster { peer } => self.fetch_roster(peer),
             Effect::Inventory { backend, address } => self.ask_cached(backend, address),
             Effect::Watch(on) => {
                 log::info!(
@@ -483,6 +502,26 @@
         self.orders.remove(&request);
     }
 
+    fn fetch_roster(&self, peer: std::net::SocketAddr) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
+        tokio::spawn(async move {
+            let secret = &settings.cluster_secret;
+            match follow::fetch::<Roster>(&pool, peer, head::ROSTER_PATH, secret).await {
+                Ok(roster) => {
+                    let (servers, evacuated) = (roster.backends.len(), roster.evacuated.len());
+                    log::info!(
+                        "peers: {peer} tells of {servers} backend servers, evacuated={evacuated}"
+                    );
+                    handle.tell(Event::Roster(roster));
+                }
+                Err(error) => log::warn!("peers: {error:#}"),
+            }
+        });
+    }
+
     /// Asks an engine what it has cached; without an answer its parts count as unknown.
     fn ask_cached(&self, backend: id::Backend, address: std::net::SocketAddr) {
         let Some(handle) = self.handle.clone() else {
@@ -506,7 +545,8 @@
         };
         let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
         tokio::spawn(async move {
-            match follow::fetch(&pool, peer, &settings.cluster_secret).await {
+            let secret = &settings.cluster_secret;
+            match follow::fetch(&pool, peer, head::CONFIG_PATH, secret).await {
                 Ok(envelope) => follow::offer(&handle, &settings, envelope, Source::Peer),
                 Err(error) => log::warn!("config: {version}: {error:#}"),
             }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -180,6 +180,12 @@
         let current = current.ok_or_else(|| deny(404, "no configuration is in force"))?;
         return Ok(head::whole(StatusCode::OK, pack::TYPE, current.packed));
     }
+    if inbound.parts.uri.path() == head::ROSTER_PATH {
+        let roster = shell.core.roster().await;
+        let roster = roster.ok_or_else(|| deny(404, "no list of backend servers is known"))?;
+        let packed = pack::pack(&roster).map_err(|error| deny(500, &format!("{error:#}")))?;
+        return Ok(head::whole(StatusCode::OK, pack::TYPE, packed));
+    }
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
     let caller = text(head::CALLER).and_then(|name| name.parse().ok());
     let caller = caller.ok_or_else(|| deny(400, "the relayed request names no caller"))?;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,6 +5,7 @@
 use eyre::{WrapErr, bail, eyre};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::Request;
+use serde::de::DeserializeOwned;
 use tokio::{
     sync::watch,
     time::{sleep, timeout},
@@ -28,8 +29,8 @@
 /// Wait after a failure, before jitter.
 const BACKOFF: Duration = Duration::from_millis(1000);
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest configuration taken from another box, in bytes.
-const MAX_CONFIG: usize = 2 << 20;
+/// Largest packed content taken from another box, in bytes.
+const MAX_FETCHED: usize = 2 << 20;
 
 /// Checks `envelope` and tells `core`.
 pub(crate) fn offer(core: &Handle, settings: &Settings, envelope: Envelope, source: Source) {
@@ -106,13 +107,14 @@
     }
 }
 
-/// Fetches the configuration that the box at `peer` has in force.
-pub(crate) async fn fetch(
+/// Fetches what the box at `peer` tells others at `path`.
+pub(crate) async fn fetch<T: DeserializeOwned>(
     pool: &Arc<Pool>,
     peer: SocketAddr,
+    path: &str,
     secret: &Secret,
-) -> eyre::Result<Envelope> {
-    let request = Request::get(head::CONFIG_PATH)
+) -> eyre::Result<T> {
+    let request = Request::get(path)
         .header("host", peer.to_string())
         .header(head::SECRET, secret.expose())
         .body(Full::default())?;
@@ -122,7 +124,7 @@
         if !response.status().is_success() {
             bail!("status {}", response.status());
         }
-        let body = Limited::new(response.into_body(), MAX_CONFIG)
+        let body = Limited::new(response.into_body(), MAX_FETCHED)
             .collect()
             .await;
         let bytes = body.map_err(|e| eyre!("{e}"))?.to_bytes();
@@ -132,5 +134,5 @@
     let fetched = timeout(FETCH_TIMEOUT, exchange).await;
     fetched
         .unwrap_or_else(|_| Err(eyre!("no answer in time")))
-        .wrap_err_with(|| format!("cannot fetch the configuration from {peer}"))
+        .wrap_err_with(|| format!("cannot fetch {path} from {peer}"))
 }
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -47,6 +47,8 @@
 pub const API_KEY: &str = "x-api-key";
 /// Where a box gives its configuration to others.
 pub const CONFIG_PATH: &str = "/petreldrum/config";
+/// Where a box tells others of the registered backend servers that it knows.
+pub const ROSTER_PATH: &str = "/petreldrum/roster";
 
 const OWN: &str = "petreldrum-";
 const HOP_BY_HOP: [HeaderName; 5] = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
--- a/src/gateway/pack.rs
+++ b/src/gateway/pack.rs
@@ -1,28 +1,27 @@
-//! The form in which boxes pass the configuration on: JSON, compressed.
+//! The form in which boxes pass the configuration and the list of servers on: JSON, compressed.
 
 use std::io::{Read as _, Write as _};
 
 use bytes::Bytes;
 use eyre::{WrapErr, ensure};
 use flate2::{Compression, read::GzDecoder, write::GzEncoder};
-
-use crate::config::Envelope;
+use serde::{Serialize, de::DeserializeOwned};
 
 /// Its content type.
 pub const TYPE: &str = "application/gzip";
-/// Largest configuration that is unpacked, in bytes.
+/// Largest content that is unpacked, in bytes.
 const MAX_UNPACKED: u64 = 4 << 20;
 
-/// Packs a configuration.
-pub fn pack(envelope: &Envelope) -> eyre::Result<Bytes> {
-    let json = serde_json::to_vec(envelope).wrap_err("cannot write the configuration")?;
+/// Packs `content`.
+pub fn pack<T: Serialize>(content: &T) -> eyre::Result<Bytes> {
+    let json = serde_json::to_vec(content).wrap_err("cannot write it")?;
     let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
     encoder.write_all(&json)?;
     Ok(encoder.finish()?.into())
 }
 
-/// Unpacks a configuration; one that is too large or does not read is an error.
-pub fn unpack(bytes: &[u8]) -> eyre::Result<Envelope> {
+/// Unpacks what [`pack`] made; what is too large or does not read is an error.
+pub fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> eyre::Result<T> {
     let mut json = Vec::new();
     let mut decoder = GzDecoder::new(bytes).take(MAX_UNPACKED + 1);
     decoder
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -40,6 +40,7 @@
     last_beat: Option<Time>,
     last_pulse: Option<Time>,
     last_denial: Option<Time>,
+    pub(super) last_roster: Option<Time>,
     /// The boxes that hear this one often.
     monitors: BTreeSet<SocketAddr>,
     /// When addresses that others named were last greeted.
@@ -76,7 +77,7 @@
         self.woke.is_none_or(|woke| now.since(woke) >= WAKE_GRACE)
     }
 
-    fn due(last: &mut Option<Time>, span: Millis, now: Time) -> bool {
+    pub(super) fn due(last: &mut Option<Time>, span: Millis, now: Time) -> bool {
         let due = last.is_none_or(|at| now.since(at) >= span);
         if due {
             *last = Some(now);
@@ -124,6 +125,7 @@
         if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
         }
+        self.chase_roster(now, out);
         self.ask_caches(now, out);
         self.move_stalled(now, out);
         self.drain_all(now, out);
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -205,6 +205,11 @@
         /// Requests of its service that wait at this box, itself included.
         waiting: usize,
     },
+    /// Fetch from another box what it knows of registered backend servers.
+    FetchRoster {
+        /// The other box's listener.
+        peer: SocketAddr,
+    },
     /// Ask a model engine which parts of prompts it has cached.
     Inventory {
         /// The engine.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -189,6 +189,8 @@
     Unreadable(Version),
     /// The platform's list names these addresses as leaving.
     Listed(BTreeSet<SocketAddr>),
+    /// Another box told what it knows of the backend servers that register themselves.
+    Roster(fleet::Roster),
     /// Something became known of the backend servers that register themselves.
     Fleet(fleet::Change),
     /// A model engine told which parts of prompts it has cached.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -13,6 +13,7 @@
 //! | `stall` | attempts that stay silent for too long |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
+//! | `roster` | backend servers that peers tell of while the store is away |
 //! | `control` | heartbeats, digests, configuration, freezes |
 //! | [`status`] | what operators see |
 
@@ -30,6 +31,7 @@
 mod outcome;
 mod place;
 mod reading;
+mod roster;
 mod stall;
 pub mod status;
 
@@ -180,6 +182,7 @@
                 self.listed = listed;
                 self.drain_all(now, &mut out);
             }
+            Event::Roster(roster) => self.take_roster(now, roster, &mut out),
             Event::Fleet(change) => self.supplied(now, change, &mut out),
             Event::Cached { backend, parts } => {
                 self.learn_cached(now, &backend, &parts, &mut out);
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -323,6 +323,7 @@
             Effect::Boxes { .. }
             | Effect::Queued { .. }
             | Effect::Inventory { .. }
+            | Effect::FetchRoster { .. }
             | Effect::Noted(_)
             | Effect::Forget(_)
             | Effect::Watch(_)
