Join a request's lines out of the boxes' logs

Cause: on-call engineers grep several logs and sort by hand; a relayed request has lines at two boxes. Change: petreldrum trace --id ID FILE... prints its lines in order of time.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod hash;
 mod status;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,7 @@
     Config(config::Args),
     Status(status::Args),
     Explain(explain::Args),
+    Trace(trace::Args),
     Drain(status::DrainArgs),
     HashKey(hash::Args),
     Completions(completions::Args),
@@ -51,6 +53,7 @@
             Task::Config(args) => config::run(args),
             Task::Status(args) => status::run(args),
             Task::Explain(args) => explain::run(args),
+            Task::Trace(args) => trace::run(args),
             Task::Drain(args) => status::drain(args),
             Task::HashKey(args) => hash::run(args),
             Task::Completions(args) => completions::run(args),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
 //! | sockets, clocks and tasks around the reducer | [`gateway`] |
+//! | a request's story out of logs | [`story`] |
 //! | subcommands of the binary | [`cmd`] |
 
 pub mod cache;
@@ -38,6 +39,7 @@
 pub mod server;
 pub mod settings;
 mod sign;
+pub mod story;
 pub mod unit;
 pub mod verdict;
 pub mod wire;
