Send long prompts where they make the least streams pause too long

Of 220 late streams 159 ran beside one reading of 10,000 tokens or more: readings went to engines with few but long streams, because each running request counted the same and every reading counted, however short. Ruled out: overload (engines read at a quarter of their speed on average). Change: a reading counts by how many streams it pushes beyond the pause that their route allows, weighed by the prompt tokens of what runs against its own. Boxes tell each other a prompt's length. Another region is judged by its best engine, not by the mean.

--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -5,6 +5,7 @@
 use crate::{
     config::{Backend, Caller, Config, Kind, Matcher, Route},
     id::{self, Region, Service},
+    unit::Millis,
 };
 
 /// What routing needs to know of a request.
@@ -111,6 +112,12 @@
         self.limits.iter().all(inside) && self.home.is_none_or(|home| home == region)
     }
 
+    /// The longest pause between two events of its answer that is in time, where it streams.
+    pub fn gap(&self) -> Option<Millis> {
+        let gap = self.route.stream.map(|stream| stream.gap);
+        gap.filter(|gap| gap.0 > 0)
+    }
+
     /// Whether `backend` may run the request, leaving aside whether it can now.
     pub fn allows(&self, backend: &Backend) -> bool {
         self.permits(&backend.region)
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -82,6 +82,10 @@
         let reading = self.reading(now, job, &place);
         let work = reading.map_or(0, |r| r.tokens);
         let expected = self.count_send(now, &service, &place, work);
+        if let (Place::Backend(name), Some(reading)) = (&place, &reading) {
+            let server = self.servers.entry(name.clone()).or_default();
+            server.join(reading.prompt, now);
+        }
         let relayed = matches!(place, Place::Region(_));
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -13,20 +13,72 @@
 };
 
 /// Weight of the time for which one running request waits while a prompt is read, against the time
-/// that the prompt's own request waits: most pauses do no harm.
+/// that the prompt's own request waits, where no pause is known to be too long.
 const HELD_UP: f64 = 0.1;
+/// What it counts to make running streams pause for too long that read as many prompt tokens as the
+/// request itself, as a wait of its own: as much as its own answer being late.
+const PAUSED: f64 = 1000.0;
+/// The part of the longest pause that is in time from which on a stream is in danger: reading is
+/// estimated, and takes turns with the tokens of what runs.
+const NEAR_PAUSE: f64 = 0.5;
+/// Prompt tokens of a running request of which this box knows nothing else: long ones are told.
+const SHORT_PROMPT: f64 = 1200.0;
+/// The harm to others weighs no more for prompts shorter than this.
+const LEAST_PROMPT: f64 = 1000.0;
 /// Weight of the time to read shared parts once more, besides the wait for it.
 const READ_AGAIN: f64 = 2.0;
 /// What it counts to read a part elsewhere than at its preferred engine: about the wait for one
 /// other long prompt.
 const MISPLACED: Millis = Millis(100);
 
-/// What reading `unread` tokens of `prompt` costs others: the `busy` requests that run there get
-/// their tokens later, and a shared part that is read once more is time the engine lost.
-pub(super) fn burden(prompt: &Prompt, unread: u32, engine: &Server, busy: u32) -> Millis {
+/// What runs at an engine while a prompt is read there.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Company {
+    /// Requests that run.
+    pub(super) busy: u32,
+    /// Prompt tokens of those whose prompts are known.
+    pub(super) tokens: f64,
+    /// Time until the prompts that were sent there before are read, in ms.
+    pub(super) pending: f64,
+    /// The longest pause of a stream that is in time, where that is known.
+    pub(super) gap: Option<Millis>,
+}
+
+impl Company {
+    /// Those at `engine`, where `busy` requests run.
+    pub(super) fn at(engine: &Server, busy: u32, gap: Option<Millis>, now: Time) -> Self {
+        Self {
+            busy,
+            tokens: engine.company(now),
+            pending: engine.pending(now),
+            gap,
+        }
+    }
+
+    /// The share of the running streams that a pause of `millis` makes late.
+    fn late(millis: f64, gap: Millis) -> f64 {
+        let near = gap.0 as f64 * NEAR_PAUSE;
+        ((millis - near) / near).clamp(0.0, 1.0)
+    }
+
+    /// What it costs them that a prompt of `tokens` is read there for `reading` ms.
+    fn held_up(&self, tokens: u32, reading: f64) -> f64 {
+        let busy = f64::from(self.busy);
+        let Some(gap) = self.gap else {
+            return reading * busy * HELD_UP;
+        };
+        let more = Self::late(self.pending + reading, gap) - Self::late(self.pending, gap);
+        let others = self.tokens + busy * SHORT_PROMPT;
+        more * PAUSED * others / f64::from(tokens).max(LEAST_PROMPT)
+    }
+}
+
+/// What reading `unread` tokens of `prompt` costs others: what runs there gets its tokens later, and
+/// a shared part that is read once more is time the engine lost.
+pub(super) fn burden(prompt: &Prompt, unread: u32, engine: &Server, company: Company) -> Millis {
     let own = prompt.parts.last().map_or(0, |part| part.tokens);
     let again = engine.reading(unread.saturating_sub(own));
-    let held_up = engine.reading(unread) * f64::from(busy) * HELD_UP;
+    let held_up = company.held_up(prompt.tokens, engine.reading(unread));
     Millis((again * READ_AGAIN + held_up) as u64)
 }
 
@@ -60,8 +112,8 @@
         hop.unwrap_or_default() + capacity.map_or(Millis(0), |c| c.first)
     }
 
-    /// Expected time to read the prompt of `job` at the best engine of `region`, and the burden on
-    /// what runs there.
+    /// Expected time to the first token of the prompt of `job` at the best engine of `region`, the
+    /// way there left out, and the burden on what runs there.
     pub(super) fn remote_reading(
         &self,
         now: Time,
@@ -71,21 +123,26 @@
         capacity: &Capacity,
     ) -> (Millis, Millis) {
         let Some(prompt) = &job.prompt else {
-            return (Millis(0), Millis(0));
+            return (capacity.first, Millis(0));
         };
         let memory = self.memory(&plan.service);
         let servers = self.fleet.serving(&plan.service, region);
         let usable = servers.filter(|b| plan.allows(b) && !self.leaving(b));
-        let unread = |b: &Backend| {
+        let usable: Vec<&Backend> = usable.collect();
+        let busy = capacity.busy / (usable.len() as u32).max(1);
+        let fresh = Server::default();
+        let cost = |b: &&Backend| {
+            let engine = self.servers.get(&b.name).unwrap_or(&fresh);
             let short = Short::of(b.name.as_str());
-            self.cache.unread(prompt, short, memory, now)
+            let unread = self.cache.unread(prompt, short, memory, now);
+            let company = Company::at(engine, busy, plan.gap(), now);
+            let burden = burden(prompt, unread, engine, company);
+            let reading = engine.pending(now) + engine.reading(unread);
+            (Millis(reading as u64), burden)
         };
-        let (least, count) = usable.fold((prompt.tokens, 0), |(least, count), b| {
-            (unread(b).min(least), count + 1)
-        });
-        let engine = Server::default();
-        let busy = capacity.busy / count.max(1);
-        let reading = Millis(engine.reading(least) as u64);
-        (reading, burden(prompt, least, &engine, busy))
+        let costs = usable.iter().map(cost);
+        let best = costs.min_by_key(|(reading, burden)| *reading + *burden);
+        let (reading, burden) = best.unwrap_or_default();
+        (Server::default().first_token(0, now) + reading, burden)
     }
 }
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -8,7 +8,13 @@
     member::Remote,
     policy::{Candidate, Choice, Place, Policy, View},
     prompt::Prompt,
-    reducer::{State, effect::Basis, estimate, event::Hop, job::Job},
+    reducer::{
+        State,
+        effect::Basis,
+        estimate::{self, Company},
+        event::Hop,
+        job::Job,
+    },
     server::{Bar, Server},
     unit::{Millis, Rate, Time},
     wire::Short,
@@ -141,7 +147,8 @@
                     let short = Short::of(backend.name.as_str());
                     let unread = self.cache.unread(prompt, short, memory, now);
                     let first = server.first_token(unread, now);
-                    let burden = estimate::burden(prompt, unread, server, busy);
+                    let company = Company::at(server, busy, plan.gap(), now);
+                    let burden = estimate::burden(prompt, unread, server, company);
                     (first, burden + estimate::misplaced(prompt, unread, owner))
                 }
                 None => (server.first(), Millis(0)),
@@ -187,7 +194,7 @@
             .reduce(f64::min)?;
         let short = Short::of(plan.service.as_str());
         let capacity = remote.digest.services.iter().find(|c| c.service == short)?;
-        let (reading, burden) = self.remote_reading(now, plan, job, region, capacity);
+        let (first, burden) = self.remote_reading(now, plan, job, region, capacity);
         let hop = config.hop(&self.table.me.region, region);
         let free = remote.free(short, now);
         let (busy, slots) = (capacity.busy + remote.sent, capacity.slots.max(1));
@@ -202,7 +209,7 @@
             free,
             load: f64::from(busy) / f64::from(slots),
             wait,
-            first: capacity.first + reading,
+            first,
             burden,
             hop,
             price,
--- a/src/reducer/reading.rs
+++ b/src/reducer/reading.rs
@@ -29,6 +29,7 @@
         let part = prompt.longest().filter(|part| part.tokens >= cache::LONG);
         Some(Reading {
             backend,
+            prompt: prompt.tokens,
             tokens: self.cache.unread(prompt, backend, memory, now),
             part: part.map(|p| p.id),
             shared: part.map_or(0, |p| p.tokens),
@@ -72,10 +73,9 @@
     ) {
         self.remember(now, reading);
         if let Some(name) = self.fleet.long(reading.backend).cloned() {
-            self.servers
-                .entry(name)
-                .or_default()
-                .hear(reading.tokens, now);
+            let server = self.servers.entry(name).or_default();
+            server.hear(reading.tokens, now);
+            server.join(reading.prompt, now);
         }
         if reading.spread {
             let body = Body::Reading(Reading {
--- a/src/server.rs
+++ b/src/server.rs
@@ -21,6 +21,9 @@
 /// Half of what was learned is forgotten in this time without news, so that a server that looked
 /// bad gets a request now and then and can show that it is well.
 const HALF_LIFE: Millis = Millis(1500);
+/// Half of the requests that were sent to an engine have ended after this time: long answers take
+/// one to two seconds.
+const COMPANY_HALF_LIFE: Millis = Millis(1000);
 /// Assumed time to the first byte before one was seen.
 const FIRST_GUESS: f64 = 100.0;
 /// Assumed time of a whole answer before one was seen.
@@ -70,6 +73,10 @@
     heard: Time,
     /// Requests that it may get while it is cold, and since when they are counted.
     cold_tokens: Option<(f64, Time)>,
+    /// Prompt tokens of the requests that run there, as far as they are known.
+    company: f64,
+    /// When that was reckoned.
+    joined: Time,
 }
 
 impl Default for Server {
@@ -89,6 +96,8 @@
             failing: 0.0,
             heard: Time(0),
             cold_tokens: None,
+            company: 0.0,
+            joined: Time(0),
         }
     }
 }
@@ -139,7 +148,7 @@
     }
 
     /// Time until it has read the prompts that are known to have been sent there.
-    fn pending(&self, now: Time) -> f64 {
+    pub fn pending(&self, now: Time) -> f64 {
         (self.read_until - now.0 as f64).max(0.0)
     }
 
@@ -154,6 +163,18 @@
         self.read_until = from + self.reading(tokens);
     }
 
+    /// Prompt tokens of the requests that likely run there.
+    pub fn company(&self, now: Time) -> f64 {
+        let age = now.since(self.joined).0 as f64 / COMPANY_HALF_LIFE.0 as f64;
+        self.company * 0.5_f64.powf(age)
+    }
+
+    /// Notes that a request with a prompt of `tokens` goes there.
+    pub fn join(&mut self, tokens: u32, now: Time) {
+        self.company = self.company(now) + f64::from(tokens);
+        self.joined = now;
+    }
+
     /// Share of its answers that failed, lately.
     pub fn failing(&self, now: Time) -> f64 {
         self.faded(self.failing, 0.0, now)
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -135,6 +135,8 @@
 pub struct Reading {
     /// The backend server.
     pub backend: Short,
+    /// Length of the prompt in tokens.
+    pub prompt: u32,
     /// Tokens that it has to read.
     pub tokens: u32,
     /// The longest part that the prompt shares with others.
--- a/tests/engine_caches.rs
+++ b/tests/engine_caches.rs
@@ -2,99 +2,19 @@
 
 mod harness;
 
-use std::sync::Arc;
-
-use harness::solo::{contact, places, sends};
+use harness::{
+    engines::{SHARED, World, engine, target},
+    solo::contact,
+};
 use petreldrum::{
-    config::Backend,
     fleet::Change,
-    id::{self, Incarnation},
-    platform::record,
+    id::Incarnation,
     policy::Balanced,
-    prompt::{Part, Prompt},
-    reducer::{
-        Identity, State,
-        effect::{Effect, Target},
-        event::{Arrival, Credential, Event, Hop, Key, Source},
-    },
-    unit::{Millis, Time},
+    prompt::Part,
+    reducer::{Identity, State, effect::Effect, event::Event},
     wire::Body,
 };
 
-const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/",
-    "kind":"streaming","timeoutMs":8000,"targetLatencyMs":1000,"priority":1,"service":"s",
-    "maxAttempts":1,"resumable":false,"gapAimMs":400,"homeRegions":[]}],
-    "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639}}]}"#;
-
-const SHARED: Part = Part {
-    id: 0xab,
-    tokens: 13_000,
-};
-
-struct World {
-    state: State<Balanced>,
-    now: Time,
-}
-
-fn engine(name: &str, state: &str, cold: u64) -> Backend {
-    let entry = format!(
-        r#"{{"service":"s","address":"10.0.0.1:1","zone":"atl-a","slots":64,
-            "state":"{state}","coldRemainingMs":{cold}}}"#
-    );
-    let name = name.parse().expect("a name");
-    record::server(&name, entry.as_bytes(), &places()).expect("it reads")
-}
-
-impl World {
-    fn new(engines: Vec<Backend>) -> Self {
-        let identity = Identity {
-            contact: contact("box", "atl", 10),
-            incarnation: Incarnation(1),
-            seeds: vec![],
-            retry: Default::default(),
-            registry: true,
-        };
-        let state = State::new(identity, Balanced);
-        let mut world = Self {
-            state,
-            now: Time(0),
-        };
-        let envelope = record::envelope(CONFIG.into()).expect("it reads");
-        let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
-        let source = Source::Store;
-        world.step(Event::Offered { config, source });
-        let list = Change::List {
-            backends: engines,
-            doubt: Millis(0),
-        };
-        world.step(Event::Fleet(list));
-        world
-    }
-
-    fn step(&mut self, event: Event) -> Vec<Effect> {
-        self.state.step(self.now, event)
-    }
-
-    /// The engines that are asked while time passes.
-    fn asked(&mut self, millis: u64) -> Vec<String> {
-        let mut names = Vec::new();
-        for _ in 0..millis / 100 {
-            self.now = self.now + Millis(100);
-            for effect in self.step(Event::Tick) {
-                if let Effect::Inventory { backend, .. } = effect {
-                    names.push(backend.to_string());
-                }
-            }
-        }
-        names
-    }
-
-    fn told(&mut self, name: &str, parts: Vec<Part>) -> Vec<Effect> {
-        let backend = name.parse().expect("a name");
-        self.step(Event::Cached { backend, parts })
-    }
-}
-
 #[test]
 fn each_is_asked_once() {
     let ready = ["a", "b", "c"].map(|name| engine(name, "ready", 0));
@@ -132,31 +52,8 @@
         let short = Part { id: 1, tokens: 30 };
         world.told(holder, vec![SHARED, short]);
         let own = Part { id: 2, tokens: 500 };
-        let arrival = Arrival {
-            request: id::Request(1),
-            tag: None,
-            credential: Credential::Missing,
-            host: Some("h.example".to_owned()),
-            path: "/p/x".to_owned(),
-            model: None,
-            prefix: 0,
-            prompt: Some(Prompt {
-                tokens: 13_500,
-                output: 100,
-                parts: vec![SHARED, own],
-            }),
-            draw: 0,
-            runs: None,
-            key: Key::Absent,
-            left: None,
-            hop: Hop::Direct,
-        };
-        let effects = world.step(Event::Arrived(arrival));
-        let send = sends(&effects).remove(0);
-        let Target::Backend { name, .. } = &send.target else {
-            panic!("it stays in its region");
-        };
-        assert_eq!((name.as_str(), send.basis.unread), (holder, 500));
+        let send = world.prompt(&[SHARED, own]).remove(0);
+        assert_eq!((target(&send), send.basis.unread), (holder, 500));
     }
 }
 
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -23,6 +23,7 @@
     pub gossip: SocketAddr,
     pub ready: SocketAddr,
     pub directory: SocketAddr,
+    pub metrics: SocketAddr,
     pub admin: SocketAddr,
     child: Child,
 }
@@ -192,6 +193,7 @@
              interface = platform\n\
              [listen]\npublic = 127.0.0.1:0\npeer = 127.0.0.1:0\ngossip = 127.0.0.1:0\n\
              admin = 127.0.0.1:0\nready = 127.0.0.1:0\ndirectory = 127.0.0.1:0\n\
+             metrics = 127.0.0.1:0\n\
              admin_token = {TOKEN}\n\
              [peers]\nsecret = {SECRET}\nseeds = {}\n\
              [platform]\nstore = {}\ndomains = atl-a/atl, mcn-a/mcn\nhop = 10ms\nbeat = 300ms\n\
@@ -214,6 +216,7 @@
             gossip: bound["gossip"],
             ready: bound["ready"],
             directory: bound["directory"],
+            metrics: bound["metrics"],
             admin: bound["admin"],
             child,
         });
--- /dev/null
+++ b/tests/harness/engines.rs
@@ -0,0 +1,136 @@
+//! A box on the platform whose region has model engines, as its reducer alone.
+
+use std::sync::Arc;
+
+use petreldrum::{
+    config::Backend,
+    fleet::Change,
+    id::{self, Incarnation},
+    platform::record,
+    policy::Balanced,
+    prompt::{Part, Prompt},
+    reducer::{
+        Identity, State,
+        effect::{Effect, Send, Target},
+        event::{Arrival, Credential, Event, Hop, Key, Source},
+    },
+    unit::{Millis, Time},
+};
+
+use super::solo::{contact, places, sends};
+
+const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/",
+    "kind":"streaming","timeoutMs":8000,"targetLatencyMs":1000,"priority":1,"service":"s",
+    "maxAttempts":1,"resumable":false,"gapAimMs":400,"homeRegions":[]}],
+    "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639}}]}"#;
+
+pub const SHARED: Part = Part {
+    id: 0xab,
+    tokens: 13_000,
+};
+
+pub struct World {
+    pub state: State<Balanced>,
+    pub now: Time,
+    requests: u64,
+}
+
+pub fn engine(name: &str, state: &str, cold: u64) -> Backend {
+    let entry = format!(
+        r#"{{"service":"s","address":"10.0.0.1:1","zone":"atl-a","slots":64,
+            "state":"{state}","coldRemainingMs":{cold}}}"#
+    );
+    let name = name.parse().expect("a name");
+    record::server(&name, entry.as_bytes(), &places()).expect("it reads")
+}
+
+impl World {
+    pub fn new(engines: Vec<Backend>) -> Self {
+        let identity = Identity {
+            contact: contact("box", "atl", 10),
+            incarnation: Incarnation(1),
+            seeds: vec![],
+            retry: Default::default(),
+            registry: true,
+        };
+        let state = State::new(identity, Balanced);
+        let mut world = Self {
+            state,
+            now: Time(0),
+            requests: 0,
+        };
+        let envelope = record::envelope(CONFIG.into()).expect("it reads");
+        let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
+        let source = Source::Store;
+        world.step(Event::Offered { config, source });
+        let list = Change::List {
+            backends: engines,
+            doubt: Millis(0),
+        };
+        world.step(Event::Fleet(list));
+        world
+    }
+
+    pub fn step(&mut self, event: Event) -> Vec<Effect> {
+        self.state.step(self.now, event)
+    }
+
+    /// The engines that are asked while time passes.
+    pub fn asked(&mut self, millis: u64) -> Vec<String> {
+        let mut names = Vec::new();
+        for _ in 0..millis / 100 {
+            self.now = self.now + Millis(100);
+            for effect in self.step(Event::Tick) {
+                if let Effect::Inventory { backend, .. } = effect {
+                    names.push(backend.to_string());
+                }
+            }
+        }
+        names
+    }
+
+    pub fn told(&mut self, name: &str, parts: Vec<Part>) -> Vec<Effect> {
+        let backend = name.parse().expect("a name");
+        self.step(Event::Cached { backend, parts })
+    }
+
+    /// Sends a request whose prompt has these parts; the last one is its own.
+    pub fn prompt(&mut self, parts: &[Part]) -> Vec<Send> {
+        self.requests += 1;
+        let arrival = Arrival {
+            request: id::Request(self.requests),
+            tag: None,
+            credential: Credential::Missing,
+            host: Some("h.example".to_owned()),
+            path: "/p/x".to_owned(),
+            model: None,
+            prefix: 0,
+            prompt: Some(Prompt {
+                tokens: parts.iter().map(|part| part.tokens).sum(),
+                output: 100,
+                parts: parts.to_vec(),
+            }),
+            draw: 0,
+            runs: None,
+            key: Key::Absent,
+            left: None,
+            hop: Hop::Direct,
+        };
+        sends(&self.step(Event::Arrived(arrival)))
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 100 {
+            self.now = self.now + Millis(100);
+            self.step(Event::Tick);
+        }
+    }
+}
+
+/// The engine that a request went to.
+pub fn target(send: &Send) -> &str {
+    match &send.target {
+        Target::Backend { name, .. } => name.as_str(),
+        other => panic!("not an engine: {other:?}"),
+    }
+}
--- /dev/null
+++ b/tests/long_prompts.rs
@@ -0,0 +1,59 @@
+//! A long prompt goes where reading it makes the least streams pause for too long.
+
+mod harness;
+
+use harness::engines::{World, engine, target};
+use petreldrum::{fleet::Change, prompt::Part, reducer::event::Event};
+
+fn part(id: u64, tokens: u32) -> Part {
+    Part { id, tokens }
+}
+
+/// An engine with one long stream, and one with five short ones.
+fn world() -> World {
+    let mut world = World::new(vec![engine("long", "ready", 0)]);
+    let sent = world.prompt(&[part(1, 20_000)]);
+    assert_eq!(target(&sent[0]), "long");
+    let leaving = engine("long", "draining", 0);
+    world.step(Event::Fleet(Change::Put(leaving)));
+    world.step(Event::Fleet(Change::Put(engine("short", "ready", 0))));
+    for id in 10..15 {
+        let sent = world.prompt(&[part(id, 300)]);
+        assert_eq!(target(&sent[0]), "short");
+    }
+    // By now all prompts are read, and the streams go on.
+    world.pass(500);
+    world.step(Event::Fleet(Change::Put(engine("long", "ready", 0))));
+    world
+}
+
+#[test]
+fn one_long_stream_counts_more_than_few_short_ones() {
+    let sent = world().prompt(&[part(2, 30_000)]);
+    assert_eq!(target(&sent[0]), "short");
+}
+
+#[test]
+fn a_short_reading_holds_up_nobody() {
+    let sent = world().prompt(&[part(2, 3000)]);
+    assert_eq!(sent[0].basis.burden.0, 0, "60 ms are no pause");
+}
+
+#[test]
+fn prompts_at_once_are_spread() {
+    let engines = ["a", "b", "c"].map(|name| engine(name, "ready", 0));
+    let mut world = World::new(engines.to_vec());
+    let mut used: Vec<String> = (0..3)
+        .map(|id| target(&world.prompt(&[part(id, 20_000)])[0]).to_owned())
+        .collect();
+    used.sort();
+    assert_eq!(used, ["a", "b", "c"]);
+}
+
+#[test]
+fn ended_streams_are_forgotten() {
+    let mut world = world();
+    world.pass(20_000);
+    let sent = world.prompt(&[part(2, 30_000)]);
+    assert_eq!(target(&sent[0]), "long", "the other one is still busy");
+}
