Serve metrics on a listener of their own, with times

Cause: on the platform nobody could read the metrics, and the only histogram was that of first bytes. Change: [listen] metrics; the deploy file names it. Histograms of the wait, the whole answer, its longest pause and the store's readings; counts of repeats, dropped lines, store failures and open connections. Tests: metric_text (2).

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -12,6 +12,7 @@
     gateway::{
         Shell,
         body::Body,
+        directory::{METRICS_PATH, METRICS_TYPE},
         follow, head,
         store::{Stored, Swap},
     },
@@ -95,9 +96,8 @@
     match (&parts.method, parts.uri.path()) {
         (&Method::GET, "/health") => return plain(StatusCode::OK, "alive"),
         (&Method::GET, "/ready") => return shell.readiness().await,
-        (&Method::GET, "/metrics") => {
-            let text = shell.metrics.text();
-            return head::whole(StatusCode::OK, "text/plain; version=0.0.4", text);
+        (&Method::GET, METRICS_PATH) => {
+            return head::whole(StatusCode::OK, METRICS_TYPE, shell.metrics.text());
         }
         _ => {}
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -339,6 +339,7 @@
 impl Core {
     fn step(&mut self, event: Event) {
         self.log_event(&event);
+        self.measure_event(&event);
         let ticked = matches!(event, Event::Tick);
         let effects = self.state.step(self.parts.clock.now(), event);
         for effect in effects {
@@ -349,6 +350,30 @@
         }
     }
 
+    fn measure_event(&self, event: &Event) {
+        if let Event::Ended {
+            whole: true,
+            timing,
+            ..
+        } = event
+        {
+            let metrics = &self.parts.metrics;
+            metrics.whole.observe(timing.whole.duration().as_secs_f64());
+            metrics.pause.observe(timing.pause.duration().as_secs_f64());
+        }
+    }
+
+    fn measure_effect(&self, effect: &Effect) {
+        let Effect::Send(send) = effect else {
+            return;
+        };
+        if send.basis.number > 1 {
+            return self.parts.metrics.repeats.inc();
+        }
+        let waited = send.basis.waited.duration().as_secs_f64();
+        self.parts.metrics.waited.observe(waited);
+    }
+
     fn gauge(&self) {
         let metrics = &self.parts.metrics;
         let ready = self.state.phase(self.parts.clock.now()) == Phase::Ready;
@@ -362,9 +387,12 @@
     /// Writes one line of a request, within the quota.
     fn log_request(&mut self, request: id::Request, line: impl std::fmt::Display) {
         let now = self.parts.clock.now();
-        if !log::log_enabled!(log::Level::Info) || !self.quota.take(now) {
+        if !log::log_enabled!(log::Level::Info) {
             return;
         }
+        if !self.quota.take(now) {
+            return self.parts.metrics.dropped_lines.inc();
+        }
         let open = self.orders.get(&request);
         let tag = open.and_then(|o| o.tag.as_deref()).unwrap_or("-");
         log::info!("request: id={tag} box_id={request} {line}");
@@ -458,6 +486,7 @@
 
     fn carry_out(&mut self, effect: Effect) {
         self.log_effect(&effect);
+        self.measure_effect(&effect);
         match effect {
             Effect::Send(send) => self.order(send.request, Order::Send(send)),
             Effect::Abort { request, .. } => self.order(request, Order::Abort),
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -1,4 +1,5 @@
-//! The platform's readiness checks and callers' look-ups of boxes, each by a listener of its own.
+//! The platform's readiness checks, callers' look-ups of boxes, and collectors of metrics, each by a
+//! listener of its own.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -17,10 +18,15 @@
 /// that callers leave a box that stops well before its end.
 const LIFE: Millis = Millis(3000);
 
+/// Where a collector reads the metrics, and their content type.
+pub(super) const METRICS_PATH: &str = "/metrics";
+pub(super) const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
 /// The listeners that the settings ask for.
 pub(super) struct Listeners {
     ready: Option<TcpListener>,
     directory: Option<TcpListener>,
+    metrics: Option<TcpListener>,
 }
 
 impl Listeners {
@@ -33,6 +39,11 @@
     pub(super) fn directory_address(&self) -> Option<SocketAddr> {
         self.directory.as_ref()?.local_addr().ok()
     }
+
+    /// Where collectors of metrics go.
+    pub(super) fn metrics_address(&self) -> Option<SocketAddr> {
+        self.metrics.as_ref()?.local_addr().ok()
+    }
 }
 
 /// Binds them.
@@ -45,7 +56,15 @@
         Some(address) => Some(serve::bind(address, "look-ups").await?),
         None => None,
     };
-    Ok(Listeners { ready, directory })
+    let metrics = match settings.metrics {
+        Some(address) => Some(serve::bind(address, "collectors of metrics").await?),
+        None => None,
+    };
+    Ok(Listeners {
+        ready,
+        directory,
+        metrics,
+    })
 }
 
 /// Serves them until `closing`.
@@ -54,7 +73,7 @@
     listeners: Listeners,
     closing: &watch::Sender<bool>,
 ) -> Vec<JoinHandle<()>> {
-    let both = [listeners.ready, listeners.directory];
+    let all = [listeners.ready, listeners.directory, listeners.metrics];
     let serve = |listener| {
         let shared = shell.clone();
         let handler = move |request| answer(shared.clone(), request);
@@ -68,11 +87,12 @@
             handler,
         ))
     };
-    both.into_iter().flatten().map(serve).collect()
+    all.into_iter().flatten().map(serve).collect()
 }
 
 async fn answer(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
     match request.uri().path() {
+        METRICS_PATH => head::whole(StatusCode::OK, METRICS_TYPE, shell.metrics.text()),
         door::READY_PATH => shell.readiness().await,
         door::RESOLVE_PATH => resolve(&shell, &request).await,
         _ => head::whole(StatusCode::NOT_FOUND, "text/plain", "no such call\n"),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -5,8 +5,8 @@
     TextEncoder,
 };
 
-/// Upper bounds of the first-byte histogram, in seconds.
-const FIRST_BYTE: [f64; 12] = [
+/// Upper bounds of the histograms, in seconds: from a hop inside a region to the longest deadline.
+const BOUNDS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1.0, 2.5, 5.0, 10.0,
 ];
 
@@ -40,8 +40,24 @@
     pub waiting: IntGauge,
     /// Keys remembered.
     pub keys: IntGauge,
+    /// Failed calls to the store since the last one that was answered.
+    pub store_failures: IntGauge,
+    /// Connections open at the listeners.
+    pub connections: IntGauge,
+    /// Attempts beyond a request's first.
+    pub repeats: IntCounter,
+    /// Lines about requests that the log had no room for.
+    pub dropped_lines: IntCounter,
     /// Seconds from a request's arrival to the first byte of its answer.
     pub first_byte: Histogram,
+    /// Seconds from a request's arrival to its first attempt.
+    pub waited: Histogram,
+    /// Seconds from a request's arrival to the end of a whole answer.
+    pub whole: Histogram,
+    /// Longest seconds between two pieces of a whole answer.
+    pub pause: Histogram,
+    /// Seconds that a reading of the store took; a watch is held on purpose and not counted.
+    pub store_seconds: Histogram,
 }
 
 impl Metrics {
@@ -63,12 +79,12 @@
             registry.register(Box::new(gauge.clone()))?;
             prometheus::Result::Ok(gauge)
         };
-        let options = HistogramOpts::new(
-            "first_byte_seconds",
-            "Seconds from a request's arrival to the first byte of its answer.",
-        );
-        let first_byte = Histogram::with_opts(options.buckets(FIRST_BYTE.to_vec()))?;
-        registry.register(Box::new(first_byte.clone()))?;
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(BOUNDS.to_vec());
+            let histogram = Histogram::with_opts(options)?;
+            registry.register(Box::new(histogram.clone()))?;
+            prometheus::Result::Ok(histogram)
+        };
         Ok(Self {
             requests: counters("requests_total", "Requests that came.", &["hop"])?,
             replies: counters(
@@ -98,7 +114,36 @@
             in_hand: gauge("requests_in_hand", "Requests in hand.")?,
             waiting: gauge("requests_waiting", "Requests that wait for a slot.")?,
             keys: gauge("keys_remembered", "Idempotency keys remembered.")?,
-            first_byte,
+            store_failures: gauge(
+                "store_failures",
+                "Failed calls to the store since the last one that was answered.",
+            )?,
+            connections: gauge("connections", "Connections open at the listeners.")?,
+            repeats: counter("repeats_total", "Attempts beyond a request's first.")?,
+            dropped_lines: counter(
+                "dropped_log_lines_total",
+                "Lines about requests that the log had no room for.",
+            )?,
+            first_byte: histogram(
+                "first_byte_seconds",
+                "Seconds from a request's arrival to the first byte of its answer.",
+            )?,
+            waited: histogram(
+                "waited_seconds",
+                "Seconds from a request's arrival to its first attempt.",
+            )?,
+            whole: histogram(
+                "whole_seconds",
+                "Seconds from a request's arrival to the end of a whole answer.",
+            )?,
+            pause: histogram(
+                "pause_seconds",
+                "Longest seconds between two pieces of a whole answer.",
+            )?,
+            store_seconds: histogram(
+                "store_read_seconds",
+                "Seconds that a reading of the store took.",
+            )?,
             registry,
         })
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -175,6 +175,8 @@
     pub ready: Option<SocketAddr>,
     /// For look-ups of boxes.
     pub directory: Option<SocketAddr>,
+    /// For collectors of metrics.
+    pub metrics: Option<SocketAddr>,
 }
 
 impl fmt::Display for Bound {
@@ -186,12 +188,17 @@
             admin,
             ready,
             directory,
+            metrics,
         } = self;
         write!(
             f,
             "public={public} peer={peer} gossip={gossip} admin={admin}"
         )?;
-        let more = [("ready", ready), ("directory", directory)];
+        let more = [
+            ("ready", ready),
+            ("directory", directory),
+            ("metrics", metrics),
+        ];
         for (name, address) in more {
             if let Some(address) = address {
                 write!(f, " {name}={address}")?;
@@ -272,6 +279,7 @@
             admin: admin.local_addr()?,
             ready: more.ready_address(),
             directory: more.directory_address(),
+            metrics: more.metrics_address(),
         };
         let identity = identity(&settings, &bound);
         let pool = Arc::new(Pool::default());
@@ -299,7 +307,7 @@
             pool.clone(),
             metrics.clone(),
         );
-        follow_store(&settings, &store, &pool, &core, &duty_seen);
+        follow_store(&settings, &store, &pool, &core, &duty_seen, &metrics);
         if let Some(address) = settings.list {
             tokio::spawn(list::run(address, pool.clone(), core.clone(), duty_seen));
         }
@@ -397,6 +405,7 @@
     pool: &Arc<Pool>,
     core: &Handle,
     duty: &watch::Receiver<bool>,
+    metrics: &Arc<Metrics>,
 ) {
     let (settings, core) = (settings.clone(), core.clone());
     match settings.interface {
@@ -408,7 +417,7 @@
                 return log::error!("store: no address");
             };
             let client = Client::new(address, pool.clone());
-            tokio::spawn(sync::run(client, core, settings));
+            tokio::spawn(sync::run(client, core, settings, metrics.clone()));
         }
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -179,10 +179,13 @@
             .max_buf_size(max_head)
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
+        let open = metrics.connections.clone();
+        open.inc();
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("http: connection: {error}");
             }
+            open.dec();
             drop(place);
         });
     }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -4,14 +4,14 @@
 //! Every box follows it by itself: a stale read of everything, then one watch over all of it, which
 //! the store holds until something changes.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use tokio::time::{Instant, sleep};
 
 use crate::{
     config::Backend,
     fleet::{self, Change as FleetChange},
-    gateway::{core::Handle, follow},
+    gateway::{core::Handle, follow, metrics::Metrics},
     id::Domain,
     platform::{
         call::Error,
@@ -32,7 +32,8 @@
 struct Follower {
     client: Client,
     core: Handle,
-    settings: std::sync::Arc<Settings>,
+    settings: Arc<Settings>,
+    metrics: Arc<Metrics>,
     /// Where the watch goes on; none before everything was read.
     revision: Option<Revision>,
     evacuated: BTreeSet<Domain>,
@@ -42,11 +43,17 @@
 }
 
 /// Follows the store for as long as the process runs.
-pub(crate) async fn run(client: Client, core: Handle, settings: std::sync::Arc<Settings>) {
+pub(crate) async fn run(
+    client: Client,
+    core: Handle,
+    settings: Arc<Settings>,
+    metrics: Arc<Metrics>,
+) {
     let mut follower = Follower {
         client,
         core,
         settings,
+        metrics,
         revision: None,
         evacuated: BTreeSet::new(),
         disturbed: None,
@@ -73,14 +80,21 @@
 
 impl Follower {
     async fn read(&mut self, freshness: Freshness) -> Result<(), Error> {
-        let (items, revision) = self.client.range(ALL, freshness).await?;
+        let asked = Instant::now();
+        let read = self.client.range(ALL, freshness).await;
+        self.count("read", &read);
+        let (items, revision) = read?;
+        let took = asked.elapsed().as_secs_f64();
+        self.metrics.store_seconds.observe(took);
         self.take_all(items);
         self.revision = Some(revision);
         Ok(())
     }
 
     async fn watch(&mut self, revision: Revision) -> Result<(), Error> {
-        let (changes, as_of) = self.client.watch(ALL, revision).await?;
+        let watched = self.client.watch(ALL, revision).await;
+        self.count("watch", &watched);
+        let (changes, as_of) = watched?;
         for change in changes {
             self.take(change);
         }
@@ -88,6 +102,17 @@
         Ok(())
     }
 
+    fn count<T>(&self, call: &str, result: &Result<T, Error>) {
+        let outcome = match result {
+            Ok(_) => "ok",
+            Err(Error::Silent) => "silent",
+            Err(Error::Refused(_)) => "refused",
+            Err(Error::HistoryLost) => "history-lost",
+            Err(Error::Unreadable(_)) => "unreadable",
+        };
+        self.metrics.store.with_label_values(&[call, outcome]).inc();
+    }
+
     /// Takes over a full reading.
     fn take_all(&mut self, items: Vec<Item>) {
         let mut backends = Vec::new();
@@ -186,6 +211,7 @@
         if self.failures > 0 {
             log::info!("store: back after {} failed calls.", self.failures);
             self.failures = 0;
+            self.metrics.store_failures.set(0);
             self.disturbed = Some(Instant::now());
         }
     }
@@ -195,6 +221,7 @@
             log::warn!("store: lost: {error}.");
         }
         self.failures += 1;
+        self.metrics.store_failures.set(i64::from(self.failures));
         self.disturbed = Some(Instant::now());
         let doublings = self.failures.saturating_sub(1).min(8);
         let wait = (BACKOFF.0 * (1 << doublings)).min(BACKOFF.1);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -143,6 +143,8 @@
     pub ready: Option<SocketAddr>,
     /// Listener for look-ups of boxes, where it has its own.
     pub directory: Option<SocketAddr>,
+    /// For collectors of metrics, where they have a listener of their own.
+    pub metrics: Option<SocketAddr>,
     /// The addresses that others are told, where they differ from the listeners.
     pub advertise: Advertise,
     /// The bearer token that operators send.
@@ -223,6 +225,7 @@
     let admin = section.required("admin");
     let ready = section.optional("ready");
     let directory = section.optional("directory");
+    let metrics = section.optional("metrics");
     let admin_token = section.required("admin_token");
     section.end();
 
@@ -287,6 +290,7 @@
         admin: admin?,
         ready,
         directory,
+        metrics,
         advertise,
         admin_token: admin_token?,
         cluster_secret: cluster_secret?,
--- /dev/null
+++ b/tests/metric_text.rs
@@ -0,0 +1,57 @@
+//! What a box counts, as a collector reads it.
+
+mod harness;
+
+use harness::{cloud::Cloud, eventually};
+use hyper::Method;
+use petreldrum_standin::{http::call, registry::Fault};
+
+/// The value of a line of the metrics; none where there is no such line.
+async fn value(cloud: &Cloud, line: &str) -> Option<f64> {
+    let address = cloud.boxes[0].metrics;
+    let answer = call(address, Method::GET, "/metrics", &[], "").await;
+    let text = String::from_utf8(answer.expect("it answers").body.to_vec()).expect("it is text");
+    let mut lines = text.lines();
+    lines.find_map(|l| l.strip_prefix(line)?.trim().parse().ok())
+}
+
+#[tokio::test]
+async fn requests_and_times() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    for number in 0..3 {
+        let id = format!("n{number}");
+        let answer = cloud.boxes[0].send("/safe/x", &id, "").await;
+        assert!(answer.status.is_success());
+    }
+    for name in ["first_byte", "waited", "whole", "pause"] {
+        let line = format!("petreldrum_{name}_seconds_count ");
+        eventually("three are counted", || async {
+            value(&cloud, &line).await == Some(3.0)
+        })
+        .await;
+    }
+    assert_eq!(value(&cloud, "petreldrum_repeats_total ").await, Some(0.0));
+    assert!(value(&cloud, "petreldrum_connections ").await >= Some(1.0));
+    assert_eq!(
+        value(&cloud, "petreldrum_store_read_seconds_count ").await,
+        Some(1.0)
+    );
+}
+
+#[tokio::test]
+async fn a_lost_store_shows() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    assert_eq!(value(&cloud, "petreldrum_store_failures ").await, Some(0.0));
+    cloud.registry.set_fault(Fault::Busy);
+    eventually("failures are counted", || async {
+        value(&cloud, "petreldrum_store_failures ").await >= Some(2.0)
+    })
+    .await;
+    let refused = "petreldrum_store_calls_total{call=\"watch\",outcome=\"refused\"} ";
+    assert!(value(&cloud, refused).await >= Some(2.0));
+    cloud.registry.set_fault(Fault::None);
+    eventually("it is back", || async {
+        value(&cloud, "petreldrum_store_failures ").await == Some(0.0)
+    })
+    .await;
+}
