--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -23,8 +23,8 @@
     policy,
     reducer::{
         Identity, State,
-        effect::{Effect, Entry, Reply, Send as SendOrder, Target},
-        event::{Event, Source, Timing},
+        effect::{Effect, Entry, Reply, Send as SendOrder},
+        event::{Event, Source},
         status::{Explanation, Status},
     },
     settings::Settings,
@@ -74,19 +74,19 @@
 /// The actor.
 #[derive(Actor)]
 pub(crate) struct Core {
-    state: State<policy::Named>,
-    parts: Parts,
-    orders: HashMap<id::Request, Open>,
-    quota: Quota,
+    pub(super) state: State<policy::Named>,
+    pub(super) parts: Parts,
+    pub(super) orders: HashMap<id::Request, Open>,
+    pub(super) quota: Quota,
     offered: Option<Current>,
     handle: Option<Handle>,
 }
 
 /// A request in hand, as its task and the log know it.
-struct Open {
+pub(super) struct Open {
     orders: mpsc::UnboundedSender<Order>,
     /// The caller's own name for it.
-    tag: Option<String>,
+    pub(super) tag: Option<String>,
 }
 
 /// An event, with the way back for a request that it opens.
@@ -293,49 +293,6 @@
     }
 }
 
-/// Where an attempt goes and what decided it, as the log tells it.
-struct SendLine<'a>(&'a SendOrder);
-
-impl std::fmt::Display for SendLine<'_> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        let SendOrder {
-            attempt,
-            target,
-            basis,
-            route,
-            ..
-        } = self.0;
-        let number = basis.number;
-        write!(
-            f,
-            "sent attempt={} number={number} route={route} to=",
-            attempt.0
-        )?;
-        match target {
-            Target::Backend { name, address, .. } => write!(f, "{name}@{address}")?,
-            Target::Relay { region, peer } => write!(f, "{region}@{peer}")?,
-            Target::Pass { peer } => write!(f, "key@{peer}")?,
-        }
-        write!(
-            f,
-            " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
-             target={} prompt={} unread={}",
-            basis.version,
-            basis.places,
-            basis.wait,
-            basis.first,
-            basis.hop,
-            basis.burden,
-            basis.free,
-            basis.age,
-            basis.waited,
-            basis.target,
-            basis.prompt,
-            basis.unread
-        )
-    }
-}
-
 impl Core {
     fn step(&mut self, event: Event) {
         self.log_event(&event);
@@ -350,30 +307,6 @@
         }
     }
 
-    fn measure_event(&self, event: &Event) {
-        if let Event::Ended {
-            whole: true,
-            timing,
-            ..
-        } = event
-        {
-            let metrics = &self.parts.metrics;
-            metrics.whole.observe(timing.whole.duration().as_secs_f64());
-            metrics.pause.observe(timing.pause.duration().as_secs_f64());
-        }
-    }
-
-    fn measure_effect(&self, effect: &Effect) {
-        let Effect::Send(send) = effect else {
-            return;
-        };
-        if send.basis.number > 1 {
-            return self.parts.metrics.repeats.inc();
-        }
-        let waited = send.basis.waited.duration().as_secs_f64();
-        self.parts.metrics.waited.observe(waited);
-    }
-
     fn gauge(&self) {
         let metrics = &self.parts.metrics;
         let ready = self.state.phase(self.parts.clock.now()) == Phase::Ready;
@@ -384,106 +317,6 @@
         metrics.version.set(self.state.version().0 as i64);
     }
 
-    /// Writes one line of a request, within the quota.
-    fn log_request(&mut self, request: id::Request, line: impl std::fmt::Display) {
-        let now = self.parts.clock.now();
-        if !log::log_enabled!(log::Level::Info) {
-            return;
-        }
-        if !self.quota.take(now) {
-            return self.parts.metrics.dropped_lines.inc();
-        }
-        let open = self.orders.get(&request);
-        let tag = open.and_then(|o| o.tag.as_deref()).unwrap_or("-");
-        log::info!("request: id={tag} box_id={request} {line}");
-    }
-
-    fn log_event(&mut self, event: &Event) {
-        match event {
-            Event::Failed {
-                request,
-                attempt,
-                verdict,
-                cause,
-            } => {
-                self.log_request(
-                    *request,
-                    format_args!(
-                        "failed attempt={} cause={cause:?} verdict={verdict}",
-                        attempt.0
-                    ),
-                );
-            }
-            Event::Ended {
-                request,
-                attempt,
-                whole,
-                timing,
-            } => {
-                let Timing {
-                    first,
-                    whole: took,
-                    pause,
-                } = timing;
-                self.log_request(
-                    *request,
-                    format_args!(
-                        "ended attempt={} whole={whole} first={first} took={took} pause={pause}",
-                        attempt.0
-                    ),
-                );
-            }
-            Event::Broke { request, attempt } => {
-                self.log_request(*request, format_args!("cut attempt={}", attempt.0));
-            }
-            Event::Gone(request) if self.state.holds(*request) => {
-                self.log_request(*request, "abandoned by=caller");
-            }
-            _ => {}
-        }
-    }
-
-    fn log_effect(&mut self, effect: &Effect) {
-        match effect {
-            Effect::Send(send) => {
-                self.log_request(send.request, SendLine(send));
-            }
-            Effect::Queued { request, waiting } => {
-                self.log_request(*request, format_args!("queued waiting={waiting}"));
-            }
-            Effect::Boxes {
-                request,
-                boxes,
-                without: Some(region),
-            } => {
-                let named: Vec<&str> = boxes.iter().map(|b| b.contact.name.as_str()).collect();
-                self.log_request(
-                    *request,
-                    format_args!(
-                        "look-up region={region} none-ready named={}",
-                        named.join(",")
-                    ),
-                );
-            }
-            Effect::Abort { request, attempt } => {
-                self.log_request(*request, format_args!("aborted attempt={}", attempt.0));
-            }
-            Effect::Reply { request, reply } => {
-                let Reply {
-                    status,
-                    verdict,
-                    reason,
-                    ..
-                } = reply;
-                self.log_request(
-                    *request,
-                    format_args!("answered status={status} verdict={verdict} reason={reason:?}"),
-                );
-            }
-            _ => {}
-        }
-    }
-
     fn carry_out(&mut self, effect: Effect) {
         self.log_effect(&effect);
         self.measure_effect(&effect);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //! | `store`, `follow`, `list` | the platform, by our own interface |
 //! | `sync`, `directory` | the users' platform |
 //! | [`admin`] | the operators' interface |
-//! | [`lines`] | the log's way out |
+//! | `report`, [`lines`] | what the log and the metrics tell, and the log's way out |
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
 
 pub mod admin;
@@ -30,6 +30,7 @@
 pub mod pack;
 mod read;
 mod replay;
+mod report;
 pub mod resume;
 mod serve;
 mod store;
--- /dev/null
+++ b/src/gateway/report.rs
@@ -0,0 +1,179 @@
+//! What the log and the metrics tell of events and effects.
+
+use crate::{
+    gateway::core::Core,
+    id,
+    reducer::{
+        effect::{Effect, Reply, Send as SendOrder, Target},
+        event::{Event, Timing},
+    },
+};
+
+/// Where an attempt goes and what decided it, as the log tells it.
+struct SendLine<'a>(&'a SendOrder);
+
+impl std::fmt::Display for SendLine<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let SendOrder {
+            attempt,
+            target,
+            basis,
+            route,
+            ..
+        } = self.0;
+        let number = basis.number;
+        write!(
+            f,
+            "sent attempt={} number={number} route={route} to=",
+            attempt.0
+        )?;
+        match target {
+            Target::Backend { name, address, .. } => write!(f, "{name}@{address}")?,
+            Target::Relay { region, peer } => write!(f, "{region}@{peer}")?,
+            Target::Pass { peer } => write!(f, "key@{peer}")?,
+        }
+        write!(
+            f,
+            " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
+             target={} prompt={} unread={}",
+            basis.version,
+            basis.places,
+            basis.wait,
+            basis.first,
+            basis.hop,
+            basis.burden,
+            basis.free,
+            basis.age,
+            basis.waited,
+            basis.target,
+            basis.prompt,
+            basis.unread
+        )
+    }
+}
+
+impl Core {
+    pub(super) fn measure_event(&self, event: &Event) {
+        if let Event::Ended {
+            whole: true,
+            timing,
+            ..
+        } = event
+        {
+            let metrics = &self.parts.metrics;
+            metrics.whole.observe(timing.whole.duration().as_secs_f64());
+            metrics.pause.observe(timing.pause.duration().as_secs_f64());
+        }
+    }
+
+    pub(super) fn measure_effect(&self, effect: &Effect) {
+        let Effect::Send(send) = effect else {
+            return;
+        };
+        if send.basis.number > 1 {
+            return self.parts.metrics.repeats.inc();
+        }
+        let waited = send.basis.waited.duration().as_secs_f64();
+        self.parts.metrics.waited.observe(waited);
+    }
+
+    /// Writes one line of a request, within the quota.
+    fn log_request(&mut self, request: id::Request, line: impl std::fmt::Display) {
+        let now = self.parts.clock.now();
+        if !log::log_enabled!(log::Level::Info) {
+            return;
+        }
+        if !self.quota.take(now) {
+            return self.parts.metrics.dropped_lines.inc();
+        }
+        let open = self.orders.get(&request);
+        let tag = open.and_then(|o| o.tag.as_deref()).unwrap_or("-");
+        log::info!("request: id={tag} box_id={request} {line}");
+    }
+
+    pub(super) fn log_event(&mut self, event: &Event) {
+        match event {
+            Event::Failed {
+                request,
+                attempt,
+                verdict,
+                cause,
+            } => {
+                self.log_request(
+                    *request,
+                    format_args!(
+                        "failed attempt={} cause={cause:?} verdict={verdict}",
+                        attempt.0
+                    ),
+                );
+            }
+            Event::Ended {
+                request,
+                attempt,
+                whole,
+                timing,
+            } => {
+                let Timing {
+                    first,
+                    whole: took,
+                    pause,
+                } = timing;
+                self.log_request(
+                    *request,
+                    format_args!(
+                        "ended attempt={} whole={whole} first={first} took={took} pause={pause}",
+                        attempt.0
+                    ),
+                );
+            }
+            Event::Broke { request, attempt } => {
+                self.log_request(*request, format_args!("cut attempt={}", attempt.0));
+            }
+            Event::Gone(request) if self.state.holds(*request) => {
+                self.log_request(*request, "abandoned by=caller");
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn log_effect(&mut self, effect: &Effect) {
+        match effect {
+            Effect::Send(send) => {
+                self.log_request(send.request, SendLine(send));
+            }
+            Effect::Queued { request, waiting } => {
+                self.log_request(*request, format_args!("queued waiting={waiting}"));
+            }
+            Effect::Boxes {
+                request,
+                boxes,
+                without: Some(region),
+            } => {
+                let named: Vec<&str> = boxes.iter().map(|b| b.contact.name.as_str()).collect();
+                self.log_request(
+                    *request,
+                    format_args!(
+                        "look-up region={region} none-ready named={}",
+                        named.join(",")
+                    ),
+                );
+            }
+            Effect::Abort { request, attempt } => {
+                self.log_request(*request, format_args!("aborted attempt={}", attempt.0));
+            }
+            Effect::Reply { request, reply } => {
+                let Reply {
+                    status,
+                    verdict,
+                    reason,
+                    ..
+                } = reply;
+                self.log_request(
+                    *request,
+                    format_args!("answered status={status} verdict={verdict} reason={reason:?}"),
+                );
+            }
+            _ => {}
+        }
+    }
+}
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -1,4 +1,5 @@
-//! Heartbeats, digests, the configuration's way between boxes, freezes and the planned stop.
+//! What happens as time passes and messages come: the configuration's way between boxes, freezes,
+//! backend servers that come and go, and the planned stop.
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -10,43 +11,39 @@
     config::{Config, Version},
     fleet::Change,
     id::{Backend, BoxName, Domain, Region, Service},
-    member::{HEARTBEAT, Stage},
+    member::HEARTBEAT,
     policy::Policy,
     reducer::{
         FREEZE, JOIN_GRACE, State, WAKE_GRACE,
         effect::{Alarm, Effect, Note},
         event::Source,
+        heartbeat::GREET_AGAIN,
     },
-    settings::Seed,
     unit::{Millis, Time},
-    wire::{Body, Capacity, Contact, Digest, Door, Frame, Heartbeat, Load, Phase, Short, Silent},
+    wire::{Body, Frame, Phase},
 };
 
 /// Boxes of a region that watch the store.
 const WATCHERS: usize = 2;
-/// Boxes that a digest names.
-const DOORS: usize = 3;
-/// How long a box that others named has to answer a greeting before it is greeted again.
-const GREET_AGAIN: Millis = Millis(1000);
 /// How long a fetch may take before another is tried.
 const FETCH_PATIENCE: Millis = Millis(1000);
 
 /// What the control part remembers.
 #[derive(Debug, Default)]
 pub(super) struct Control {
-    seq: u64,
+    pub(super) seq: u64,
     last_step: Option<Time>,
     woke: Option<Time>,
     last_beat: Option<Time>,
     last_pulse: Option<Time>,
-    last_denial: Option<Time>,
+    pub(super) last_denial: Option<Time>,
     pub(super) last_roster: Option<Time>,
     /// The boxes that hear this one often.
-    monitors: BTreeSet<SocketAddr>,
+    pub(super) monitors: BTreeSet<SocketAddr>,
     /// When addresses that others named were last greeted.
-    greeted: HashMap<SocketAddr, Time>,
+    pub(super) greeted: HashMap<SocketAddr, Time>,
     last_digest: Option<Time>,
-    digests: u64,
+    pub(super) digests: u64,
     heard: bool,
     leaving: bool,
     pub(super) watching: bool,
@@ -73,7 +70,7 @@
     }
 
     /// Whether the box has heard the news since it last stood still.
-    fn is_awake(&self, now: Time) -> bool {
+    pub(super) fn is_awake(&self, now: Time) -> bool {
         self.woke.is_none_or(|woke| now.since(woke) >= WAKE_GRACE)
     }
 
@@ -168,248 +165,6 @@
         }
     }
 
-    /// Sends a heartbeat to every box of the region, known or a seed.
-    fn beat(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let mine = &self.table.me.region;
-        let here = |s: &&Seed| match &s.region {
-            Some(region) => region == mine,
-            None => !self.table.is_elsewhere(&s.gossip),
-        };
-        let seeds = self.seeds.iter().filter(here);
-        let known = self.table.peers().map(|p| p.last.contact.gossip);
-        let mut targets: BTreeSet<SocketAddr> = seeds.map(|s| s.gossip).chain(known).collect();
-        targets.remove(&self.table.me.gossip);
-        self.choose_monitors(now);
-        let (near, far): (Vec<_>, Vec<_>) = targets
-            .into_iter()
-            .partition(|to| self.control.monitors.contains(to));
-        self.send_heartbeat(now, HEARTBEAT, near, out);
-        let period = self.table.heartbeat_period();
-        self.send_heartbeat(now, period, far, out);
-    }
-
-    /// Lets the monitors hear this box, and looks after those that it monitors itself.
-    fn pulse(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let period = self.table.heartbeat_period();
-        if period <= HEARTBEAT {
-            return;
-        }
-        let before = self.control.monitors.clone();
-        self.choose_monitors(now);
-        let left: Vec<SocketAddr> = before.difference(&self.control.monitors).copied().collect();
-        self.send_heartbeat(now, period, left, out);
-        let monitors = self.control.monitors.clone();
-        self.send_heartbeat(now, HEARTBEAT, monitors, out);
-        if self.control.is_awake(now) {
-            self.miss_silent(now, out);
-        }
-    }
-
-    /// Chooses who hears this box often: nobody in a region so small that all do.
-    fn choose_monitors(&mut self, now: Time) {
-        let large = self.table.heartbeat_period() > HEARTBEAT;
-        let monitors = self.table.monitors(now);
-        let monitors = monitors.into_iter().map(|contact| contact.gossip);
-        self.control.monitors = monitors.filter(|_| large).collect();
-    }
-
-    /// Asks the boxes that this one should hear and does not, or tells the region of them.
-    fn miss_silent(&mut self, now: Time, out: &mut Vec<Effect>) {
-        for silence in self.table.watch_over(now) {
-            let others = self.table.live(now).map(|p| p.last.contact.gossip);
-            let others = others.filter(|_| silence.stage == Stage::Accused);
-            // It may live after all, and says so then.
-            let targets: Vec<SocketAddr> = others.chain([silence.gossip]).collect();
-            let silent = Silent {
-                name: silence.name,
-                incarnation: silence.incarnation,
-                since: silence.silent,
-            };
-            for to in targets {
-                let frame = self.frame(Body::Silent(silent.clone()));
-                out.push(Effect::Gossip { to, frame });
-            }
-        }
-    }
-
-    /// Believes another box that it does not hear a third one; denies it where it is this one.
-    fn hear_silent(&mut self, now: Time, silent: &Silent, out: &mut Vec<Effect>) {
-        if silent.name != self.table.me.name {
-            let Silent {
-                name,
-                incarnation,
-                since,
-            } = silent;
-            return self.table.accuse(name, *incarnation, *since, now);
-        }
-        if Control::due(&mut self.control.last_denial, HEARTBEAT, now) {
-            self.beat(now, out);
-        }
-    }
-
-    fn send_heartbeat(
-        &mut self,
-        now: Time,
-        pace: Millis,
-        targets: impl IntoIterator<Item = SocketAddr>,
-        out: &mut Vec<Effect>,
-    ) {
-        let mut targets = targets.into_iter().peekable();
-        if targets.peek().is_none() {
-            return;
-        }
-        let frame = self.heartbeat(now, pace);
-        out.extend(targets.map(|to| Effect::Gossip {
-            to,
-            frame: frame.clone(),
-        }));
-    }
-
-    fn heartbeat(&mut self, now: Time, pace: Millis) -> Frame {
-        let busy = self.servers.iter().filter(|(_, s)| s.busy > 0);
-        let loads = busy.map(|(name, server)| Load {
-            backend: Short::of(name.as_str()),
-            busy: server.busy,
-        });
-        let beat = Heartbeat {
-            contact: self.table.me.clone(),
-            uptime: now,
-            version: self.version(),
-            phase: self.phase(now),
-            pace,
-            boxes: self.table.live(now).count() as u32,
-            busy: self.jobs.len() as u32,
-            loads: loads.collect(),
-            listed: self.listed.iter().copied().collect(),
-        };
-        self.frame(Body::Heartbeat(beat))
-    }
-
-    /// Tells the other regions of this one, as far as that is this box's duty.
-    fn report(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.control.digests += 1;
-        if self.phase(now) == Phase::Leaving {
-            return;
-        }
-        let mut summary = None;
-        for region in self.other_regions() {
-            if self.table.rank(region.as_str(), now) > 0 {
-                continue;
-            }
-            let Some(to) = self.digest_target(now, &region) else {
-                continue;
-            };
-            let digest = summary.get_or_insert_with(|| self.summary(now)).clone();
-            let frame = self.frame(Body::Digest(digest));
-            out.push(Effect::Gossip { to, frame });
-        }
-    }
-
-    /// Tells every other region that this box takes no relays any more; a box there passes it on.
-    fn bid_farewell(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let digest = self.summary(now);
-        for region in self.other_regions() {
-            if let Some(to) = self.digest_target(now, &region) {
-                let frame = self.frame(Body::Digest(digest.clone()));
-                out.push(Effect::Gossip { to, frame });
-            }
-        }
-    }
-
-    fn other_regions(&self) -> Vec<Region> {
-        let seeded = self.seeds.iter().filter_map(|s| s.region.clone());
-        let configured = self.config.iter().flat_map(|c| c.regions.keys().cloned());
-        let heard = self.table.regions().map(|(region, _)| region.clone());
-        let mut regions: BTreeSet<Region> = seeded.chain(configured).chain(heard).collect();
-        regions.remove(&self.table.me.region);
-        regions.into_iter().collect()
-    }
-
-    /// Where the next digest for `region` goes: its doors and the seeds there take turns.
-    ///
-    /// One copy is enough, since its receiver passes it on; the turns get round one that is gone,
-    /// and a seed finds a region that was replaced whole.
-    fn digest_target(&self, now: Time, region: &Region) -> Option<SocketAddr> {
-        let remote = self.table.regions().find(|(name, _)| *name == region);
-        let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
-        let near = |s: &Seed| {
-            self.table
-                .peers()
-                .any(|p| p.last.contact.gossip == s.gossip)
-        };
-        let seeds = self.seeds.iter().filter(|s| match &s.region {
-            Some(seeded) => seeded == region,
-            None => s.gossip != self.table.me.gossip && !near(s),
-        });
-        let live = remote.is_some_and(|(_, r)| now.since(r.heard) <= self.table.region_suspect());
-        let mut targets: Vec<SocketAddr> = doors.iter().map(|d| d.contact.gossip).collect();
-        if !live || targets.is_empty() {
-            targets.extend(seeds.map(|s| s.gossip));
-        }
-        let turn = (self.control.digests as usize).checked_rem(targets.len())?;
-        targets.get(turn).copied()
-    }
-
-    fn summary(&self, now: Time) -> Digest {
-        let me = (self.phase(now) == Phase::Ready).then(|| {
-            let door = Door {
-                contact: self.table.me.clone(),
-                incarnation: self.table.incarnation,
-                uptime: now,
-            };
-            (self.jobs.len() as u32, door)
-        });
-        let others = self.table.ready(now).map(|peer| {
-            let door = Door {
-                contact: peer.last.contact.clone(),
-                incarnation: peer.incarnation,
-                uptime: peer.uptime(now),
-            };
-            (peer.last.busy, door)
-        });
-        let mut doors: Vec<(u32, Door)> = me.into_iter().chain(others).collect();
-        doors.sort_by(|a, b| (a.0, &a.1.contact.name).cmp(&(b.0, &b.1.contact.name)));
-        let near = self.table.live(now).map(|p| p.last.version);
-        Digest {
-            region: self.table.me.region.clone(),
-            version: near.max().unwrap_or_default().max(self.version()),
-            doors: doors.into_iter().map(|(_, d)| d).take(DOORS).collect(),
-            services: self.capacities(now),
-            boxes: self.table.live(now).count() as u32 + 1,
-            spread: true,
-        }
-    }
-
-    fn capacities(&self, now: Time) -> Vec<Capacity> {
-        let services: BTreeSet<_> = self.fleet.services().collect();
-        let capacity = |service| {
-            let mut total = Capacity {
-                service: Short::of(crate::id::Service::as_str(service)),
-                slots: 0,
-                busy: 0,
-                first: Millis(0),
-                whole: Millis(0),
-            };
-            let mut servers = 0;
-            for backend in self.fleet.serving(service, &self.table.me.region) {
-                if self.excluded(now, backend).is_some() {
-                    continue;
-                }
-                let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
-                total.slots += server.slots(backend.slots, now);
-                total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()));
-                total.first.0 += server.first_token(0, now).0;
-                total.whole.0 += server.whole().0;
-                servers += 1;
-            }
-            total.first.0 = total.first.0.checked_div(servers)?;
-            total.whole.0 = total.whole.0.checked_div(servers)?;
-            total.busy += self.waiting_for(service) as u32;
-            Some(total)
-        };
-        services.into_iter().filter_map(capacity).collect()
-    }
-
     /// Asks for a newer configuration where one is known of.
     fn chase(&mut self, now: Time, out: &mut Vec<Effect>) {
         let Some((version, contact)) = self.table.newest(now) else {
@@ -462,88 +217,6 @@
         self.chase(now, out);
     }
 
-    /// Answers a box that just appeared and knows `boxes` others: who is here, where that can be
-    /// news to it, and a heartbeat at once.
-    fn greet(
-        &mut self,
-        now: Time,
-        to: SocketAddr,
-        name: &BoxName,
-        boxes: u32,
-        out: &mut Vec<Effect>,
-    ) {
-        self.share_holdings(now, to, name, out);
-        let contacts = self.table.live(now).map(|p| p.last.contact.clone());
-        let contacts: Vec<Contact> = contacts.collect();
-        if contacts.len() as u32 > boxes {
-            let frame = self.frame(Body::Members(contacts));
-            out.push(Effect::Gossip { to, frame });
-        }
-        let period = self.table.heartbeat_period();
-        self.send_heartbeat(now, period, [to], out);
-    }
-
-    /// Answers a box of another region that took this one for a neighbour: what is known of the
-    /// boxes of its region, and a digest of this one.
-    fn introduce(&mut self, now: Time, stranger: &Contact, out: &mut Vec<Effect>) {
-        let remote = self.table.regions().find(|(r, _)| **r == stranger.region);
-        let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
-        let contacts: Vec<Contact> = doors.iter().map(|d| d.contact.clone()).collect();
-        let to = stranger.gossip;
-        let frame = self.frame(Body::Members(contacts));
-        out.push(Effect::Gossip { to, frame });
-        if self.phase(now) != Phase::Leaving {
-            let digest = self.summary(now);
-            let frame = self.frame(Body::Digest(digest));
-            out.push(Effect::Gossip { to, frame });
-        }
-    }
-
-    /// Greets boxes of this region that another one named.
-    fn meet(&mut self, now: Time, contacts: &[Contact], out: &mut Vec<Effect>) {
-        let mine = self.table.me.clone();
-        let unknown = |c: &&Contact| {
-            c.region == mine.region
-                && c.name != mine.name
-                && !self
-                    .table
-                    .peers()
-                    .any(|p| p.last.contact.gossip == c.gossip)
-        };
-        let unknown: Vec<SocketAddr> = contacts.iter().filter(unknown).map(|c| c.gossip).collect();
-        let greeted = &mut self.control.greeted;
-        let mut targets = unknown;
-        targets.retain(|to| {
-            let last = greeted.get(to);
-            last.is_none_or(|at| now.since(*at) >= GREET_AGAIN)
-        });
-        greeted.extend(targets.iter().map(|to| (*to, now)));
-        let period = self.table.heartbeat_period();
-        self.send_heartbeat(now, period, targets, out);
-    }
-
-    /// Passes a digest on inside this region.
-    fn spread(&self, now: Time, frame: &Frame, digest: &Digest, out: &mut Vec<Effect>) {
-        let body = Body::Digest(Digest {
-            spread: false,
-            ..digest.clone()
-        });
-        self.pass_on(now, frame, body, out);
-    }
-
-    /// Sends `body` to the boxes of this region in place of that of `frame`, under its maker's name
-    /// and number.
-    pub(super) fn pass_on(&self, now: Time, frame: &Frame, body: Body, out: &mut Vec<Effect>) {
-        let copy = Frame {
-            body,
-            ..frame.clone()
-        };
-        out.extend(self.table.live(now).map(|peer| Effect::Gossip {
-            to: peer.last.contact.gossip,
-            frame: copy.clone(),
-        }));
-    }
-
     pub(super) fn offered(
         &mut self,
         now: Time,
--- /dev/null
+++ b/src/reducer/heartbeat.rs
@@ -0,0 +1,179 @@
+//! Heartbeats inside a region, who monitors whom, and how boxes meet.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use crate::{
+    id::BoxName,
+    member::{HEARTBEAT, Stage},
+    policy::Policy,
+    reducer::{State, control::Control, effect::Effect},
+    settings::Seed,
+    unit::{Millis, Time},
+    wire::{Body, Contact, Frame, Heartbeat, Load, Short, Silent},
+};
+
+/// How long a box that others named has to answer a greeting before it is greeted again.
+pub(super) const GREET_AGAIN: Millis = Millis(1000);
+
+impl<P: Policy> State<P> {
+    /// Sends a heartbeat to every box of the region, known or a seed.
+    pub(super) fn beat(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mine = &self.table.me.region;
+        let here = |s: &&Seed| match &s.region {
+            Some(region) => region == mine,
+            None => !self.table.is_elsewhere(&s.gossip),
+        };
+        let seeds = self.seeds.iter().filter(here);
+        let known = self.table.peers().map(|p| p.last.contact.gossip);
+        let mut targets: BTreeSet<SocketAddr> = seeds.map(|s| s.gossip).chain(known).collect();
+        targets.remove(&self.table.me.gossip);
+        self.choose_monitors(now);
+        let (near, far): (Vec<_>, Vec<_>) = targets
+            .into_iter()
+            .partition(|to| self.control.monitors.contains(to));
+        self.send_heartbeat(now, HEARTBEAT, near, out);
+        let period = self.table.heartbeat_period();
+        self.send_heartbeat(now, period, far, out);
+    }
+
+    /// Lets the monitors hear this box, and looks after those that it monitors itself.
+    pub(super) fn pulse(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let period = self.table.heartbeat_period();
+        if period <= HEARTBEAT {
+            return;
+        }
+        let before = self.control.monitors.clone();
+        self.choose_monitors(now);
+        let left: Vec<SocketAddr> = before.difference(&self.control.monitors).copied().collect();
+        self.send_heartbeat(now, period, left, out);
+        let monitors = self.control.monitors.clone();
+        self.send_heartbeat(now, HEARTBEAT, monitors, out);
+        if self.control.is_awake(now) {
+            self.miss_silent(now, out);
+        }
+    }
+
+    /// Chooses who hears this box often: nobody in a region so small that all do.
+    fn choose_monitors(&mut self, now: Time) {
+        let large = self.table.heartbeat_period() > HEARTBEAT;
+        let monitors = self.table.monitors(now);
+        let monitors = monitors.into_iter().map(|contact| contact.gossip);
+        self.control.monitors = monitors.filter(|_| large).collect();
+    }
+
+    /// Asks the boxes that this one should hear and does not, or tells the region of them.
+    fn miss_silent(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for silence in self.table.watch_over(now) {
+            let others = self.table.live(now).map(|p| p.last.contact.gossip);
+            let others = others.filter(|_| silence.stage == Stage::Accused);
+            // It may live after all, and says so then.
+            let targets: Vec<SocketAddr> = others.chain([silence.gossip]).collect();
+            let silent = Silent {
+                name: silence.name,
+                incarnation: silence.incarnation,
+                since: silence.silent,
+            };
+            for to in targets {
+                let frame = self.frame(Body::Silent(silent.clone()));
+                out.push(Effect::Gossip { to, frame });
+            }
+        }
+    }
+
+    /// Believes another box that it does not hear a third one; denies it where it is this one.
+    pub(super) fn hear_silent(&mut self, now: Time, silent: &Silent, out: &mut Vec<Effect>) {
+        if silent.name != self.table.me.name {
+            let Silent {
+                name,
+                incarnation,
+                since,
+            } = silent;
+            return self.table.accuse(name, *incarnation, *since, now);
+        }
+        if Control::due(&mut self.control.last_denial, HEARTBEAT, now) {
+            self.beat(now, out);
+        }
+    }
+
+    pub(super) fn send_heartbeat(
+        &mut self,
+        now: Time,
+        pace: Millis,
+        targets: impl IntoIterator<Item = SocketAddr>,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut targets = targets.into_iter().peekable();
+        if targets.peek().is_none() {
+            return;
+        }
+        let frame = self.heartbeat(now, pace);
+        out.extend(targets.map(|to| Effect::Gossip {
+            to,
+            frame: frame.clone(),
+        }));
+    }
+
+    fn heartbeat(&mut self, now: Time, pace: Millis) -> Frame {
+        let busy = self.servers.iter().filter(|(_, s)| s.busy > 0);
+        let loads = busy.map(|(name, server)| Load {
+            backend: Short::of(name.as_str()),
+            busy: server.busy,
+        });
+        let beat = Heartbeat {
+            contact: self.table.me.clone(),
+            uptime: now,
+            version: self.version(),
+            phase: self.phase(now),
+            pace,
+            boxes: self.table.live(now).count() as u32,
+            busy: self.jobs.len() as u32,
+            loads: loads.collect(),
+            listed: self.listed.iter().copied().collect(),
+        };
+        self.frame(Body::Heartbeat(beat))
+    }
+
+    /// Answers a box that just appeared and knows `boxes` others: who is here, where that can be
+    /// news to it, and a heartbeat at once.
+    pub(super) fn greet(
+        &mut self,
+        now: Time,
+        to: SocketAddr,
+        name: &BoxName,
+        boxes: u32,
+        out: &mut Vec<Effect>,
+    ) {
+        self.share_holdings(now, to, name, out);
+        let contacts = self.table.live(now).map(|p| p.last.contact.clone());
+        let contacts: Vec<Contact> = contacts.collect();
+        if contacts.len() as u32 > boxes {
+            let frame = self.frame(Body::Members(contacts));
+            out.push(Effect::Gossip { to, frame });
+        }
+        let period = self.table.heartbeat_period();
+        self.send_heartbeat(now, period, [to], out);
+    }
+
+    /// Greets boxes of this region that another one named.
+    pub(super) fn meet(&mut self, now: Time, contacts: &[Contact], out: &mut Vec<Effect>) {
+        let mine = self.table.me.clone();
+        let unknown = |c: &&Contact| {
+            c.region == mine.region
+                && c.name != mine.name
+                && !self
+                    .table
+                    .peers()
+                    .any(|p| p.last.contact.gossip == c.gossip)
+        };
+        let unknown: Vec<SocketAddr> = contacts.iter().filter(unknown).map(|c| c.gossip).collect();
+        let greeted = &mut self.control.greeted;
+        let mut targets = unknown;
+        targets.retain(|to| {
+            let last = greeted.get(to);
+            last.is_none_or(|at| now.since(*at) >= GREET_AGAIN)
+        });
+        greeted.extend(targets.iter().map(|to| (*to, now)));
+        let period = self.table.heartbeat_period();
+        self.send_heartbeat(now, period, targets, out);
+    }
+}
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -14,16 +14,19 @@
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
 //! | `roster` | backend servers that peers tell of while the store is away |
-//! | `control` | heartbeats, digests, configuration, freezes |
+//! | `heartbeat`, `digest` | what boxes of a region, and regions, tell each other |
+//! | `control` | ticks, messages, the configuration, freezes |
 //! | [`status`] | what operators see |
 
 mod admit;
 mod ask;
 mod control;
+mod digest;
 mod dispatch;
 pub mod effect;
 mod estimate;
 pub mod event;
+mod heartbeat;
 mod inventory;
 mod job;
 mod key;
