Stay with an answer that began while its request was moved

Its log: the relay's answer came at 1.839 s; at 1.901 s the box aborted attempt 74 as stalled, sent attempt 103, and the answer ended with whole=false in the same millisecond; the request was told 504 at 5.1 s. The reducer looked for stalled attempts before it heard that the answer had begun; the stream took the order to abort as one to break off, and nobody carried the new attempt out. Change: a stream that finds an order to abort with one to send behind it goes on, under the number of the new attempt, which is not sent. A stream on its way elsewhere reads all its orders before it waits.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -219,9 +219,11 @@
 
     /// The next piece; the one who reads it calls [`Stream::end`] at the end.
     pub(crate) fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
-        // The only orders while an answer comes are to break it off.
-        if let Poll::Ready(Some(_)) = self.orders.poll_recv(cx) {
-            return Poll::Ready(Piece::Stopped);
+        while let Poll::Ready(Some(order)) = self.orders.poll_recv(cx) {
+            let crossed = matches!(order, Order::Abort) && self.stay();
+            if !crossed {
+                return Poll::Ready(Piece::Stopped);
+            }
         }
         loop {
             match Pin::new(&mut self.incoming).poll_frame(cx) {
@@ -244,6 +246,24 @@
         }
     }
 
+    /// Stays with an answer that began while the reducer decided to try elsewhere: the order to abort
+    /// is followed by one to send, which is not carried out. The answer goes on under the number of
+    /// that attempt; false where there is none, and the answer is to be broken off.
+    fn stay(&mut self) -> bool {
+        let Ok(Order::Send(send)) = self.orders.try_recv() else {
+            return false;
+        };
+        let Source { request, .. } = self.source;
+        let attempt = send.attempt;
+        log::info!(
+            "request: box_id={request} attempt={} not sent: an answer began",
+            attempt.0
+        );
+        self.source.attempt = attempt;
+        self.core.tell(Event::Begun { request, attempt });
+        true
+    }
+
     fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
         loop {
             if self.done {
@@ -310,8 +330,12 @@
                 Poll::Ready(Some(Order::Send(send))) => {
                     self.source.attempt = send.attempt;
                     resume.start(send);
+                    continue;
+                }
+                Poll::Ready(Some(Order::Abort)) => {
+                    resume.abort();
+                    continue;
                 }
-                Poll::Ready(Some(Order::Abort)) => resume.abort(),
                 Poll::Ready(_) => return Poll::Ready(false),
                 Poll::Pending => {}
             }
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -167,6 +167,13 @@
             "cut" => (good[..good.len() - 2].to_owned(), false),
             "garbage" => ("%%% no protocol %%%\r\n\r\n".to_owned(), false),
             "lost" => (String::new(), false),
+            mode if mode.starts_with("stream-after-") => {
+                let wait = mode.rsplit('-').next().and_then(|ms| ms.parse().ok());
+                sleep(Duration::from_millis(wait.unwrap_or_default())).await;
+                return self
+                    .stream(stream, id, &head("200 OK", signed), last, EVENTS)
+                    .await;
+            }
             "stream" | "break" => {
                 let end = if mode == "break" && last == 0 {
                     5
