--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -255,10 +255,8 @@
         };
         let Source { request, .. } = self.source;
         let attempt = send.attempt;
-        log::info!(
-            "request: box_id={request} attempt={} not sent: an answer began",
-            attempt.0
-        );
+        let number = attempt.0;
+        log::info!("stream: box_id={request} attempt={number} is not sent: an answer had begun");
         self.source.attempt = attempt;
         self.core.tell(Event::Begun { request, attempt });
         true
