--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -13,7 +13,7 @@
 use tempfile::TempDir;
 use tokio::process::{Child, Command};
 
-use super::{SECRET, TOKEN, eventually, signal, spawn};
+use super::{Log, SECRET, TOKEN, eventually, signal, spawn_logged};
 
 pub const HOST: &str = "a.example";
 
@@ -24,6 +24,7 @@
     pub ready: SocketAddr,
     pub directory: SocketAddr,
     pub metrics: SocketAddr,
+    pub log: Log,
     pub admin: SocketAddr,
     child: Child,
 }
@@ -205,7 +206,7 @@
         std::fs::write(&path, text).expect("the settings are written");
         let mut command = Command::new(PathBuf::from(env!("CARGO_BIN_EXE_petreldrum")));
         command.args(["gateway", "--settings"]).arg(&path);
-        let (child, line) = spawn(command).await;
+        let (child, line, log) = spawn_logged(command).await;
         let pairs = line.split(' ').filter_map(|pair| pair.split_once('='));
         let bound: BTreeMap<&str, SocketAddr> = pairs
             .map(|(name, address)| (name, address.parse().expect("an address")))
@@ -217,6 +218,7 @@
             ready: bound["ready"],
             directory: bound["directory"],
             metrics: bound["metrics"],
+            log,
             admin: bound["admin"],
             child,
         });
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -13,6 +13,7 @@
     net::SocketAddr,
     path::PathBuf,
     process::Stdio,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -51,7 +52,29 @@
     }
 }
 
-pub(crate) async fn spawn(mut command: Command) -> (Child, String) {
+/// What a process has written to standard output so far.
+#[derive(Clone, Default)]
+pub struct Log(Arc<Mutex<String>>);
+
+impl Log {
+    pub fn text(&self) -> String {
+        self.0.lock().expect("the lock is never poisoned").clone()
+    }
+
+    fn push(&self, line: &str) {
+        let mut text = self.0.lock().expect("the lock is never poisoned");
+        text.push_str(line);
+        text.push('\n');
+    }
+}
+
+pub(crate) async fn spawn(command: Command) -> (Child, String) {
+    let (child, line, _) = spawn_logged(command).await;
+    (child, line)
+}
+
+pub(crate) async fn spawn_logged(mut command: Command) -> (Child, String, Log) {
+    let log = Log::default();
     let mut child = command
         .stdout(Stdio::piped())
         .kill_on_drop(true)
@@ -64,8 +87,15 @@
     loop {
         let line = lines.next_line().await.expect("stdout reads");
         let line = line.expect("the program says where it listens");
+        log.push(&line);
         if told(&line) {
-            return (child, line);
+            let rest = log.clone();
+            tokio::spawn(async move {
+                while let Ok(Some(line)) = lines.next_line().await {
+                    rest.push(&line);
+                }
+            });
+            return (child, line, log);
         }
     }
 }
