Name the failure detector and the batch by the field's terms

Cause: accusations, wards and company are no terms of the field. Change: a box is probed and suspected, and reading is weighed against the engine's running batch.

--- a/src/member.rs
+++ b/src/member.rs
@@ -22,9 +22,9 @@
 const MONITORS: usize = 3;
 /// How long a box may stay unheard by one that just became its monitor before it is asked: by then
 /// it has noticed that itself.
-const ASK_AFTER: Millis = Millis(500);
+const PROBE_AFTER: Millis = Millis(500);
 /// The same, before the others are told: time for its answer.
-const ACCUSE_AFTER: Millis = Millis(1500);
+const SUSPECT_AFTER: Millis = Millis(1500);
 /// Time between heartbeats for each other box of the region: the bytes stay bounded as it grows.
 const HEARTBEAT_EACH: u64 = 150;
 /// Shortest time between two digests to one region.
@@ -52,7 +52,7 @@
     /// When that came.
     pub heard: Time,
     /// Whether it is taken for dead although it could still be heard by its own pace.
-    pub accused: bool,
+    pub suspected: bool,
     /// Since when it should have been heard, where it is this box's to notice.
     doubted: Option<Time>,
 }
@@ -60,7 +60,7 @@
 impl Peer {
     /// Whether it is used at `now`.
     fn is_live(&self, now: Time) -> bool {
-        !self.accused && now.since(self.heard) <= Millis(MISSED * self.last.pace.0)
+        !self.suspected && now.since(self.heard) <= Millis(MISSED * self.last.pace.0)
     }
 
     /// Its clock at `now`: never ahead of its real one.
@@ -73,14 +73,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     /// It is asked whether it lives.
-    Asked,
+    Probed,
     /// The others are told.
-    Accused,
+    Suspected,
 }
 
 /// A box that was to be heard here and is not.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Silence {
+pub struct Suspicion {
     /// Its name.
     pub name: BoxName,
     /// Its life.
@@ -212,7 +212,7 @@
             incarnation,
             last: beat,
             heard: now,
-            accused: false,
+            suspected: false,
             doubted: None,
         };
         let old = self.peers.insert(name, peer);
@@ -238,38 +238,38 @@
 
     /// Notes that another box has heard nothing from `name` for `silent`; this box believes its own
     /// ears where it heard something since.
-    pub fn accuse(&mut self, name: &BoxName, incarnation: Incarnation, silent: Millis, now: Time) {
+    pub fn suspect(&mut self, name: &BoxName, incarnation: Incarnation, silent: Millis, now: Time) {
         let peer = self.peers.get_mut(name);
         let peer = peer.filter(|p| p.incarnation == incarnation && now.since(p.heard) >= silent);
         if let Some(peer) = peer {
-            peer.accused = true;
+            peer.suspected = true;
         }
     }
 
     /// Looks after the boxes that should be heard often here: by their own word, or because they
-    /// have no nearer monitor left. The latter are asked before they are accused.
-    pub fn watch_over(&mut self, now: Time) -> Vec<Silence> {
+    /// have no nearer monitor left. The latter are asked before they are suspected.
+    pub fn watch_over(&mut self, now: Time) -> Vec<Suspicion> {
         let silent = Millis(MISSED * HEARTBEAT.0);
         let period = self.heartbeat_period();
-        let wards = self.wards(now);
+        let monitored = self.monitored(now);
         let mut found = Vec::new();
-        for peer in self.peers.values_mut().filter(|p| !p.accused) {
+        for peer in self.peers.values_mut().filter(|p| !p.suspected) {
             let quiet = now.since(peer.heard);
             let promised = peer.last.pace < period;
-            let ward = wards.contains(&peer.last.contact.name);
-            if quiet <= silent || !(promised || ward) {
+            let mine = monitored.contains(&peer.last.contact.name);
+            if quiet <= silent || !(promised || mine) {
                 peer.doubted = None;
                 continue;
             }
             let doubted = now.since(*peer.doubted.get_or_insert(now));
             let stage = match doubted {
-                _ if promised => Stage::Accused,
-                age if age >= ACCUSE_AFTER => Stage::Accused,
-                age if age >= ASK_AFTER => Stage::Asked,
+                _ if promised => Stage::Suspected,
+                age if age >= SUSPECT_AFTER => Stage::Suspected,
+                age if age >= PROBE_AFTER => Stage::Probed,
                 _ => continue,
             };
-            peer.accused = stage == Stage::Accused;
-            found.push(Silence {
+            peer.suspected = stage == Stage::Suspected;
+            found.push(Suspicion {
                 name: peer.last.contact.name.clone(),
                 incarnation: peer.incarnation,
                 gossip: peer.last.contact.gossip,
@@ -281,17 +281,16 @@
     }
 
     /// The live boxes of which this one is a monitor, as far as it knows.
-    fn wards(&self, now: Time) -> HashSet<BoxName> {
-        let names: Vec<&BoxName> = self.live(now).map(|p| &p.last.contact.name).collect();
-        let nearer = |ward: &BoxName| {
-            let mine = weight(&self.me.name, ward.as_str());
-            let others = names.iter().filter(|name| **name != ward);
-            others
-                .filter(|name| weight(name, ward.as_str()) > mine)
-                .count()
+    fn monitored(&self, now: Time) -> HashSet<BoxName> {
+        let live: Vec<&BoxName> = self.live(now).map(|p| &p.last.contact.name).collect();
+        let is_mine = |name: &&&BoxName| {
+            let mine = weight(&self.me.name, name.as_str());
+            let others = live.iter().filter(|other| other != name);
+            let nearer = others.filter(|other| weight(other, name.as_str()) > mine);
+            nearer.count() < MONITORS
         };
-        let wards = names.iter().filter(|name| nearer(name) < MONITORS);
-        wards.map(|name| (*name).clone()).collect()
+        let monitored = live.iter().filter(is_mine);
+        monitored.map(|name| (*name).clone()).collect()
     }
 
     /// The boxes that this one is heard by often, so that its end is noticed soon.
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -84,7 +84,7 @@
         let expected = self.count_send(now, &service, &place, work);
         if let (Place::Backend(name), Some(reading)) = (&place, &reading) {
             let server = self.servers.entry(name.clone()).or_default();
-            server.join(reading.prompt, now);
+            server.add_prompt(reading.prompt, now);
         }
         let relayed = matches!(place, Place::Region(_));
         let Some(job) = self.jobs.get_mut(&request) else {
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -33,7 +33,7 @@
 
 /// What runs at an engine while a prompt is read there.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Company {
+pub(super) struct Batch {
     /// Requests that run.
     pub(super) busy: u32,
     /// Prompt tokens of those whose prompts are known.
@@ -44,12 +44,12 @@
     pub(super) gap: Option<Millis>,
 }
 
-impl Company {
+impl Batch {
     /// Those at `engine`, where `busy` requests run.
     pub(super) fn at(engine: &Server, busy: u32, gap: Option<Millis>, now: Time) -> Self {
         Self {
             busy,
-            tokens: engine.company(now),
+            tokens: engine.running_tokens(now),
             pending: engine.pending(now),
             gap,
         }
@@ -75,10 +75,10 @@
 
 /// What reading `unread` tokens of `prompt` costs others: what runs there gets its tokens later, and
 /// a shared part that is read once more is time the engine lost.
-pub(super) fn burden(prompt: &Prompt, unread: u32, engine: &Server, company: Company) -> Millis {
+pub(super) fn burden(prompt: &Prompt, unread: u32, engine: &Server, batch: Batch) -> Millis {
     let own = prompt.parts.last().map_or(0, |part| part.tokens);
     let again = engine.reading(unread.saturating_sub(own));
-    let held_up = company.held_up(prompt.tokens, engine.reading(unread));
+    let held_up = batch.held_up(prompt.tokens, engine.reading(unread));
     Millis((again * READ_AGAIN + held_up) as u64)
 }
 
@@ -135,8 +135,8 @@
             let engine = self.servers.get(&b.name).unwrap_or(&fresh);
             let short = Short::of(b.name.as_str());
             let unread = self.cache.unread(prompt, short, memory, now);
-            let company = Company::at(engine, busy, plan.gap(), now);
-            let burden = burden(prompt, unread, engine, company);
+            let batch = Batch::at(engine, busy, plan.gap(), now);
+            let burden = burden(prompt, unread, engine, batch);
             let reading = engine.pending(now) + engine.reading(unread);
             (Millis(reading as u64), burden)
         };
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -63,15 +63,15 @@
 
     /// Asks the boxes that this one should hear and does not, or tells the region of them.
     fn miss_silent(&mut self, now: Time, out: &mut Vec<Effect>) {
-        for silence in self.table.watch_over(now) {
+        for suspicion in self.table.watch_over(now) {
             let others = self.table.live(now).map(|p| p.last.contact.gossip);
-            let others = others.filter(|_| silence.stage == Stage::Accused);
+            let others = others.filter(|_| suspicion.stage == Stage::Suspected);
             // It may live after all, and says so then.
-            let targets: Vec<SocketAddr> = others.chain([silence.gossip]).collect();
+            let targets: Vec<SocketAddr> = others.chain([suspicion.gossip]).collect();
             let silent = Silent {
-                name: silence.name,
-                incarnation: silence.incarnation,
-                since: silence.silent,
+                name: suspicion.name,
+                incarnation: suspicion.incarnation,
+                since: suspicion.silent,
             };
             for to in targets {
                 let frame = self.frame(Body::Silent(silent.clone()));
@@ -88,7 +88,7 @@
                 incarnation,
                 since,
             } = silent;
-            return self.table.accuse(name, *incarnation, *since, now);
+            return self.table.suspect(name, *incarnation, *since, now);
         }
         if Control::due(&mut self.control.last_denial, HEARTBEAT, now) {
             self.beat(now, out);
--- a/src/reducer/inventory.rs
+++ b/src/reducer/inventory.rs
@@ -6,7 +6,9 @@
 use std::net::SocketAddr;
 
 use crate::{
-    cache, id,
+    cache,
+    config::Backend,
+    id,
     policy::Policy,
     prompt::Part,
     reducer::{State, effect::Effect},
@@ -47,7 +49,7 @@
     }
 
     /// Whether it is this box's to ask `engine`; a cold one has nothing and may bear no call.
-    fn may_ask(&self, now: Time, engine: &crate::config::Backend) -> bool {
+    fn may_ask(&self, now: Time, engine: &Backend) -> bool {
         let known = self.cache.knows(Short::of(engine.name.as_str()));
         let busy = engine.leaving || self.fleet.is_cold(&engine.name, now);
         let mine = || self.table.rank(engine.name.as_str(), now) == 0;
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -11,7 +11,7 @@
     reducer::{
         State,
         effect::Basis,
-        estimate::{self, Company},
+        estimate::{self, Batch},
         event::Hop,
         job::Job,
     },
@@ -147,8 +147,8 @@
                     let short = Short::of(backend.name.as_str());
                     let unread = self.cache.unread(prompt, short, memory, now);
                     let first = server.first_token(unread, now);
-                    let company = Company::at(server, busy, plan.gap(), now);
-                    let burden = estimate::burden(prompt, unread, server, company);
+                    let batch = Batch::at(server, busy, plan.gap(), now);
+                    let burden = estimate::burden(prompt, unread, server, batch);
                     (first, burden + estimate::misplaced(prompt, unread, owner))
                 }
                 None => (server.first(), Millis(0)),
--- a/src/reducer/reading.rs
+++ b/src/reducer/reading.rs
@@ -75,7 +75,7 @@
         if let Some(name) = self.fleet.long(reading.backend).cloned() {
             let server = self.servers.entry(name).or_default();
             server.hear(reading.tokens, now);
-            server.join(reading.prompt, now);
+            server.add_prompt(reading.prompt, now);
         }
         if reading.spread {
             let body = Body::Reading(Reading {
--- a/src/server.rs
+++ b/src/server.rs
@@ -23,7 +23,7 @@
 const HALF_LIFE: Millis = Millis(1500);
 /// Half of the requests that were sent to an engine have ended after this time: long answers take
 /// one to two seconds.
-const COMPANY_HALF_LIFE: Millis = Millis(1000);
+const RUN_HALF_LIFE: Millis = Millis(1000);
 /// Assumed time to the first byte before one was seen.
 const FIRST_GUESS: f64 = 100.0;
 /// Assumed time of a whole answer before one was seen.
@@ -74,9 +74,9 @@
     /// Requests that it may get while it is cold, and since when they are counted.
     cold_tokens: Option<(f64, Time)>,
     /// Prompt tokens of the requests that run there, as far as they are known.
-    company: f64,
+    running: f64,
     /// When that was reckoned.
-    joined: Time,
+    reckoned: Time,
 }
 
 impl Default for Server {
@@ -96,8 +96,8 @@
             failing: 0.0,
             heard: Time(0),
             cold_tokens: None,
-            company: 0.0,
-            joined: Time(0),
+            running: 0.0,
+            reckoned: Time(0),
         }
     }
 }
@@ -164,15 +164,15 @@
     }
 
     /// Prompt tokens of the requests that likely run there.
-    pub fn company(&self, now: Time) -> f64 {
-        let age = now.since(self.joined).0 as f64 / COMPANY_HALF_LIFE.0 as f64;
-        self.company * 0.5_f64.powf(age)
+    pub fn running_tokens(&self, now: Time) -> f64 {
+        let age = now.since(self.reckoned).0 as f64 / RUN_HALF_LIFE.0 as f64;
+        self.running * 0.5_f64.powf(age)
     }
 
     /// Notes that a request with a prompt of `tokens` goes there.
-    pub fn join(&mut self, tokens: u32, now: Time) {
-        self.company = self.company(now) + f64::from(tokens);
-        self.joined = now;
+    pub fn add_prompt(&mut self, tokens: u32, now: Time) {
+        self.running = self.running_tokens(now) + f64::from(tokens);
+        self.reckoned = now;
     }
 
     /// Share of its answers that failed, lately.
