Lead callers to no region that is no home while theirs stops by plan

A box whose region has no ready box named the regions where most of the host's requests may run, however few those are.

Ruled out: a region that was lost (its callers may go anywhere); news that was late (the stops were announced).

Change: a digest says when a region's boxes stop by plan. For 24 s look-ups then name only regions where all of the host's requests may run; the stopping boxes serve those who know them.

Tests: stopping_box::planned_stops_lead_nobody_astray and the_last_box_to_stop_names_no_region_that_is_no_home, red before.

--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -174,12 +174,15 @@
         Ok(plan)
     }
 
+    /// The routes of `host`.
+    pub fn of_host(&self, host: Option<&str>) -> impl Iterator<Item = &Route> {
+        let routes = self.routes.iter();
+        routes.filter(move |r| r.host.as_deref() == host)
+    }
+
     /// The routes of `host` whose requests may run in `region`.
     pub fn permitted(&self, host: Option<&str>, region: &Region) -> impl Iterator<Item = &Route> {
-        let routes = self
-            .routes
-            .iter()
-            .filter(move |r| r.host.as_deref() == host);
+        let routes = self.of_host(host);
         routes.filter(|r| r.regions.is_empty() || r.regions.contains(region))
     }
 
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -3,6 +3,7 @@
 use crate::{
     config::{Refusal, Route},
     id,
+    member::Peer,
     policy::Policy,
     reducer::{
         State,
@@ -19,6 +20,9 @@
 /// How long a box that started does not send callers away from their region: by then it has heard
 /// of every region that lives.
 const LEARNING: Millis = Millis(3000);
+/// How long a planned restart of a region's boxes may take: three times the grace of 8 s that the
+/// platform leaves a process. A region that stays away longer is gone, and its callers go elsewhere.
+const RESTART: Millis = Millis(24_000);
 
 impl<P: Policy> State<P> {
     pub(super) fn boxes(
@@ -53,6 +57,9 @@
 
     /// Names the ready boxes of the caller's region. Where it has none, those of the regions where
     /// most of the host's requests may run: a body should not go to a region where it may not.
+    ///
+    /// While the boxes of the caller's region stop by plan, it names only regions where all of them
+    /// may run: the region is back soon, and its boxes serve those who know them meanwhile.
     pub(super) fn resolve(
         &mut self,
         now: Time,
@@ -71,7 +78,11 @@
             boxes.clear();
         } else {
             let fit = |e: &Entry| self.fitness(host, &e.contact.region);
-            let best = boxes.iter().map(fit).max();
+            let least = match self.stops_by_plan(now, region) {
+                true => Some(self.whole_fitness(host)),
+                false => None,
+            };
+            let best = boxes.iter().map(fit).max().max(least);
             boxes.retain(|e| Some(fit(e)) == best);
         }
         out.push(Effect::Boxes {
@@ -84,16 +95,37 @@
     /// How many requests of `host` that this box has seen may run in `region`, and how many of its
     /// routes: the more the better.
     fn fitness(&self, host: Option<&str>, region: &id::Region) -> (u64, usize) {
-        let Some(config) = &self.config else {
-            return (0, 0);
-        };
+        let config = self.config.as_ref();
+        self.weigh(config.into_iter().flat_map(|c| c.permitted(host, region)))
+    }
+
+    /// The fitness of a region where every request of `host` may run.
+    fn whole_fitness(&self, host: Option<&str>) -> (u64, usize) {
+        let config = self.config.as_ref();
+        self.weigh(config.into_iter().flat_map(|c| c.of_host(host)))
+    }
+
+    fn weigh<'a>(&self, routes: impl Iterator<Item = &'a Route>) -> (u64, usize) {
         let seen = |route: &Route| self.demand.get(&route.name).copied().unwrap_or(0);
-        let permitted = config.permitted(host, region);
-        permitted.fold((0, 0), |(requests, routes), route| {
+        routes.fold((0, 0), |(requests, routes), route| {
             (requests + seen(route), routes + 1)
         })
     }
 
+    /// Whether the boxes of `region`, of which none takes work, stopped by plan a short while ago.
+    fn stops_by_plan(&self, now: Time, region: &id::Region) -> bool {
+        if *region != self.table.me.region {
+            let mut regions = self.table.regions();
+            let remote = regions.find(|(name, _)| *name == region);
+            return remote.is_some_and(|(_, remote)| {
+                remote.digest.stopping && now.since(remote.heard) < RESTART
+            });
+        }
+        let stopping =
+            |peer: &Peer| peer.last.phase == Phase::Leaving && now.since(peer.heard) < RESTART;
+        self.phase(now) == Phase::Leaving || self.table.peers().any(stopping)
+    }
+
     pub(super) fn entries(&self, now: Time, home: Option<&id::Region>) -> Vec<Entry> {
         let me = (self.phase(now) == Phase::Ready).then(|| Entry {
             contact: self.table.me.clone(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -124,6 +124,8 @@
     pub doors: Vec<Door>,
     /// Its boxes.
     pub boxes: u32,
+    /// Whether its boxes are stopping by plan, and none takes work.
+    pub stopping: bool,
     /// What it can take.
     pub services: Vec<Capacity>,
     /// Whether the receiver passes it on inside its region.
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -171,6 +171,7 @@
         whole: Millis(500),
     });
     let body = Body::Digest(Digest {
+        stopping: false,
         boxes: 1,
         region: name(format!("region-{region}")),
         version: Version(1),
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -141,6 +141,7 @@
         };
         let body = Body::Digest(Digest {
             boxes: 1,
+            stopping: names.is_empty(),
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
             doors: names.iter().enumerate().map(door).collect(),
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -117,3 +117,33 @@
     // The harness's contacts are what the answers are made of.
     assert_eq!(contact("far", "bunbury", 20).name.as_str(), "far");
 }
+
+#[test]
+fn planned_stops_lead_nobody_astray() {
+    let route = "[route home]\nprefix=/home\nkind=application\nrepeatable=true\nhost=h\n\
+                 regions=bunbury\n[route any]\nprefix=/any\nkind=application\nrepeatable=true\nhost=free\n";
+    let mut solo = Solo::new(&text(route));
+    solo.pass(1000);
+    // Every box of Bunbury, the home of the host's requests, stops by plan.
+    solo.doors(4, &[]);
+    assert!(
+        resolved(&mut solo, "bunbury", "h").is_empty(),
+        "its boxes serve those who know them"
+    );
+    assert_eq!(resolved(&mut solo, "bunbury", "free"), ["box"]);
+    solo.pass(30_000);
+    let later = resolved(&mut solo, "bunbury", "h");
+    assert_eq!(later, ["box"], "a region that does not come back is gone");
+}
+
+#[test]
+fn the_last_box_to_stop_names_no_region_that_is_no_home() {
+    let route = "[route home]\nprefix=/home\nkind=application\nrepeatable=true\nhost=h\n\
+                 regions=perth\n";
+    let mut solo = Solo::new(&text(route));
+    solo.pass(1000);
+    solo.digest(4, 0);
+    assert_eq!(resolved(&mut solo, "perth", "h"), ["box"]);
+    solo.step(Event::Stop);
+    assert!(resolved(&mut solo, "perth", "h").is_empty());
+}
