Hear the store's news soon after it was silent

The store was silent from 16.0 to 20.5 s; all boxes gave their watches up at 19.5 and asked again at 19.9, while it was still silent; that second call was held to be a watch of 6.5 s, so none of them had the news before 26.5 s.

Ruled out: peers (no box had the news), the cut of some boxes from the store (three of nine).

Change: after a failed call a watch asks for what is there and is not held; a watch is held for 3 s, not 5, and given up 1 s later, so that it ends within the time after which news are due.

Test: platform_store::news_come_soon_after_a_silence, red before.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -25,6 +25,12 @@
 
 /// The prefix of everything that is followed: the whole store, by one reading and one watch.
 const ALL: &str = "";
+/// How long the store holds a watch without news. A shorter time costs calls. A store that falls
+/// silent takes the watch with it: the box notices, and has the news, within 5 s of the store's
+/// return, which is when the bounds on news begin to count.
+const HOLD: Duration = Duration::from_secs(3);
+/// The same after a failed call: a store that is still away must not hold up the next call.
+const PROBE_HOLD: Duration = Duration::from_millis(1);
 /// Wait after the first failure in a row, and the longest; each is spread by half.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(400));
 
@@ -92,7 +98,8 @@
     }
 
     async fn watch(&mut self, revision: Revision) -> Result<(), Error> {
-        let watched = self.client.watch(ALL, revision).await;
+        let hold = if self.failures > 0 { PROBE_HOLD } else { HOLD };
+        let watched = self.client.watch(ALL, revision, hold).await;
         self.count("watch", &watched);
         let (changes, as_of) = watched?;
         for change in changes {
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -158,3 +158,15 @@
     cloud.registry.set_fault(Fault::Uneven);
     eventually("the change is found", || served(&cloud, "/v2/x", "a")).await;
 }
+
+#[tokio::test]
+async fn news_come_soon_after_a_silence() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    cloud.registry.set_fault(Fault::Silent);
+    // Long enough for the held watch to be given up, and for further calls to be swallowed.
+    sleep(std::time::Duration::from_secs(8)).await;
+    cloud.registry.set_fault(Fault::None);
+    cloud.configure(2);
+    sleep(std::time::Duration::from_secs(2)).await;
+    assert!(served(&cloud, "/v2/x", "a").await, "the change is in force");
+}
