Count the retry budget over a sliding span, and only what may arrive

A box could save up 6 attempts beyond the first, and spent them on dials that found no connection; 57 requests were then refused with 'could not be reached'. The platform sums arrivals over ten seconds: a fifth of the requests of that time, and a slack.

Ruled out: that the platform counts what never arrived (it counts arrivals at backend servers).

Change: the budget is kept by seconds over ten seconds, as the platform counts it; attempts that found no connection, or a box that is stopping, take nothing of it. A dial inside a region is given up after 150 ms, not 400.

Tests: retry_budget::a_burst_uses_what_was_earned and placing::what_never_arrived_takes_no_budget, red before; no_span_is_overspent by bolero.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,7 +14,7 @@
 use crate::{
     gateway::{
         Shell,
-        dial::{Failure, Lease},
+        dial::{Distance, Failure, Lease},
         exchange::Door,
         head,
         trace::Span,
@@ -99,7 +99,12 @@
         let headers = request.headers_mut();
         headers.insert(platform::head::LAST_EVENT, head::value(last));
     }
-    let sent = shell.pool.send(address, request, !send.repeatable).await;
+    let distance = match send.target {
+        Target::Backend { .. } => Distance::Near,
+        Target::Relay { .. } | Target::Pass { .. } => Distance::Far,
+    };
+    let fresh = !send.repeatable;
+    let sent = shell.pool.send(address, request, fresh, distance).await;
     let (response, lease) = sent.map_err(|failure| {
         count("failed");
         let cause = match failure {
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -20,9 +20,25 @@
 
 use crate::{platform, verdict::Verdict};
 
-/// Three times the longest way to another region and back; inside a region a connection takes a
-/// few milliseconds, and a machine that is gone says nothing.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a connection may take to open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// Inside a region it takes a few milliseconds, and a machine that is gone says nothing. A lost
+    /// opening packet is sent again only after a second: it is better to go elsewhere.
+    Near,
+    /// Three times the longest way to another region and back.
+    Far,
+}
+
+impl Distance {
+    fn patience(self) -> Duration {
+        match self {
+            Self::Near => Duration::from_millis(150),
+            Self::Far => Duration::from_millis(400),
+        }
+    }
+}
+
 /// A peer that does not acknowledge what was written for this long is gone: several times the
 /// longest round trip, so that a lost packet is sent again in time.
 const ACKNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -105,8 +121,8 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Link, Failure> {
-    let dialled = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+async fn connect(address: SocketAddr, distance: Distance) -> Result<Link, Failure> {
+    let dialled = timeout(distance.patience(), TcpStream::connect(address)).await;
     let stream = match dialled {
         Ok(Ok(stream)) => stream,
         Ok(Err(_)) | Err(_) => return Err(Failure::Unreachable),
@@ -148,6 +164,7 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         fresh: bool,
+        distance: Distance,
     ) -> Result<(Response<Incoming>, Lease), Failure> {
         while let Some(mut link) = self.idle_link(address, fresh) {
             if link.sender.ready().await.is_err() {
@@ -162,7 +179,7 @@
                 },
             }
         }
-        let mut link = connect(address).await?;
+        let mut link = connect(address, distance).await?;
         match link.sender.try_send_request(request).await {
             Ok(response) => Ok(self.lease(address, link, response)),
             Err(mut error) => Err(match error.take_message() {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,7 +15,7 @@
     config::{Config, Envelope},
     gateway::{
         core::{Current, Handle},
-        dial::Pool,
+        dial::{Distance, Pool},
         head, pack,
         store::Store,
     },
@@ -119,7 +119,7 @@
         .header(head::SECRET, secret.expose())
         .body(Full::default())?;
     let exchange = async {
-        let sent = pool.send(peer, request, false).await;
+        let sent = pool.send(peer, request, false, Distance::Far).await;
         let (response, lease) = sent.map_err(|f| eyre!("{f:?}"))?;
         if !response.status().is_success() {
             bail!("status {}", response.status());
--- a/src/gateway/list.rs
+++ b/src/gateway/list.rs
@@ -12,7 +12,10 @@
 };
 
 use crate::{
-    gateway::{core::Handle, dial::Pool},
+    gateway::{
+        core::Handle,
+        dial::{Distance, Pool},
+    },
     reducer::event::Event,
 };
 
@@ -66,7 +69,7 @@
     let request = Request::get(PATH)
         .header("host", address.to_string())
         .body(Full::default())?;
-    let sent = pool.send(address, request, false).await;
+    let sent = pool.send(address, request, false, Distance::Far).await;
     let (response, lease) = sent.map_err(|f| eyre!("{address}: {f:?}"))?;
     if !response.status().is_success() {
         bail!("{address}: status {}", response.status());
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -14,7 +14,7 @@
 use crate::{
     config::Envelope,
     gateway::{
-        dial::{Lease, Pool},
+        dial::{Distance, Lease, Pool},
         metrics::Metrics,
     },
 };
@@ -204,7 +204,7 @@
             .header("host", address.to_string())
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body.to_string())))?;
-        let sent = self.pool.send(address, request, false).await;
+        let sent = self.pool.send(address, request, false, Distance::Far).await;
         let (response, lease) = sent.map_err(|f| eyre!("store {address}: {f:?}"))?;
         if !response.status().is_success() {
             bail!("store {address}: status {}", response.status());
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -92,7 +92,7 @@
         // A re-send of a known key costs no new work.
         if arrival.hop == Hop::Direct && !known {
             self.charge(now, &ask.caller, plan.caller.rate)?;
-            self.budgets.earn(&plan.service);
+            self.budgets.earn(&plan.service, now);
             *self.demand.entry(plan.route.name.clone()).or_default() += 1;
         }
         let left = arrival.left.unwrap_or(plan.route.deadline).min(MAX_LEFT);
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -102,6 +102,14 @@
     Replaced,
 }
 
+impl Cause {
+    /// Whether the attempt may have come to a backend server: one that found no connection, or a box
+    /// that is stopping, takes nothing of the retry budget.
+    pub fn may_have_arrived(self) -> bool {
+        !matches!(self, Self::Unreachable | Self::Leaving)
+    }
+}
+
 /// Where a configuration came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -150,7 +150,8 @@
         let left = job.runs > 0 && job.attempts < retry::MAX_ATTEMPTS;
         let again = safe && left && spot != Spot::Pinned;
         let service = job.service.clone();
-        if again && now < job.deadline && self.budgets.spend(&service) {
+        let again = again && now < job.deadline;
+        if again && (!cause.may_have_arrived() || self.budgets.spend(&service, now)) {
             if !self.place(now, request, out) {
                 self.enqueue(request, out);
             }
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -63,7 +63,7 @@
             return;
         };
         let service = self.jobs[&request].service.clone();
-        if !self.budgets.spend(&service) {
+        if !self.budgets.spend(&service, now) {
             return;
         }
         out.push(Effect::Abort { request, attempt });
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -1,29 +1,38 @@
 //! The retry budget: attempts beyond the first as a share of fresh work, for each service.
 //!
-//! The budget holds for all boxes together. Each box spends only its share of the slack, and earns
-//! only by the requests that came to it.
+//! The budget holds for all boxes together, in any span of [`WINDOW`]. Each box spends only its share
+//! of the slack, and a part of the requests that came to it in the last span.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
-use crate::id::Service;
+use crate::{
+    id::Service,
+    unit::{Millis, Time},
+};
 
 /// Attempts that one request may have in all, rejected ones included.
 pub const MAX_ATTEMPTS: u32 = 3;
 /// Part of the fleet's slack that the boxes plan with: they count each other with a lag.
 const SAFETY: f64 = 0.7;
+/// Part of what fresh requests earn that is spent: the platform counts them by spans of its own.
+const EARNED: f64 = 0.9;
+/// The span over which the platform sums attempts and requests up.
+const WINDOW: Millis = Millis(10_000);
+/// What is counted together.
+const SLOT: Millis = Millis(1000);
 
 /// What the fleet may spend.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     /// Attempts beyond the first that each fresh request earns.
     pub ratio: f64,
-    /// Attempts beyond the first that may be saved up, over all boxes; none gives each box
-    /// [`Limits::SAVED`] of its own.
+    /// Attempts beyond the first that may be spent besides in each span, over all boxes; none gives
+    /// each box [`Limits::SAVED`] of its own.
     pub slack: Option<f64>,
 }
 
 impl Limits {
-    /// Attempts that a box may save up where no slack is set for the fleet.
+    /// Attempts that a box may spend besides where no slack is set for the fleet.
     pub const SAVED: f64 = 20.0;
     /// Attempts that a fresh request earns where nothing else is set.
     pub const RATIO: f64 = 0.2;
@@ -38,22 +47,62 @@
     }
 }
 
+/// Counts of one [`SLOT`].
+#[derive(Clone, Copy, Debug, Default)]
+struct Slot {
+    number: u64,
+    fresh: u32,
+    spent: u32,
+}
+
+/// The last span of one service.
+#[derive(Clone, Debug, Default)]
+struct Window(VecDeque<Slot>);
+
+impl Window {
+    /// The slot of `now`; those that no span reaches any more are forgotten.
+    fn current(&mut self, now: Time) -> &mut Slot {
+        let number = now.0 / SLOT.0;
+        let oldest = number.saturating_sub(WINDOW.0 / SLOT.0);
+        while self.0.front().is_some_and(|slot| slot.number < oldest) {
+            self.0.pop_front();
+        }
+        if self.0.back().is_none_or(|slot| slot.number < number) {
+            self.0.push_back(Slot {
+                number,
+                ..Slot::default()
+            });
+        }
+        self.0.back_mut().expect("a slot was just added")
+    }
+
+    /// Fresh requests of at most a span, and attempts of at least one, as of [`Window::current`].
+    fn sums(&self) -> (u32, u32) {
+        let last = self.0.back().map_or(0, |slot| slot.number);
+        let whole = |slot: &&Slot| slot.number + WINDOW.0 / SLOT.0 > last;
+        let fresh = self.0.iter().filter(whole).map(|slot| slot.fresh).sum();
+        let spent = self.0.iter().map(|slot| slot.spent).sum();
+        (fresh, spent)
+    }
+}
+
 /// The budgets of one box, one a service.
 #[derive(Clone, Debug)]
 pub struct Budgets {
     limits: Limits,
-    most: f64,
-    saved: HashMap<Service, f64>,
+    /// This box's share of the slack.
+    share: f64,
+    windows: HashMap<Service, Window>,
 }
 
 impl Budgets {
     /// Full budgets; the box counts itself alone until it hears of others.
     pub fn new(limits: Limits) -> Self {
-        let most = limits.slack.map_or(Limits::SAVED, |_| 1.0);
+        let share = limits.slack.map_or(Limits::SAVED, |_| 1.0);
         Self {
             limits,
-            most,
-            saved: HashMap::new(),
+            share,
+            windows: HashMap::new(),
         }
     }
 
@@ -65,28 +114,30 @@
     /// Takes over how many boxes share the slack.
     pub fn share(&mut self, boxes: usize) {
         if let Some(slack) = self.limits.slack {
-            self.most = (SAFETY * slack / boxes.max(1) as f64).max(1.0);
-        }
-        for saved in self.saved.values_mut() {
-            *saved = saved.min(self.most);
+            self.share = (SAFETY * slack / boxes.max(1) as f64).max(1.0);
         }
     }
 
     /// Notes a fresh request for `service`.
-    pub fn earn(&mut self, service: &Service) {
-        let (ratio, most) = (self.limits.ratio, self.most);
-        if let Some(saved) = self.saved.get_mut(service) {
-            *saved = (*saved + ratio).min(most);
+    pub fn earn(&mut self, service: &Service, now: Time) {
+        if let Some(window) = self.windows.get_mut(service) {
+            window.current(now).fresh += 1;
+            return;
         }
+        let window = self.windows.entry(service.clone()).or_default();
+        window.current(now).fresh += 1;
     }
 
     /// Takes one attempt where the budget of `service` has one.
-    pub fn spend(&mut self, service: &Service) -> bool {
-        let saved = self.saved.entry(service.clone()).or_insert(self.most);
-        if *saved < 1.0 {
+    pub fn spend(&mut self, service: &Service, now: Time) -> bool {
+        let window = self.windows.entry(service.clone()).or_default();
+        window.current(now);
+        let (fresh, spent) = window.sums();
+        let most = self.share + EARNED * self.limits.ratio * f64::from(fresh);
+        if f64::from(spent) + 1.0 > most {
             return false;
         }
-        *saved -= 1.0;
+        window.current(now).spent += 1;
         true
     }
 }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -257,3 +257,30 @@
     let free = status.expect("explains").candidates[0].free;
     assert!(free <= 15, "{free} of 50 slots at once");
 }
+
+/// Of many servers each is found unreachable once; every request goes elsewhere, since nothing
+/// arrived twice.
+#[test]
+fn what_never_arrived_takes_no_budget() {
+    let names: Vec<String> = (0..60).map(|n| format!("s{n}{}", n % 10)).collect();
+    let servers = names.iter().map(|name| server(name, "perth", 1000));
+    let servers: String = servers.collect();
+    let mut solo = Solo::new(&text(&[caller("a", "rate=100000/s"), servers]));
+    let mut fail = |cause, verdict| {
+        let first = sends(&solo.arrive("a", None)).remove(0);
+        let again = sends(&solo.failed(&first, verdict, cause));
+        for send in &again {
+            solo.begun(send);
+            solo.ended(send);
+        }
+        again.len()
+    };
+    let unreachable: usize = (0..60)
+        .map(|_| fail(Cause::Unreachable, Verdict::NotRun))
+        .sum();
+    assert_eq!(unreachable, 60);
+    let errored: usize = (0..60)
+        .map(|_| fail(Cause::Errored, Verdict::MayHaveRun))
+        .sum();
+    assert!(errored < 60, "what may have arrived does: {errored}");
+}
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -1,11 +1,16 @@
 //! Attempts beyond the first, over all boxes together.
 
-use petreldrum::retry::{Budgets, Limits};
+use bolero::{TypeGenerator, check};
+use petreldrum::{
+    retry::{Budgets, Limits},
+    unit::{Millis, Time},
+};
 
 const LIMITS: Limits = Limits {
     ratio: 0.2,
     slack: Some(58.0),
 };
+const NOW: Time = Time(5000);
 
 /// What `boxes` boxes spend at once, each as eagerly as it may.
 fn spent(boxes: usize, requests: usize) -> usize {
@@ -15,8 +20,8 @@
         budgets.share(boxes);
         let mut spent = 0;
         for _ in 0..requests {
-            budgets.earn(&service);
-            while budgets.spend(&service) {
+            budgets.earn(&service, NOW);
+            while budgets.spend(&service, NOW) {
                 spent += 1;
             }
         }
@@ -43,8 +48,8 @@
 fn a_lonely_box_is_careful() {
     let service = "app".parse().expect("a name");
     let mut budgets = Budgets::new(LIMITS);
-    assert!(budgets.spend(&service));
-    assert!(!budgets.spend(&service), "it may not be alone");
+    assert!(budgets.spend(&service, NOW));
+    assert!(!budgets.spend(&service, NOW), "it may not be alone");
 }
 
 #[test]
@@ -54,6 +59,69 @@
         "model".parse().expect("a name"),
     );
     let mut budgets = Budgets::new(LIMITS);
-    while budgets.spend(&app) {}
-    assert!(budgets.spend(&model));
+    while budgets.spend(&app, NOW) {}
+    assert!(budgets.spend(&model, NOW));
+}
+
+/// What a quiet box may still spend in one go: its requests of the last ten seconds count, and not
+/// only as much as may be saved up.
+#[test]
+fn a_burst_uses_what_was_earned() {
+    let service = "app".parse().expect("a name");
+    let mut budgets = Budgets::new(LIMITS);
+    budgets.share(9);
+    for number in 0..100 {
+        budgets.earn(&service, Time(number * 100));
+    }
+    let now = Time(10_000);
+    let spent = std::iter::repeat_with(|| budgets.spend(&service, now))
+        .take_while(|granted| *granted)
+        .count();
+    assert!(spent >= 16, "20 were earned: {spent}");
+    let later = now + Millis(30_000);
+    assert!(budgets.spend(&service, later), "its share of the slack");
+}
+
+#[derive(Debug, TypeGenerator)]
+enum Step {
+    Pass(u16),
+    Fresh(u8),
+    Spend(u8),
+}
+
+/// In no ten seconds does a box spend more than its share of the slack and what the requests of
+/// those, or of the ten seconds up to any of its attempts, have earned.
+#[test]
+fn no_span_is_overspent() {
+    check!().with_type::<Vec<Step>>().for_each(|steps| {
+        let service = "app".parse().expect("a name");
+        let mut budgets = Budgets::new(LIMITS);
+        budgets.share(9);
+        let (mut now, mut fresh, mut spent) = (Time(0), Vec::new(), Vec::new());
+        for step in steps {
+            match step {
+                Step::Pass(millis) => now = now + Millis(u64::from(millis % 4000)),
+                Step::Fresh(count) => {
+                    for _ in 0..*count {
+                        budgets.earn(&service, now);
+                        fresh.push(now);
+                    }
+                }
+                Step::Spend(count) => {
+                    let granted = (0..*count).filter(|_| budgets.spend(&service, now));
+                    let granted = granted.count();
+                    spent.extend(std::iter::repeat_n(now, granted));
+                }
+            }
+            let within = |times: &[Time]| {
+                let recent = times.iter().filter(|at| now.since(**at) <= Millis(10_000));
+                recent.count() as f64
+            };
+            // A span ends at an attempt, so it is enough to look at each.
+            if spent.last() == Some(&now) {
+                let most = 58.0 / 9.0 + 0.2 * within(&fresh);
+                assert!(within(&spent) <= most, "{} > {most}", within(&spent));
+            }
+        }
+    });
 }
