Let streams leave backend servers that fall silent

Ruled out: slow engines (they pause, and are heard again); a box that stood still (silence is counted in its ticks).

Streams note each piece in memory; once a tick the reducer hears which servers' streams brought something. One whose streams all bring nothing for 300 ms, 600 ms for a single stream, and 1.5 times the longest pause of late, has failed: new requests avoid it, its idle connections are closed, and streams that may be resumed, and requests that may be repeated, go on elsewhere within the retry budget.

Tests: failed_servers::*; registry_fuzz hears streams too.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -23,6 +23,7 @@
         core::{Handle, Order},
         dial::Lease,
         resume::{Next, Resume},
+        signs::Pulse,
         trace::Span,
     },
     id,
@@ -113,6 +114,8 @@
     Cut,
     /// An order to break it off.
     Stopped,
+    /// An order to leave its place and to go on elsewhere.
+    Left,
 }
 
 /// When the pieces of an answer came.
@@ -168,6 +171,8 @@
     framed: bool,
     stall: Pin<Box<Sleep>>,
     pace: Pace,
+    /// Its word on the backend server that brings it.
+    pulse: Option<Pulse>,
     /// What it needs to go on at another place, where it may.
     resume: Option<Box<Resume>>,
     /// Whether it is on its way to another place.
@@ -184,10 +189,12 @@
         source: Source,
         framed: bool,
         came: Instant,
+        pulse: Option<Pulse>,
         resume: Option<Resume>,
     ) -> Self {
         Self {
             framed,
+            pulse,
             pace: Pace::begin(came),
             incoming: found.response.into_body(),
             lease: Some(found.lease),
@@ -220,7 +227,11 @@
     /// The next piece; the one who reads it calls [`Stream::end`] at the end.
     pub(crate) fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
         while let Poll::Ready(Some(order)) = self.orders.poll_recv(cx) {
-            let crossed = matches!(order, Order::Abort) && self.stay();
+            let crossed = match order {
+                Order::Leave if self.resume.is_some() => return Poll::Ready(Piece::Left),
+                Order::Abort | Order::Leave => self.stay(),
+                _ => false,
+            };
             if !crossed {
                 return Poll::Ready(Piece::Stopped);
             }
@@ -234,6 +245,9 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     let now = Instant::now();
                     self.pace.piece(now);
+                    if let Some(pulse) = &mut self.pulse {
+                        pulse.note(now);
+                    }
                     self.stall.as_mut().reset(now + STALL);
                     if let Ok(bytes) = frame.into_data() {
                         return Poll::Ready(Piece::Data(bytes));
@@ -279,6 +293,12 @@
                     rest.filter(|rest| !rest.is_empty()).map(Ok)
                 }
                 Piece::Cut if self.resume.is_some() => {
+                    self.leave();
+                    let Source { request, attempt } = self.source;
+                    self.core.tell(Event::Broke { request, attempt });
+                    None
+                }
+                Piece::Left => {
                     self.leave();
                     None
                 }
@@ -306,15 +326,13 @@
         Some(resume.events.push(bytes)).filter(|whole| !whole.is_empty())
     }
 
-    /// Leaves a place that broke the stream off; the reducer says where it goes on.
+    /// Leaves the place that brought the stream; the reducer says where it goes on.
     fn leave(&mut self) {
         self.lease = None;
         self.moving = true;
         if let Some(resume) = &mut self.resume {
             resume.events.forget_partial();
         }
-        let Source { request, attempt } = self.source;
-        self.core.tell(Event::Broke { request, attempt });
     }
 
     /// Goes on at another place; false where there is none.
@@ -327,10 +345,10 @@
             match self.orders.poll_recv(cx) {
                 Poll::Ready(Some(Order::Send(send))) => {
                     self.source.attempt = send.attempt;
-                    resume.start(send);
+                    self.pulse = resume.start(send);
                     continue;
                 }
-                Poll::Ready(Some(Order::Abort)) => {
+                Poll::Ready(Some(Order::Abort | Order::Leave)) => {
                     resume.abort();
                     continue;
                 }
@@ -343,7 +361,11 @@
                     self.core.tell(Event::Begun { request, attempt });
                     self.incoming = found.response.into_body();
                     self.lease = Some(found.lease);
-                    self.stall.as_mut().reset(Instant::now() + STALL);
+                    let now = Instant::now();
+                    if let Some(pulse) = &mut self.pulse {
+                        pulse.begin(now);
+                    }
+                    self.stall.as_mut().reset(now + STALL);
                     self.moving = false;
                     return Poll::Ready(true);
                 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -38,6 +38,8 @@
     Send(SendOrder),
     /// Give the attempt up.
     Abort,
+    /// Let the stream leave its place; where it goes on comes next.
+    Leave,
     /// Answer with this.
     Reply(Reply),
     /// Answer with the kept answer of another request.
@@ -323,6 +325,8 @@
         match effect {
             Effect::Send(send) => self.order(send.request, Order::Send(send)),
             Effect::Abort { request, .. } => self.order(request, Order::Abort),
+            Effect::Leave { request, .. } => self.order(request, Order::Leave),
+            Effect::CloseIdle(address) => self.parts.pool.close_idle(address),
             Effect::Reply { request, reply } => self.last_order(request, Order::Reply(reply)),
             Effect::Replay { request, answer } => self.last_order(request, Order::Replay(answer)),
             Effect::Boxes { request, boxes, .. } => self.last_order(request, Order::Boxes(boxes)),
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -206,6 +206,12 @@
         (response, lease)
     }
 
+    /// Closes the idle connections to `address`: what were written there might never be answered.
+    pub fn close_idle(&self, address: SocketAddr) {
+        let mut idle = self.idle.lock().expect("the pool's lock is never poisoned");
+        idle.remove(&address);
+    }
+
     fn idle_link(&self, address: SocketAddr, fresh: bool) -> Option<Link> {
         if fresh {
             return None;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -331,7 +331,7 @@
         };
         let send = match order {
             Order::Send(send) => send,
-            Order::Abort => continue,
+            Order::Abort | Order::Leave => continue,
             Order::Reply(reply) => {
                 let (send, found) = error.ok_or(reply)?;
                 return Ok(stream(&shell, &prepared, &send, *found, orders));
@@ -361,7 +361,7 @@
             },
             order = orders.recv() => match order {
                 // The drop of the attempt closes its connection and so cancels it there.
-                Some(Order::Abort) => {}
+                Some(Order::Abort | Order::Leave) => {}
                 Some(Order::Reply(reply)) => return Err(reply),
                 _ => return Err(lost()),
             },
@@ -416,7 +416,17 @@
     let framed = platform || is_framed(&found.response);
     let resumable = send.resumable && !found.response.headers().contains_key(CONTENT_LENGTH);
     let resume = resumable.then(|| Resume::new(shell.clone(), prepared.clone()));
-    let stream = Stream::new(found, core, orders, source, framed, prepared.came, resume);
+    let pulse = shell.signs.pulse(&send.target);
+    let stream = Stream::new(
+        found,
+        core,
+        orders,
+        source,
+        framed,
+        prepared.came,
+        pulse,
+        resume,
+    );
     let body = if send.record {
         let answer = Answer {
             status,
@@ -461,7 +471,7 @@
                     }
                     return stream.end(true);
                 }
-                Piece::Cut | Piece::Stopped => {
+                Piece::Cut | Piece::Stopped | Piece::Left => {
                     stream.end(false);
                     hand_on(listener, Err(Cut)).await;
                     return;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! | `gossip` | nng between boxes |
 //! | `store`, `follow`, `list` | the platform, by our own interface |
 //! | `sync`, `directory` | the users' platform |
+//! | `signs` | what streams tell of backend servers |
 //! | [`admin`] | the operators' interface |
 //! | `report`, [`lines`] | what the log and the metrics tell, and the log's way out |
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
@@ -33,6 +34,7 @@
 mod report;
 pub mod resume;
 mod serve;
+mod signs;
 mod store;
 mod sync;
 mod trace;
@@ -77,6 +79,7 @@
     dial::Pool,
     metrics::Metrics,
     replay::Replay,
+    signs::Signs,
     store::Store,
     trace::Tracer,
 };
@@ -93,6 +96,7 @@
     clock: Clock,
     core: Handle,
     pool: Arc<Pool>,
+    signs: Arc<Signs>,
     store: Store,
     replay: Arc<Replay>,
     metrics: Arc<Metrics>,
@@ -312,7 +316,8 @@
         if let Some(address) = settings.list {
             tokio::spawn(list::run(address, pool.clone(), core.clone(), duty_seen));
         }
-        tokio::spawn(tick(core.clone()));
+        let signs = Arc::<Signs>::default();
+        tokio::spawn(tick(core.clone(), signs.clone()));
         let pieces = settings.body_memory.0.div_ceil(read::PIECE);
         let shell = Arc::new(Shell {
             bodies: Arc::new(Semaphore::new(pieces as usize)),
@@ -321,6 +326,7 @@
             clock,
             core,
             pool,
+            signs,
             store,
             replay,
             metrics,
@@ -479,11 +485,15 @@
     ]
 }
 
-async fn tick(core: Handle) {
+async fn tick(core: Handle, signs: Arc<Signs>) {
     let mut ticks = interval(TICK.duration());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
+        let heard = signs.take();
+        if !heard.is_empty() {
+            core.tell(Event::Alive(heard));
+        }
         core.tell(Event::Tick);
     }
 }
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -158,6 +158,12 @@
                     ),
                 );
             }
+            Effect::Leave { request, attempt } => {
+                self.log_request(
+                    *request,
+                    format_args!("left attempt={} cause=silent", attempt.0),
+                );
+            }
             Effect::Abort { request, attempt } => {
                 self.log_request(*request, format_args!("aborted attempt={}", attempt.0));
             }
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -13,6 +13,7 @@
     gateway::{
         Shell,
         attempt::{Found, Miss, Prepared, try_once},
+        signs::Pulse,
     },
     reducer::{effect::Send, event::Cause},
     verdict::Verdict,
@@ -113,12 +114,14 @@
         }
     }
 
-    /// Tries to go on as ordered.
-    pub(crate) fn start(&mut self, send: Send) {
+    /// Tries to go on as ordered; returns the stream's word on the next backend server.
+    pub(crate) fn start(&mut self, send: Send) -> Option<Pulse> {
+        let pulse = self.shell.signs.pulse(&send.target);
         let (shell, prepared) = (self.shell.clone(), self.prepared.clone());
         let last = self.events.last().map(str::to_owned);
         let attempt = async move { try_once(&shell, &prepared, &send, last.as_deref()).await };
         self.attempt = Some(tokio::spawn(attempt));
+        pulse
     }
 
     /// Gives the attempt up; its connection closes with it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`fleet`], [`server`], [`prompt`], [`cache`], [`queue`], [`limit`], [`retry`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`detector`], [`prompt`], [`cache`], [`queue`], [`limit`], [`retry`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
@@ -21,6 +21,7 @@
 pub mod cache;
 pub mod cmd;
 pub mod config;
+pub mod detector;
 pub mod fleet;
 pub mod gateway;
 pub mod id;
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -104,6 +104,7 @@
             prefix: arrival.prefix,
             prompt: arrival.prompt,
             repeatable: plan.route.repeatable,
+            stream: plan.route.stream.is_some(),
             resumable: plan.route.stream.is_some_and(|s| s.resumable),
             runs,
             priority: plan.route.priority,
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -124,6 +124,7 @@
         }
         self.chase_roster(now, out);
         self.ask_caches(now, out);
+        self.detect_failed(now, out);
         self.move_stalled(now, out);
         self.drain_all(now, out);
     }
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -180,6 +180,10 @@
     Reached(Region),
     /// Another region is silent for too long.
     Unreached(Region),
+    /// The streams of a backend server are silent for too long.
+    Failed(id::Backend),
+    /// A backend server that had failed brings something again.
+    Regained(id::Backend),
 }
 
 impl fmt::Display for Note {
@@ -189,6 +193,8 @@
             Self::Lost(name) => write!(f, "box={name} state=silent"),
             Self::Reached(region) => write!(f, "region={region} state=heard"),
             Self::Unreached(region) => write!(f, "region={region} state=silent"),
+            Self::Failed(name) => write!(f, "backend={name} state=silent"),
+            Self::Regained(name) => write!(f, "backend={name} state=heard"),
         }
     }
 }
@@ -224,6 +230,15 @@
         /// The attempt.
         attempt: id::Attempt,
     },
+    /// Let the stream of an attempt leave its place: it goes on elsewhere by the next order.
+    Leave {
+        /// The request.
+        request: id::Request,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// Close the connections to this address that nobody uses.
+    CloseIdle(SocketAddr),
     /// Give a request its final answer.
     Reply {
         /// The request.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -12,7 +12,7 @@
     settings::Seed,
     unit::Millis,
     verdict::Verdict,
-    wire::Frame,
+    wire::{Frame, Short},
 };
 
 /// Who sends a request.
@@ -132,11 +132,22 @@
     pub pause: Millis,
 }
 
+/// A backend server of which some stream brought something since the last word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sign {
+    /// The backend server.
+    pub backend: Short,
+    /// The longest pause of one of its streams that ended since.
+    pub pause: Millis,
+}
+
 /// Everything that can happen to a box.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// Some time has passed.
     Tick,
+    /// These backend servers' streams brought something.
+    Alive(Vec<Sign>),
     /// A request came.
     Arrived(Arrival),
     /// A caller asks which boxes to use.
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -54,6 +54,8 @@
     pub(super) prompt: Option<Prompt>,
     pub(super) hop: Hop,
     pub(super) repeatable: bool,
+    /// Whether its answer is a stream.
+    pub(super) stream: bool,
     /// Whether another place may continue its stream after a cut.
     pub(super) resumable: bool,
     pub(super) owns_key: bool,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -11,6 +11,7 @@
 //! | `line` | who waits, and who goes first |
 //! | `reading` | long prompts, and what the boxes tell each other of them |
 //! | `stall` | attempts that stay silent for too long |
+//! | `detect` | backend servers that failed without a word |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
 //! | `roster` | backend servers that peers tell of while the store is away |
@@ -21,6 +22,7 @@
 mod admit;
 mod ask;
 mod control;
+mod detect;
 mod digest;
 mod dispatch;
 pub mod effect;
@@ -158,6 +160,7 @@
         self.notice_freeze(now, &mut out);
         match event {
             Event::Tick => self.tick(now, &mut out),
+            Event::Alive(signs) => self.hear_signs(now, signs, &mut out),
             Event::Arrived(arrival) => self.arrive(now, arrival, &mut out),
             Event::Asked {
                 request,
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -11,8 +11,10 @@
         effect::{Basis, Effect},
         event::Cause,
         job::{Job, Spot, Stage},
+        outcome::Held,
     },
     retry,
+    server::Server,
     unit::{Millis, Time},
 };
 
@@ -59,6 +61,18 @@
         let Some(held) = self.in_hand(request, attempt).filter(|held| !held.begun) else {
             return;
         };
+        self.relocate(now, request, attempt, &held, out);
+    }
+
+    /// Stops an attempt and sends its request elsewhere, where another place can take it at once.
+    pub(super) fn relocate(
+        &mut self,
+        now: Time,
+        request: id::Request,
+        attempt: id::Attempt,
+        held: &Held,
+        out: &mut Vec<Effect>,
+    ) {
         let Some((place, basis)) = self.better_place(now, request) else {
             return;
         };
@@ -66,8 +80,11 @@
         if !self.budgets.spend(&service, now) {
             return;
         }
-        out.push(Effect::Abort { request, attempt });
-        self.release(&held, None);
+        out.push(match held.begun {
+            true => Effect::Leave { request, attempt },
+            false => Effect::Abort { request, attempt },
+        });
+        self.release(held, None);
         self.blame(now, &held.spot, Cause::Silent);
         if let Some(job) = self.jobs.get_mut(&request) {
             job.ran_at(&held.spot);
@@ -86,6 +103,11 @@
         let Choice::Send(place) = decision.choice else {
             return None;
         };
+        if let Place::Backend(name) = &place
+            && self.servers.get(name).is_some_and(Server::has_failed)
+        {
+            return None;
+        }
         let basis = self.basis(now, job, &place, &decision.candidates);
         Some((place, basis))
     }
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -200,6 +200,7 @@
             prompt: None,
             hop: Hop::Direct,
             repeatable: plan.route.repeatable,
+            stream: plan.route.stream.is_some(),
             resumable: plan.route.stream.is_some_and(|s| s.resumable),
             owns_key: false,
             came: now,
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,6 +1,9 @@
 //! What this box knows of one backend server from its own traffic: work in hand, times, health.
 
-use crate::unit::{Millis, Rate, Time};
+use crate::{
+    detector::Detector,
+    unit::{Millis, Rate, Time},
+};
 
 /// Failures in a row that open the breaker.
 const FAILURES: u32 = 3;
@@ -77,6 +80,7 @@
     running: f64,
     /// When that was reckoned.
     reckoned: Time,
+    detector: Detector,
 }
 
 impl Default for Server {
@@ -98,6 +102,7 @@
             cold_tokens: None,
             running: 0.0,
             reckoned: Time(0),
+            detector: Detector::default(),
         }
     }
 }
@@ -204,6 +209,32 @@
         Millis(self.whole as u64)
     }
 
+    /// Notes that its streams brought something, and the longest pause of one; true where it was taken
+    /// for failed until now.
+    pub fn hear_stream(&mut self, pause: Millis, now: Time) -> bool {
+        let regained = self.detector.hear(pause, now);
+        if regained {
+            self.failing = 0.0;
+            self.heard = now;
+        }
+        regained
+    }
+
+    /// Notes that its `streams` brought nothing for `span`; true where it counts as failed from now on.
+    pub fn miss_stream(&mut self, span: Millis, streams: usize, now: Time) -> bool {
+        let failed = self.detector.wait(span, streams, now);
+        if failed {
+            self.failing = 1.0;
+            self.heard = now;
+        }
+        failed
+    }
+
+    /// Whether its streams have been silent for too long.
+    pub fn has_failed(&self) -> bool {
+        self.detector.has_failed()
+    }
+
     /// Notes an attempt that goes there with `work` prompt tokens to read.
     pub fn start(&mut self, work: u32, now: Time) {
         self.busy += 1;
@@ -214,6 +245,7 @@
     /// Notes the first byte of an answer after `took`, where `expected` was expected and `work`
     /// prompt tokens were to be read.
     pub fn begin(&mut self, took: Millis, expected: Millis, work: u32, now: Time) {
+        self.hear_stream(Millis(0), now);
         self.fade(now);
         self.failing -= ERROR_ALPHA * self.failing;
         self.learn(took, expected, work);
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -317,10 +317,11 @@
                 peer: from,
                 version,
             } => self.fetch(index, from, version),
-            Effect::Abort { request, .. } => {
+            Effect::Abort { request, .. } | Effect::Leave { request, .. } => {
                 self.slots[index].open.remove(&request);
             }
             Effect::Boxes { .. }
+            | Effect::CloseIdle(_)
             | Effect::Queued { .. }
             | Effect::Inventory { .. }
             | Effect::FetchRoster { .. }
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -18,10 +18,11 @@
     reducer::{
         Identity, State,
         effect::{Effect, Send, Target},
-        event::{Arrival, Cause, Credential, Event, Hop, Key, Source},
+        event::{Arrival, Cause, Credential, Event, Hop, Key, Sign, Source},
     },
     unit::{Millis, Time},
     verdict::Verdict,
+    wire::Short,
 };
 
 const CONFIG: &str = r#"{"version":1,"routes":[
@@ -126,6 +127,18 @@
                 assert_eq!(seen.open.as_ref().map(|s| s.attempt), Some(attempt));
                 seen.open = None;
                 seen.may_have_run = true;
+                seen.runs += 1;
+            }
+            Effect::Leave { request, attempt } => {
+                let seen = self.requests.get_mut(&request).expect("it is known");
+                assert_eq!(seen.open.as_ref().map(|s| s.attempt), Some(attempt));
+                assert!(
+                    seen.begun && PATHS[seen.path] == "/stream/x",
+                    "it cannot go on"
+                );
+                seen.open = None;
+                seen.may_have_run = true;
+                seen.runs += 1;
             }
             Effect::Reply { request, reply } => {
                 let seen = self.requests.get_mut(&request).expect("it is known");
@@ -299,6 +312,17 @@
         }
     }
 
+    /// The streams of some servers bring something.
+    fn heard(&mut self, which: u8, pause: u8) {
+        let alive = (0..SERVERS).filter(|index| which & (1 << index) != 0);
+        let sign = |index| Sign {
+            backend: Short::of(&self.name(index)),
+            pause: Millis(u64::from(pause)),
+        };
+        let signs = alive.map(sign).collect();
+        self.step(Event::Alive(signs));
+    }
+
     fn pass(&mut self, ticks: u8) {
         for _ in 0..=ticks % 8 {
             self.now = self.now + Millis(100);
@@ -325,11 +349,12 @@
         .for_each(|steps| {
             let mut world = World::new();
             for (what, one, two) in steps {
-                match what % 8 {
+                match what % 9 {
                     0..=2 => world.arrive(usize::from(*one) % PATHS.len()),
                     3 | 4 => world.outcome(*one, *two),
                     5 => world.news(*one, *two),
                     6 => world.pass(*one),
+                    7 => world.heard(*one, *two),
                     _ => {
                         if let Some((request, ..)) = world.pick(*one) {
                             let seen = world.requests.get_mut(&request).expect("it is known");
