Lead callers to homes by the requests that were seen

Change: a region is whole where all requests that this box has seen may run, and all routes only before it saw any.

Test: stopping_box::routes_that_nobody_uses_keep_nobody_from_a_home, red before.

--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -78,12 +78,13 @@
             boxes.clear();
         } else {
             let fit = |e: &Entry| self.fitness(host, &e.contact.region);
-            let least = match self.stops_by_plan(now, region) {
-                true => Some(self.whole_fitness(host)),
-                false => None,
-            };
-            let best = boxes.iter().map(fit).max().max(least);
+            let best = boxes.iter().map(fit).max();
             boxes.retain(|e| Some(fit(e)) == best);
+            if best.is_some_and(|best| !self.is_whole(host, best))
+                && self.stops_by_plan(now, region)
+            {
+                boxes.clear();
+            }
         }
         out.push(Effect::Boxes {
             request,
@@ -99,10 +100,15 @@
         self.weigh(config.into_iter().flat_map(|c| c.permitted(host, region)))
     }
 
-    /// The fitness of a region where every request of `host` may run.
-    fn whole_fitness(&self, host: Option<&str>) -> (u64, usize) {
+    /// Whether a region of this fitness may run every request of `host` that this box has seen, or,
+    /// before it saw any, those of all its routes.
+    fn is_whole(&self, host: Option<&str>, fitness: (u64, usize)) -> bool {
         let config = self.config.as_ref();
-        self.weigh(config.into_iter().flat_map(|c| c.of_host(host)))
+        let whole = self.weigh(config.into_iter().flat_map(|c| c.of_host(host)));
+        match whole {
+            (0, routes) => fitness.1 == routes,
+            (requests, _) => fitness.0 == requests,
+        }
     }
 
     fn weigh<'a>(&self, routes: impl Iterator<Item = &'a Route>) -> (u64, usize) {
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -147,3 +147,22 @@
     solo.step(Event::Stop);
     assert!(resolved(&mut solo, "perth", "h").is_empty());
 }
+
+#[test]
+fn routes_that_nobody_uses_keep_nobody_from_a_home() {
+    let route = "[route home]\nprefix=/home\nkind=application\nrepeatable=true\nhost=h\n\
+                 regions=bunbury\n[route idle]\nprefix=/idle\nkind=application\n\
+                 repeatable=true\nhost=h\nregions=perth\n";
+    let mut solo = Solo::new(&text(route));
+    solo.pass(1000);
+    let mut event = relayed(960);
+    if let Event::Arrived(arrival) = &mut event {
+        arrival.hop = Hop::Direct;
+        arrival.host = Some("h".to_owned());
+        arrival.path = "/home/x".to_owned();
+    }
+    solo.step(event);
+    solo.digest(4, 0);
+    solo.step(Event::Stop);
+    assert_eq!(resolved(&mut solo, "perth", "h"), ["far"], "a home");
+}
