Find a moved stream another place, and trust no stream alone

Change: one stream tells nothing; two must be silent for 600 ms, three or more for 300 ms. A stream that was taken off its server is tried again after each refusal, overdraws the budget where it must, and waits rather than be refused.

--- a/src/detector.rs
+++ b/src/detector.rs
@@ -6,11 +6,14 @@
 
 use crate::unit::{Millis, Time};
 
-/// Shortest silence of several streams that tells of a failure. An engine reads a piece of a prompt
-/// between two steps, about 40 ms, and an event takes several steps, so single pauses reach 300 ms.
+/// Streams whose silence tells of a failure. One alone may have been preempted by its engine, which
+/// then reads its prompt anew.
+const WITNESSES: usize = 2;
+/// Shortest silence that tells of a failure. An engine reads a piece of a prompt between two steps,
+/// about 40 ms, and an event takes several steps, so single pauses reach 300 ms.
 const LEAST: Millis = Millis(300);
-/// How much longer the silence of a single stream must be: nothing else tells of its engine.
-const ALONE: Millis = Millis(300);
+/// How much longer the silence must be where there are no more streams than [`WITNESSES`].
+const FEW: Millis = Millis(300);
 /// How many times the longest pause that was seen lately a silence must last.
 const PAUSES: f64 = 1.5;
 /// Half of the longest pause is forgotten in this time: long prompts, which make pauses, come
@@ -46,14 +49,14 @@
     /// Notes that `span` passed in which `streams` were open and brought nothing. True where the
     /// server counts as failed from now on.
     pub fn wait(&mut self, span: Millis, streams: usize, now: Time) -> bool {
-        if streams == 0 {
+        if streams < WITNESSES {
             self.silence = Millis(0);
             return false;
         }
         self.silence = self.silence + span;
-        let alone = if streams == 1 { ALONE } else { Millis(0) };
+        let few = if streams > WITNESSES { Millis(0) } else { FEW };
         let usual = Millis((self.usual(now) * PAUSES) as u64);
-        let over = self.silence > LEAST.max(usual) + alone;
+        let over = self.silence > LEAST.max(usual) + few;
         over && !std::mem::replace(&mut self.failed, true)
     }
 
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -113,6 +113,7 @@
             owns_key: false,
             came: now,
             deadline: now + left,
+            moved: false,
             attempts: 0,
             tried: vec![],
             may_have_run: false,
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -41,6 +41,7 @@
                 let basis = self.basis(now, job, &place, &decision.candidates);
                 self.send(now, request, place, basis, out);
             }
+            Choice::Refuse(_) if job.moved => return false,
             Choice::Refuse(_) if decision.candidates.is_empty() && job.may_linger(now) => {
                 return false;
             }
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -61,6 +61,8 @@
     pub(super) owns_key: bool,
     pub(super) came: Time,
     pub(super) deadline: Time,
+    /// Whether it was taken off a backend server while its answer was under way.
+    pub(super) moved: bool,
     /// Attempts so far.
     pub(super) attempts: u32,
     /// Backend servers that may still run it.
--- a/src/reducer/line.rs
+++ b/src/reducer/line.rs
@@ -139,7 +139,7 @@
             let Some(job) = self.jobs.get_mut(&request) else {
                 continue;
             };
-            if now >= job.given_up_at() {
+            if now >= job.given_up_at() && !job.moved {
                 let (verdict, wait) = (job.verdict(), job.come_back(SOON));
                 let reply = Reply::new(503, verdict, "no slot was free in time").after(wait);
                 self.finish(request, reply, out);
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -141,17 +141,22 @@
         // Behind a box another backend server may do better.
         let relayed = matches!(spot, Spot::Chosen(Place::Region(_), _));
         let elsewhere = relayed && cause == Cause::Broken;
-        if elsewhere || matches!(cause, Cause::Errored | Cause::Leaving) {
+        // A stream that this box took off its server is owed another place.
+        let owed = job.moved && verdict.is_not_run();
+        if elsewhere || owed || matches!(cause, Cause::Errored | Cause::Leaving) {
             // It may well do better there next time, or by another door of the region.
             job.tried.pop();
         }
         job.stage = Stage::Waiting;
         let safe = job.repeatable || !job.may_have_run;
-        let left = job.runs > 0 && job.attempts < retry::MAX_ATTEMPTS;
-        let again = safe && left && spot != Spot::Pinned;
+        let left = job.runs > 0 && (owed || job.attempts < retry::MAX_ATTEMPTS);
+        let again = safe && left && spot != Spot::Pinned && now < job.deadline;
         let service = job.service.clone();
-        let again = again && now < job.deadline;
-        if again && (!cause.may_have_arrived() || self.budgets.spend(&service, now)) {
+        let free = owed || !cause.may_have_arrived();
+        if owed && cause.may_have_arrived() {
+            self.budgets.overdraw(&service, now);
+        }
+        if again && (free || self.budgets.spend(&service, now)) {
             if !self.place(now, request, out) {
                 self.enqueue(request, out);
             }
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -88,6 +88,7 @@
         self.blame(now, &held.spot, Cause::Silent);
         if let Some(job) = self.jobs.get_mut(&request) {
             job.ran_at(&held.spot);
+            job.moved |= held.begun;
             job.stage = Stage::Waiting;
         }
         self.send(now, request, place, basis, out);
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -205,6 +205,7 @@
             owns_key: false,
             came: now,
             deadline: now + plan.route.deadline,
+            moved: false,
             attempts: 0,
             runs: plan.route.attempts,
             priority: plan.route.priority,
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -128,6 +128,12 @@
         window.current(now).fresh += 1;
     }
 
+    /// Takes one attempt whether or not the budget has one: later ones have to wait.
+    pub fn overdraw(&mut self, service: &Service, now: Time) {
+        let window = self.windows.entry(service.clone()).or_default();
+        window.current(now).spent += 1;
+    }
+
     /// Takes one attempt where the budget of `service` has one.
     pub fn spend(&mut self, service: &Service, now: Time) -> bool {
         let window = self.windows.entry(service.clone()).or_default();
