Let boxes that just started leave cold servers alone

Each box knew nobody yet and took itself for one of the three that share the rate.

Ruled out: what a box may save up (with nothing saved, a box that takes itself for alone still has a token in 310 ms).

Change: a box sends nothing to a cold server for its first 2 s, unless it has heard from other regions that regions have three boxes or fewer.

Test: cold_servers::boxes_that_start_together_keep_the_rate, red before (130 for 15).

--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -9,7 +9,7 @@
     policy::{Candidate, Choice, Place, Policy, View},
     prompt::Prompt,
     reducer::{
-        State,
+        JOIN_GRACE, State,
         effect::Basis,
         estimate::{self, Batch},
         event::Hop,
@@ -227,16 +227,31 @@
     /// What this box may send a second to one cold backend server of `service`.
     ///
     /// A few boxes of the region share the rate, so that the sum of what they may save up stays
-    /// small; the others send nothing there.
+    /// small; the others send nothing there. Nor does a box that just started: until it has heard of
+    /// the others it would take itself for one of the few, and so would all that start with it.
     fn cold_rate(&self, now: Time, config: &Config, service: &Service) -> Option<Rate> {
         let profile = config.profiles.get(service)?;
         let rate = profile.cold_rate?;
         let senders = COLD_SENDERS.min(self.table.ready(now).count() + 1);
-        let mine = self.table.rank(service.as_str(), now) < senders;
+        let mine = self.knows_region(now) && self.table.rank(service.as_str(), now) < senders;
         let share = COLD_SAFETY * rate.0 / senders as f64;
         Some(Rate(if mine { share } else { 0.0 }))
     }
 
+    /// Whether this box has run for long enough to know the other boxes of its region, or has heard
+    /// from elsewhere that regions have so few boxes that all of them may send.
+    fn knows_region(&self, now: Time) -> bool {
+        let here = self.table.live(now).count() + 1;
+        let elsewhere = self
+            .table
+            .reachable(now)
+            .map(|(_, remote)| remote.digest.boxes as usize);
+        let small = elsewhere
+            .max()
+            .is_some_and(|most| most.max(here) <= COLD_SENDERS);
+        small || now >= Time(0) + JOIN_GRACE
+    }
+
     /// Whether `backend` is warm, or may get a request all the same.
     fn admits(&self, now: Time, backend: &Backend, cold_rate: Option<Rate>) -> bool {
         let Some(rate) = cold_rate.filter(|_| self.fleet.is_cold(&backend.name, now)) else {
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -15,11 +15,15 @@
 
 const RATE: f64 = 8.0;
 
-/// One cold server with many slots, and a route to it.
+/// One cold server with many slots, and a route to it, at a box that has run for a while.
 fn solo() -> Solo {
+    solo_by(Solo::new)
+}
+
+fn solo_by(start: fn(&str) -> Solo) -> Solo {
     let base = "[region perth]\n[route read]\nprefix=/read\nkind=application\nrepeatable=true\n\
         deadline=9s\n[selector all]\n";
-    let mut solo = Solo::new(&(base.to_owned() + &caller("a", "rate=1000/s")));
+    let mut solo = start(&(base.to_owned() + &caller("a", "rate=1000/s")));
     let old = solo.state.config().expect("there is one").clone();
     let profile = Profile {
         cold_rate: Some(Rate(RATE)),
@@ -51,7 +55,10 @@
         refusal_header: None,
         cold: Millis(3000),
     };
-    solo.step(Event::Fleet(Change::Put(cold)));
+    solo.step(Event::Fleet(Change::List {
+        backends: vec![cold],
+        doubt: Millis(0),
+    }));
     solo
 }
 
@@ -80,3 +87,22 @@
     }
     assert!(sent(&mut solo) >= 30, "warm: as many as it has slots");
 }
+
+/// Boxes that start together know nobody yet; each would take itself for one of the few that send.
+#[test]
+fn boxes_that_start_together_keep_the_rate() {
+    let mut fresh: Vec<Solo> = (0..26).map(|_| solo_by(Solo::young)).collect();
+    let mut count = 0;
+    for _ in 0..10 {
+        for solo in &mut fresh {
+            count += sends(&solo.arrive("a", None)).len();
+            count += sends(&solo.pass(100)).len();
+        }
+    }
+    assert!(
+        count as f64 <= RATE * 1.5 + 3.0,
+        "{count} in the first second"
+    );
+    fresh[0].pass(2000);
+    assert!(sent(&mut fresh[0]) > 0, "later it sends");
+}
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -69,12 +69,21 @@
 
 impl Solo {
     pub fn new(text: &str) -> Self {
+        Self::start(text, 2500, false)
+    }
+
+    /// A box that just started, on a platform where backend servers register themselves.
+    pub fn young(text: &str) -> Self {
+        Self::start(text, 0, true)
+    }
+
+    fn start(text: &str, age: u64, registry: bool) -> Self {
         let identity = Identity {
             contact: contact("box", "perth", 10),
             incarnation: Incarnation(7),
             seeds: vec![],
             retry: Default::default(),
-            registry: false,
+            registry,
         };
         let mut solo = Self {
             state: State::new(identity, Balanced),
@@ -83,7 +92,7 @@
             requests: 0,
             seq: 0,
         };
-        solo.pass(2500);
+        solo.pass(age);
         solo.configure(text);
         solo
     }
