Let changes of the store gather in large fleets

Ruled out: a watch less (each box is bound by what it has heard itself, and a lost watcher would delay the news of all).

Change: after an answer with changes a box waits 12 ms for each box of the fleet beyond nine, 1 s at most, before it watches on; what changes meanwhile comes in one answer. Nine boxes and fewer watch on at once as before.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -68,6 +68,8 @@
     pub(crate) replay: Arc<Replay>,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) duty: watch::Sender<bool>,
+    /// Boxes of the fleet.
+    pub(crate) boxes: watch::Sender<usize>,
     pub(crate) current: watch::Sender<Option<Current>>,
     pub(crate) identity: Identity,
     pub(crate) policy: policy::Named,
@@ -310,6 +312,12 @@
     }
 
     fn gauge(&self) {
+        let boxes = self.state.fleet_size(self.parts.clock.now());
+        self.parts.boxes.send_if_modified(|known| {
+            let changed = *known != boxes;
+            *known = boxes;
+            changed
+        });
         let metrics = &self.parts.metrics;
         let ready = self.state.phase(self.parts.clock.now()) == Phase::Ready;
         metrics.ready.set(i64::from(ready));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! | `serve`, `framing`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
 //! | `gossip` | nng between boxes |
 //! | `store`, `follow`, `list` | the platform, by our own interface |
-//! | `sync`, `directory` | the users' platform |
+//! | [`sync`], `directory` | the users' platform |
 //! | `signs` | what streams tell of backend servers |
 //! | [`admin`] | the operators' interface |
 //! | `report`, [`lines`] | what the log and the metrics tell, and the log's way out |
@@ -36,7 +36,7 @@
 mod serve;
 mod signs;
 mod store;
-mod sync;
+pub mod sync;
 mod trace;
 
 use std::{
@@ -290,6 +290,7 @@
         let pool = Arc::new(Pool::default());
         let replay = Arc::new(Replay::default());
         let (duty, duty_seen) = watch::channel(false);
+        let (boxes, boxes_seen) = watch::channel(1);
         let (current, current_seen) = watch::channel(None);
         let secret = settings.cluster_secret.clone();
         let core = Handle::start(Parts {
@@ -300,6 +301,7 @@
             replay: replay.clone(),
             metrics: metrics.clone(),
             duty,
+            boxes,
             current,
             identity: identity.clone(),
             policy: settings.policy,
@@ -312,7 +314,10 @@
             pool.clone(),
             metrics.clone(),
         );
-        follow_store(&settings, &store, &pool, &core, &duty_seen, &metrics);
+        match settings.interface {
+            Interface::Own => follow_own(&settings, &store, &core, &duty_seen),
+            Interface::Platform => follow_platform(&settings, &pool, &core, boxes_seen, &metrics),
+        }
         if let Some(address) = settings.list {
             tokio::spawn(list::run(address, pool.clone(), core.clone(), duty_seen));
         }
@@ -405,28 +410,31 @@
     }
 }
 
-/// Follows the store in the way of the interface in use.
-fn follow_store(
+/// Follows the store of our own interface.
+fn follow_own(
     settings: &Arc<Settings>,
     store: &Store,
-    pool: &Arc<Pool>,
     core: &Handle,
     duty: &watch::Receiver<bool>,
+) {
+    let (store, core) = (store.clone(), core.clone());
+    tokio::spawn(follow::run(store, core, settings.clone(), duty.clone()));
+}
+
+/// Follows the store of the users' platform.
+fn follow_platform(
+    settings: &Arc<Settings>,
+    pool: &Arc<Pool>,
+    core: &Handle,
+    boxes: watch::Receiver<usize>,
     metrics: &Arc<Metrics>,
 ) {
-    let (settings, core) = (settings.clone(), core.clone());
-    match settings.interface {
-        Interface::Own => {
-            tokio::spawn(follow::run(store.clone(), core, settings, duty.clone()));
-        }
-        Interface::Platform => {
-            let Some(&address) = settings.stores.first() else {
-                return log::error!("store: no address");
-            };
-            let client = Client::new(address, pool.clone());
-            tokio::spawn(sync::run(client, core, settings, metrics.clone()));
-        }
-    }
+    let Some(&address) = settings.stores.first() else {
+        return log::error!("store: no address");
+    };
+    let client = Client::new(address, pool.clone());
+    let (core, settings, metrics) = (core.clone(), settings.clone(), metrics.clone());
+    tokio::spawn(sync::run(client, core, settings, metrics, boxes));
 }
 
 fn identity(settings: &Settings, bound: &Bound) -> Identity {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -6,7 +6,10 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::watch,
+    time::{Instant, sleep},
+};
 
 use crate::{
     config::Backend,
@@ -31,6 +34,12 @@
 const HOLD: Duration = Duration::from_secs(3);
 /// The same after a failed call: a store that is still away must not hold up the next call.
 const PROBE_HOLD: Duration = Duration::from_millis(1);
+/// How long changes are gathered after some came, for each box of the fleet beyond [`FEW`], and the
+/// most: all boxes together ask the store about 100 times a second at most. News are due within
+/// seconds, and a change that comes alone is not held up.
+const GATHER: (Duration, Duration) = (Duration::from_millis(12), Duration::from_millis(1000));
+/// So many boxes cost the store little, and hear of changes at once.
+const FEW: usize = 9;
 /// Wait after the first failure in a row, and the longest; each is spread by half.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(400));
 
@@ -46,6 +55,8 @@
     /// When the store last failed, or came back: what vanishes soon after is in doubt.
     disturbed: Option<Instant>,
     failures: u32,
+    /// Boxes of the fleet, as far as this one knows.
+    boxes: watch::Receiver<usize>,
 }
 
 /// Follows the store for as long as the process runs.
@@ -54,6 +65,7 @@
     core: Handle,
     settings: Arc<Settings>,
     metrics: Arc<Metrics>,
+    boxes: watch::Receiver<usize>,
 ) {
     let mut follower = Follower {
         client,
@@ -64,6 +76,7 @@
         evacuated: BTreeSet::new(),
         disturbed: None,
         failures: 0,
+        boxes,
     };
     let mut freshness = Freshness::Stale;
     loop {
@@ -84,6 +97,12 @@
     }
 }
 
+/// How long a box among `boxes` lets changes gather.
+pub fn gathering(boxes: usize) -> Duration {
+    let boxes = u32::try_from(boxes.saturating_sub(FEW)).unwrap_or(u32::MAX);
+    GATHER.0.saturating_mul(boxes).min(GATHER.1)
+}
+
 impl Follower {
     async fn read(&mut self, freshness: Freshness) -> Result<(), Error> {
         let asked = Instant::now();
@@ -102,10 +121,15 @@
         let watched = self.client.watch(ALL, revision, hold).await;
         self.count("watch", &watched);
         let (changes, as_of) = watched?;
+        let some = !changes.is_empty();
         for change in changes {
             self.take(change);
         }
         self.revision = Some(as_of.max(revision));
+        if some {
+            let boxes = *self.boxes.borrow();
+            sleep(gathering(boxes)).await;
+        }
         Ok(())
     }
 
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -230,6 +230,11 @@
         (self.table.heartbeat_period(), self.table.digest_period())
     }
 
+    /// The boxes of all regions that were heard of lately, this one included.
+    pub fn fleet_size(&self, now: Time) -> usize {
+        self.table.boxes(now)
+    }
+
     /// Requests in hand.
     pub fn busy(&self) -> usize {
         self.jobs.len()
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -170,3 +170,40 @@
     sleep(std::time::Duration::from_secs(2)).await;
     assert!(served(&cloud, "/v2/x", "a").await, "the change is in force");
 }
+
+/// In a fleet a watch is asked again only after a while, so that changes gather; each is heard.
+#[tokio::test]
+async fn changes_gather() {
+    let mut cloud = Cloud::serving(&["i-1"]).await;
+    for _ in 1..14 {
+        cloud.add_box("atl").await;
+    }
+    cloud.settled().await;
+    sleep(std::time::Duration::from_secs(2)).await;
+    let before = cloud.registry.calls("watch");
+    for version in 2..=61 {
+        cloud.configure(version);
+        sleep(std::time::Duration::from_millis(4)).await;
+    }
+    eventually("the last change is in force", || {
+        served(&cloud, "/v61/x", "a")
+    })
+    .await;
+    let calls = (cloud.registry.calls("watch") - before) / 14;
+    assert!(calls <= 30, "60 changes, {calls} calls a box");
+}
+
+#[test]
+fn larger_fleets_gather_for_longer() {
+    use petreldrum::gateway::sync::gathering;
+    assert!(gathering(9).is_zero(), "a few boxes hear at once");
+    for boxes in [30, 79, 92, 360, 3000] {
+        let pause = gathering(boxes).as_secs_f64();
+        assert!(pause <= 1.0, "news are due within seconds");
+        let calls = boxes as f64 / pause;
+        assert!(
+            calls <= 130.0 || boxes > 92,
+            "{boxes} boxes: {calls} a second"
+        );
+    }
+}
