--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -171,8 +171,8 @@
     framed: bool,
     stall: Pin<Box<Sleep>>,
     pace: Pace,
-    /// Its word on the backend server that brings it.
-    pulse: Option<Pulse>,
+    /// Its word on the backend server that brings it, where this box listens to that.
+    pub(crate) pulse: Option<Pulse>,
     /// What it needs to go on at another place, where it may.
     resume: Option<Box<Resume>>,
     /// Whether it is on its way to another place.
@@ -189,12 +189,11 @@
         source: Source,
         framed: bool,
         came: Instant,
-        pulse: Option<Pulse>,
         resume: Option<Resume>,
     ) -> Self {
         Self {
             framed,
-            pulse,
+            pulse: None,
             pace: Pace::begin(came),
             incoming: found.response.into_body(),
             lease: Some(found.lease),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -417,16 +417,9 @@
     let resumable = send.resumable && !found.response.headers().contains_key(CONTENT_LENGTH);
     let resume = resumable.then(|| Resume::new(shell.clone(), prepared.clone()));
     let pulse = shell.signs.pulse(&send.target);
-    let stream = Stream::new(
-        found,
-        core,
-        orders,
-        source,
-        framed,
-        prepared.came,
-        pulse,
-        resume,
-    );
+    let came = prepared.came;
+    let mut stream = Stream::new(found, core, orders, source, framed, came, resume);
+    stream.pulse = pulse;
     let body = if send.record {
         let answer = Answer {
             status,
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -8,7 +8,7 @@
         State,
         effect::{Effect, Reply},
         event::{Arrival, Credential, Hop, Key},
-        job::{Job, SOON, Stage},
+        job::{Job, SOON},
     },
     unit::{Millis, Rate, Time},
     verdict::Verdict,
@@ -99,28 +99,13 @@
         let left = plan.route.hold.map_or(left, |hold| left.min(hold));
         let runs = plan.route.attempts.min(arrival.runs.unwrap_or(u32::MAX));
         let job = Job {
-            service: plan.service.clone(),
-            line: plan.line.clone(),
             prefix: arrival.prefix,
             prompt: arrival.prompt,
-            repeatable: plan.route.repeatable,
-            stream: plan.route.stream.is_some(),
-            resumable: plan.route.stream.is_some_and(|s| s.resumable),
             runs,
-            priority: plan.route.priority,
             target: plan.route.target.map(|t| self.remaining(&arrival.hop, t)),
-            bounded: plan.route.hold.is_some(),
-            owns_key: false,
-            came: now,
             deadline: now + left,
-            moved: false,
-            attempts: 0,
-            tried: vec![],
-            may_have_run: false,
-            position: None,
-            stage: Stage::Waiting,
             hop: arrival.hop,
-            ask,
+            ..Job::new(&plan, ask, now)
         };
         // A relay carries the decision of the box that owns the key, so it brings none itself.
         let keyed = !job.repeatable && plan.route.keyed;
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -1,7 +1,7 @@
 //! One request in hand, and how far it has come.
 
 use crate::{
-    config::Ask,
+    config::{Ask, Plan},
     id::{self, Service},
     policy::Place,
     prompt::Prompt,
@@ -81,6 +81,35 @@
 }
 
 impl Job {
+    /// A request of `plan` that comes straight from its caller at `now`, with all that its route says.
+    pub(super) fn new(plan: &Plan<'_>, ask: Ask, now: Time) -> Self {
+        let route = plan.route;
+        Self {
+            ask,
+            service: plan.service.clone(),
+            line: plan.line.clone(),
+            prefix: 0,
+            prompt: None,
+            hop: Hop::Direct,
+            repeatable: route.repeatable,
+            stream: route.stream.is_some(),
+            resumable: route.stream.is_some_and(|s| s.resumable),
+            owns_key: false,
+            came: now,
+            deadline: now + route.deadline,
+            moved: false,
+            attempts: 0,
+            runs: route.attempts,
+            priority: route.priority,
+            target: route.target,
+            bounded: route.hold.is_some(),
+            tried: vec![],
+            may_have_run: false,
+            position: None,
+            stage: Stage::Waiting,
+        }
+    }
+
     pub(super) fn verdict(&self) -> Verdict {
         if self.may_have_run {
             Verdict::MayHaveRun
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -6,12 +6,7 @@
     config::{Ask, Version},
     id::{self, BoxName, Domain, Region, Selector, Service},
     policy::{Candidate, Choice, Policy},
-    reducer::{
-        State,
-        event::Hop,
-        job::{Job, Stage},
-        place::Exclusion,
-    },
+    reducer::{State, job::Job, place::Exclusion},
     server::Bar,
     unit::{Millis, Time},
     wire::{Phase, Short},
@@ -194,28 +189,8 @@
         let config = self.config.as_ref().ok_or("no configuration is in force")?;
         let plan = config.plan(&ask).map_err(|refusal| refusal.to_string())?;
         let job = Job {
-            service: plan.service.clone(),
-            line: plan.line.clone(),
             prefix,
-            prompt: None,
-            hop: Hop::Direct,
-            repeatable: plan.route.repeatable,
-            stream: plan.route.stream.is_some(),
-            resumable: plan.route.stream.is_some_and(|s| s.resumable),
-            owns_key: false,
-            came: now,
-            deadline: now + plan.route.deadline,
-            moved: false,
-            attempts: 0,
-            runs: plan.route.attempts,
-            priority: plan.route.priority,
-            target: plan.route.target,
-            bounded: plan.route.hold.is_some(),
-            tried: vec![],
-            may_have_run: false,
-            position: None,
-            stage: Stage::Waiting,
-            ask: ask.clone(),
+            ..Job::new(&plan, ask.clone(), now)
         };
         let decision = self
             .decide(now, &job)
