Tell of unready boxes in digests again

Where all boxes of a region start again, an empty digest tells the others that their old doors are of no use; without it they are relayed to until the region counts as silent.

The documentation links to no private constant any more.

--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -30,10 +30,6 @@
                 continue;
             };
             let digest = summary.get_or_insert_with(|| self.summary(now)).clone();
-            if digest.doors.is_empty() {
-                // Another box here may be ready that this one, which starts, has not heard of yet.
-                return;
-            }
             let frame = self.frame(Body::Digest(digest));
             out.push(Effect::Gossip { to, frame });
         }
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -1,6 +1,6 @@
 //! The retry budget: attempts beyond the first as a share of fresh work, for each service.
 //!
-//! The budget holds for all boxes together, in any span of [`WINDOW`]. Each box spends only its share
+//! The budget holds for all boxes together, in any ten seconds. Each box spends only its share
 //! of the slack, and a part of the requests that came to it in the last span.
 
 use std::collections::{HashMap, VecDeque};
