Tell at each send how cold the place is and how old the store's word

Cause: the logs of three boxes cut from the store could not tell whether a box that floods a cold server does not know that it is cold, or knows and overspends its share.

Change: `sent` lines carry `cold=`, `store=` (the last change of the store that the box heard of) and `store_age=`; a gauge `store_revision`; the follower says after each answered call how far it got. No logic changes.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,7 +5,10 @@
 //! around an outage of the store is in doubt for a while, because the store may have dropped it by
 //! itself and the server may register again.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::{
+    collections::{BTreeSet, HashMap, HashSet},
+    fmt,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +23,18 @@
 /// that live are back about two seconds after the store; the rest covers the way of the news.
 pub const DOUBT: Millis = Millis(2300);
 
+/// The platform's store's count of all its changes: how far what a box knows of it goes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Revision(pub u64);
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "r{}", self.0)
+    }
+}
+
 /// All that a box knows of registered backend servers, for a box that cannot ask the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Roster {
@@ -220,7 +235,13 @@
 
     /// Whether `name` is still cold at `now`.
     pub fn is_cold(&self, name: &id::Backend, now: Time) -> bool {
-        self.members.get(name).is_some_and(|m| now < m.cold_until)
+        self.cold_left(name, now) > Millis(0)
+    }
+
+    /// How long `name` is still cold at `now`.
+    pub fn cold_left(&self, name: &id::Backend, now: Time) -> Millis {
+        let until = self.members.get(name).map(|m| m.cold_until);
+        until.map_or(Millis(0), |until| until.since(now))
     }
 
     /// Notes that the backend servers of `domain` may just have become cold, for as long as `span`
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -42,6 +42,8 @@
     pub keys: IntGauge,
     /// Failed calls to the store since the last one that was answered.
     pub store_failures: IntGauge,
+    /// How far the store is known.
+    pub store_revision: IntGauge,
     /// Connections open at the listeners.
     pub connections: IntGauge,
     /// Attempts beyond a request's first.
@@ -118,6 +120,10 @@
                 "store_failures",
                 "Failed calls to the store since the last one that was answered.",
             )?,
+            store_revision: gauge(
+                "store_revision",
+                "The last change of the store that this box has heard of.",
+            )?,
             connections: gauge("connections", "Connections open at the listeners.")?,
             repeats: counter("repeats_total", "Attempts beyond a request's first.")?,
             dropped_lines: counter(
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -35,7 +35,7 @@
         write!(
             f,
             " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
-             target={} prompt={} unread={}",
+             target={} prompt={} unread={} cold={} store={} store_age={}",
             basis.version,
             basis.places,
             basis.wait,
@@ -47,7 +47,10 @@
             basis.waited,
             basis.target,
             basis.prompt,
-            basis.unread
+            basis.unread,
+            basis.cold,
+            basis.revision,
+            basis.store_age
         )
     }
 }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,13 +13,13 @@
 
 use crate::{
     config::Backend,
-    fleet::{self, Change as FleetChange},
+    fleet::{self, Change as FleetChange, Revision},
     gateway::{core::Handle, follow, metrics::Metrics},
     id::Domain,
     platform::{
         call::Error,
         record::{self, Name},
-        store::{Change, Client, Freshness, Item, Revision},
+        store::{Change, Client, Freshness, Item},
     },
     reducer::event::{Event, Source},
     settings::Settings,
@@ -112,7 +112,7 @@
         let took = asked.elapsed().as_secs_f64();
         self.metrics.store_seconds.observe(took);
         self.take_all(items);
-        self.revision = Some(revision);
+        self.reached(revision);
         Ok(())
     }
 
@@ -125,7 +125,7 @@
         for change in changes {
             self.take(change);
         }
-        self.revision = Some(as_of.max(revision));
+        self.reached(as_of.max(revision));
         if some {
             let boxes = *self.boxes.borrow();
             sleep(gathering(boxes)).await;
@@ -133,6 +133,13 @@
         Ok(())
     }
 
+    /// Notes that everything up to `revision` is told.
+    fn reached(&mut self, revision: Revision) {
+        self.revision = Some(revision);
+        self.metrics.store_revision.set(revision.0 as i64);
+        self.core.tell(Event::Synced(revision));
+    }
+
     fn count<T>(&self, call: &str, result: &Result<T, Error>) {
         let outcome = match result {
             Ok(_) => "ok",
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::Version,
+    fleet::Revision,
     id::{self, Incarnation, Region},
     unit::{Millis, Time},
     verdict::Verdict,
@@ -94,6 +95,12 @@
     pub prompt: u32,
     /// Tokens of it that the place has to read.
     pub unread: u32,
+    /// How long the place is still cold, as far as the box knows; zero where it is warm.
+    pub cold: Millis,
+    /// How far the box knows the platform's store; zero where it follows none.
+    pub revision: Revision,
+    /// Age of the store's last word; zero where there was none.
+    pub store_age: Millis,
 }
 
 /// A final answer of the gateway itself.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     config::{Config, KeyHash, Version},
-    fleet,
+    fleet::{self, Revision},
     id::{self, Domain, Region, Service},
     pin,
     prompt::{Part, Prompt},
@@ -219,6 +219,8 @@
         /// The parts.
         parts: Vec<Part>,
     },
+    /// The platform's store answered, and all its changes up to this one are told.
+    Synced(Revision),
     /// Nothing new may go to the backend servers of these failure domains.
     Evacuated(BTreeSet<Domain>),
     /// A caller asks which boxes of its region to use.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -49,7 +49,7 @@
 use crate::{
     cache::Cache,
     config::{Config, Version},
-    fleet::Fleet,
+    fleet::{Fleet, Revision},
     id::{self, Domain, Incarnation},
     ledger::Ledger,
     limit::Limiter,
@@ -91,6 +91,13 @@
     pub registry: bool,
 }
 
+/// How far and since when a box knows the platform's store.
+#[derive(Clone, Copy, Debug)]
+struct Synced {
+    revision: Revision,
+    at: Time,
+}
+
 /// All that a box decides by.
 #[derive(Debug)]
 pub struct State<P> {
@@ -116,6 +123,8 @@
     evacuated: BTreeSet<Domain>,
     /// Whether the backend servers are known.
     supplied: bool,
+    /// The store's last word; none before it, and where no store is followed.
+    synced: Option<Synced>,
     /// Whether backend servers register with the platform.
     registry: bool,
     /// Engines that were asked what they have cached.
@@ -147,6 +156,7 @@
             listed: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             supplied: !identity.registry,
+            synced: None,
             registry: identity.registry,
             asked: BTreeSet::new(),
             attempts: 0,
@@ -190,6 +200,7 @@
             }
             Event::Roster(roster) => self.take_roster(now, roster, &mut out),
             Event::Fleet(change) => self.supplied(now, change, &mut out),
+            Event::Synced(revision) => self.synced = Some(Synced { revision, at: now }),
             Event::Cached { backend, parts } => {
                 self.learn_cached(now, &backend, &parts, &mut out);
             }
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::{Backend, Config, Plan, Refusal},
+    fleet::Revision,
     id::{self, Region, Service},
     member::Remote,
     policy::{Candidate, Choice, Place, Policy, View},
@@ -59,6 +60,12 @@
             target: job.target.unwrap_or_default(),
             prompt: job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
             unread: self.reading(now, job, place).map_or(0, |r| r.tokens),
+            cold: match place {
+                Place::Backend(name) => self.fleet.cold_left(name, now),
+                Place::Region(_) => Millis(0),
+            },
+            revision: self.synced.map_or(Revision(0), |s| s.revision),
+            store_age: self.synced.map_or(Millis(0), |s| now.since(s.at)),
         }
     }
 
