Share a cold server's rate among all boxes that may still send

A box that heard nobody, cut from all others and from the store, took the whole rate beside the others.

Change: `reducer/cold.rs`. Counted are all boxes of the region in any phase, and who fell silent for 5 s after it should have been heard; while the store is unheard (4.5 s), for as long as boxes are remembered. A box that started or woke sends nothing for 2 s, also in a small region (the exception for small regions went: it counted other regions only, and boxes of a larger one that start together would each have taken a share). The rate is worked out only for servers that are cold.

--- a/src/member.rs
+++ b/src/member.rs
@@ -421,6 +421,19 @@
         self.live(now).filter(above).count()
     }
 
+    /// This box's rank (from 0) for a duty among the boxes of its region that may still be at work, and
+    /// how many those are: all phases count, and who fell silent does for `kept` after it should have
+    /// been heard.
+    pub fn standing(&self, duty: &str, kept: Millis, now: Time) -> (usize, usize) {
+        let at_work = |p: &&Peer| p.is_live(now) || now.since(p.heard) <= p.last.pace + kept;
+        let mine = weight(&self.me.name, duty);
+        let others = self.peers.values().filter(at_work);
+        others.fold((0, 1), |(rank, boxes), peer| {
+            let above = weight(&peer.last.contact.name, duty) > mine;
+            (rank + usize::from(above), boxes + 1)
+        })
+    }
+
     /// Whether this box ranks first for a duty among the live of its region, `other` left aside.
     pub fn is_first(&self, duty: &str, other: &BoxName, now: Time) -> bool {
         let mine = weight(&self.me.name, duty);
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -71,7 +71,12 @@
 
     /// Whether the box has heard the news since it last stood still.
     pub(super) fn is_awake(&self, now: Time) -> bool {
-        self.woke.is_none_or(|woke| now.since(woke) >= WAKE_GRACE)
+        self.is_awake_for(WAKE_GRACE, now)
+    }
+
+    /// Whether the box has not stood still within `span`.
+    pub(super) fn is_awake_for(&self, span: Millis, now: Time) -> bool {
+        self.woke.is_none_or(|woke| now.since(woke) >= span)
     }
 
     pub(super) fn due(last: &mut Option<Time>, span: Millis, now: Time) -> bool {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -7,6 +7,7 @@
 //! | `job` | one request in hand |
 //! | `admit`, `key` | its arrival, and its idempotency key |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
+//! | `cold` | the rate of cold backend servers, and this box's share of it |
 //! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
 //! | `reading` | long prompts, and what the boxes tell each other of them |
@@ -21,6 +22,7 @@
 
 mod admit;
 mod ask;
+mod cold;
 mod control;
 mod detect;
 mod digest;
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -5,27 +5,22 @@
 use crate::{
     config::{Backend, Config, Plan, Refusal},
     fleet::Revision,
-    id::{self, Region, Service},
+    id::Region,
     member::Remote,
     policy::{Candidate, Choice, Place, Policy, View},
     prompt::Prompt,
     reducer::{
-        JOIN_GRACE, State,
+        State,
         effect::Basis,
         estimate::{self, Batch},
         event::Hop,
         job::Job,
     },
     server::{Bar, Server},
-    unit::{Millis, Rate, Time},
+    unit::{Millis, Time},
     wire::Short,
 };
 
-/// Boxes of a region that may send to one cold backend server: each may save up one request.
-const COLD_SENDERS: usize = 3;
-/// Part of a cold backend server's rate that is used: boxes may disagree on who sends.
-const COLD_SAFETY: f64 = 0.8;
-
 /// A policy's choice and what it chose from.
 pub(super) struct Decision {
     pub(super) choice: Choice,
@@ -110,12 +105,12 @@
         found: &mut Vec<Candidate>,
     ) {
         let mine = &self.table.me.region;
-        let cold_rate = self.cold_rate(now, config, &plan.service);
         let usable: Vec<&Backend> = self
             .fleet
             .serving(&plan.service, mine)
             .filter(|b| plan.allows(b))
-            .filter(|b| self.excluded(now, b).is_none() && self.admits(now, b, cold_rate))
+            .filter(|b| self.excluded(now, b).is_none())
+            .filter(|b| self.admits(now, config, &plan.service, b))
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .collect();
         let shared = job.prompt.as_ref().and_then(Prompt::longest);
@@ -231,53 +226,6 @@
             || self.is_listed(&backend.address)
     }
 
-    /// What this box may send a second to one cold backend server of `service`.
-    ///
-    /// A few boxes of the region share the rate, so that the sum of what they may save up stays
-    /// small; the others send nothing there. Nor does a box that just started: until it has heard of
-    /// the others it would take itself for one of the few, and so would all that start with it.
-    fn cold_rate(&self, now: Time, config: &Config, service: &Service) -> Option<Rate> {
-        let profile = config.profiles.get(service)?;
-        let rate = profile.cold_rate?;
-        let senders = COLD_SENDERS.min(self.table.ready(now).count() + 1);
-        let mine = self.knows_region(now) && self.table.rank(service.as_str(), now) < senders;
-        let share = COLD_SAFETY * rate.0 / senders as f64;
-        Some(Rate(if mine { share } else { 0.0 }))
-    }
-
-    /// Whether this box has run for long enough to know the other boxes of its region, or has heard
-    /// from elsewhere that regions have so few boxes that all of them may send.
-    fn knows_region(&self, now: Time) -> bool {
-        let here = self.table.live(now).count() + 1;
-        let elsewhere = self
-            .table
-            .reachable(now)
-            .map(|(_, remote)| remote.digest.boxes as usize);
-        let small = elsewhere
-            .max()
-            .is_some_and(|most| most.max(here) <= COLD_SENDERS);
-        small || now >= Time(0) + JOIN_GRACE
-    }
-
-    /// Whether `backend` is warm, or may get a request all the same.
-    fn admits(&self, now: Time, backend: &Backend, cold_rate: Option<Rate>) -> bool {
-        let Some(rate) = cold_rate.filter(|_| self.fleet.is_cold(&backend.name, now)) else {
-            return true;
-        };
-        let server = self.servers.get(&backend.name);
-        rate.0 > 0.0 && server.is_none_or(|s| s.admits_cold(rate, now))
-    }
-
-    /// Counts a request to `name` against its rate while it is cold.
-    pub(super) fn charge_cold(&mut self, now: Time, service: &Service, name: &id::Backend) {
-        let config = self.config.as_deref();
-        let rate = config.and_then(|config| self.cold_rate(now, config, service));
-        if let Some(rate) = rate.filter(|_| self.fleet.is_cold(name, now)) {
-            let server = self.servers.entry(name.clone()).or_default();
-            server.spend_cold(rate, now);
-        }
-    }
-
     /// Whether the platform's list names `address` as leaving, here or at a live box nearby.
     fn is_listed(&self, address: &SocketAddr) -> bool {
         self.listed.contains(address) || self.table.is_listed(address)
