Test that a box cut from the store hears of servers by others

Cause: boxes pass configurations on, but neither evacuations nor what becomes of servers. The cut box sends on with `cold=0ms store=r17 store_age=9301ms` while its neighbours know of the evacuation.

Both tests fail. `turned_away_hears_by_its_peers` covered configurations only, which is why nothing was red before.

--- /dev/null
+++ b/tests/turned_away.rs
@@ -0,0 +1,99 @@
+//! A box that the platform's store turns away hears of backend servers by the other boxes.
+//!
+//! Symptom: cold servers of an evacuated failure domain got 22 requests in a second where 17.5 were
+//! allowed, from two boxes alone.
+//!
+//! Sequence: the store fell silent for three of nine boxes; 0.1 s later a domain was evacuated. The
+//! six others sent nothing there from 0.1 s after that on. The three went on for 8 s, also when the
+//! servers got cold at the end of the evacuation, and until the store was back.
+//!
+//! Cause: boxes told each other of configurations, but not of evacuations or of servers that leave,
+//! come or get cold: for these each box had the store alone. The lines that settled it are
+//! `sent … to=S cold=0ms store=r17 store_age=9301ms` of a box that is cut, beside
+//! `store: failure domain D is evacuated: true.` of its neighbours 6 s before.
+
+mod harness;
+
+use std::time::Duration;
+
+use harness::cloud::{Cloud, CloudBox, NEWS};
+use petreldrum_standin::registry::{Fault, Registry};
+use tokio::time::sleep;
+
+/// Time for a heartbeat, for the store's own news, which would be soon enough, and to ask.
+const BY_PEERS: Duration = Duration::from_millis(2000);
+
+/// Servers `i-1` and `i-2`; box 0 hears the store, and the later ones in `regions` do not any more.
+async fn cut(regions: &[&str]) -> (Cloud, Registry) {
+    let mut cloud = Cloud::serving(&["i-1", "i-2"]).await;
+    let store = cloud.another_store().await;
+    for region in regions {
+        cloud.add_box(region).await;
+    }
+    cloud.settled().await;
+    sleep(NEWS).await;
+    store.set_fault(Fault::Silent);
+    (cloud, store)
+}
+
+/// The backend servers that ran some requests of a box; an empty name is its own answer.
+async fn serving(process: &CloudBox) -> Vec<String> {
+    let mut names = Vec::new();
+    for number in 0..8 {
+        let answer = process.send("/safe/x", &format!("n{number}"), "").await;
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let ran = answer.status.is_success();
+        let name = text.split(':').next().filter(|_| ran).unwrap_or_default();
+        names.push(name.to_owned());
+    }
+    names.sort();
+    names.dedup();
+    names
+}
+
+#[tokio::test]
+async fn hears_of_servers_by_its_region() {
+    let (mut cloud, store) = cut(&["atl"]).await;
+    let address = cloud.workers["i-1"].address;
+    cloud.register("i-1", address, "atl", "draining");
+    sleep(BY_PEERS).await;
+    assert_eq!(serving(&cloud.boxes[1]).await, ["i-2"], "i-1 is leaving");
+
+    cloud.add_worker("i-3", "atl").await;
+    cloud.registry.remove("servers/i-2");
+    sleep(BY_PEERS).await;
+    assert_eq!(serving(&cloud.boxes[1]).await, ["i-3"], "i-2 is gone");
+
+    let nothing = serde_json::json!({});
+    cloud.registry.put("op/evacuate/atl-a", &nothing);
+    sleep(BY_PEERS).await;
+    assert_eq!(serving(&cloud.boxes[1]).await, [""], "all are evacuated");
+
+    cloud.registry.remove("op/evacuate/atl-a");
+    sleep(BY_PEERS).await;
+    assert_eq!(serving(&cloud.boxes[1]).await, ["i-3"], "and back");
+
+    // The store tells again what the others told before, and more.
+    cloud.register("i-1", address, "atl", "ready");
+    cloud.registry.remove("servers/i-3");
+    store.set_fault(Fault::None);
+    sleep(BY_PEERS + petreldrum::fleet::DOUBT.duration()).await;
+    assert_eq!(serving(&cloud.boxes[1]).await, ["i-1"]);
+}
+
+#[tokio::test]
+async fn hears_of_servers_by_another_region() {
+    let (mut cloud, _store) = cut(&["mcn", "mcn"]).await;
+    cloud.add_worker("i-far", "mcn").await;
+    sleep(BY_PEERS).await;
+    for process in &cloud.boxes[1..] {
+        assert_eq!(serving(process).await, ["i-far"], "its own region serves");
+    }
+    let nothing = serde_json::json!({});
+    cloud.registry.put("op/evacuate/mcn-a", &nothing);
+    sleep(BY_PEERS).await;
+    for process in &cloud.boxes[1..] {
+        let names = serving(process).await;
+        assert!(!names.contains(&"i-far".to_owned()), "{names:?}");
+    }
+}
