Let boxes that the store turns away hear of servers by others

A box cut from the store for 8 s sent on to an evacuated domain, and flooded its servers when they got cold.

Change: heartbeats and digests say how far the sender knows the store (its revision). A box that stays behind another for longer than the store's own news take (0.3 s and the time for gathering; at once where the store is unheard for 4.5 s) asks that box for all that it knows, every 0.5 s at most: one of its region first, of its failure domain where there is one, else one box asks another region. Each of the store's news bears its revision; what is older than what a box knows is dropped, so that news never run backwards when the store is back and tells everything again. The list tells of doubt too, so that it is judged once. `gathering` moves to `fleet`, where the reducer sees it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,7 +6,7 @@
 //! itself and the server may register again.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt,
 };
 
@@ -23,6 +23,19 @@
 /// that live are back about two seconds after the store; the rest covers the way of the news.
 pub const DOUBT: Millis = Millis(2300);
 
+/// How long changes are gathered after some came, for each box of the fleet beyond [`FEW`], and the
+/// most: all boxes together ask the store about 100 times a second at most. News are due within
+/// seconds, and a change that comes alone is not held up.
+const GATHER: (Millis, Millis) = (Millis(12), Millis(1000));
+/// So many boxes cost the store little, and hear of changes at once.
+const FEW: usize = 9;
+
+/// How long a box among `boxes` lets changes of the platform's store gather.
+pub fn gathering(boxes: usize) -> Millis {
+    let more = boxes.saturating_sub(FEW) as u64;
+    Millis(GATHER.0.0.saturating_mul(more)).min(GATHER.1)
+}
+
 /// The platform's store's count of all its changes: how far what a box knows of it goes.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -40,8 +53,12 @@
 pub struct Roster {
     /// The backend servers.
     pub backends: Vec<Backend>,
+    /// How long those of them are believed whose registration is in doubt.
+    pub doubted: BTreeMap<id::Backend, Millis>,
     /// The failure domains under evacuation.
     pub evacuated: BTreeSet<Domain>,
+    /// How far it goes.
+    pub revision: Revision,
 }
 
 /// What became known of the registered backend servers.
@@ -271,6 +288,15 @@
             .collect()
     }
 
+    /// How long each registration that is in doubt is believed from `now` on.
+    pub fn doubted(&self, now: Time) -> BTreeMap<id::Backend, Millis> {
+        let left = |name: &id::Backend| {
+            let until = self.members.get(name)?.missing_until?;
+            Some((name.clone(), until.since(now)))
+        };
+        self.missing.iter().filter_map(left).collect()
+    }
+
     /// What the backend servers serve.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.index.names.keys()
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -387,7 +387,9 @@
                 Ok(roster) => {
                     let (servers, evacuated) = (roster.backends.len(), roster.evacuated.len());
                     log::info!(
-                        "peers: {peer} tells of {servers} backend servers, evacuated={evacuated}"
+                        "peers: {peer} tells of {servers} backend servers, evacuated={evacuated} \
+                         store={}",
+                        roster.revision
                     );
                     handle.tell(Event::Roster(roster));
                 }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -34,12 +34,6 @@
 const HOLD: Duration = Duration::from_secs(3);
 /// The same after a failed call: a store that is still away must not hold up the next call.
 const PROBE_HOLD: Duration = Duration::from_millis(1);
-/// How long changes are gathered after some came, for each box of the fleet beyond [`FEW`], and the
-/// most: all boxes together ask the store about 100 times a second at most. News are due within
-/// seconds, and a change that comes alone is not held up.
-const GATHER: (Duration, Duration) = (Duration::from_millis(12), Duration::from_millis(1000));
-/// So many boxes cost the store little, and hear of changes at once.
-const FEW: usize = 9;
 /// Wait after the first failure in a row, and the longest; each is spread by half.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(400));
 
@@ -97,12 +91,6 @@
     }
 }
 
-/// How long a box among `boxes` lets changes gather.
-pub fn gathering(boxes: usize) -> Duration {
-    let boxes = u32::try_from(boxes.saturating_sub(FEW)).unwrap_or(u32::MAX);
-    GATHER.0.saturating_mul(boxes).min(GATHER.1)
-}
-
 impl Follower {
     async fn read(&mut self, freshness: Freshness) -> Result<(), Error> {
         let asked = Instant::now();
@@ -111,7 +99,7 @@
         let (items, revision) = read?;
         let took = asked.elapsed().as_secs_f64();
         self.metrics.store_seconds.observe(took);
-        self.take_all(items);
+        self.take_all(items, revision);
         self.reached(revision);
         Ok(())
     }
@@ -128,7 +116,7 @@
         self.reached(as_of.max(revision));
         if some {
             let boxes = *self.boxes.borrow();
-            sleep(gathering(boxes)).await;
+            sleep(fleet::gathering(boxes).duration()).await;
         }
         Ok(())
     }
@@ -152,7 +140,7 @@
     }
 
     /// Takes over a full reading.
-    fn take_all(&mut self, items: Vec<Item>) {
+    fn take_all(&mut self, items: Vec<Item>, revision: Revision) {
         let mut backends = Vec::new();
         let mut evacuated = BTreeSet::new();
         let mut config = None;
@@ -170,40 +158,41 @@
             self.configure(value);
         }
         self.evacuated = evacuated;
-        self.core.tell(Event::Evacuated(self.evacuated.clone()));
+        self.tell_evacuated(revision);
         let doubt = self.doubt();
         log::info!(
             "store: read everything: {} backend servers, {} evacuations.",
             backends.len(),
             self.evacuated.len()
         );
-        let list = FleetChange::List { backends, doubt };
-        self.core.tell(Event::Fleet(list));
+        let change = FleetChange::List { backends, doubt };
+        self.core.tell(Event::Fleet { change, revision });
     }
 
     fn take(&mut self, change: Change) {
         match change {
-            Change::Put(item) => match Name::parse(&item.key) {
+            Change::Put { item, revision } => match Name::parse(&item.key) {
                 Some(Name::Config) => self.configure(item.value),
-                Some(Name::Evacuation(domain)) => self.evacuate(domain, true),
+                Some(Name::Evacuation(domain)) => self.evacuate(domain, true, revision),
                 Some(Name::Server(name)) => {
                     if let Some(backend) = self.backend(&name, &item.value) {
                         log::info!(
                             "store: backend server {name}: {}.",
                             if backend.leaving { "leaving" } else { "in use" }
                         );
-                        self.core.tell(Event::Fleet(FleetChange::Put(backend)));
+                        let change = FleetChange::Put(backend);
+                        self.core.tell(Event::Fleet { change, revision });
                     }
                 }
                 None => {}
             },
-            Change::Deleted(key) => match Name::parse(&key) {
-                Some(Name::Evacuation(domain)) => self.evacuate(domain, false),
+            Change::Deleted { key, revision } => match Name::parse(&key) {
+                Some(Name::Evacuation(domain)) => self.evacuate(domain, false, revision),
                 Some(Name::Server(name)) => {
                     let doubt = self.doubt();
                     log::info!("store: backend server {name} vanished, in doubt for {doubt}.");
-                    let gone = FleetChange::Gone { name, doubt };
-                    self.core.tell(Event::Fleet(gone));
+                    let change = FleetChange::Gone { name, doubt };
+                    self.core.tell(Event::Fleet { change, revision });
                 }
                 Some(Name::Config) => log::error!("store: the configuration was deleted."),
                 None => {}
@@ -228,14 +217,19 @@
         }
     }
 
-    fn evacuate(&mut self, domain: Domain, on: bool) {
+    fn evacuate(&mut self, domain: Domain, on: bool, revision: Revision) {
         log::info!("store: failure domain {domain} is evacuated: {on}.");
         if on {
             self.evacuated.insert(domain);
         } else {
             self.evacuated.remove(&domain);
         }
-        self.core.tell(Event::Evacuated(self.evacuated.clone()));
+        self.tell_evacuated(revision);
+    }
+
+    fn tell_evacuated(&self, revision: Revision) {
+        let domains = self.evacuated.clone();
+        self.core.tell(Event::Evacuated { domains, revision });
     }
 
     /// How long what vanishes now may be back: until a while after the store came back.
--- a/src/member.rs
+++ b/src/member.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     config::Version,
+    fleet::Revision,
     id::{BoxName, Incarnation, Region},
     unit::{Millis, Time},
     wire::{Contact, Digest, Door, Frame, Heartbeat, Phase, Short},
@@ -413,6 +414,28 @@
         near.chain(far).max_by_key(|(version, _)| *version)
     }
 
+    /// How far the other live boxes of this region know the platform's store.
+    pub fn revision(&self, now: Time) -> Revision {
+        let near = self.live(now).map(|p| p.last.revision);
+        near.max().unwrap_or_default()
+    }
+
+    /// The ready box of this region that knows the platform's store best, if it knows it beyond
+    /// `known`; one of this box's failure domain goes first.
+    pub fn ahead_here(&self, known: Revision, now: Time) -> Option<&Peer> {
+        let ahead = self.ready(now).filter(|p| p.last.revision > known);
+        ahead.max_by_key(|p| (p.last.contact.domain == self.me.domain, p.last.revision))
+    }
+
+    /// The region that knows the platform's store best, if it knows it beyond `known`.
+    pub fn ahead_elsewhere(&self, known: Revision, now: Time) -> Option<(&Region, &Remote)> {
+        let doors = self
+            .reachable(now)
+            .filter(|(_, r)| !r.digest.doors.is_empty());
+        let ahead = doors.filter(|(_, r)| r.digest.revision > known);
+        ahead.max_by_key(|(_, r)| r.digest.revision)
+    }
+
     /// This box's rank (from 0) among the live of its region for a duty.
     pub fn rank(&self, duty: &str, now: Time) -> usize {
         let mine = weight(&self.me.name, duty);
--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -18,18 +18,17 @@
 /// Part of a cold backend server's rate that is used: boxes may disagree on who sends.
 const SAFETY: f64 = 0.8;
 /// How long a box keeps its share after it should have been heard: one that stood still for less than
-/// [`FREEZE`](super::FREEZE) does not notice, and goes on with it.
+/// [`FREEZE`](super::FREEZE) does not notice, and goes on with it. Longer than the store may be silent
+/// without being taken for lost.
 const KEPT: Millis = Millis(5000);
-/// A store unheard for this long may be cut off, and the other boxes with it: it answers a watch after
-/// 3 s at the latest, and a box of a large fleet asks again after up to 1 s. Below [`KEPT`].
-const STORE_SILENT: Millis = Millis(4500);
 
 impl<P: Policy> State<P> {
     /// What this box may send a second to one cold backend server of `service`.
     ///
     /// Boxes that stop send until they end, so they keep their share: divided among those alone that
     /// take work, a server got 2.5 times its rate while three of four boxes were stopping (`sent`
-    /// lines of a run). A box that just started sends nothing: until it has heard of the others it
+    /// lines of a run). One that hears neither the store nor its neighbours cannot tell whether they are
+    /// dead, and leaves them theirs. A box that just started sends nothing: until it has heard of the others it
     /// would take itself for one of the few, and so would all that start with it.
     fn cold_rate(&self, now: Time, config: &Config, service: &Service) -> Option<Rate> {
         let profile = config.profiles.get(service)?;
@@ -53,13 +52,6 @@
         now >= Time(0) + JOIN_GRACE && self.control.is_awake_for(JOIN_GRACE, now)
     }
 
-    /// Whether the platform's store, where this box follows it, was heard lately. A box that hears
-    /// neither it nor its neighbours cannot tell whether they are dead or cut off from it.
-    fn hears_store(&self, now: Time) -> bool {
-        let lately = |at: Time| now.since(at) <= STORE_SILENT;
-        !self.registry || self.synced.is_some_and(|synced| lately(synced.at))
-    }
-
     /// Whether `backend` is warm, or may get a request for `service` all the same.
     pub(super) fn admits(
         &self,
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -18,6 +18,7 @@
         effect::{Alarm, Effect, Note},
         event::Source,
         heartbeat::GREET_AGAIN,
+        roster::Behind,
     },
     unit::{Millis, Time},
     wire::{Body, Frame, Phase},
@@ -38,6 +39,7 @@
     last_pulse: Option<Time>,
     pub(super) last_denial: Option<Time>,
     pub(super) last_roster: Option<Time>,
+    pub(super) behind: Option<Behind>,
     /// The boxes that hear this one often.
     pub(super) monitors: BTreeSet<SocketAddr>,
     /// When addresses that others named were last greeted.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -210,8 +210,13 @@
     Listed(BTreeSet<SocketAddr>),
     /// Another box told what it knows of the backend servers that register themselves.
     Roster(fleet::Roster),
-    /// Something became known of the backend servers that register themselves.
-    Fleet(fleet::Change),
+    /// The platform's store told of the backend servers that register themselves.
+    Fleet {
+        /// What became known.
+        change: fleet::Change,
+        /// The store's number of it.
+        revision: Revision,
+    },
     /// A model engine told which parts of prompts it has cached.
     Cached {
         /// The engine.
@@ -221,8 +226,13 @@
     },
     /// The platform's store answered, and all its changes up to this one are told.
     Synced(Revision),
-    /// Nothing new may go to the backend servers of these failure domains.
-    Evacuated(BTreeSet<Domain>),
+    /// The platform's store told to which failure domains nothing new may go.
+    Evacuated {
+        /// All of them.
+        domains: BTreeSet<Domain>,
+        /// The store's number of the change.
+        revision: Revision,
+    },
     /// A caller asks which boxes of its region to use.
     Resolve {
         /// The question.
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -123,6 +123,7 @@
             contact: self.table.me.clone(),
             uptime: now,
             version: self.version(),
+            revision: self.revision,
             phase: self.phase(now),
             pace,
             boxes: self.table.live(now).count() as u32,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -93,13 +93,6 @@
     pub registry: bool,
 }
 
-/// How far and since when a box knows the platform's store.
-#[derive(Clone, Copy, Debug)]
-struct Synced {
-    revision: Revision,
-    at: Time,
-}
-
 /// All that a box decides by.
 #[derive(Debug)]
 pub struct State<P> {
@@ -125,8 +118,10 @@
     evacuated: BTreeSet<Domain>,
     /// Whether the backend servers are known.
     supplied: bool,
-    /// The store's last word; none before it, and where no store is followed.
-    synced: Option<Synced>,
+    /// How far the platform's store is known, by its own word or by another box's.
+    revision: Revision,
+    /// When the store's last word came; none before it, and where no store is followed.
+    store_heard: Option<Time>,
     /// Whether backend servers register with the platform.
     registry: bool,
     /// Engines that were asked what they have cached.
@@ -158,7 +153,8 @@
             listed: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             supplied: !identity.registry,
-            synced: None,
+            revision: Revision::default(),
+            store_heard: None,
             registry: identity.registry,
             asked: BTreeSet::new(),
             attempts: 0,
@@ -201,12 +197,14 @@
                 self.drain_all(now, &mut out);
             }
             Event::Roster(roster) => self.take_roster(now, roster, &mut out),
-            Event::Fleet(change) => self.supplied(now, change, &mut out),
-            Event::Synced(revision) => self.synced = Some(Synced { revision, at: now }),
+            Event::Fleet { revision, .. } | Event::Evacuated { revision, .. }
+                if self.is_old(revision) => {}
+            Event::Fleet { change, .. } => self.supplied(now, change, &mut out),
+            Event::Synced(revision) => self.sync(now, revision),
             Event::Cached { backend, parts } => {
                 self.learn_cached(now, &backend, &parts, &mut out);
             }
-            Event::Evacuated(domains) => self.evacuate(now, domains, &mut out),
+            Event::Evacuated { domains, .. } => self.evacuate(now, domains, &mut out),
             Event::Resolve {
                 request,
                 region,
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -4,7 +4,6 @@
 
 use crate::{
     config::{Backend, Config, Plan, Refusal},
-    fleet::Revision,
     id::Region,
     member::Remote,
     policy::{Candidate, Choice, Place, Policy, View},
@@ -59,8 +58,8 @@
                 Place::Backend(name) => self.fleet.cold_left(name, now),
                 Place::Region(_) => Millis(0),
             },
-            revision: self.synced.map_or(Revision(0), |s| s.revision),
-            store_age: self.synced.map_or(Millis(0), |s| now.since(s.at)),
+            revision: self.revision,
+            store_age: self.store_heard.map_or(Millis(0), |at| now.since(at)),
         }
     }
 
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -1,11 +1,15 @@
-//! A box that starts while the store is away takes the list of backend servers from another box.
+//! A box that the platform's store does not tell enough takes what it knows of backend servers from
+//! another box.
 //!
-//! It is a list as good as the other box's own: the store's next one takes its place.
+//! Heartbeats and digests say how far each box knows the store. A box that just started while the
+//! store is away, or that stays behind the others, asks one of them for all that it knows. Such a
+//! list is as good as the other box's own: the store's later news go on from there, and what it tells
+//! again is dropped.
 
 use std::net::SocketAddr;
 
 use crate::{
-    fleet::{Change, Roster},
+    fleet::{self, Change, Revision, Roster},
     policy::Policy,
     reducer::{State, control::Control, effect::Effect},
     unit::{Millis, Time},
@@ -15,24 +19,62 @@
 /// How long the store has for the first list: it answers in a few milliseconds, or in some hundred
 /// from another region or while many boxes start.
 const STORE_FIRST: Millis = Millis(600);
+/// How long the store has for news that another box already has, beyond the time for which a box lets
+/// changes gather: the way from another region, and a store that is slow.
+const LAG: Millis = Millis(300);
 /// How often another box is asked.
 const AGAIN: Millis = Millis(500);
+/// The duty to ask another region on behalf of this one.
+const DUTY: &str = "roster";
+/// A store unheard for this long does not reach this box: it answers a watch after 3 s at the latest,
+/// and a box of a large fleet asks again after up to 1 s.
+const STORE_SILENT: Millis = Millis(4500);
+
+/// What this box does not know of the store yet, though another one does.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Behind {
+    /// How far the other one knew it.
+    revision: Revision,
+    /// When this box heard of that.
+    since: Time,
+}
 
 impl<P: Policy> State<P> {
     /// What this box knows of registered backend servers; none before it knows any list.
     pub fn roster(&self, now: Time) -> Option<Roster> {
         (self.registry && self.supplied).then(|| Roster {
             backends: self.fleet.registered(now),
+            doubted: self.fleet.doubted(now),
             evacuated: self.evacuated.clone(),
+            revision: self.revision,
         })
     }
 
-    /// Asks another box where the store has told nothing yet.
+    /// Notes that the store answered, and that all its changes up to `revision` are told.
+    pub(super) fn sync(&mut self, now: Time, revision: Revision) {
+        self.revision = self.revision.max(revision);
+        self.store_heard = Some(now);
+    }
+
+    /// Whether what the store tells by this number is older than what is known: news never run
+    /// backwards. What has the same number as that is the same, or was missed in a gap of the history.
+    pub(super) fn is_old(&self, revision: Revision) -> bool {
+        self.supplied && revision < self.revision
+    }
+
+    /// Whether the platform's store, where this box follows it, was heard lately.
+    pub(super) fn hears_store(&self, now: Time) -> bool {
+        let lately = |at: Time| now.since(at) <= STORE_SILENT;
+        !self.registry || self.store_heard.is_some_and(lately)
+    }
+
+    /// Asks another box where the store has told nothing yet, or less than that box knows.
     pub(super) fn chase_roster(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if self.supplied || now < Time(0) + STORE_FIRST {
-            return;
-        }
-        let Some(peer) = self.roster_source(now) else {
+        let source = match self.supplied {
+            true => self.newer_roster(now),
+            false => self.first_roster(now),
+        };
+        let Some(peer) = source else {
             return;
         };
         if Control::due(&mut self.control.last_roster, AGAIN, now) {
@@ -41,7 +83,10 @@
     }
 
     /// A box that takes work, so that it has a list: of this region, or of another one.
-    fn roster_source(&self, now: Time) -> Option<SocketAddr> {
+    fn first_roster(&self, now: Time) -> Option<SocketAddr> {
+        if now < Time(0) + STORE_FIRST {
+            return None;
+        }
         let near = self.table.live(now);
         let near = near.filter(|p| p.last.phase == Phase::Ready);
         let far = self.table.reachable(now);
@@ -52,16 +97,54 @@
         boxes.next()
     }
 
+    /// A box that has known more than this one for longer than the store's news take.
+    fn newer_roster(&mut self, now: Time) -> Option<SocketAddr> {
+        let Some((revision, peer)) = self.newest_roster(now) else {
+            self.control.behind = None;
+            return None;
+        };
+        let still = self.control.behind.filter(|b| b.revision > self.revision);
+        let since = now;
+        let behind = still.unwrap_or(Behind { revision, since });
+        self.control.behind = Some(behind);
+        let patience = match self.hears_store(now) {
+            true => LAG + fleet::gathering(self.table.boxes(now)),
+            false => Millis(0),
+        };
+        (now.since(behind.since) >= patience).then_some(peer)
+    }
+
+    /// The box that knows most beyond what this one knows, and how far. One box of a region asks the
+    /// others for all: bytes between regions are few and dear.
+    fn newest_roster(&self, now: Time) -> Option<(Revision, SocketAddr)> {
+        if !self.registry {
+            return None;
+        }
+        if let Some(near) = self.table.ahead_here(self.revision, now) {
+            return Some((near.last.revision, near.last.contact.peer));
+        }
+        if self.table.rank(DUTY, now) > 0 {
+            return None;
+        }
+        let (region, far) = self.table.ahead_elsewhere(self.revision, now)?;
+        let door = self.table.door(region, self.control.digests)?;
+        Some((far.digest.revision, door.contact.peer))
+    }
+
     /// Takes over what another box knows, unless the store was faster.
     pub(super) fn take_roster(&mut self, now: Time, roster: Roster, out: &mut Vec<Effect>) {
-        if self.supplied {
+        if self.supplied && roster.revision <= self.revision {
             return;
         }
+        self.revision = roster.revision;
         self.evacuate(now, roster.evacuated, out);
         let change = Change::List {
             backends: roster.backends,
             doubt: Millis(0),
         };
         self.supplied(now, change, out);
+        for (name, doubt) in roster.doubted {
+            self.supplied(now, Change::Gone { name, doubt }, out);
+        }
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     config::Version,
+    fleet::Revision,
     id::{BoxName, Domain, Incarnation, Region},
     settings::Secret,
     sign,
@@ -73,6 +74,8 @@
     pub uptime: Time,
     /// The configuration it has in force.
     pub version: Version,
+    /// How far it knows the platform's store.
+    pub revision: Revision,
     /// Whether it takes work.
     pub phase: Phase,
     /// When the receiver hears of it again at the latest.
@@ -120,6 +123,8 @@
     pub region: Region,
     /// The newest configuration there.
     pub version: Version,
+    /// How far its boxes know the platform's store.
+    pub revision: Revision,
     /// Some of its boxes, least busy first.
     pub doors: Vec<Door>,
     /// Its boxes.
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -4,6 +4,7 @@
 
 use petreldrum::{
     config::{Config, Envelope, KeyHash, Version},
+    fleet::Revision,
     id::{self, Incarnation},
     policy::Balanced,
     reducer::{
@@ -146,6 +147,7 @@
             contact: contact(size, number),
             uptime: Time(seq * 1000),
             version: Version(1),
+            revision: Revision(1),
             phase: Phase::Ready,
             pace: Millis(500.max(150 * size.region_boxes() as u64)),
             boxes: size.region_boxes() as u32,
@@ -175,6 +177,7 @@
         boxes: 1,
         region: name(format!("region-{region}")),
         version: Version(1),
+        revision: Revision(1),
         doors: doors.collect(),
         services: services.collect(),
         spread,
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -6,7 +6,7 @@
 
 use harness::{
     crowd::{Crowd, TICK},
-    solo::{Solo, caller, sends},
+    solo::{Solo, caller, news, sends},
 };
 use petreldrum::{
     config::{Backend, Config, Draft, KeyHash, Labels, Profile, Version},
@@ -37,7 +37,7 @@
     let config = cold_config(solo.state.config().expect("there is one"), RATE);
     let source = Source::Store;
     solo.step(Event::Offered { config, source });
-    solo.step(Event::Fleet(cold_list(3000)));
+    solo.step(news(cold_list(3000)));
     solo
 }
 
@@ -157,7 +157,7 @@
 
     /// The store tells a box of the server.
     fn hear_store(&mut self, number: usize) {
-        self.crowd.step(number, Event::Fleet(cold_list(60_000)));
+        self.crowd.step(number, news(cold_list(60_000)));
         self.crowd.step(number, Event::Synced(Revision(1)));
     }
 
--- a/tests/engine_caches.rs
+++ b/tests/engine_caches.rs
@@ -4,7 +4,7 @@
 
 use harness::{
     engines::{SHARED, World, engine, target},
-    solo::contact,
+    solo::{contact, news},
 };
 use petreldrum::{
     fleet::Change,
@@ -39,7 +39,7 @@
 fn later_ones_are_new_and_not_asked() {
     let mut world = World::new(vec![]);
     assert!(world.asked(5000).is_empty());
-    world.step(Event::Fleet(Change::Put(engine("late", "ready", 0))));
+    world.step(news(Change::Put(engine("late", "ready", 0))));
     assert!(world.asked(1000).is_empty());
 }
 
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -17,7 +17,7 @@
     unit::{Millis, Time},
 };
 
-use super::solo::{contact, places, sends};
+use super::solo::{contact, news, places, sends};
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/",
     "kind":"streaming","timeoutMs":8000,"targetLatencyMs":1000,"priority":1,"service":"s",
@@ -67,7 +67,7 @@
             backends: engines,
             doubt: Millis(0),
         };
-        world.step(Event::Fleet(list));
+        world.step(news(list));
         world
     }
 
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -1,10 +1,11 @@
 //! One reducer with a hand on its clock.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use petreldrum::{
     config::{Config, Envelope, KeyHash, Version},
-    id::{self, Incarnation},
+    fleet::{Change, Revision},
+    id::{self, Domain, Incarnation},
     platform::Places,
     policy::Balanced,
     reducer::{
@@ -59,6 +60,18 @@
     )
 }
 
+/// The store tells of backend servers.
+pub fn news(change: Change) -> Event {
+    let revision = Revision(1);
+    Event::Fleet { change, revision }
+}
+
+/// The store tells which failure domains are evacuated.
+pub fn evacuated(domains: BTreeSet<Domain>) -> Event {
+    let revision = Revision(1);
+    Event::Evacuated { domains, revision }
+}
+
 pub struct Solo {
     pub state: State<Balanced>,
     pub now: Time,
@@ -153,6 +166,7 @@
             stopping: names.is_empty(),
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
+            revision: Revision(0),
             doors: names.iter().enumerate().map(door).collect(),
             services: vec![capacity],
             spread: false,
--- a/tests/long_prompts.rs
+++ b/tests/long_prompts.rs
@@ -2,8 +2,11 @@
 
 mod harness;
 
-use harness::engines::{World, engine, target};
-use petreldrum::{fleet::Change, prompt::Part, reducer::event::Event};
+use harness::{
+    engines::{World, engine, target},
+    solo::news,
+};
+use petreldrum::{fleet::Change, prompt::Part};
 
 fn part(id: u64, tokens: u32) -> Part {
     Part { id, tokens }
@@ -15,15 +18,15 @@
     let sent = world.prompt(&[part(1, 20_000)]);
     assert_eq!(target(&sent[0]), "long");
     let leaving = engine("long", "draining", 0);
-    world.step(Event::Fleet(Change::Put(leaving)));
-    world.step(Event::Fleet(Change::Put(engine("short", "ready", 0))));
+    world.step(news(Change::Put(leaving)));
+    world.step(news(Change::Put(engine("short", "ready", 0))));
     for id in 10..15 {
         let sent = world.prompt(&[part(id, 300)]);
         assert_eq!(target(&sent[0]), "short");
     }
     // By now all prompts are read, and the streams go on.
     world.pass(500);
-    world.step(Event::Fleet(Change::Put(engine("long", "ready", 0))));
+    world.step(news(Change::Put(engine("long", "ready", 0))));
     world
 }
 
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -195,7 +195,7 @@
 
 #[test]
 fn larger_fleets_gather_for_longer() {
-    use petreldrum::gateway::sync::gathering;
+    let gathering = |boxes| petreldrum::fleet::gathering(boxes).duration();
     assert!(gathering(9).is_zero(), "a few boxes hear at once");
     for boxes in [30, 79, 92, 360, 3000] {
         let pause = gathering(boxes).as_secs_f64();
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -8,7 +8,7 @@
     sync::Arc,
 };
 
-use harness::solo::{contact, places};
+use harness::solo::{contact, evacuated, news, places};
 use petreldrum::{
     config::Backend,
     fleet::Change,
@@ -105,7 +105,7 @@
             backends: all.collect(),
             doubt: Millis(0),
         };
-        world.step(Event::Fleet(list));
+        world.step(news(list));
         world
     }
 
@@ -278,13 +278,13 @@
             0 => {
                 self.leaving.insert(name.clone());
                 let change = Change::Put(backend(&name, true, 0));
-                self.step(Event::Fleet(change));
+                self.step(news(change));
             }
             1 => {
                 self.leaving.insert(name.clone());
                 let name = name.parse().expect("a name");
                 let doubt = Millis(0);
-                self.step(Event::Fleet(Change::Gone { name, doubt }));
+                self.step(news(Change::Gone { name, doubt }));
             }
             2 => {
                 // The box cannot know of the old life's end before it is told.
@@ -295,19 +295,19 @@
                 let until = self.now + Millis(3000);
                 self.cold.insert(name.clone(), (until, Vec::new()));
                 let change = Change::Put(backend(&name, false, 3000));
-                self.step(Event::Fleet(change));
+                self.step(news(change));
                 for name in old {
                     self.leaving.insert(name.clone());
                     let name = name.parse().expect("a name");
                     let doubt = Millis(0);
-                    self.step(Event::Fleet(Change::Gone { name, doubt }));
+                    self.step(news(Change::Gone { name, doubt }));
                 }
             }
             kind => {
                 self.evacuated = kind == 3;
                 let domain: Domain = "atl-a".parse().expect("a name");
                 let domains = self.evacuated.then_some(domain);
-                self.step(Event::Evacuated(domains.into_iter().collect()));
+                self.step(evacuated(domains.into_iter().collect()));
             }
         }
     }
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -16,7 +16,17 @@
 
 use std::time::Duration;
 
-use harness::cloud::{Cloud, CloudBox, NEWS};
+use harness::{
+    cloud::{Cloud, CloudBox, NEWS},
+    crowd::{Crowd, TICK},
+    solo::news,
+};
+use petreldrum::{
+    config::Draft,
+    fleet::{Change, Revision, Roster},
+    reducer::{effect::Effect, event::Event},
+    unit::Millis,
+};
 use petreldrum_standin::registry::{Fault, Registry};
 use tokio::time::sleep;
 
@@ -97,3 +107,76 @@
         assert!(!names.contains(&"i-far".to_owned()), "{names:?}");
     }
 }
+
+/// Two boxes that know the store up to its first change.
+fn pair() -> Crowd {
+    let config = std::sync::Arc::new(Draft::default().finish());
+    let mut pair = Crowd::on_platform(2, config);
+    for number in 0..2 {
+        let list = Change::List {
+            backends: vec![],
+            doubt: Millis(0),
+        };
+        pair.step(number, news(list));
+        pair.step(number, Event::Synced(Revision(1)));
+    }
+    pair.pass(3000);
+    pair
+}
+
+/// How often box 1 asks the other one within a span.
+fn asked(pair: &mut Crowd, millis: u64) -> usize {
+    let mut count = 0;
+    for _ in 0..millis / TICK {
+        pair.now = pair.now + Millis(TICK);
+        let effects = pair.tick();
+        let asks = |(number, effect): &&(usize, Effect)| {
+            *number == 1 && matches!(effect, Effect::FetchRoster { .. })
+        };
+        count += effects.iter().filter(asks).count();
+    }
+    count
+}
+
+#[test]
+fn a_store_that_tells_both_is_not_passed_by() {
+    let mut pair = pair();
+    for revision in 2..20 {
+        pair.step(0, Event::Synced(Revision(revision)));
+        assert_eq!(asked(&mut pair, 200), 0, "the store has some time");
+        pair.step(1, Event::Synced(Revision(revision)));
+        assert_eq!(asked(&mut pair, 800), 0, "it has told");
+    }
+    pair.step(0, Event::Synced(Revision(20)));
+    let often = asked(&mut pair, 3000);
+    assert!((4..=6).contains(&often), "{often} times in 3 s");
+}
+
+#[test]
+fn news_never_run_backwards() {
+    let mut pair = pair();
+    let roster = |revision| {
+        Event::Roster(Roster {
+            revision: Revision(revision),
+            evacuated: ["a".parse().expect("a name")].into(),
+            ..Roster::default()
+        })
+    };
+    let evacuated = |pair: &Crowd| {
+        let state = pair.boxes[1].as_ref().expect("it runs");
+        let known = state.roster(pair.now).expect("it knows a list");
+        (known.evacuated.len(), known.revision)
+    };
+    pair.step(1, roster(12));
+    assert_eq!(evacuated(&pair), (1, Revision(12)));
+    // The store's watch goes on from what it told last, and passes through older states.
+    for (revision, expected) in [(2, 1), (11, 1), (13, 0)] {
+        let domains = [].into();
+        let revision = Revision(revision);
+        pair.step(1, Event::Evacuated { domains, revision });
+        assert_eq!(evacuated(&pair).0, expected, "at {revision}");
+    }
+    pair.step(1, Event::Synced(Revision(13)));
+    pair.step(1, roster(12));
+    assert_eq!(evacuated(&pair), (0, Revision(13)), "an old list is none");
+}
