--- a/src/detector.rs
+++ b/src/detector.rs
@@ -4,7 +4,7 @@
 //! anything for several times their usual pause, the engine or the way to it is gone. Time is counted
 //! in ticks of this box: one that stood still has not listened, and must not blame the engines.
 
-use crate::unit::{Millis, Time};
+use crate::unit::{self, Millis, Time};
 
 /// Streams whose silence tells of a failure. One alone may have been preempted by its engine, which
 /// then reads its prompt anew.
@@ -33,8 +33,7 @@
 
 impl Detector {
     fn usual(&self, now: Time) -> f64 {
-        let age = now.since(self.at).0 as f64 / HALF_LIFE.0 as f64;
-        self.pause * 0.5_f64.powf(age)
+        self.pause * unit::left_after(now.since(self.at), HALF_LIFE)
     }
 
     /// Notes that something came, and the longest pause of a stream since the last note. True where
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -121,11 +121,9 @@
     /// Whether the boxes of `region`, of which none takes work, stopped by plan a short while ago.
     fn stops_by_plan(&self, now: Time, region: &id::Region) -> bool {
         if *region != self.table.me.region {
-            let mut regions = self.table.regions();
-            let remote = regions.find(|(name, _)| *name == region);
-            return remote.is_some_and(|(_, remote)| {
-                remote.digest.stopping && now.since(remote.heard) < RESTART
-            });
+            let remote = self.table.region(region);
+            return remote
+                .is_some_and(|remote| remote.digest.stopping && now.since(remote.heard) < RESTART);
         }
         let stopping =
             |peer: &Peer| peer.last.phase == Phase::Leaving && now.since(peer.heard) < RESTART;
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -60,8 +60,8 @@
     /// One copy is enough, since its receiver passes it on; the turns get round one that is gone,
     /// and a seed finds a region that was replaced whole.
     fn digest_target(&self, now: Time, region: &Region) -> Option<SocketAddr> {
-        let remote = self.table.regions().find(|(name, _)| *name == region);
-        let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
+        let remote = self.table.region(region);
+        let doors = remote.map_or(&[][..], |r| &r.digest.doors);
         let near = |s: &Seed| {
             self.table
                 .peers()
@@ -71,7 +71,7 @@
             Some(seeded) => seeded == region,
             None => s.gossip != self.table.me.gossip && !near(s),
         });
-        let live = remote.is_some_and(|(_, r)| now.since(r.heard) <= self.table.region_suspect());
+        let live = remote.is_some_and(|r| now.since(r.heard) <= self.table.region_suspect());
         let mut targets: Vec<SocketAddr> = doors.iter().map(|d| d.contact.gossip).collect();
         if !live || targets.is_empty() {
             targets.extend(seeds.map(|s| s.gossip));
@@ -145,8 +145,8 @@
     /// Answers a box of another region that took this one for a neighbour: what is known of the
     /// boxes of its region, and a digest of this one.
     pub(super) fn introduce(&mut self, now: Time, stranger: &Contact, out: &mut Vec<Effect>) {
-        let remote = self.table.regions().find(|(r, _)| **r == stranger.region);
-        let doors = remote.map_or(&[][..], |(_, r)| &r.digest.doors);
+        let remote = self.table.region(&stranger.region);
+        let doors = remote.map_or(&[][..], |r| &r.digest.doors);
         let contacts: Vec<Contact> = doors.iter().map(|d| d.contact.clone()).collect();
         let to = stranger.gossip;
         let frame = self.frame(Body::Members(contacts));
--- a/src/server.rs
+++ b/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     detector::Detector,
-    unit::{Millis, Rate, Time},
+    unit::{self, Millis, Rate, Time},
 };
 
 /// Failures in a row that open the breaker.
@@ -129,8 +129,7 @@
 
     /// What is left of something learned at the last answer.
     fn faded(&self, learned: f64, guess: f64, now: Time) -> f64 {
-        let age = now.since(self.heard).0 as f64 / HALF_LIFE.0 as f64;
-        guess + (learned - guess) * 0.5_f64.powf(age)
+        guess + (learned - guess) * unit::left_after(now.since(self.heard), HALF_LIFE)
     }
 
     /// Forgets a part of what was learned before `now`.
@@ -170,8 +169,7 @@
 
     /// Prompt tokens of the requests that likely run there.
     pub fn running_tokens(&self, now: Time) -> f64 {
-        let age = now.since(self.reckoned).0 as f64 / RUN_HALF_LIFE.0 as f64;
-        self.running * 0.5_f64.powf(age)
+        self.running * unit::left_after(now.since(self.reckoned), RUN_HALF_LIFE)
     }
 
     /// Notes that a request with a prompt of `tokens` goes there.
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -48,6 +48,11 @@
     }
 }
 
+/// The part that is left, after `age`, of what halves in `half_life`.
+pub fn left_after(age: Millis, half_life: Millis) -> f64 {
+    0.5_f64.powf(age.0 as f64 / half_life.0 as f64)
+}
+
 impl Add for Millis {
     type Output = Millis;
     fn add(self, other: Millis) -> Millis {
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -6,15 +6,15 @@
 
 use harness::{
     crowd::{Crowd, TICK},
-    solo::{Solo, caller, news, sends},
+    solo::{Solo, arrival, caller, news, sends},
 };
 use petreldrum::{
-    config::{Backend, Config, Draft, KeyHash, Labels, Profile, Version},
+    config::{Backend, Config, Draft, Labels, Profile, Version},
     fleet::{Change, Revision},
-    id::{self, Service},
+    id::Service,
     reducer::{
         effect::Effect,
-        event::{Arrival, Credential, Event, Hop, Key, Source},
+        event::{Event, Source},
     },
     unit::{Millis, Rate, Time},
 };
@@ -197,32 +197,14 @@
                 if self.crowd.frozen.contains(&number) {
                     continue;
                 }
-                let event = self.arrival();
+                self.requests += 1;
+                let event = arrival(self.requests, "a", Some(Millis(400)));
                 let effects = self.crowd.step(number, event);
                 self.serve(effects.into_iter().map(|effect| (number, effect)).collect());
             }
         }
     }
 
-    fn arrival(&mut self) -> Event {
-        self.requests += 1;
-        Event::Arrived(Arrival {
-            tag: None,
-            host: None,
-            prompt: None,
-            draw: 0,
-            runs: None,
-            request: id::Request(self.requests),
-            credential: Credential::Key(KeyHash::of(b"a")),
-            path: "/read/x".to_owned(),
-            model: None,
-            prefix: self.requests,
-            key: Key::Absent,
-            left: Some(Millis(400)),
-            hop: Hop::Direct,
-        })
-    }
-
     /// The server answers at once.
     fn serve(&mut self, mut effects: Vec<(usize, Effect)>) {
         while let Some((number, effect)) = effects.pop() {
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -72,6 +72,25 @@
     Event::Evacuated { domains, revision }
 }
 
+/// A request for `/read` comes from a caller.
+pub fn arrival(number: u64, caller: &str, left: Option<Millis>) -> Event {
+    Event::Arrived(Arrival {
+        tag: None,
+        host: None,
+        prompt: None,
+        draw: 0,
+        runs: None,
+        request: id::Request(number),
+        credential: Credential::Key(KeyHash::of(caller.as_bytes())),
+        path: "/read/x".to_owned(),
+        model: None,
+        prefix: number,
+        key: Key::Absent,
+        left,
+        hop: Hop::Direct,
+    })
+}
+
 pub struct Solo {
     pub state: State<Balanced>,
     pub now: Time,
@@ -182,22 +201,7 @@
 
     pub fn arrive(&mut self, caller: &str, left: Option<u64>) -> Vec<Effect> {
         self.requests += 1;
-        let arrival = Arrival {
-            tag: None,
-            host: None,
-            prompt: None,
-            draw: 0,
-            runs: None,
-            request: id::Request(self.requests),
-            credential: Credential::Key(KeyHash::of(caller.as_bytes())),
-            path: "/read/x".to_owned(),
-            model: None,
-            prefix: self.requests,
-            key: Key::Absent,
-            left: left.map(Millis),
-            hop: Hop::Direct,
-        };
-        self.step(Event::Arrived(arrival))
+        self.step(arrival(self.requests, caller, left.map(Millis)))
     }
 
     pub fn begun(&mut self, send: &Send) {
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -14,6 +14,16 @@
     cloud.boxes[0].send(path, id, "").await.status.is_success()
 }
 
+/// One box whose store was silent for long enough for the held watch to be given up, and for further
+/// calls to be swallowed.
+async fn after_a_silence() -> Cloud {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    cloud.registry.set_fault(Fault::Silent);
+    sleep(std::time::Duration::from_secs(8)).await;
+    cloud.registry.set_fault(Fault::None);
+    cloud
+}
+
 #[tokio::test]
 async fn pages_and_news() {
     let mut cloud = Cloud::serving(&["i-1", "i-2", "i-3", "i-4", "i-5"]).await;
@@ -161,11 +171,7 @@
 
 #[tokio::test]
 async fn news_come_soon_after_a_silence() {
-    let cloud = Cloud::serving(&["i-1"]).await;
-    cloud.registry.set_fault(Fault::Silent);
-    // Long enough for the held watch to be given up, and for further calls to be swallowed.
-    sleep(std::time::Duration::from_secs(8)).await;
-    cloud.registry.set_fault(Fault::None);
+    let cloud = after_a_silence().await;
     cloud.configure(2);
     sleep(std::time::Duration::from_secs(2)).await;
     assert!(served(&cloud, "/v2/x", "a").await, "the change is in force");
@@ -210,10 +216,7 @@
 
 #[tokio::test]
 async fn a_leave_is_heard_soon_after_a_silence() {
-    let cloud = Cloud::serving(&["i-1"]).await;
-    cloud.registry.set_fault(Fault::Silent);
-    sleep(std::time::Duration::from_secs(8)).await;
-    cloud.registry.set_fault(Fault::None);
+    let cloud = after_a_silence().await;
     let address = cloud.workers["i-1"].address;
     cloud.register("i-1", address, "atl", "draining");
     sleep(std::time::Duration::from_secs(2)).await;
