Give what goes to a failed server later its time

Change: only what was sent before it was taken for failed is moved; the detector keeps that moment. An answer that begins at a server taken for failed is told (`peers: backend=S state=heard`); it regained it without a line before.

--- a/src/detector.rs
+++ b/src/detector.rs
@@ -28,7 +28,8 @@
     /// The longest pause of a stream, as of `at`.
     pause: f64,
     at: Time,
-    failed: bool,
+    /// When it was taken for failed, where it still is.
+    failed: Option<Time>,
 }
 
 impl Detector {
@@ -42,7 +43,7 @@
         self.pause = self.usual(now).max(pause.0 as f64);
         self.at = now;
         self.silence = Millis(0);
-        std::mem::take(&mut self.failed)
+        self.failed.take().is_some()
     }
 
     /// Notes that `span` passed in which `streams` were open and brought nothing. True where the
@@ -56,11 +57,15 @@
         let few = if streams > WITNESSES { Millis(0) } else { FEW };
         let usual = Millis((self.usual(now) * PAUSES) as u64);
         let over = self.silence > LEAST.max(usual) + few;
-        over && !std::mem::replace(&mut self.failed, true)
+        let fresh = over && self.failed.is_none();
+        if fresh {
+            self.failed = Some(now);
+        }
+        fresh
     }
 
-    /// Whether the server counts as failed.
-    pub fn has_failed(&self) -> bool {
+    /// When the server was taken for failed, where it still is.
+    pub fn failed_at(&self) -> Option<Time> {
         self.failed
     }
 }
--- a/src/reducer/detect.rs
+++ b/src/reducer/detect.rs
@@ -50,17 +50,17 @@
                 let address = self.fleet.get(name).map(|backend| backend.address);
                 out.extend(address.map(Effect::CloseIdle));
             }
-            if server.has_failed() {
-                failed.push(name.clone());
+            if let Some(at) = server.failed_at() {
+                failed.push((name.clone(), at));
             }
         }
         failed.sort_unstable();
-        for name in failed {
+        for (name, at) in failed {
             let Some(load) = loads.get(&name) else {
                 continue;
             };
             for (request, attempt) in &load.attempts {
-                self.leave_failed(now, *request, *attempt, out);
+                self.leave_failed(now, *request, *attempt, at, out);
             }
         }
     }
@@ -88,17 +88,22 @@
         loads
     }
 
-    /// Moves a request away from a backend server that has failed, where it may go on elsewhere.
+    /// Moves a request away from a backend server that failed at `failed`, where it may go on
+    /// elsewhere. What went there later shows whether it is well again, and gets its time.
     fn leave_failed(
         &mut self,
         now: Time,
         request: id::Request,
         attempt: id::Attempt,
+        failed: Time,
         out: &mut Vec<Effect>,
     ) {
         let Some(held) = self.in_hand(request, attempt) else {
             return;
         };
+        if held.at > failed {
+            return;
+        }
         let job = &self.jobs[&request];
         let may_go = if held.begun {
             job.resumable
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -175,7 +175,7 @@
                 credential,
             } => self.boxes(now, request, &credential, &mut out),
             Event::Gone(request) => self.gone(now, request, &mut out),
-            Event::Begun { request, attempt } => self.begun(now, request, attempt),
+            Event::Begun { request, attempt } => self.begun(now, request, attempt, &mut out),
             Event::Ended {
                 request,
                 attempt,
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -6,7 +6,7 @@
     policy::{Place, Policy},
     reducer::{
         State,
-        effect::{Effect, Reply},
+        effect::{Effect, Note, Reply},
         event::Cause,
         job::{SOON, Spot, Stage},
         key::key_phase,
@@ -47,7 +47,13 @@
         }
     }
 
-    pub(super) fn begun(&mut self, now: Time, request: id::Request, attempt: id::Attempt) {
+    pub(super) fn begun(
+        &mut self,
+        now: Time,
+        request: id::Request,
+        attempt: id::Attempt,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(held) = self.in_hand(request, attempt) else {
             return;
         };
@@ -56,8 +62,9 @@
         };
         if let Spot::Chosen(Place::Backend(name), _) = &held.spot
             && let Some(server) = self.servers.get_mut(name)
+            && server.begin(now.since(held.at), held.expected, held.work, now)
         {
-            server.begin(now.since(held.at), held.expected, held.work, now);
+            out.push(Effect::Noted(Note::Regained(name.clone())));
         }
         if let Stage::Sent { begun, .. } = &mut job.stage {
             *begun = true;
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -105,7 +105,7 @@
             return None;
         };
         if let Place::Backend(name) = &place
-            && self.servers.get(name).is_some_and(Server::has_failed)
+            && self.servers.get(name).and_then(Server::failed_at).is_some()
         {
             return None;
         }
--- a/src/server.rs
+++ b/src/server.rs
@@ -228,9 +228,9 @@
         failed
     }
 
-    /// Whether its streams have been silent for too long.
-    pub fn has_failed(&self) -> bool {
-        self.detector.has_failed()
+    /// When it was taken for failed, where it still is.
+    pub fn failed_at(&self) -> Option<Time> {
+        self.detector.failed_at()
     }
 
     /// Notes an attempt that goes there with `work` prompt tokens to read.
@@ -241,9 +241,9 @@
     }
 
     /// Notes the first byte of an answer after `took`, where `expected` was expected and `work`
-    /// prompt tokens were to be read.
-    pub fn begin(&mut self, took: Millis, expected: Millis, work: u32, now: Time) {
-        self.hear_stream(Millis(0), now);
+    /// prompt tokens were to be read; true where the server was taken for failed until now.
+    pub fn begin(&mut self, took: Millis, expected: Millis, work: u32, now: Time) -> bool {
+        let regained = self.hear_stream(Millis(0), now);
         self.fade(now);
         self.failing -= ERROR_ALPHA * self.failing;
         self.learn(took, expected, work);
@@ -253,6 +253,7 @@
         if self.open_until.take().is_some() {
             self.ramp_from = Some(now);
         }
+        regained
     }
 
     /// Notes the end of an attempt; `took` is given where the answer was whole.
--- a/tests/failed_servers.rs
+++ b/tests/failed_servers.rs
@@ -214,11 +214,11 @@
     let again = sends(&effects);
     let moved = again.iter().any(|send| send.request == probe.request);
     assert!(!moved, "its answer may begin after 400 ms");
-    solo.begun(&probe);
-    let effects = solo.step(Event::Alive(vec![Sign {
-        backend: Short::of("one"),
-        pause: Millis(40),
-    }]));
+    let (request, attempt) = (probe.request, probe.attempt);
+    let effects = solo.step(Event::Begun { request, attempt });
     let regained = |e: &Effect| matches!(e, Effect::Noted(Note::Regained(_)));
-    assert!(effects.iter().any(regained), "it is well");
+    assert!(
+        effects.iter().any(regained),
+        "it is well, and the log says so"
+    );
 }
