--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -19,7 +19,7 @@
 const SAFETY: f64 = 0.8;
 /// How long a box keeps its share after it should have been heard: one that stood still for less than
 /// [`FREEZE`](super::FREEZE) does not notice, and goes on with it. Longer than the store may be silent
-/// without being taken for lost.
+/// before it counts as lost, so that a box that is cut off from everything never takes more.
 const KEPT: Millis = Millis(5000);
 
 impl<P: Policy> State<P> {
@@ -27,9 +27,9 @@
     ///
     /// Boxes that stop send until they end, so they keep their share: divided among those alone that
     /// take work, a server got 2.5 times its rate while three of four boxes were stopping (`sent`
-    /// lines of a run). One that hears neither the store nor its neighbours cannot tell whether they are
-    /// dead, and leaves them theirs. A box that just started sends nothing: until it has heard of the others it
-    /// would take itself for one of the few, and so would all that start with it.
+    /// lines of a run). A box that hears neither the store nor its neighbours cannot tell whether they
+    /// are dead, and leaves them theirs. A box that just started sends nothing: until it has heard of
+    /// the others it would take itself for one of the few, and so would all that start with it.
     fn cold_rate(&self, now: Time, config: &Config, service: &Service) -> Option<Rate> {
         let profile = config.profiles.get(service)?;
         let rate = profile.cold_rate?;
