Ask the table for the ready boxes where it knows them

Found by reading the whole change: the search for a first list of servers filtered live boxes by their phase, which `Table::ready` does. Behaviour unchanged.

--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -13,7 +13,6 @@
     policy::Policy,
     reducer::{State, control::Control, effect::Effect},
     unit::{Millis, Time},
-    wire::Phase,
 };
 
 /// How long the store has for the first list: it answers in a few milliseconds, or in some hundred
@@ -87,8 +86,7 @@
         if now < Time(0) + STORE_FIRST {
             return None;
         }
-        let near = self.table.live(now);
-        let near = near.filter(|p| p.last.phase == Phase::Ready);
+        let near = self.table.ready(now);
         let far = self.table.reachable(now);
         let far = far.flat_map(|(_, remote)| &remote.digest.doors);
         let mut boxes = near
