Take servers for cold where a box hears nobody

Cause: a box cut from the store and from all boxes that it knew went on at full speed by what it knew. Where its domain was evacuated meanwhile it sent a cold server 23 requests in a second, 17.5 allowed. Change: such a box takes every server that has a cold rate for cold, and sends its share of that rate. A box that never had others, and boxes that hear each other, go on as before. A line tells when it begins and ends.

--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -52,6 +52,20 @@
         now >= Time(0) + JOIN_GRACE && self.control.is_awake_for(JOIN_GRACE, now)
     }
 
+    /// Whether this box hears nobody, neither the store nor any box that it knew: a domain may be under
+    /// evacuation, and its servers cold, without its knowledge. A box that never had others, or a
+    /// region whose boxes hear each other, is not cut off in this sense.
+    pub(super) fn hears_nobody(&self, now: Time) -> bool {
+        let had_others = self.table.peers().next().is_some();
+        had_others && !self.hears_store(now) && self.table.live(now).next().is_none()
+    }
+
+    /// Whether `name` is cold, as far as this box can know. One that hears nobody takes all servers for
+    /// cold: a cold server got 23 requests in a second from one such box, where 17.5 were allowed.
+    fn counts_as_cold(&self, now: Time, name: &id::Backend) -> bool {
+        self.fleet.is_cold(name, now) || self.hears_nobody(now)
+    }
+
     /// Whether `backend` is warm, or may get a request for `service` all the same.
     pub(super) fn admits(
         &self,
@@ -60,7 +74,7 @@
         service: &Service,
         backend: &Backend,
     ) -> bool {
-        if !self.fleet.is_cold(&backend.name, now) {
+        if !self.counts_as_cold(now, &backend.name) {
             return true;
         }
         let Some(rate) = self.cold_rate(now, config, service) else {
@@ -72,7 +86,7 @@
 
     /// Counts a request to `name` against its rate while it is cold.
     pub(super) fn charge_cold(&mut self, now: Time, service: &Service, name: &id::Backend) {
-        if !self.fleet.is_cold(name, now) {
+        if !self.counts_as_cold(now, name) {
             return;
         }
         let config = self.config.as_deref();
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -52,6 +52,8 @@
     fetching: Option<(Version, Time)>,
     unreadable: Option<Version>,
     told: Option<Alarm>,
+    /// Whether the box heard nobody when it last looked.
+    alone: bool,
     /// The boxes and regions that were live when they were last looked at.
     live: (BTreeSet<BoxName>, BTreeSet<Region>),
 }
@@ -129,6 +131,7 @@
         if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
         }
+        self.note_alone(now, out);
         self.chase_roster(now, out);
         self.ask_caches(now, out);
         self.detect_failed(now, out);
@@ -154,6 +157,20 @@
         out.extend(notes.map(Effect::Noted));
     }
 
+    /// Tells when this box stops or begins to hear anybody.
+    fn note_alone(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let alone = self.hears_nobody(now);
+        if alone != self.control.alone {
+            self.control.alone = alone;
+            let note = if alone {
+                Note::Alone
+            } else {
+                Note::Accompanied
+            };
+            out.push(Effect::Noted(note));
+        }
+    }
+
     /// Takes or leaves the duty to watch the store.
     fn elect(&mut self, now: Time, out: &mut Vec<Effect>) {
         let watch = self.table.rank("watch", now) < WATCHERS;
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -191,6 +191,10 @@
     Failed(id::Backend),
     /// A backend server that had failed brings something again.
     Regained(id::Backend),
+    /// This box hears neither the store nor another box: servers count as cold until it does.
+    Alone,
+    /// It hears one of them again.
+    Accompanied,
 }
 
 impl fmt::Display for Note {
@@ -202,6 +206,8 @@
             Self::Unreached(region) => write!(f, "region={region} state=silent"),
             Self::Failed(name) => write!(f, "backend={name} state=silent"),
             Self::Regained(name) => write!(f, "backend={name} state=heard"),
+            Self::Alone => f.write_str("all state=silent store=silent cold=assumed"),
+            Self::Accompanied => f.write_str("all state=heard"),
         }
     }
 }
