--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -168,6 +168,10 @@
 }
 
 impl BoxProcess {
+    pub fn pid(&self) -> u32 {
+        self.child.id().expect("the process runs")
+    }
+
     pub fn signal(&self, name: Signal) {
         signal(&self.child, name);
     }
