--- a/tests/harness/crowd.rs
+++ b/tests/harness/crowd.rs
@@ -13,7 +13,7 @@
     },
     settings::Seed,
     unit::{Millis, Time},
-    wire::Frame,
+    wire::{Contact, Frame},
 };
 
 use super::solo::{address, contact};
@@ -42,6 +42,8 @@
     numbers: HashMap<SocketAddr, usize>,
     config: Arc<Config>,
     registry: bool,
+    /// Failure domains, one or two; the boxes take turns.
+    domains: usize,
     /// When each box started: its clock begins there.
     started: Vec<Time>,
 }
@@ -49,15 +51,20 @@
 impl Crowd {
     /// Boxes with an empty configuration, which just started.
     pub fn new(size: usize) -> Self {
-        Self::start(size, Arc::new(Draft::default().finish()), false)
+        Self::start(size, Arc::new(Draft::default().finish()), false, 1)
     }
 
     /// Boxes on a platform where backend servers register themselves, which just started.
     pub fn on_platform(size: usize, config: Arc<Config>) -> Self {
-        Self::start(size, config, true)
+        Self::start(size, config, true, 1)
     }
 
-    fn start(size: usize, config: Arc<Config>, registry: bool) -> Self {
+    /// The same in two failure domains.
+    pub fn in_two_domains(size: usize, config: Arc<Config>) -> Self {
+        Self::start(size, config, true, 2)
+    }
+
+    fn start(size: usize, config: Arc<Config>, registry: bool, domains: usize) -> Self {
         let numbers = (0..size).map(|number| (address(port(number) + 2), number));
         let mut crowd = Self {
             now: Time(0),
@@ -69,6 +76,7 @@
             numbers: numbers.collect(),
             config,
             registry,
+            domains,
             started: vec![Time(0); size],
         };
         for number in 0..size {
@@ -79,8 +87,12 @@
 
     /// Starts a box anew.
     pub fn launch(&mut self, number: usize) {
+        let domain = ["a", "b"][number % self.domains];
         let identity = Identity {
-            contact: contact(&name(number), "perth", port(number)),
+            contact: Contact {
+                domain: domain.parse().expect("a name"),
+                ..contact(&name(number), "perth", port(number))
+            },
             incarnation: Incarnation(7 + self.now.0),
             seeds: vec![Seed {
                 region: None,
