Add up how a region uses its servers at two hubs a failure domain

Cause: heartbeats of all to all come every 150 ms times the boxes of a region, so load is 3.75 s old at 26 boxes and 15 s old at a hundred, and each box finds out by three tries of its own that a server is gone. Change: every 200 ms boxes tell the two hubs of their domain what they use, who answered and who could not be reached; hubs tell the sums. What several boxes cannot reach, and answers none, is left alone but for single looks. Each request without a long prompt draws two servers with free slots, since boxes that hear the same would choose the same.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -62,7 +62,7 @@
 }
 
 /// What became known of the registered backend servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Change {
     /// All of them.
     List {
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -2,7 +2,9 @@
 //!
 //! What stands here is a hint: it steers routing and never carries a promise.
 
+mod hubs;
 mod peer;
+mod tally;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, hash_map::Entry},
@@ -18,9 +20,11 @@
     wire::{Contact, Digest, Door, Frame, Heartbeat, Phase, Short},
 };
 
+pub use hubs::Hubs;
 pub use peer::{Peer, Remote, Stage, Suspicion};
 
 use peer::MISSED;
+use tally::Tally;
 
 /// Shortest time between two heartbeats.
 pub const HEARTBEAT: Millis = Millis(500);
@@ -63,6 +67,7 @@
     busy: HashMap<Short, u32>,
     /// Addresses that live boxes tell of as leaving, and how many tell so.
     listed: HashMap<SocketAddr, u32>,
+    tally: Tally,
 }
 
 impl Table {
@@ -76,6 +81,7 @@
             seen: HashMap::new(),
             busy: HashMap::new(),
             listed: HashMap::new(),
+            tally: Tally::default(),
         }
     }
 
@@ -270,10 +276,18 @@
     }
 
     /// Work that the other boxes of this region have in hand at a backend server.
-    pub fn busy(&self, backend: Short) -> u32 {
+    pub fn busy(&self, backend: Short, now: Time) -> u32 {
+        if self.knows_usages(now) {
+            return self.tally.busy(backend);
+        }
         self.busy.get(&backend).copied().unwrap_or(0)
     }
 
+    /// The box of this region called `name`.
+    pub fn peer(&self, name: &BoxName) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
     /// The boxes of this region that were heard lately, without this one.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |p| p.is_live(now))
@@ -327,14 +341,19 @@
         doors.get(index)
     }
 
-    /// The newest configuration that another box has told of, and where it may be fetched.
+    /// The newest configuration that another box has told of, and where it may be fetched: of several
+    /// boxes in this one's failure domain, and the boxes of a domain choose differently.
     pub fn newest(&self, now: Time) -> Option<(Version, &Contact)> {
         let near = self.live(now).map(|p| (p.last.version, &p.last.contact));
         let far = self.reachable(now).filter_map(|(_, r)| {
             let door = r.digest.doors.first()?;
             Some((r.digest.version, &door.contact))
         });
-        near.chain(far).max_by_key(|(version, _)| *version)
+        let mine = self.me.name.as_str();
+        near.chain(far).max_by_key(|(version, contact)| {
+            let here = contact.domain == self.me.domain;
+            (*version, here, weight(&contact.name, mine))
+        })
     }
 
     /// How far the other live boxes of this region know the platform's store.
--- /dev/null
+++ b/src/member/tally.rs
@@ -0,0 +1,133 @@
+//! How the boxes of a region use its backend servers, told several times a second.
+//!
+//! Load pattern: a region of many boxes before few servers. Of a hundred boxes each sees seven requests
+//! a second, next to nothing of what a server gets, and the heartbeats of all to all come only every
+//! 15 s, since their bytes must stay bounded. Placed by such old word, requests pile up at one server
+//! while others are free, and each box finds out by itself that a server is gone.
+//!
+//! So two boxes of each failure domain, its hubs, gather what its boxes see, exchange the sums with the
+//! hubs of the other domains, and tell the boxes the sums of the region. The messages of a box don't
+//! grow with the region, and few bytes leave a failure domain.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::{
+    id::{BoxName, Domain},
+    unit::{Millis, Time},
+    wire::{Share, Short, Usage},
+};
+
+/// Word older than this is not used: five messages were missed.
+const FRESH: Millis = Millis(1000);
+/// So many boxes must have missed a server before the others leave it alone: one alone may be cut off
+/// itself.
+const WITNESSES: u32 = 2;
+
+/// What was told at some moment.
+#[derive(Debug)]
+struct Told {
+    usages: Vec<Usage>,
+    at: Time,
+}
+
+impl Told {
+    fn is_fresh(&self, now: Time) -> bool {
+        now.since(self.at) <= FRESH
+    }
+}
+
+/// What a box knows of the use of its region's backend servers.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    /// At a hub, what the boxes of its failure domain told.
+    reports: HashMap<BoxName, Told>,
+    /// At a hub, the sums of the other failure domains.
+    shares: BTreeMap<Domain, Told>,
+    /// The sums of the region, this box included, and when they came.
+    sums: HashMap<Short, Usage>,
+    summed: Option<Time>,
+    /// This box's own work at each server as it was told last: the sums hold it.
+    mine: HashMap<Short, u32>,
+}
+
+fn add(sums: &mut HashMap<Short, Usage>, usages: &[Usage]) {
+    for usage in usages {
+        let nothing = Usage {
+            busy: 0,
+            answered: 0,
+            unreachable: 0,
+            ..*usage
+        };
+        let sum = sums.entry(usage.backend).or_insert(nothing);
+        sum.busy += usage.busy;
+        sum.answered += usage.answered;
+        sum.unreachable += usage.unreachable;
+    }
+}
+
+impl Tally {
+    /// Notes what this box tells of its own use.
+    pub(super) fn tell(&mut self, usages: &[Usage]) {
+        self.mine = usages.iter().map(|u| (u.backend, u.busy)).collect();
+    }
+
+    /// At a hub, takes what a box of its failure domain told.
+    pub(super) fn report(&mut self, from: BoxName, usages: Vec<Usage>, now: Time) {
+        self.reports.insert(from, Told { usages, at: now });
+    }
+
+    /// At a hub, takes the sums of another failure domain.
+    pub(super) fn share(&mut self, share: Share, now: Time) {
+        let told = Told {
+            usages: share.usages,
+            at: now,
+        };
+        self.shares.insert(share.domain, told);
+    }
+
+    /// Takes the sums of the region.
+    pub(super) fn take(&mut self, shares: &[Share], now: Time) {
+        self.sums.clear();
+        for share in shares {
+            add(&mut self.sums, &share.usages);
+        }
+        self.summed = Some(now);
+    }
+
+    /// At a hub of `domain`, the sums of each failure domain, its own first.
+    pub(super) fn sum_up(&mut self, domain: &Domain, now: Time) -> Vec<Share> {
+        self.reports.retain(|_, told| told.is_fresh(now));
+        self.shares.retain(|_, told| told.is_fresh(now));
+        let mut own = HashMap::new();
+        for told in self.reports.values() {
+            add(&mut own, &told.usages);
+        }
+        let own = Share {
+            domain: domain.clone(),
+            usages: own.into_values().collect(),
+        };
+        let others = self.shares.iter().map(|(domain, told)| Share {
+            domain: domain.clone(),
+            usages: told.usages.clone(),
+        });
+        std::iter::once(own).chain(others).collect()
+    }
+
+    /// Whether the sums are fresh.
+    pub(super) fn is_fresh(&self, now: Time) -> bool {
+        self.summed.is_some_and(|at| now.since(at) <= FRESH)
+    }
+
+    /// Attempts that the other boxes have in hand at `backend`.
+    pub(super) fn busy(&self, backend: Short) -> u32 {
+        let all = self.sums.get(&backend).map_or(0, |sum| sum.busy);
+        let mine = self.mine.get(&backend).copied().unwrap_or(0);
+        all.saturating_sub(mine)
+    }
+
+    /// Whether several boxes could not reach `backend` and it answered none.
+    pub(super) fn is_down(&self, backend: Short) -> bool {
+        let sum = self.sums.get(&backend);
+        sum.is_some_and(|sum| sum.answered == 0 && sum.unreachable >= WITNESSES)
+    }
+}
--- a/src/policy/balanced.rs
+++ b/src/policy/balanced.rs
@@ -21,7 +21,7 @@
     let crowd = first * candidate.load.min(1.0);
     let cold = if candidate.warm { 0 } else { COLD_PREFILL.0 };
     let failure = candidate.failing * FAILURE.0 as f64;
-    let fixed = candidate.wait + candidate.hop + candidate.burden;
+    let fixed = candidate.wait + candidate.risk + candidate.hop + candidate.burden;
     (fixed.0 + cold) as f64 + first + crowd + failure
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -37,6 +37,10 @@
     pub free: u32,
     /// Work in hand as a share of the slots.
     pub load: f64,
+    /// Expected wait for a slot that others may have taken since the last word.
+    pub risk: Millis,
+    /// Time between two slots that get free there.
+    pub step: Millis,
     /// Expected wait for a slot.
     pub wait: Millis,
     /// Expected time to the first byte once a slot is free.
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -44,6 +44,11 @@
     pub(super) monitors: BTreeSet<SocketAddr>,
     /// When addresses that others named were last greeted.
     pub(super) greeted: HashMap<SocketAddr, Time>,
+    pub(super) last_tally: Option<Time>,
+    /// Whether this box had nothing to tell of backend servers last, and whether its region had.
+    pub(super) idle: bool,
+    pub(super) idle_region: bool,
+    pub(super) last_word: Option<Time>,
     last_digest: Option<Time>,
     pub(super) digests: u64,
     heard: bool,
@@ -131,6 +136,7 @@
         if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
         }
+        self.tell_usages(now, out);
         self.note_alone(now, out);
         self.chase_roster(now, out);
         self.ask_caches(now, out);
@@ -237,6 +243,9 @@
             Body::Holdings(holdings) => self.learn_holdings(now, holdings),
             Body::Members(contacts) => self.meet(now, contacts, out),
             Body::Silent(silent) => self.hear_silent(now, silent, out),
+            Body::Usages(usages) => self.hear_usages(now, &frame.from, usages),
+            Body::Tally(tally) => self.hear_tally(now, &frame.from, tally),
+            Body::News(_) => {}
             Body::Digest(_) => {}
         }
         self.chase(now, out);
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -124,12 +124,13 @@
             };
             let mut servers = 0;
             for backend in self.fleet.serving(service, &self.table.me.region) {
-                if self.excluded(now, backend).is_some() {
+                let down = self.table.is_down(Short::of(backend.name.as_str()), now);
+                if down || self.excluded(now, backend).is_some() {
                     continue;
                 }
                 let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
                 total.slots += server.slots(backend.slots, now);
-                total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()));
+                total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()), now);
                 total.first.0 += server.first_token(0, now).0;
                 total.whole.0 += server.whole().0;
                 servers += 1;
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -10,6 +10,7 @@
 //! | `cold` | the rate of cold backend servers, and this box's share of it |
 //! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
+//! | `tally` | how the region uses its backend servers, told through hubs |
 //! | `reading` | long prompts, and what the boxes tell each other of them |
 //! | `stall` | attempts that stay silent for too long |
 //! | `detect` | backend servers that failed without a word |
@@ -41,6 +42,7 @@
 mod roster;
 mod stall;
 pub mod status;
+mod tally;
 
 use std::{
     collections::{BTreeSet, HashMap},
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -219,6 +219,9 @@
             (Spot::Chosen(Place::Backend(name), _), Cause::Errored) => {
                 self.servers.entry(name.clone()).or_default().err(now);
             }
+            (Spot::Chosen(Place::Backend(name), _), Cause::Unreachable) => {
+                self.servers.entry(name.clone()).or_default().miss(now);
+            }
             (Spot::Chosen(Place::Backend(name), _), Cause::Silent) => {
                 self.servers.entry(name.clone()).or_default().stall(now);
             }
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::{
+    cache,
     config::{Backend, Config, Plan, Refusal},
     id::Region,
     member::Remote,
@@ -20,6 +21,12 @@
     wire::Short,
 };
 
+/// Servers that are drawn for a request. The least busy of two gets no more than twice its part of the
+/// requests while word of its load is on the way.
+const DRAWN: usize = 2;
+/// What the others are put behind by, in the times after which a slot gets free at them.
+const HANDICAP: u64 = 2;
+
 /// A policy's choice and what it chose from.
 pub(super) struct Decision {
     pub(super) choice: Choice,
@@ -35,6 +42,15 @@
     Barred(Bar),
 }
 
+/// A number that is drawn anew for each request and place.
+fn drawn(draw: u64, place: &Place) -> u64 {
+    let name = match place {
+        Place::Backend(name) => name.as_str(),
+        Place::Region(region) => region.as_str(),
+    };
+    xxhash_rust::xxh3::xxh3_64_with_seed(name.as_bytes(), draw)
+}
+
 impl<P: Policy> State<P> {
     /// What the choice of `place` among `candidates` rests on.
     pub(super) fn basis(&self, now: Time, job: &Job, place: &Place, among: &[Candidate]) -> Basis {
@@ -111,6 +127,7 @@
             .filter(|b| self.excluded(now, b).is_none())
             .filter(|b| self.admits(now, config, &plan.service, b))
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
+            .filter(|b| !self.is_shunned(now, b, job.ask.draw))
             .collect();
         let shared = job.prompt.as_ref().and_then(Prompt::longest);
         let prefix = shared.map_or(job.prefix, |part| part.id);
@@ -130,7 +147,7 @@
         for backend in &usable {
             let server = self.servers.get(&backend.name).unwrap_or(&fresh);
             let slots = server.slots(backend.slots, now);
-            let busy = server.busy + self.table.busy(Short::of(backend.name.as_str()));
+            let busy = server.busy + self.table.busy(Short::of(backend.name.as_str()), now);
             // What the others told is old: each box may always use its own share.
             let share = (slots / boxes as u32).max(1);
             let free = slots
@@ -159,6 +176,8 @@
                 home: mine == home,
                 free,
                 load: f64::from(busy) / f64::from(slots),
+                risk: Millis(0),
+                step: Millis(server.whole().0 / u64::from(slots)),
                 wait,
                 first,
                 hop: Millis(0),
@@ -168,6 +187,7 @@
                 burden,
             });
         }
+        self.draw(now, job, found);
     }
 
     #[allow(clippy::too_many_arguments)]
@@ -209,6 +229,8 @@
             home: region == home,
             free,
             load: f64::from(busy) / f64::from(slots),
+            risk: Millis(0),
+            step: Millis(capacity.whole.0 / u64::from(slots)),
             wait,
             first,
             burden,
@@ -219,6 +241,22 @@
         })
     }
 
+    /// Draws a few of the servers of `found` with free slots for this request, and gives the others a
+    /// handicap: the boxes of a region hear the same of the servers at the same moment, and would all
+    /// choose the one that was least busy then.
+    fn draw(&self, now: Time, job: &Job, found: &mut [Candidate]) {
+        let long = job.prompt.as_ref().and_then(Prompt::longest);
+        // Who reads long prompts is told at once, and what is cached decides where they go.
+        if !self.table.knows_usages(now) || long.is_some_and(|part| part.tokens >= cache::LONG) {
+            return;
+        }
+        let mut open: Vec<&mut Candidate> = found.iter_mut().filter(|c| c.free > 0).collect();
+        open.sort_by_key(|c| drawn(job.ask.draw, &c.place));
+        for candidate in open.into_iter().skip(DRAWN) {
+            candidate.risk = Millis(candidate.step.0 * HANDICAP);
+        }
+    }
+
     pub(super) fn leaving(&self, backend: &Backend) -> bool {
         backend.leaving
             || self.evacuated.contains(&backend.domain)
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -174,7 +174,7 @@
                     name: b.name.clone(),
                     used: excluded.is_none(),
                     reason: reason(excluded).to_owned(),
-                    busy: server.busy + self.table.busy(Short::of(b.name.as_str())),
+                    busy: server.busy + self.table.busy(Short::of(b.name.as_str()), now),
                     slots: server.slots(b.slots, now),
                     first: server.first(),
                 }
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,6 +3,7 @@
 use crate::{
     detector::Detector,
     unit::{self, Millis, Rate, Time},
+    wire::{Short, Usage},
 };
 
 /// Failures in a row that open the breaker.
@@ -13,6 +14,12 @@
 const COOL: Millis = Millis(2000);
 /// How long a server that was full is left alone: about one request of an application.
 const FULL: Millis = Millis(30);
+/// For how long others are told that it answered. Short, so that the answers before a crash do not
+/// hide it.
+const ANSWERED: Millis = Millis(400);
+/// For how long others are told that it could not be reached, where it does not answer meanwhile: they
+/// look again after that.
+const UNREACHABLE: Millis = Millis(2000);
 /// How long a returned server takes to its full share.
 const RAMP: Millis = Millis(3000);
 /// Share of its slots that a returned server gets at once.
@@ -74,6 +81,10 @@
     failing: f64,
     /// When the last answer told something of it.
     heard: Time,
+    /// When its last answer began.
+    answered: Option<Time>,
+    /// When it could not be reached, where it has not answered since.
+    unreachable: Option<Time>,
     /// Requests that it may get while it is cold, and since when they are counted.
     cold_tokens: Option<(f64, Time)>,
     /// Prompt tokens of the requests that run there, as far as they are known.
@@ -99,6 +110,8 @@
             speed: SPEED_GUESS,
             failing: 0.0,
             heard: Time(0),
+            answered: None,
+            unreachable: None,
             cold_tokens: None,
             running: 0.0,
             reckoned: Time(0),
@@ -246,6 +259,8 @@
         let regained = self.hear_stream(Millis(0), now);
         self.fade(now);
         self.failing -= ERROR_ALPHA * self.failing;
+        self.answered = Some(now);
+        self.unreachable = None;
         self.learn(took, expected, work);
         self.first += ALPHA * (took.0 as f64 - self.first);
         self.failures = 0;
@@ -306,6 +321,24 @@
         }
     }
 
+    /// Notes that the server could not be reached.
+    pub fn miss(&mut self, now: Time) {
+        self.fail(now);
+        self.unreachable = Some(now);
+    }
+
+    /// What other boxes are told of it; none where nothing was seen of it lately.
+    pub fn usage(&self, backend: Short, now: Time) -> Option<Usage> {
+        let lately = |at: Option<Time>, span| at.is_some_and(|at| now.since(at) <= span);
+        let usage = Usage {
+            backend,
+            busy: self.busy,
+            answered: lately(self.answered, ANSWERED).into(),
+            unreachable: lately(self.unreachable, UNREACHABLE).into(),
+        };
+        (usage.busy + usage.answered + usage.unreachable > 0).then_some(usage)
+    }
+
     /// Notes that the server has no slot: others sent there too.
     pub fn fill(&mut self, now: Time) {
         self.cool_until = Some(now + FULL);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,12 +1,12 @@
 //! Messages between boxes over nng: postcard, signed with the shared secret.
 
-use std::{fmt, net::SocketAddr};
+use std::{collections::BTreeSet, fmt, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     config::Version,
-    fleet::Revision,
+    fleet::{Change, Revision},
     id::{BoxName, Domain, Incarnation, Region},
     settings::Secret,
     sign,
@@ -65,6 +65,59 @@
     pub busy: u32,
 }
 
+/// What was seen of one backend server in the last moments, by one box or by several.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// The backend server.
+    pub backend: Short,
+    /// Attempts in hand there.
+    pub busy: u32,
+    /// Boxes that it answered lately.
+    pub answered: u32,
+    /// Boxes that could not reach it lately.
+    pub unreachable: u32,
+}
+
+/// How far a hub knows the platform's store by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// The store's last change that it knows of.
+    pub revision: Revision,
+    /// How long ago the store told it.
+    pub age: Millis,
+}
+
+/// What the platform's store told a hub.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// The revision that the changes follow; none where they don't tell all.
+    pub since: Option<Revision>,
+    /// The revision that they lead to.
+    pub until: Revision,
+    /// The changes, in order.
+    pub changes: Vec<Change>,
+    /// All failure domains under evacuation.
+    pub evacuated: BTreeSet<Domain>,
+}
+
+/// What a hub tells several times a second.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// How its region uses backend servers, or its failure domain alone for the hubs of another one.
+    pub shares: Vec<Share>,
+    /// What it knows of the platform's store.
+    pub store: Option<Word>,
+}
+
+/// What the boxes of one failure domain have seen of backend servers, added up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// The failure domain.
+    pub domain: Domain,
+    /// Each backend server that they used.
+    pub usages: Vec<Usage>,
+}
+
 /// What a box tells the boxes of its region.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -175,7 +228,7 @@
 }
 
 /// A message's content.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
     /// Within a region.
     Heartbeat(Heartbeat),
@@ -189,10 +242,17 @@
     Holdings(Vec<Holding>),
     /// Within a region: a box that should be heard is not.
     Silent(Silent),
+    /// To the hubs of its failure domain: what a box has seen of backend servers.
+    Usages(Vec<Usage>),
+    /// From a hub: the sums of its region to the boxes of its failure domain, or those of its failure
+    /// domain to the hubs of another one.
+    Tally(Tally),
+    /// From a hub to the boxes of its failure domain: the platform's store told this.
+    News(News),
 }
 
 /// One message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
     /// The box that made it.
     pub from: BoxName,
