Let hubs follow the platform's store for their failure domain

Change: in regions with hubs these alone follow the store, for 1 s at a time, and pass each change on with the revisions before and after; who misses some asks its hub for all. Word older than 2 s, and a box follows the store itself, within the shortest bound on news, 3 s, also where both hubs die, stand still or are turned away. Hubs announce a new configuration to their domain. Small regions are as before. Ruled out: the word of a hub at the 3 s for which others hold a watch, since its loss would be noticed too late. Tests: store_news, eight, one of them by bolero; only hubs follow, dead, frozen and turned-away ones are replaced within 3 s, nothing runs backwards.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -23,7 +23,7 @@
     policy,
     reducer::{
         Identity, State,
-        effect::{Effect, Entry, Reply, Send as SendOrder},
+        effect::{Effect, Entry, Follow, Reply, Send as SendOrder},
         event::{Event, Source},
         status::{Explanation, Status},
     },
@@ -70,6 +70,8 @@
     pub(crate) duty: watch::Sender<bool>,
     /// Boxes of the fleet.
     pub(crate) boxes: watch::Sender<usize>,
+    /// How the platform's store is followed.
+    pub(crate) follow: watch::Sender<Follow>,
     pub(crate) current: watch::Sender<Option<Current>>,
     pub(crate) identity: Identity,
     pub(crate) policy: policy::Named,
@@ -325,6 +327,7 @@
         metrics.waiting.set(self.state.waiting() as i64);
         metrics.keys.set(self.state.keys() as i64);
         metrics.version.set(self.state.version().0 as i64);
+        metrics.store_revision.set(self.state.revision().0 as i64);
     }
 
     fn carry_out(&mut self, effect: Effect) {
@@ -344,6 +347,10 @@
             Effect::Fetch { peer, version } => self.fetch(peer, version),
             Effect::FetchRoster { peer } => self.fetch_roster(peer),
             Effect::Inventory { backend, address } => self.ask_cached(backend, address),
+            Effect::Follow(follow) => {
+                log::info!("store: followed={follow}");
+                self.parts.follow.send_replace(follow);
+            }
             Effect::Watch(on) => {
                 log::info!(
                     "core: {} the store.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -61,10 +61,9 @@
     config::Version,
     id,
     pin::{self, Pin},
-    platform::store::Client,
     reducer::{
         Identity, TICK,
-        effect::Reply,
+        effect::{Follow, Reply},
         event::{Credential, Event},
     },
     settings::{Interface, Settings},
@@ -291,6 +290,7 @@
         let replay = Arc::new(Replay::default());
         let (duty, duty_seen) = watch::channel(false);
         let (boxes, boxes_seen) = watch::channel(1);
+        let (follow, follow_seen) = watch::channel(Follow::default());
         let (current, current_seen) = watch::channel(None);
         let secret = settings.cluster_secret.clone();
         let core = Handle::start(Parts {
@@ -302,6 +302,7 @@
             metrics: metrics.clone(),
             duty,
             boxes,
+            follow,
             current,
             identity: identity.clone(),
             policy: settings.policy,
@@ -316,7 +317,13 @@
         );
         match settings.interface {
             Interface::Own => follow_own(&settings, &store, &core, &duty_seen),
-            Interface::Platform => follow_platform(&settings, &pool, &core, boxes_seen, &metrics),
+            Interface::Platform => {
+                let duty = sync::Duty {
+                    boxes: boxes_seen,
+                    follow: follow_seen,
+                };
+                sync::start(&pool, &core, &settings, &metrics, duty);
+            }
         }
         if let Some(address) = settings.list {
             tokio::spawn(list::run(address, pool.clone(), core.clone(), duty_seen));
@@ -421,22 +428,6 @@
     tokio::spawn(follow::run(store, core, settings.clone(), duty.clone()));
 }
 
-/// Follows the store of the users' platform.
-fn follow_platform(
-    settings: &Arc<Settings>,
-    pool: &Arc<Pool>,
-    core: &Handle,
-    boxes: watch::Receiver<usize>,
-    metrics: &Arc<Metrics>,
-) {
-    let Some(&address) = settings.stores.first() else {
-        return log::error!("store: no address");
-    };
-    let client = Client::new(address, pool.clone());
-    let (core, settings, metrics) = (core.clone(), settings.clone(), metrics.clone());
-    tokio::spawn(sync::run(client, core, settings, metrics, boxes));
-}
-
 fn identity(settings: &Settings, bound: &Bound) -> Identity {
     let told = settings.advertise;
     Identity {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,8 +1,8 @@
 //! Follows the platform's store: the operator's configuration, the registered backend servers and
 //! the failure domains under evacuation.
 //!
-//! Every box follows it by itself: a stale read of everything, then one watch over all of it, which
-//! the store holds until something changes.
+//! Where the reducer says so: a stale read of everything, then one watch over all of it, which the
+//! store holds until something changes. In large regions hubs follow it for the other boxes.
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
@@ -14,14 +14,17 @@
 use crate::{
     config::Backend,
     fleet::{self, Change as FleetChange, Revision},
-    gateway::{core::Handle, follow, metrics::Metrics},
+    gateway::{core::Handle, dial::Pool, follow, metrics::Metrics},
     id::Domain,
     platform::{
         call::Error,
         record::{self, Name},
         store::{Change, Client, Freshness, Item},
     },
-    reducer::event::{Event, Source},
+    reducer::{
+        effect::Follow,
+        event::{Event, Source},
+    },
     settings::Settings,
     unit::Millis,
 };
@@ -32,6 +35,11 @@
 /// silent takes the watch with it: the box notices, and has the news, within 5 s of the store's
 /// return, which is when the bounds on news begin to count.
 const HOLD: Duration = Duration::from_secs(3);
+/// The same at a hub: others follow the store themselves soon after its word gets old.
+const HUB_HOLD: Duration = Duration::from_secs(1);
+/// How long a hub lets changes gather: a server's notice of its end must be everywhere within 3 s, and
+/// a dozen hubs ask the store 48 times a second at most.
+const HUB_GATHER: Duration = Duration::from_millis(250);
 /// The same after a failed call: a store that is still away must not hold up the next call.
 const PROBE_HOLD: Duration = Duration::from_millis(1);
 /// Wait after the first failure in a row, and the longest; each is spread by half.
@@ -49,49 +57,76 @@
     /// When the store last failed, or came back: what vanishes soon after is in doubt.
     disturbed: Option<Instant>,
     failures: u32,
+    duty: Duty,
+}
+
+/// What the reducer says of how the store is followed.
+pub(crate) struct Duty {
     /// Boxes of the fleet, as far as this one knows.
-    boxes: watch::Receiver<usize>,
+    pub(crate) boxes: watch::Receiver<usize>,
+    /// The way.
+    pub(crate) follow: watch::Receiver<Follow>,
 }
 
 /// Follows the store for as long as the process runs.
-pub(crate) async fn run(
-    client: Client,
-    core: Handle,
-    settings: Arc<Settings>,
-    metrics: Arc<Metrics>,
-    boxes: watch::Receiver<usize>,
+pub(crate) fn start(
+    pool: &Arc<Pool>,
+    core: &Handle,
+    settings: &Arc<Settings>,
+    metrics: &Arc<Metrics>,
+    duty: Duty,
 ) {
-    let mut follower = Follower {
-        client,
-        core,
-        settings,
-        metrics,
+    let Some(&address) = settings.stores.first() else {
+        return log::error!("store: no address");
+    };
+    let follower = Follower {
+        client: Client::new(address, pool.clone()),
+        core: core.clone(),
+        settings: settings.clone(),
+        metrics: metrics.clone(),
         revision: None,
         evacuated: BTreeSet::new(),
         disturbed: None,
         failures: 0,
-        boxes,
+        duty,
     };
+    tokio::spawn(run(follower));
+}
+
+async fn run(mut follower: Follower) {
+    let mut follow = follower.duty.follow.clone();
     let mut freshness = Freshness::Stale;
-    loop {
-        let step = match follower.revision {
-            None => follower.read(freshness).await,
-            Some(revision) => follower.watch(revision).await,
+    while follow.wait_for(|f| *f != Follow::Rest).await.is_ok() {
+        tokio::select! {
+            () = follower.step(&mut freshness) => {}
+            _ = follow.wait_for(|f| *f == Follow::Rest) => {
+                // What happens until it follows the store again is told by hubs.
+                follower.revision = None;
+                freshness = Freshness::Stale;
+            }
+        }
+    }
+}
+
+impl Follower {
+    /// One call, and what comes of it.
+    async fn step(&mut self, freshness: &mut Freshness) {
+        let step = match self.revision {
+            None => self.read(*freshness).await,
+            Some(revision) => self.watch(revision).await,
         };
         match step {
-            Ok(()) => follower.recovered(),
+            Ok(()) => self.recovered(),
             Err(Error::HistoryLost) => {
                 log::warn!("store: its history is lost; reading everything again.");
-                follower.revision = None;
+                self.revision = None;
                 // A stale read may be older than the history.
-                freshness = Freshness::Linearizable;
+                *freshness = Freshness::Linearizable;
             }
-            Err(error) => follower.failed(&error).await,
+            Err(error) => self.failed(&error).await,
         }
     }
-}
 
-impl Follower {
     async fn read(&mut self, freshness: Freshness) -> Result<(), Error> {
         let asked = Instant::now();
         let read = self.client.range(ALL, freshness).await;
@@ -105,7 +140,12 @@
     }
 
     async fn watch(&mut self, revision: Revision) -> Result<(), Error> {
-        let hold = if self.failures > 0 { PROBE_HOLD } else { HOLD };
+        let hub = *self.duty.follow.borrow() == Follow::Hub;
+        let hold = match hub {
+            _ if self.failures > 0 => PROBE_HOLD,
+            true => HUB_HOLD,
+            false => HOLD,
+        };
         let watched = self.client.watch(ALL, revision, hold).await;
         self.count("watch", &watched);
         let (changes, as_of) = watched?;
@@ -115,8 +155,9 @@
         }
         self.reached(as_of.max(revision));
         if some {
-            let boxes = *self.boxes.borrow();
-            sleep(fleet::gathering(boxes).duration()).await;
+            let boxes = *self.duty.boxes.borrow();
+            let alone = fleet::gathering(boxes).duration();
+            sleep(if hub { HUB_GATHER.min(alone) } else { alone }).await;
         }
         Ok(())
     }
@@ -124,7 +165,6 @@
     /// Notes that everything up to `revision` is told.
     fn reached(&mut self, revision: Revision) {
         self.revision = Some(revision);
-        self.metrics.store_revision.set(revision.0 as i64);
         self.core.tell(Event::Synced(revision));
     }
 
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -15,9 +15,10 @@
     policy::Policy,
     reducer::{
         FREEZE, JOIN_GRACE, State, WAKE_GRACE,
-        effect::{Alarm, Effect, Note},
+        effect::{Alarm, Effect, Follow, Note},
         event::Source,
         heartbeat::GREET_AGAIN,
+        news::Gathered,
         roster::Behind,
     },
     unit::{Millis, Time},
@@ -49,6 +50,14 @@
     pub(super) idle: bool,
     pub(super) idle_region: bool,
     pub(super) last_word: Option<Time>,
+    /// How the store is followed.
+    pub(super) follow: Follow,
+    /// What the store told since news was passed on.
+    pub(super) gathered: Gathered,
+    /// When the store itself told something last.
+    pub(super) store_told: Option<Time>,
+    /// When the store told something to a hub last, as far as the hub said so.
+    pub(super) word_heard: Option<Time>,
     last_digest: Option<Time>,
     pub(super) digests: u64,
     heard: bool,
@@ -136,6 +145,7 @@
         if Control::due(&mut self.control.last_digest, period, now) {
             self.report(now, out);
         }
+        self.choose_follow(now, out);
         self.tell_usages(now, out);
         self.note_alone(now, out);
         self.chase_roster(now, out);
@@ -244,8 +254,8 @@
             Body::Members(contacts) => self.meet(now, contacts, out),
             Body::Silent(silent) => self.hear_silent(now, silent, out),
             Body::Usages(usages) => self.hear_usages(now, &frame.from, usages),
-            Body::Tally(tally) => self.hear_tally(now, &frame.from, tally),
-            Body::News(_) => {}
+            Body::Tally(tally) => self.hear_tally(now, &frame.from, tally, out),
+            Body::News(news) => self.hear_news(now, &frame.from, news, out),
             Body::Digest(_) => {}
         }
         self.chase(now, out);
@@ -282,11 +292,24 @@
         self.config = Some(config);
         self.forget_servers();
         out.push(Effect::Adopted(version));
-        self.beat(now, out);
+        self.announce_version(now, out);
         self.report(now, out);
         self.drain_all(now, out);
     }
 
+    /// Lets others hear that a new configuration is in force: all boxes of a small region, and those of
+    /// its failure domain where this box is a hub of a large one, whose other boxes have hubs too.
+    fn announce_version(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.registry || !self.table.has_hubs() {
+            return self.beat(now, out);
+        }
+        if self.control.follow == Follow::Hub {
+            let period = self.table.heartbeat_period();
+            let here = self.table.neighbours(now);
+            self.send_heartbeat(now, period, here, out);
+        }
+    }
+
     /// Takes in what became known of registered backend servers.
     pub(super) fn supplied(&mut self, now: Time, change: Change, out: &mut Vec<Effect>) {
         self.supplied |= matches!(change, Change::List { .. });
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -212,6 +212,28 @@
     }
 }
 
+/// How a box follows the platform's store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Follow {
+    /// For itself alone.
+    #[default]
+    Alone,
+    /// For the boxes of its failure domain.
+    Hub,
+    /// Not at all: hubs pass the news on.
+    Rest,
+}
+
+impl fmt::Display for Follow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Alone => "alone",
+            Self::Hub => "hub",
+            Self::Rest => "rest",
+        })
+    }
+}
+
 /// Everything a box can be told to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -224,6 +246,8 @@
         /// Requests of its service that wait at this box, itself included.
         waiting: usize,
     },
+    /// Follow the platform's store, where backend servers register, in this way from now on.
+    Follow(Follow),
     /// Fetch from another box what it knows of registered backend servers.
     FetchRoster {
         /// The other box's listener.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -16,6 +16,7 @@
 //! | `detect` | backend servers that failed without a word |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
+//! | `news` | who follows the platform's store, and how its news reaches the others |
 //! | `roster` | backend servers that peers tell of while the store is away |
 //! | `heartbeat`, `digest` | what boxes of a region, and regions, tell each other |
 //! | `control` | ticks, messages, the configuration, freezes |
@@ -36,6 +37,7 @@
 mod job;
 mod key;
 mod line;
+mod news;
 mod outcome;
 mod place;
 mod reading;
@@ -201,8 +203,14 @@
             Event::Roster(roster) => self.take_roster(now, roster, &mut out),
             Event::Fleet { revision, .. } | Event::Evacuated { revision, .. }
                 if self.is_old(revision) => {}
-            Event::Fleet { change, .. } => self.supplied(now, change, &mut out),
-            Event::Synced(revision) => self.sync(now, revision),
+            Event::Fleet { change, .. } => {
+                self.gather(&change);
+                self.supplied(now, change, &mut out);
+            }
+            Event::Synced(revision) => {
+                self.pass_news(now, revision, &mut out);
+                self.sync(now, revision);
+            }
             Event::Cached { backend, parts } => {
                 self.learn_cached(now, &backend, &parts, &mut out);
             }
@@ -248,6 +256,11 @@
         self.table.boxes(now)
     }
 
+    /// How far the platform's store is known.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
     /// Requests in hand.
     pub fn busy(&self) -> usize {
         self.jobs.len()
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -53,6 +53,7 @@
     pub(super) fn sync(&mut self, now: Time, revision: Revision) {
         self.revision = self.revision.max(revision);
         self.store_heard = Some(now);
+        self.control.store_told = Some(now);
     }
 
     /// Whether what the store tells by this number is older than what is known: news never run
--- a/src/reducer/tally.rs
+++ b/src/reducer/tally.rs
@@ -48,7 +48,7 @@
         let shares = self.table.sum_up(usages, now);
         let idle = shares.iter().all(|share| share.usages.is_empty());
         let was_idle = std::mem::replace(&mut self.control.idle_region, idle);
-        let store: Option<crate::wire::Word> = None;
+        let store = self.word(now);
         let due = Control::due(&mut self.control.last_word, WORD_PERIOD, now);
         if idle && was_idle && (store.is_none() || !due) {
             return;
@@ -86,8 +86,18 @@
     }
 
     /// Takes the sums that a hub tells.
-    pub(super) fn hear_tally(&mut self, now: Time, from: &BoxName, tally: &Tally) {
-        self.table.hear_tally(from, &tally.shares, now);
+    pub(super) fn hear_tally(
+        &mut self,
+        now: Time,
+        from: &BoxName,
+        tally: &Tally,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.table.hear_tally(from, &tally.shares, now)
+            && let Some(word) = tally.store
+        {
+            self.hear_word(now, from, word, out);
+        }
     }
 
     /// Whether other boxes found that `backend` is gone, and this request is not the one that looks
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -325,6 +325,7 @@
             | Effect::Queued { .. }
             | Effect::Inventory { .. }
             | Effect::FetchRoster { .. }
+            | Effect::Follow(_)
             | Effect::Noted(_)
             | Effect::Forget(_)
             | Effect::Watch(_)
--- /dev/null
+++ b/tests/store_news.rs
@@ -0,0 +1,358 @@
+//! In a large region a few boxes follow the platform's store, and the others hear its news from them.
+//!
+//! Symptom: at 295 boxes calls to the store were the largest price of a day, 9,364 of them.
+//! Cause: each box followed the store by itself, so calls grew as boxes times changes.
+
+mod harness;
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use bolero::check;
+use harness::{
+    crowd::{Crowd, TICK},
+    solo::address,
+};
+use petreldrum::{
+    config::{Backend, Draft, Labels},
+    fleet::{Change, Revision},
+    reducer::{
+        effect::{Effect, Follow},
+        event::Event,
+    },
+    unit::Millis,
+};
+
+/// Boxes of the region, in two failure domains, and of the small one that is fuzzed.
+const BOXES: usize = 30;
+const FEW_BOXES: usize = 8;
+/// Time between two answers of the store to who follows it, in ticks.
+const ANSWER: u64 = 10;
+
+/// The store, as its followers see it.
+#[derive(Default)]
+struct Store {
+    /// What changed, by revision from 1 on.
+    changes: Vec<Change>,
+    /// Boxes that it turns away.
+    away: BTreeSet<usize>,
+}
+
+/// A region of boxes and its store.
+struct Region {
+    crowd: Crowd,
+    store: Store,
+    follow: Vec<Follow>,
+    /// How far each box was told by the store itself.
+    told: Vec<usize>,
+    /// Times that a box asked another for all.
+    fetched: usize,
+    ticks: u64,
+}
+
+fn backend(number: u64, leaving: bool) -> Backend {
+    Backend {
+        name: format!("s{number}").parse().expect("a name"),
+        address: address(100 + number as u16),
+        region: "perth".parse().expect("a name"),
+        domain: "a".parse().expect("a name"),
+        serves: vec!["read".parse().expect("a name")],
+        labels: Labels::default(),
+        slots: 4,
+        price: 0.0,
+        leaving,
+        refusal_header: None,
+        cold: Millis(0),
+    }
+}
+
+fn list() -> Change {
+    Change::List {
+        backends: vec![],
+        doubt: Millis(0),
+    }
+}
+
+impl Region {
+    fn new() -> Self {
+        Self::of(BOXES)
+    }
+
+    fn of(boxes: usize) -> Self {
+        let mut region = Self {
+            crowd: Crowd::in_two_domains(boxes, Arc::new(Draft::default().finish())),
+            store: Store::default(),
+            follow: vec![Follow::Alone; boxes],
+            told: vec![0; boxes],
+            fetched: 0,
+            ticks: 0,
+        };
+        for number in 0..boxes {
+            region.read_all(number);
+        }
+        region.pass(5000);
+        region
+    }
+
+    fn until(&self) -> Revision {
+        Revision(self.store.changes.len() as u64)
+    }
+
+    /// The store tells everything.
+    fn read_all(&mut self, number: usize) {
+        let mut backends = std::collections::BTreeMap::new();
+        for change in &self.store.changes {
+            match change {
+                Change::Put(backend) => {
+                    backends.insert(backend.name.clone(), backend.clone());
+                }
+                Change::Gone { name, .. } => {
+                    backends.remove(name);
+                }
+                Change::List { .. } => {}
+            }
+        }
+        let backends: Vec<Backend> = backends.into_values().collect();
+        let change = match backends.is_empty() {
+            true => list(),
+            false => Change::List {
+                backends,
+                doubt: Millis(0),
+            },
+        };
+        let revision = self.until();
+        self.step(number, Event::Fleet { change, revision });
+        self.step(number, Event::Synced(revision));
+        self.told[number] = self.store.changes.len();
+    }
+
+    /// The store tells what is new to a box that follows it.
+    fn answer(&mut self, number: usize) {
+        if self.follow[number] == Follow::Rest || self.store.away.contains(&number) {
+            return;
+        }
+        let new = self.store.changes[self.told[number]..].to_vec();
+        for (at, change) in new.into_iter().enumerate() {
+            let revision = Revision((self.told[number] + at + 1) as u64);
+            self.step(number, Event::Fleet { change, revision });
+        }
+        self.told[number] = self.store.changes.len();
+        let revision = self.until();
+        self.step(number, Event::Synced(revision));
+    }
+
+    fn step(&mut self, number: usize, event: Event) {
+        let before = self.revision(number);
+        let effects = self.crowd.step(number, event);
+        assert!(self.revision(number) >= before, "news ran backwards");
+        for effect in effects {
+            self.carry_out(number, effect);
+        }
+    }
+
+    fn carry_out(&mut self, number: usize, effect: Effect) {
+        match effect {
+            Effect::Follow(follow) => {
+                let resumes = self.follow[number] == Follow::Rest;
+                self.follow[number] = follow;
+                if resumes && !self.store.away.contains(&number) {
+                    self.read_all(number);
+                }
+            }
+            Effect::FetchRoster { peer } => {
+                self.fetched += 1;
+                let now = self.crowd.now;
+                let other =
+                    (0..self.told.len()).find(|n| address(1000 + 10 * *n as u16 + 1) == peer);
+                let state = other.and_then(|n| self.crowd.boxes[n].as_ref());
+                if let Some(roster) = state.and_then(|state| state.roster(now)) {
+                    self.step(number, Event::Roster(roster));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / TICK {
+            self.crowd.now = self.crowd.now + Millis(TICK);
+            self.ticks += 1;
+            for (number, effect) in self.crowd.tick() {
+                self.carry_out(number, effect);
+            }
+            for number in 0..self.told.len() {
+                if (self.ticks + number as u64).is_multiple_of(ANSWER) {
+                    self.answer(number);
+                }
+            }
+        }
+    }
+
+    fn revision(&self, number: usize) -> Revision {
+        let state = self.crowd.boxes[number].as_ref();
+        state.map_or(Revision(0), |state| state.revision())
+    }
+
+    fn hubs(&self) -> Vec<usize> {
+        let hub = |n: &usize| self.follow[*n] == Follow::Hub && self.crowd.boxes[*n].is_some();
+        (0..self.told.len()).filter(hub).collect()
+    }
+
+    /// A server says that it leaves.
+    fn change(&mut self, number: u64, leaving: bool) {
+        let change = Change::Put(backend(number, leaving));
+        self.store.changes.push(change);
+    }
+
+    /// The live boxes that don't know all that the store told.
+    fn behind(&self) -> Vec<usize> {
+        let until = self.until();
+        let behind = |n: &usize| self.crowd.boxes[*n].is_some() && self.revision(*n) < until;
+        (0..self.told.len()).filter(behind).collect()
+    }
+
+    fn knows_leaving(&self, number: usize, server: u64) -> bool {
+        let state = self.crowd.boxes[number].as_ref().expect("it lives");
+        let roster = state.roster(self.crowd.now).expect("it knows a list");
+        let name = backend(server, true).name;
+        roster.backends.iter().any(|b| b.name == name && b.leaving)
+    }
+}
+
+#[test]
+fn only_hubs_follow() {
+    let region = Region::new();
+    let followers = region.follow.iter().filter(|f| **f != Follow::Rest);
+    assert_eq!(followers.count(), 4, "two of each failure domain");
+    assert_eq!(region.hubs().len(), 4);
+}
+
+#[test]
+fn small_regions_have_none() {
+    let mut crowd = Crowd::on_platform(3, Arc::new(Draft::default().finish()));
+    let mut followed = Vec::new();
+    for _ in 0..100 {
+        crowd.now = crowd.now + Millis(TICK);
+        followed.extend(crowd.tick());
+    }
+    assert!(!followed.iter().any(|(_, e)| matches!(e, Effect::Follow(_))));
+}
+
+#[test]
+fn news_reach_all_boxes_at_once() {
+    let mut region = Region::new();
+    region.change(1, false);
+    region.pass(2000);
+    region.change(1, true);
+    // A hub hears of it within its own time, and the others two ticks later.
+    region.pass(ANSWER * TICK + 2 * TICK);
+    assert!(
+        region.behind().is_empty(),
+        "{:?} have not heard",
+        region.behind()
+    );
+    for number in 0..BOXES {
+        assert!(region.knows_leaving(number, 1), "box {number}");
+    }
+    assert_eq!(region.fetched, 0, "nothing was missed");
+}
+
+/// The shortest bound on news is 3 s.
+#[test]
+fn dead_hubs_are_replaced_in_time() {
+    let mut region = Region::new();
+    region.change(1, false);
+    region.pass(2000);
+    for hub in region.hubs() {
+        region.crowd.boxes[hub] = None;
+    }
+    region.change(1, true);
+    region.pass(3000);
+    assert!(region.behind().is_empty(), "{:?}", region.behind());
+    region.pass(10_000);
+    assert_eq!(region.hubs().len(), 4, "others took over");
+    let alone = region.follow.iter().zip(&region.crowd.boxes);
+    let alone = alone.filter(|(f, state)| **f == Follow::Alone && state.is_some());
+    assert_eq!(alone.count(), 0);
+}
+
+#[test]
+fn frozen_hubs_are_replaced_in_time() {
+    let mut region = Region::new();
+    region.crowd.frozen = region.hubs();
+    region.store.away = region.hubs().into_iter().collect();
+    region.change(1, true);
+    region.pass(3000);
+    let frozen = region.crowd.frozen.clone();
+    let behind: Vec<usize> = region.behind();
+    assert!(behind.iter().all(|n| frozen.contains(n)), "{behind:?}");
+}
+
+/// The store turns the hubs away and serves the others.
+#[test]
+fn hubs_without_word_are_left_in_time() {
+    let mut region = Region::new();
+    region.store.away = region.hubs().into_iter().collect();
+    region.change(1, true);
+    region.pass(3000);
+    let behind = region.behind();
+    let away = &region.store.away;
+    assert!(behind.iter().all(|n| away.contains(n)), "{behind:?}");
+    region.store.away.clear();
+    region.pass(5000);
+    let followers = region.follow.iter().filter(|f| **f != Follow::Rest);
+    assert_eq!(followers.count(), 4, "the hubs are back");
+    assert!(region.behind().is_empty(), "{:?}", region.behind());
+}
+
+#[test]
+fn who_missed_news_asks_for_all() {
+    let mut region = Region::new();
+    let hubs = region.hubs();
+    let member = (0..BOXES).find(|n| !hubs.contains(n)).expect("one");
+    region.crowd.cut = hubs.iter().map(|hub| (*hub, member)).collect();
+    region.change(1, true);
+    region.pass(1200);
+    region.crowd.cut.clear();
+    region.pass(800);
+    assert!(region.fetched > 0, "it asked");
+    assert!(region.knows_leaving(member, 1));
+}
+
+/// Hubs that die, stand still, are turned away or not heard, and changes, in any order: no box's news
+/// runs backwards, and in the end all know the same.
+#[test]
+fn news_settle_after_any_trouble() {
+    check!().with_type::<Vec<(u8, u8)>>().for_each(|moves| {
+        let mut region = Region::of(FEW_BOXES);
+        for (kind, which) in moves.iter().take(16) {
+            let number = usize::from(*which) % FEW_BOXES;
+            match kind % 7 {
+                0 => region.change(u64::from(*which % 8), kind % 2 == 0),
+                1 => {
+                    let name = backend(u64::from(*which % 8), false).name;
+                    let doubt = Millis(0);
+                    region.store.changes.push(Change::Gone { name, doubt });
+                }
+                2 => region.store.away.extend(region.hubs()),
+                3 => region.store.away.clear(),
+                4 => region.crowd.frozen.push(number),
+                5 => region.crowd.frozen.clear(),
+                _ => {
+                    let hubs = region.hubs();
+                    region.crowd.cut = hubs.iter().map(|hub| (*hub, number)).collect();
+                }
+            }
+            region.pass(u64::from(*which % 16) * TICK);
+        }
+        region.store.away.clear();
+        region.crowd.frozen.clear();
+        region.crowd.cut.clear();
+        region.pass(5000);
+        assert!(region.behind().is_empty(), "{:?}", region.behind());
+        let leaving = |n: usize| (0..8).map(move |s| (n, s));
+        for (number, server) in (0..FEW_BOXES).flat_map(leaving) {
+            let told = region.knows_leaving(number, server);
+            assert_eq!(told, region.knows_leaving(0, server), "box {number}");
+        }
+    });
+}
