--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -62,6 +62,15 @@
         self.begin_with(path, id, mode, id.to_owned()).await
     }
 
+    /// Sends a request with more headers.
+    pub async fn send_with(&self, path: &str, id: &str, more: &[(&str, &str)]) -> Answer {
+        let mut headers = vec![("host", HOST), ("request-id", id), ("deadline-ms", "4000")];
+        headers.extend_from_slice(more);
+        call(self.public, Method::POST, path, &headers, "")
+            .await
+            .expect("the box answers")
+    }
+
     pub async fn begin_with(&self, path: &str, id: &str, mode: &str, body: String) -> Begun {
         let headers = [
             ("host", HOST),
@@ -128,6 +137,11 @@
 
     /// Puts a configuration: `/safe/`, `/once/`, `/stream/`, and `/vN/` for its version.
     pub fn configure(&self, version: u64) {
+        self.configure_for(version, json!([]));
+    }
+
+    /// The same, with customers; `/open/` needs no key of theirs.
+    pub fn configure_for(&self, version: u64, customers: Value) {
         let route = |prefix: &str, kind: &str, resumable: bool, attempts: u32| {
             json!({
                 "name": format!("r-{prefix}"), "host": HOST, "pathPrefix": format!("/{prefix}/"),
@@ -137,9 +151,13 @@
             })
         };
         let versioned = format!("v{version}");
+        let mut open = route("open", "idempotent", false, 1);
+        open["public"] = json!(true);
         let content = json!({
             "version": version,
+            "tenants": customers,
             "routes": [
+                open,
                 route("safe", "idempotent", false, 2),
                 route("once", "non_idempotent", false, 1),
                 route("stream", "streaming", true, 2),
