Test that an allotment holds over all boxes in any state

Thirty boxes in three regions by their reducers: a customer that sends five times its allotment, with regions cut, half of the boxes frozen, all started at once, stops in turn, lower limits, lost boxes.

--- a/tests/harness/crowd.rs
+++ b/tests/harness/crowd.rs
@@ -1,4 +1,4 @@
-//! The reducers of one region's boxes, whose messages arrive within a tick.
+//! The reducers of the boxes of one region or several, whose messages arrive within a tick.
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
@@ -28,7 +28,14 @@
     1000 + 10 * number as u16
 }
 
-/// A region of boxes.
+fn seed(number: usize) -> Seed {
+    Seed {
+        region: None,
+        gossip: address(port(number) + 2),
+    }
+}
+
+/// Boxes of one region, or of several.
 pub struct Crowd {
     pub now: Time,
     pub boxes: Vec<Option<State<Balanced>>>,
@@ -40,10 +47,13 @@
     /// Boxes that stand still.
     pub frozen: Vec<usize>,
     numbers: HashMap<SocketAddr, usize>,
-    config: Arc<Config>,
+    /// What a box that starts is offered.
+    pub config: Arc<Config>,
     registry: bool,
     /// Failure domains, one or two; the boxes take turns.
     domains: usize,
+    /// Regions, one to three; the boxes take turns.
+    regions: usize,
     /// When each box started: its clock begins there.
     started: Vec<Time>,
 }
@@ -51,20 +61,31 @@
 impl Crowd {
     /// Boxes with an empty configuration, which just started.
     pub fn new(size: usize) -> Self {
-        Self::start(size, Arc::new(Draft::default().finish()), false, 1)
+        Self::start(size, Arc::new(Draft::default().finish()), false, 1, 1)
     }
 
     /// Boxes on a platform where backend servers register themselves, which just started.
     pub fn on_platform(size: usize, config: Arc<Config>) -> Self {
-        Self::start(size, config, true, 1)
+        Self::start(size, config, true, 1, 1)
     }
 
     /// The same in two failure domains.
     pub fn in_two_domains(size: usize, config: Arc<Config>) -> Self {
-        Self::start(size, config, true, 2)
+        Self::start(size, config, true, 2, 1)
     }
 
-    fn start(size: usize, config: Arc<Config>, registry: bool, domains: usize) -> Self {
+    /// Boxes of three regions with two failure domains each, where the configuration names the servers.
+    pub fn in_three_regions(size: usize, config: Arc<Config>) -> Self {
+        Self::start(size, config, false, 2, 3)
+    }
+
+    fn start(
+        size: usize,
+        config: Arc<Config>,
+        registry: bool,
+        domains: usize,
+        regions: usize,
+    ) -> Self {
         let numbers = (0..size).map(|number| (address(port(number) + 2), number));
         let mut crowd = Self {
             now: Time(0),
@@ -77,6 +98,7 @@
             config,
             registry,
             domains,
+            regions,
             started: vec![Time(0); size],
         };
         for number in 0..size {
@@ -85,21 +107,25 @@
         crowd
     }
 
+    /// The region of a box.
+    pub fn region(&self, number: usize) -> &'static str {
+        ["perth", "bunbury", "geraldton"][number % self.regions]
+    }
+
     /// Starts a box anew.
     pub fn launch(&mut self, number: usize) {
-        let domain = ["a", "b"][number % self.domains];
+        let region = self.region(number);
+        let domain = ["a", "b"][number / self.regions % self.domains];
         let identity = Identity {
             contact: Contact {
                 domain: domain.parse().expect("a name"),
-                ..contact(&name(number), "perth", port(number))
+                ..contact(&name(number), region, port(number))
             },
             incarnation: Incarnation(7 + self.now.0),
-            seeds: vec![Seed {
-                region: None,
-                gossip: address(port(0) + 2),
-            }],
+            seeds: (0..self.regions).map(seed).collect(),
             retry: Default::default(),
             registry: self.registry,
+            tolerance: Default::default(),
         };
         self.boxes[number] = Some(State::new(identity, Balanced));
         self.started[number] = self.now;
