Test servers that start again, and entries of other writers

A server that starts again under its name holds nothing and does not leave any more; a life that is over writes late; an entry that does not read whole names nobody and hides nobody.

--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -107,6 +107,11 @@
         self.change(key, Some(BASE64.encode(content.to_string())));
     }
 
+    /// Writes bytes of any kind.
+    pub fn put_bytes(&self, key: &str, bytes: &[u8]) {
+        self.change(key, Some(BASE64.encode(bytes)));
+    }
+
     /// Takes an item out.
     pub fn remove(&self, key: &str) {
         self.change(key, None);
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -36,9 +36,14 @@
 }
 
 pub fn engine(name: &str, state: &str, cold: u64) -> Backend {
+    life(name, state, cold, 0)
+}
+
+/// An engine that started at `born`.
+pub fn life(name: &str, state: &str, cold: u64, born: u64) -> Backend {
     let entry = format!(
         r#"{{"service":"s","address":"10.0.0.1:1","zone":"atl-a","slots":64,
-            "state":"{state}","coldRemainingMs":{cold}}}"#
+            "state":"{state}","coldRemainingMs":{cold},"born":{born}}}"#
     );
     let name = name.parse().expect("a name");
     record::server(&name, entry.as_bytes(), &places()).expect("it reads")
@@ -52,6 +57,7 @@
             seeds: vec![],
             retry: Default::default(),
             registry: true,
+            tolerance: Default::default(),
         };
         let state = State::new(identity, Balanced);
         let mut world = Self {
