--- a/src/cache.rs
+++ b/src/cache.rs
@@ -131,6 +131,16 @@
         });
     }
 
+    /// Forgets what `backend` held: it started again.
+    pub fn forget(&mut self, backend: Short) {
+        self.read.remove(&backend);
+        self.learned.remove(&backend);
+        for copies in self.parts.values_mut() {
+            copies.retain(|c| c.backend != backend);
+        }
+        self.parts.retain(|_, copies| !copies.is_empty());
+    }
+
     /// Forgets the engines that `known` does not name.
     pub fn retain(&mut self, known: impl Fn(Short) -> bool) {
         self.read.retain(|backend, _| known(*backend));
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -84,9 +84,9 @@
     };
     let config = Config::parse(&file.display().to_string(), &envelope)?;
     println!(
-        "{}: good ({} callers, {} routes, {} models, {} backend servers, {} selectors)",
+        "{}: good ({} customers, {} routes, {} models, {} backend servers, {} selectors)",
         file.display(),
-        config.callers.len(),
+        config.customers.len(),
         config.routes.len(),
         config.models.len(),
         config.backends.len(),
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -12,9 +12,9 @@
 pub(super) struct Args {
     #[command(flatten)]
     admin: Admin,
-    /// The caller's name in the configuration.
-    #[arg(long)]
-    caller: id::Caller,
+    /// The customer's name in the configuration.
+    #[arg(long, alias = "caller")]
+    customer: id::Customer,
     /// The request's path.
     #[arg(long)]
     path: String,
@@ -25,7 +25,7 @@
 
 pub(super) fn run(args: Args) -> eyre::Result<ExitCode> {
     let question = Question {
-        caller: args.caller,
+        customer: args.customer,
         path: args.path,
         model: args.model,
     };
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -81,6 +81,19 @@
             region.silent
         );
     }
+    for customer in &status.customers {
+        println!(
+            "  customer {:11} {} {}: {:.0} of {:.0} used, {:.0} asked for; here {} let in, {} refused",
+            customer.name.to_string(),
+            customer.rate,
+            customer.unit,
+            customer.used,
+            customer.limit,
+            customer.offered,
+            customer.admitted,
+            customer.refused
+        );
+    }
     for backend in &status.backends {
         println!(
             "  backend {:12} {}: {}, {}/{} busy, first byte {}",
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -14,7 +14,8 @@
 use subtle::ConstantTimeEq;
 
 use crate::{
-    id::{self, Domain, Region, Service},
+    allotment::Allotment,
+    id::{self, Domain, Incarnation, Region, Service},
     unit::{Millis, Rate},
 };
 
@@ -58,7 +59,7 @@
 pub struct KeyHash([u8; 32]);
 
 impl KeyHash {
-    /// Hashes the key that a caller sent.
+    /// Hashes the key that a customer sent.
     pub fn of(key: &[u8]) -> Self {
         Self(Sha256::digest(key).into())
     }
@@ -120,21 +121,23 @@
     pub hop: Millis,
 }
 
-/// A caller.
+/// A customer.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Caller {
+pub struct Customer {
     /// Its name.
-    pub name: id::Caller,
-    /// The hash of its API key.
-    pub key: KeyHash,
+    pub name: id::Customer,
+    /// The hashes of its API keys.
+    pub keys: Vec<KeyHash>,
     /// Its labels, for selectors.
     pub labels: Labels,
     /// The region it calls home.
     pub home: Option<Region>,
     /// The regions its requests may run in; empty permits all.
     pub regions: Vec<Region>,
-    /// Requests a second in one region.
-    pub rate: Rate,
+    /// The rank of its requests, which goes before their route's; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// What it may use; none leaves that unbounded.
+    pub allotment: Option<Allotment>,
 }
 
 /// How a route's requests are read.
@@ -172,7 +175,7 @@
     pub labels: Labels,
     /// The regions its requests may run in; empty permits all.
     pub regions: Vec<Region>,
-    /// How long an answer may take to begin, where the caller does not say.
+    /// How long an answer may take to begin, where the customer does not say.
     pub deadline: Millis,
     /// The host that its requests name; none takes every host.
     pub host: Option<String>,
@@ -191,6 +194,8 @@
     pub priority: u8,
     /// How its answers stream; none where they come whole.
     pub stream: Option<Stream>,
+    /// Whether its requests need no API key.
+    pub open: bool,
 }
 
 /// How a route's answers stream.
@@ -237,7 +242,7 @@
 /// A model.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Model {
-    /// Its name as callers write it.
+    /// Its name as customers write it.
     pub name: Service,
     /// Its labels, for selectors.
     pub labels: Labels,
@@ -270,6 +275,8 @@
     pub refusal_header: Option<String>,
     /// How long it stays cold after it became known.
     pub cold: Millis,
+    /// Its life, where it tells: one that starts again under its name has a greater number.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// One line of who may go where; the first that matches decides.
@@ -277,8 +284,8 @@
 pub struct Selector {
     /// Its name.
     pub name: id::Selector,
-    /// Which callers it speaks of.
-    pub callers: Matcher,
+    /// Which customers it speaks of.
+    pub customers: Matcher,
     /// Which routes it speaks of.
     pub routes: Matcher,
     /// Which models it speaks of; a route without a model matches only an empty matcher.
@@ -287,7 +294,7 @@
     pub backends: Matcher,
     /// The regions its requests may run in; empty permits all.
     pub regions: Vec<Region>,
-    /// Whether the request must stay in the caller's home region.
+    /// Whether the request must stay in the customer's home region.
     pub home_only: bool,
 }
 
@@ -302,8 +309,8 @@
     pub weights: Weights,
     /// The regions.
     pub regions: HashMap<Region, RegionEntry>,
-    /// The callers.
-    pub callers: HashMap<id::Caller, Caller>,
+    /// The customers.
+    pub customers: HashMap<id::Customer, Customer>,
     /// The routes, longest prefix first.
     pub routes: Vec<Route>,
     /// The models.
@@ -314,9 +321,9 @@
     pub selectors: Vec<Selector>,
     /// What is known of services beyond their backend servers.
     pub profiles: HashMap<Service, Profile>,
-    /// The caller that requests without an API key count as; none refuses them.
-    pub anonymous: Option<id::Caller>,
-    keys: HashMap<KeyHash, id::Caller>,
+    /// The customer that requests without an API key count as on routes that need none.
+    pub anonymous: Option<id::Customer>,
+    keys: HashMap<KeyHash, id::Customer>,
     index: route::Index,
 }
 
@@ -331,8 +338,8 @@
     pub weights: Option<Weights>,
     /// The regions.
     pub regions: HashMap<Region, RegionEntry>,
-    /// The callers.
-    pub callers: HashMap<id::Caller, Caller>,
+    /// The customers.
+    pub customers: HashMap<id::Customer, Customer>,
     /// The routes.
     pub routes: Vec<Route>,
     /// The models.
@@ -343,8 +350,8 @@
     pub selectors: Vec<Selector>,
     /// What is known of services.
     pub profiles: HashMap<Service, Profile>,
-    /// The caller that requests without an API key count as.
-    pub anonymous: Option<id::Caller>,
+    /// The customer that requests without an API key count as.
+    pub anonymous: Option<id::Customer>,
 }
 
 impl Draft {
@@ -352,14 +359,17 @@
     pub fn finish(self) -> Config {
         let mut routes = self.routes;
         routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
-        let keys = self.callers.values().map(|c| (c.key, c.name.clone()));
+        let keys = self
+            .customers
+            .values()
+            .flat_map(|c| c.keys.iter().map(|key| (*key, c.name.clone())));
         Config {
             version: self.version,
             write: self.write,
             weights: self.weights.unwrap_or_default(),
             regions: self.regions,
             keys: keys.collect(),
-            callers: self.callers,
+            customers: self.customers,
             index: route::Index::new(&routes),
             routes,
             models: self.models,
@@ -372,13 +382,23 @@
 }
 
 impl Config {
-    /// Finds the caller whose key hashes to `hash`.
-    pub fn caller(&self, hash: &KeyHash) -> Option<&Caller> {
+    /// Whether any customer has an allotment.
+    pub fn is_limited(&self) -> bool {
+        self.customers.values().any(|c| c.allotment.is_some())
+    }
+
+    /// Whether any customer has an API key.
+    pub fn has_keys(&self) -> bool {
+        !self.keys.is_empty()
+    }
+
+    /// Finds the customer whose key hashes to `hash`.
+    pub fn customer(&self, hash: &KeyHash) -> Option<&Customer> {
         let (known, name) = self.keys.get_key_value(hash)?;
         if !bool::from(known.0.ct_eq(&hash.0)) {
             return None;
         }
-        self.callers.get(name)
+        self.customers.get(name)
     }
 
     /// The round trip from `from` to `to`; zero at home.
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -3,21 +3,28 @@
 use std::collections::HashSet;
 
 use crate::{
+    allotment::{Allotment, Unit},
     config::{
-        Backend, Caller, Config, Draft, Envelope, Kind, Model, RegionEntry, Route, Selector, Share,
-        Stream, Weights,
+        Backend, Config, Customer, Draft, Envelope, Kind, Model, RegionEntry, Route, Selector,
+        Share, Stream, Weights,
     },
-    id::{Region, Service},
+    id::{self, Region, Service},
     ini::{Faults, Reader, Section},
     unit::{Millis, Rate},
 };
 
-/// The value of `regions` in a selector that keeps requests in the caller's home region.
+/// The value of `regions` in a selector that keeps requests in the customer's home region.
 const HOME: &str = "home";
 const DEFAULT_HOP: Millis = Millis(40);
 const DEFAULT_DEADLINE: Millis = Millis(30_000);
 const DEFAULT_SLOTS: u32 = 8;
 const DEFAULT_RATE: Rate = Rate(100.0);
+/// Seconds of its rate that a customer may use at once, where it does not say.
+const DEFAULT_BURST: f64 = 2.0;
+/// Tokens that a request without a prompt counts for.
+const DEFAULT_PLAIN: u32 = 200;
+/// How configurations named a customer's section before.
+const OLD_CUSTOMER: &str = "caller";
 /// Attempts of one request in all, where the route does not say.
 const DEFAULT_ATTEMPTS: u32 = 3;
 const DEFAULT_PRIORITY: u8 = 5;
@@ -59,9 +66,9 @@
                 draft.regions.insert(name, entry);
             }
         }
-        "caller" => {
-            if let Some(caller) = read_caller(&mut section, name) {
-                draft.callers.insert(caller.name.clone(), caller);
+        "customer" | OLD_CUSTOMER => {
+            if let Some(customer) = read_customer(&mut section, name) {
+                draft.customers.insert(customer.name.clone(), customer);
             }
         }
         "route" => draft.routes.extend(read_route(&mut section, name)),
@@ -112,23 +119,45 @@
     }
 }
 
-fn read_caller(section: &mut Section<'_>, name: &str) -> Option<Caller> {
+fn read_customer(section: &mut Section<'_>, name: &str) -> Option<Customer> {
     let name = read_name(section, name);
-    let key = section.required("key_sha256");
+    let keys = section.list("key_sha256");
+    if keys.is_empty() {
+        section.fault("key_sha256", "names no key");
+    }
     let labels = section.or("labels", Default::default());
     let home = section.optional("home");
     let regions = section.list("regions");
-    let rate = section.or("rate", DEFAULT_RATE);
-    Some(Caller {
+    let priority = section.optional("priority");
+    if priority.is_some_and(|priority: u8| priority > LOWEST_PRIORITY) {
+        section.fault("priority", "is not between 0 and 9");
+    }
+    let allotment = read_allotment(section);
+    Some(Customer {
         name: name?,
-        key: key?,
+        keys,
         labels,
         home,
         regions,
-        rate,
+        priority,
+        allotment: Some(allotment),
     })
 }
 
+fn read_allotment(section: &mut Section<'_>) -> Allotment {
+    let rate = section.or("rate", DEFAULT_RATE);
+    let burst = section.or("burst", DEFAULT_BURST * rate.0);
+    if !(burst.is_finite() && burst > 0.0) {
+        section.fault("burst", "is not a positive number");
+    }
+    Allotment {
+        unit: section.or("unit", Unit::default()),
+        rate,
+        burst,
+        plain: section.or("plain_tokens", DEFAULT_PLAIN),
+    }
+}
+
 fn read_route(section: &mut Section<'_>, name: &str) -> Option<Route> {
     let name = read_name(section, name);
     let prefix: Option<String> = section.required("prefix");
@@ -158,6 +187,7 @@
     if priority > LOWEST_PRIORITY {
         section.fault("priority", "is not between 0 and 9");
     }
+    let open = section.or("open", false);
     let gap: Option<Millis> = section.optional("stream_gap");
     let resumable = section.or("resumable", false);
     Some(Route {
@@ -176,6 +206,7 @@
         target,
         priority,
         stream: gap.map(|gap| Stream { resumable, gap }),
+        open,
     })
 }
 
@@ -219,12 +250,14 @@
         leaving,
         refusal_header,
         cold: Millis(0),
+        incarnation: None,
     })
 }
 
 fn read_selector(section: &mut Section<'_>, name: &str) -> Option<Selector> {
     let name = read_name(section, name);
-    let callers = section.or("callers", Default::default());
+    let old = section.or("callers", Default::default());
+    let customers = section.or("customers", old);
     let routes = section.or("routes", Default::default());
     let models = section.or("models", Default::default());
     let backends = section.or("backends", Default::default());
@@ -233,7 +266,7 @@
     regions.retain(|r| r.as_str() != HOME);
     Some(Selector {
         name: name?,
-        callers,
+        customers,
         routes,
         models,
         backends,
@@ -250,10 +283,10 @@
             odd.push((section.clone(), key, format!("no region {region}")));
         }
     };
-    for caller in draft.callers.values() {
-        let section = format!("caller {}", caller.name);
-        regions(section.clone(), "home", caller.home.as_slice());
-        regions(section, "regions", &caller.regions);
+    for customer in draft.customers.values() {
+        let section = customer_section(reader, &customer.name);
+        regions(section.clone(), "home", customer.home.as_slice());
+        regions(section, "regions", &customer.regions);
     }
     for route in &draft.routes {
         regions(format!("route {}", route.name), "regions", &route.regions);
@@ -285,7 +318,7 @@
         }
     }
     odd.extend(serves);
-    odd.extend(repeated_keys(draft));
+    odd.extend(repeated_keys(reader, draft));
     odd.extend(repeated_services(draft));
     odd.sort();
     for (section, key, problem) in odd {
@@ -309,16 +342,29 @@
     found
 }
 
-fn repeated_keys(draft: &Draft) -> Vec<(String, &'static str, String)> {
+/// The title of a customer's section, as it stands in the text.
+fn customer_section(reader: &Reader, name: &id::Customer) -> String {
+    let old = format!("{OLD_CUSTOMER} {name}");
+    match reader.sections().contains(&old) {
+        true => old,
+        false => format!("customer {name}"),
+    }
+}
+
+fn repeated_keys(reader: &Reader, draft: &Draft) -> Vec<(String, &'static str, String)> {
     let mut seen = HashSet::new();
-    let mut callers: Vec<&Caller> = draft.callers.values().collect();
-    callers.sort_by(|a, b| a.name.cmp(&b.name));
-    callers
+    let mut customers: Vec<&Customer> = draft.customers.values().collect();
+    customers.sort_by(|a, b| a.name.cmp(&b.name));
+    customers
         .into_iter()
-        .filter(|caller| !seen.insert(caller.key))
-        .map(|caller| {
-            let section = format!("caller {}", caller.name);
-            (section, "key_sha256", "is another caller's too".to_owned())
+        .filter(|customer| !customer.keys.iter().all(|key| seen.insert(*key)))
+        .map(|customer| {
+            let section = customer_section(reader, &customer.name);
+            (
+                section,
+                "key_sha256",
+                "stands twice among the customers".to_owned(),
+            )
         })
         .collect()
 }
--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, fmt};
 
 use crate::{
-    config::{Backend, Caller, Config, Kind, Matcher, Route},
+    config::{Backend, Config, Customer, Kind, Matcher, Route},
     id::{self, Region, Service},
     unit::Millis,
 };
@@ -11,8 +11,8 @@
 /// What routing needs to know of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
-    /// The caller.
-    pub caller: id::Caller,
+    /// The customer.
+    pub customer: id::Customer,
     /// The path, without its query.
     pub path: String,
     /// The model that the body names.
@@ -63,8 +63,8 @@
 /// Why no place may run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
-    /// The configuration has no such caller.
-    UnknownCaller,
+    /// The configuration has no such customer.
+    UnknownCustomer,
     /// No route has a prefix of the path.
     NoRoute,
     /// The body of a model request names no known model.
@@ -78,7 +78,7 @@
 impl fmt::Display for Refusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::UnknownCaller => "the API key is unknown",
+            Self::UnknownCustomer => "the API key is unknown",
             Self::NoRoute => "no route has this path",
             Self::NoModel => "the body names no known model",
             Self::NoSelector => "no selector speaks of this request",
@@ -90,8 +90,8 @@
 /// Where a request may go under one configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan<'a> {
-    /// The caller.
-    pub caller: &'a Caller,
+    /// The customer.
+    pub customer: &'a Customer,
     /// The route.
     pub route: &'a Route,
     /// The selector that decided.
@@ -112,6 +112,11 @@
         self.limits.iter().all(inside) && self.home.is_none_or(|home| home == region)
     }
 
+    /// The rank of its requests: the customer's own goes before the route's.
+    pub fn priority(&self) -> u8 {
+        self.customer.priority.unwrap_or(self.route.priority)
+    }
+
     /// The longest pause between two events of its answer that is in time, where it streams.
     pub fn gap(&self) -> Option<Millis> {
         let gap = self.route.stream.map(|stream| stream.gap);
@@ -129,10 +134,10 @@
 impl Config {
     /// Finds the selector for `ask` and what it permits.
     pub fn plan(&self, ask: &Ask) -> Result<Plan<'_>, Refusal> {
-        let caller = self
-            .callers
-            .get(&ask.caller)
-            .ok_or(Refusal::UnknownCaller)?;
+        let customer = self
+            .customers
+            .get(&ask.customer)
+            .ok_or(Refusal::UnknownCustomer)?;
         let route = self
             .route(ask.host.as_deref(), &ask.path)
             .ok_or(Refusal::NoRoute)?;
@@ -147,26 +152,26 @@
             .selectors
             .iter()
             .find(|s| {
-                s.callers.matches(&caller.labels)
+                s.customers.matches(&customer.labels)
                     && s.routes.matches(&route.labels)
                     && model.map_or(s.models.is_empty(), |m| s.models.matches(&m.labels))
             })
             .ok_or(Refusal::NoSelector)?;
-        if selector.home_only && caller.home.is_none() {
+        if selector.home_only && customer.home.is_none() {
             return Err(Refusal::NoRegion);
         }
-        let mut limits = vec![&caller.regions[..], &route.regions, &selector.regions];
+        let mut limits = vec![&customer.regions[..], &route.regions, &selector.regions];
         limits.extend(model.map(|m| &m.regions[..]));
         let line = model.map_or_else(|| route.name.clone(), |m| m.name.clone());
         let plan = Plan {
             line,
-            caller,
+            customer,
             route,
             selector: &selector.name,
             service: model.map_or_else(|| route.service(ask.draw), |m| m.name.clone()),
             backends: &selector.backends,
             limits,
-            home: caller.home.as_ref().filter(|_| selector.home_only),
+            home: customer.home.as_ref().filter(|_| selector.home_only),
         };
         if !self.regions.keys().any(|region| plan.permits(region)) {
             return Err(Refusal::NoRegion);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -140,6 +140,8 @@
     index: Index,
     /// Those whose registration is in doubt.
     missing: HashSet<id::Backend>,
+    /// Those that started again under their name, since somebody asked.
+    reborn: Vec<id::Backend>,
 }
 
 impl Fleet {
@@ -186,6 +188,14 @@
 
     fn put(&mut self, backend: Backend, registered: bool, now: Time) {
         let known = self.members.get(&backend.name);
+        let before = known.and_then(|m| m.backend.incarnation);
+        if before > backend.incarnation && backend.incarnation.is_some() {
+            // A life that is over wrote this late.
+            return;
+        }
+        if before.is_some() && before < backend.incarnation {
+            self.reborn.push(backend.name.clone());
+        }
         // It may get cold again, and what it says of that only shrinks meanwhile.
         let told = now + backend.cold;
         let cold_until = known.map_or(told, |m| m.cold_until.max(told));
@@ -235,6 +245,12 @@
         !over.is_empty()
     }
 
+    /// The backend servers that started again under their name since the last call: what was known of
+    /// them speaks of a life that is over.
+    pub fn take_reborn(&mut self) -> Vec<id::Backend> {
+        std::mem::take(&mut self.reborn)
+    }
+
     /// The backend server called `name`.
     pub fn get(&self, name: &id::Backend) -> Option<&Backend> {
         self.members.get(name).map(|m| &m.backend)
@@ -297,6 +313,21 @@
         self.missing.iter().filter_map(left).collect()
     }
 
+    /// The part of all backend servers' slots that stand in `region`.
+    pub fn share(&self, region: &Region) -> f64 {
+        let (mut all, mut here) = (0_u64, 0_u64);
+        for backend in self.iter() {
+            let slots = u64::from(backend.slots);
+            all += slots;
+            here += if backend.region == *region { slots } else { 0 };
+        }
+        if all == 0 {
+            1.0
+        } else {
+            here as f64 / all as f64
+        }
+    }
+
     /// What the backend servers serve.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.index.names.keys()
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -78,8 +78,9 @@
 /// A dry run's question.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Question {
-    /// The caller.
-    pub caller: id::Caller,
+    /// The customer.
+    #[serde(alias = "caller")]
+    pub customer: id::Customer,
     /// The path.
     pub path: String,
     /// The model, for a model route.
@@ -159,7 +160,7 @@
     let ask = Ask {
         host: None,
         draw: 0,
-        caller: question.caller,
+        customer: question.customer,
         path: question.path,
         model: question.model,
     };
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -197,7 +197,8 @@
     let (address, name) = match &send.target {
         Target::Backend { address, name, .. } => {
             if platform {
-                platform::head::address(&mut headers, name, send.priority, left);
+                let customer = (!send.anonymous).then_some(&send.customer);
+                platform::head::address(&mut headers, name, customer, send.priority, left);
             }
             (*address, "send to backend server")
         }
@@ -217,7 +218,7 @@
     if to_box {
         headers.insert(own(head::RUNS), head::value(send.runs));
         headers.insert(own(head::FROM), head::value(&shell.settings.region));
-        headers.insert(own(head::CALLER), head::value(&send.caller));
+        headers.insert(own(head::CUSTOMER), head::value(&send.customer));
         let secret = shell.settings.cluster_secret.expose();
         headers.insert(own(head::SECRET), head::value(secret));
     }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -344,7 +344,7 @@
             match self.orders.poll_recv(cx) {
                 Poll::Ready(Some(Order::Send(send))) => {
                     self.source.attempt = send.attempt;
-                    self.pulse = resume.start(send);
+                    self.pulse = resume.start(*send);
                     continue;
                 }
                 Poll::Ready(Some(Order::Abort | Order::Leave)) => {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -28,14 +28,18 @@
         status::{Explanation, Status},
     },
     settings::Settings,
+    unit::{Millis, Time},
     wire::Phase,
 };
 
+/// Time between two looks at allotments for the metrics.
+const TELL_ALLOTMENTS: Millis = Millis(1000);
+
 /// What a request's task is told by the reducer.
 #[derive(Debug)]
 pub(crate) enum Order {
     /// Try the request.
-    Send(SendOrder),
+    Send(Box<SendOrder>),
     /// Give the attempt up.
     Abort,
     /// Let the stream leave its place; where it goes on comes next.
@@ -85,6 +89,8 @@
     pub(super) orders: HashMap<id::Request, Open>,
     pub(super) quota: Quota,
     offered: Option<Current>,
+    /// When the metrics were last told of allotments.
+    allotments_told: Time,
     handle: Option<Handle>,
 }
 
@@ -144,6 +150,7 @@
             orders: HashMap::new(),
             quota: Quota::default(),
             offered: None,
+            allotments_told: Time(0),
             handle: None,
         };
         let handle = Self(Core::spawn_with_mailbox(core, mailbox::unbounded()));
@@ -313,7 +320,7 @@
         }
     }
 
-    fn gauge(&self) {
+    fn gauge(&mut self) {
         let boxes = self.state.fleet_size(self.parts.clock.now());
         self.parts.boxes.send_if_modified(|known| {
             let changed = *known != boxes;
@@ -327,6 +334,11 @@
         metrics.waiting.set(self.state.waiting() as i64);
         metrics.keys.set(self.state.keys() as i64);
         metrics.version.set(self.state.version().0 as i64);
+        let now = self.parts.clock.now();
+        if now.since(self.allotments_told) >= TELL_ALLOTMENTS {
+            self.allotments_told = now;
+            metrics.tell_allotments(&self.state.allotments(now));
+        }
         metrics.store_revision.set(self.state.revision().0 as i64);
     }
 
@@ -334,7 +346,7 @@
         self.log_effect(&effect);
         self.measure_effect(&effect);
         match effect {
-            Effect::Send(send) => self.order(send.request, Order::Send(send)),
+            Effect::Send(send) => self.order(send.request, Order::Send(Box::new(send))),
             Effect::Abort { request, .. } => self.order(request, Order::Abort),
             Effect::Leave { request, .. } => self.order(request, Order::Leave),
             Effect::CloseIdle(address) => self.parts.pool.close_idle(address),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -148,13 +148,15 @@
     inbound: &mut Inbound,
     span: &Span,
 ) -> Result<Response<Body>, Reply> {
+    let headers = &inbound.parts.headers;
+    let key = match shell.settings.interface {
+        Interface::Platform => head::bearer(headers),
+        Interface::Own => head::api_key(headers),
+    };
+    let credential = key.map_or(Credential::Missing, |key| Credential::Key(KeyHash::of(key)));
     if shell.settings.interface == Interface::Platform {
-        return forward(shell, inbound, Credential::Missing, Hop::Direct, span).await;
+        return forward(shell, inbound, credential, Hop::Direct, span).await;
     }
-    let credential = match head::api_key(&inbound.parts.headers) {
-        Some(key) => Credential::Key(KeyHash::of(key)),
-        None => Credential::Missing,
-    };
     match inbound.parts.uri.path() {
         "/petreldrum/health" => return Ok(head::whole(StatusCode::OK, "text/plain", "alive\n")),
         "/petreldrum/ready" => return Ok(shell.readiness().await),
@@ -187,14 +189,14 @@
         return Ok(head::whole(StatusCode::OK, pack::TYPE, packed));
     }
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
-    let caller = text(head::CALLER).and_then(|name| name.parse().ok());
-    let caller = caller.ok_or_else(|| deny(400, "the relayed request names no caller"))?;
+    let customer = text(head::CUSTOMER).and_then(|name| name.parse().ok());
+    let customer = customer.ok_or_else(|| deny(400, "the relayed request names no customer"))?;
     let hop = match (text(head::HOP), text(head::FROM).map(str::parse)) {
         (Some(head::HOP_RELAY), Some(Ok(region))) => Hop::Relay(region),
         (Some(head::HOP_PASS), _) => Hop::Pass,
         _ => return Err(deny(400, "the relayed request names no hop")),
     };
-    forward(shell, inbound, Credential::Vouched(caller), hop, span).await
+    forward(shell, inbound, Credential::Vouched(customer), hop, span).await
 }
 
 async fn ask(shell: &Arc<Shell>, credential: Credential) -> Result<Response<Body>, Reply> {
@@ -287,7 +289,11 @@
     let prepared = Arc::new(Prepared {
         method: parts.method.clone(),
         uri,
-        headers: head::request(parts.headers.clone(), shell.settings.interface),
+        headers: head::request(
+            parts.headers.clone(),
+            shell.settings.interface,
+            shell.has_keys(),
+        ),
         body,
         _memory: memory,
         span: span.clone(),
@@ -330,7 +336,7 @@
             return Err(lost());
         };
         let send = match order {
-            Order::Send(send) => send,
+            Order::Send(send) => *send,
             Order::Abort | Order::Leave => continue,
             Order::Reply(reply) => {
                 let (send, found) = error.ok_or(reply)?;
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -33,8 +33,8 @@
 pub const RUNS: &str = "petreldrum-runs";
 /// Between boxes: the region that sends.
 pub const FROM: &str = "petreldrum-from";
-/// Between boxes: the caller whose key was checked.
-pub const CALLER: &str = "petreldrum-caller";
+/// Between boxes: the customer whose key was checked.
+pub const CUSTOMER: &str = "petreldrum-caller";
 /// Between boxes: the answering box is stopping, and another one of its region may do better.
 pub const LEAVING: &str = "petreldrum-leaving";
 /// A request sent by the region that its caller reached.
@@ -76,9 +76,9 @@
     }
 }
 
-/// What of a caller's head goes on: nothing of its connection and, in our own interface, not its
-/// API key.
-pub(crate) fn request(mut headers: HeaderMap, interface: Interface) -> HeaderMap {
+/// What of a caller's head goes on: nothing of its connection and, where customers have API keys, not
+/// its key.
+pub(crate) fn request(mut headers: HeaderMap, interface: Interface, has_keys: bool) -> HeaderMap {
     strip(&mut headers);
     headers.remove(CONTENT_LENGTH);
     headers.remove("expect");
@@ -88,7 +88,12 @@
             headers.remove(HOST);
             headers.remove(API_KEY);
         }
-        Interface::Platform => platform::head::strip(&mut headers),
+        Interface::Platform => {
+            if has_keys {
+                headers.remove(AUTHORIZATION);
+            }
+            platform::head::strip(&mut headers);
+        }
     }
     headers
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,8 +1,9 @@
 //! What the box counts, for prometheus; docs/operate.md says when to worry.
 
+use crate::reducer::status::Allotted;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the histograms, in seconds: from a hop inside a region to the longest deadline.
@@ -10,7 +11,8 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.5, 1.0, 2.5, 5.0, 10.0,
 ];
 
-/// The counters of one box; labels never hold a caller, a key or a backend server.
+/// The counters of one box; labels never hold a key or a backend server, and at most [`CUSTOMERS`] name
+/// customers.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
@@ -20,6 +22,10 @@
     pub replies: IntCounterVec,
     /// Attempts, by target and outcome.
     pub attempts: IntCounterVec,
+    /// Requests of customers with an allotment, by customer and outcome.
+    pub customers: IntCounterVec,
+    /// How allotments are used over all boxes, by customer.
+    pub allotments: IntGaugeVec,
     /// Kept answers given again.
     pub replays: IntCounter,
     /// Alarms.
@@ -62,7 +68,35 @@
     pub store_seconds: Histogram,
 }
 
+/// Customers that are told of, in the order of their names; the metrics stay bounded.
+const CUSTOMERS: usize = 64;
+
 impl Metrics {
+    /// Takes over how allotments are used: those of the first [`CUSTOMERS`].
+    pub(crate) fn tell_allotments(&self, allotted: &[Allotted]) {
+        self.allotments.reset();
+        for customer in allotted.iter().take(CUSTOMERS) {
+            let name = customer.name.as_str();
+            let units = [
+                ("used", customer.used),
+                ("offered", customer.offered),
+                ("limit", customer.limit),
+            ];
+            for (what, value) in units {
+                let gauge = self.allotments.with_label_values(&[name, what]);
+                gauge.set(value as i64);
+            }
+            let counts = [
+                ("admitted", customer.admitted),
+                ("refused", customer.refused),
+            ];
+            for (outcome, count) in counts {
+                let counter = self.customers.with_label_values(&[name, outcome]);
+                counter.inc_by(count.saturating_sub(counter.get()));
+            }
+        }
+    }
+
     /// All counters at zero.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new_custom(Some("petreldrum".to_owned()), None)?;
@@ -71,6 +105,11 @@
             registry.register(Box::new(counters.clone()))?;
             prometheus::Result::Ok(counters)
         };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            prometheus::Result::Ok(gauges)
+        };
         let counter = |name: &str, help: &str| {
             let counter = IntCounter::new(name, help)?;
             registry.register(Box::new(counter.clone()))?;
@@ -95,6 +134,16 @@
                 &["status", "verdict"],
             )?,
             attempts: counters("attempts_total", "Attempts.", &["target", "outcome"])?,
+            customers: counters(
+                "customer_requests_total",
+                "Requests of customers with an allotment.",
+                &["customer", "outcome"],
+            )?,
+            allotments: gauges(
+                "allotment_units",
+                "How allotments are used over all boxes.",
+                &["customer", "what"],
+            )?,
             replays: counter("replays_total", "Kept answers given again.")?,
             alarms: counter("alarms_total", "Alarms; each is in the log.")?,
             gossip: counters(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -127,11 +127,17 @@
             return Err(Reply::new(503, Verdict::NotRun, "this box is not ready").after(wait));
         };
         match credential {
-            Credential::Key(hash) if current.config.caller(hash).is_some() => Ok(()),
+            Credential::Key(hash) if current.config.customer(hash).is_some() => Ok(()),
             _ => Err(Reply::new(401, Verdict::NotRun, "the API key is unknown")),
         }
     }
 
+    /// Whether customers have API keys, by the configuration in force.
+    fn has_keys(&self) -> bool {
+        let current = self.current.borrow();
+        current.as_ref().is_some_and(|c| c.config.has_keys())
+    }
+
     /// A fresh pin that names this box.
     fn own_pin(&self) -> Pin {
         Pin {
@@ -443,6 +449,7 @@
         seeds: settings.seeds.clone(),
         retry: settings.retry,
         registry: settings.interface == Interface::Platform,
+        tolerance: settings.tolerance,
     }
 }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -215,14 +215,8 @@
                 Some(Name::Config) => self.configure(item.value),
                 Some(Name::Evacuation(domain)) => self.evacuate(domain, true, revision),
                 Some(Name::Server(name)) => {
-                    if let Some(backend) = self.backend(&name, &item.value) {
-                        log::info!(
-                            "store: backend server {name}: {}.",
-                            if backend.leaving { "leaving" } else { "in use" }
-                        );
-                        let change = FleetChange::Put(backend);
-                        self.core.tell(Event::Fleet { change, revision });
-                    }
+                    let change = self.entry(name, &item.value);
+                    self.core.tell(Event::Fleet { change, revision });
                 }
                 None => {}
             },
@@ -240,6 +234,21 @@
         }
     }
 
+    /// What an entry that was written says: one that does not read names no server to use.
+    fn entry(&self, name: crate::id::Backend, value: &[u8]) -> FleetChange {
+        match self.backend(&name, value) {
+            Some(backend) => {
+                let state = if backend.leaving { "leaving" } else { "in use" };
+                log::info!("store: backend server {name}: {state}.");
+                FleetChange::Put(backend)
+            }
+            None => {
+                let doubt = Millis(0);
+                FleetChange::Gone { name, doubt }
+            }
+        }
+    }
+
     fn backend(&self, name: &crate::id::Backend, value: &[u8]) -> Option<Backend> {
         match record::server(name, value, &self.settings.places) {
             Ok(backend) => Some(backend),
--- a/src/id.rs
+++ b/src/id.rs
@@ -106,8 +106,8 @@
     Domain
 );
 name!(
-    /// A caller, known by its API key.
-    Caller
+    /// A customer, known by its API keys.
+    Customer
 );
 name!(
     /// A backend server: a model engine or an application service.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -36,14 +36,14 @@
 /// A key within its caller's own space.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Slot {
-    caller: id::Caller,
+    customer: id::Customer,
     digest: Digest,
 }
 
 impl Slot {
-    fn of(caller: &id::Caller, key: &Key) -> Self {
+    fn of(customer: &id::Customer, key: &Key) -> Self {
         Self {
-            caller: caller.clone(),
+            customer: customer.clone(),
             digest: key.digest,
         }
     }
@@ -89,8 +89,8 @@
 
 impl Ledger {
     /// Brings a caller's `key` for `request`; the pin was found to name this box and to live.
-    pub fn claim(&mut self, caller: &id::Caller, key: &Key, request: id::Request) -> Outcome {
-        let slot = Slot::of(caller, key);
+    pub fn claim(&mut self, customer: &id::Customer, key: &Key, request: id::Request) -> Outcome {
+        let slot = Slot::of(customer, key);
         if let Some(entry) = self.entries.get_mut(&slot) {
             return entry.meet(key, request);
         }
@@ -102,8 +102,8 @@
     }
 
     /// Rules out that an unknown `key` ever runs; false where it may have, or cannot be ruled out.
-    pub fn void(&mut self, caller: &id::Caller, key: &Key, request: id::Request) -> bool {
-        let slot = Slot::of(caller, key);
+    pub fn void(&mut self, customer: &id::Customer, key: &Key, request: id::Request) -> bool {
+        let slot = Slot::of(customer, key);
         if let Some(entry) = self.entries.get(&slot) {
             return entry.phase == Phase::Void;
         }
@@ -115,8 +115,8 @@
     }
 
     /// Whether a caller's `key` is remembered.
-    pub fn knows(&self, caller: &id::Caller, key: &Key) -> bool {
-        self.entries.contains_key(&Slot::of(caller, key))
+    pub fn knows(&self, customer: &id::Customer, key: &Key) -> bool {
+        self.entries.contains_key(&Slot::of(customer, key))
     }
 
     fn insert(&mut self, slot: Slot, key: &Key, request: id::Request, phase: Phase) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`fleet`], [`server`], [`detector`], [`prompt`], [`cache`], [`queue`], [`limit`], [`retry`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
@@ -18,6 +18,7 @@
 //! | a request's story out of logs | [`story`] |
 //! | subcommands of the binary | [`cmd`] |
 
+pub mod allotment;
 pub mod cache;
 pub mod cmd;
 pub mod config;
@@ -27,7 +28,6 @@
 pub mod id;
 pub mod ini;
 pub mod ledger;
-pub mod limit;
 pub mod member;
 pub mod pin;
 #[path = "../platform/mod.rs"]
--- a/src/member/hubs.rs
+++ b/src/member/hubs.rs
@@ -9,7 +9,7 @@
     id::{BoxName, Domain},
     member::{HEARTBEAT, Table, weight},
     unit::Time,
-    wire::{Contact, Share, Short, Usage},
+    wire::{Contact, Report, Share, Short},
 };
 
 /// Boxes of a failure domain that gather what its boxes see of backend servers: two, so that one is
@@ -80,18 +80,18 @@
     }
 
     /// Notes what this box tells of its own use of backend servers.
-    pub fn tell_usages(&mut self, usages: &[Usage]) {
-        self.tally.tell(usages);
+    pub fn tell_report(&mut self, report: &Report) {
+        self.tally.tell(report);
     }
 
     /// As a hub, takes what a box tells of its use of backend servers.
-    pub fn hear_usages(&mut self, from: &BoxName, usages: Vec<Usage>, now: Time) {
-        self.tally.report(from.clone(), usages, now);
+    pub fn hear_report(&mut self, from: &BoxName, report: Report, now: Time) {
+        self.tally.report(from.clone(), report, now);
     }
 
-    /// As a hub, adds up what is known, with this box's own `usages`; its failure domain stands first.
-    pub fn sum_up(&mut self, usages: Vec<Usage>, now: Time) -> Vec<Share> {
-        self.tally.report(self.me.name.clone(), usages, now);
+    /// As a hub, adds up what is known, with this box's own `report`; its failure domain stands first.
+    pub fn sum_up(&mut self, report: Report, now: Time) -> Vec<Share> {
+        self.tally.report(self.me.name.clone(), report, now);
         let shares = self.tally.sum_up(&self.me.domain, now);
         self.tally.take(&shares, now);
         shares
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -5,6 +5,7 @@
 mod hubs;
 mod peer;
 mod tally;
+mod uses;
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, hash_map::Entry},
@@ -68,6 +69,8 @@
     /// Addresses that live boxes tell of as leaving, and how many tell so.
     listed: HashMap<SocketAddr, u32>,
     tally: Tally,
+    /// When another box of this region was heard last.
+    company: Option<Time>,
 }
 
 impl Table {
@@ -82,6 +85,7 @@
             busy: HashMap::new(),
             listed: HashMap::new(),
             tally: Tally::default(),
+            company: None,
         }
     }
 
@@ -120,6 +124,9 @@
                 heard: now,
             };
             self.seen.insert(frame.from.clone(), seen);
+            if self.peers.contains_key(&frame.from) {
+                self.company = Some(now);
+            }
         }
         fresh
     }
@@ -310,6 +317,13 @@
         self.regions.iter().filter(alive)
     }
 
+    /// Whether `region` was heard lately.
+    pub fn is_reachable(&self, region: &Region, now: Time) -> bool {
+        let silent = self.region_suspect();
+        let remote = self.regions.get(region);
+        remote.is_some_and(|remote| now.since(remote.heard) <= silent)
+    }
+
     /// Whether `gossip` is the listener of a box that is known to stand in another region.
     pub fn is_elsewhere(&self, gossip: &SocketAddr) -> bool {
         let doors = self.regions.values().flat_map(|r| &r.digest.doors);
--- a/src/member/tally.rs
+++ b/src/member/tally.rs
@@ -9,12 +9,13 @@
 //! hubs of the other domains, and tell the boxes the sums of the region. The messages of a box don't
 //! grow with the region, and few bytes leave a failure domain.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
+    allotment::Sum,
     id::{BoxName, Domain},
     unit::{Millis, Time},
-    wire::{Share, Short, Usage},
+    wire::{Report, Share, Short, Usage, Use},
 };
 
 /// Word older than this is not used: five messages were missed.
@@ -26,7 +27,7 @@
 /// What was told at some moment.
 #[derive(Debug)]
 struct Told {
-    usages: Vec<Usage>,
+    report: Report,
     at: Time,
 }
 
@@ -48,6 +49,11 @@
     summed: Option<Time>,
     /// This box's own work at each server as it was told last: the sums hold it.
     mine: HashMap<Short, u32>,
+    /// The customers' use in the region, and this box's own of it, in the same way.
+    uses: HashMap<Short, Sum>,
+    own_uses: HashMap<Short, Sum>,
+    /// The failure domains whose sums those are.
+    domains: BTreeSet<Domain>,
 }
 
 fn add(sums: &mut HashMap<Short, Usage>, usages: &[Usage]) {
@@ -65,31 +71,58 @@
     }
 }
 
+/// Adds up customers' use.
+pub(super) fn add_uses(sums: &mut HashMap<Short, Sum>, uses: &[Use]) {
+    for told in uses {
+        sums.entry(told.customer).or_default().add(told);
+    }
+}
+
+/// Customers' use as it is told, in the order of the customers.
+pub(super) fn told_uses(sums: HashMap<Short, Sum>) -> Vec<Use> {
+    let told = |(customer, sum): (Short, Sum)| Use {
+        customer,
+        used: sum.used as u32,
+        offered: sum.offered as u32,
+    };
+    let mut uses: Vec<Use> = sums.into_iter().map(told).collect();
+    uses.sort_unstable_by_key(|told| told.customer);
+    uses
+}
+
 impl Tally {
     /// Notes what this box tells of its own use.
-    pub(super) fn tell(&mut self, usages: &[Usage]) {
-        self.mine = usages.iter().map(|u| (u.backend, u.busy)).collect();
+    pub(super) fn tell(&mut self, report: &Report) {
+        let usages = report.usages.iter();
+        self.mine = usages.map(|u| (u.backend, u.busy)).collect();
+        self.own_uses.clear();
+        add_uses(&mut self.own_uses, &report.uses);
     }
 
     /// At a hub, takes what a box of its failure domain told.
-    pub(super) fn report(&mut self, from: BoxName, usages: Vec<Usage>, now: Time) {
-        self.reports.insert(from, Told { usages, at: now });
+    pub(super) fn report(&mut self, from: BoxName, report: Report, now: Time) {
+        self.reports.insert(from, Told { report, at: now });
     }
 
     /// At a hub, takes the sums of another failure domain.
     pub(super) fn share(&mut self, share: Share, now: Time) {
-        let told = Told {
+        let report = Report {
             usages: share.usages,
-            at: now,
+            uses: share.uses,
         };
+        let told = Told { report, at: now };
         self.shares.insert(share.domain, told);
     }
 
     /// Takes the sums of the region.
     pub(super) fn take(&mut self, shares: &[Share], now: Time) {
         self.sums.clear();
+        self.uses.clear();
+        self.domains.clear();
         for share in shares {
             add(&mut self.sums, &share.usages);
+            add_uses(&mut self.uses, &share.uses);
+            self.domains.insert(share.domain.clone());
         }
         self.summed = Some(now);
     }
@@ -98,17 +131,20 @@
     pub(super) fn sum_up(&mut self, domain: &Domain, now: Time) -> Vec<Share> {
         self.reports.retain(|_, told| told.is_fresh(now));
         self.shares.retain(|_, told| told.is_fresh(now));
-        let mut own = HashMap::new();
+        let (mut own, mut uses) = (HashMap::new(), HashMap::new());
         for told in self.reports.values() {
-            add(&mut own, &told.usages);
+            add(&mut own, &told.report.usages);
+            add_uses(&mut uses, &told.report.uses);
         }
         let own = Share {
             domain: domain.clone(),
             usages: own.into_values().collect(),
+            uses: told_uses(uses),
         };
         let others = self.shares.iter().map(|(domain, told)| Share {
             domain: domain.clone(),
-            usages: told.usages.clone(),
+            usages: told.report.usages.clone(),
+            uses: told.report.uses.clone(),
         });
         std::iter::once(own).chain(others).collect()
     }
@@ -125,6 +161,23 @@
         all.saturating_sub(mine)
     }
 
+    /// Customers' use in the region.
+    pub(super) fn uses(&self) -> &HashMap<Short, Sum> {
+        &self.uses
+    }
+
+    /// A customer's use at the other boxes of the region.
+    pub(super) fn use_elsewhere(&self, customer: Short) -> Sum {
+        let all = self.uses.get(&customer).copied().unwrap_or_default();
+        let own = self.own_uses.get(&customer).copied().unwrap_or_default();
+        all.without(own)
+    }
+
+    /// Whether the sums hold those of `domain`.
+    pub(super) fn covers(&self, domain: &Domain) -> bool {
+        self.domains.contains(domain)
+    }
+
     /// Whether several boxes could not reach `backend` and it answered none.
     pub(super) fn is_down(&self, backend: Short) -> bool {
         let sum = self.sums.get(&backend);
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -1,13 +1,13 @@
-//! Requests that wait for a slot: a line a route, and in each line fair turns between callers.
+//! Requests that wait for a slot: a line a route, and in each line fair turns between customers.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use crate::id::{Caller, Request, Service};
+use crate::id::{Customer, Request, Service};
 
 /// Most requests that wait at one box.
 pub const MAX_WAITING: usize = 1024;
 
-/// Where a request stands: its line, and its caller's place in it.
+/// Where a request stands: its line, and its customer's place in it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Spot {
     /// The line's name: requests that may go to the same places.
@@ -16,24 +16,31 @@
     pub service: Service,
     /// The line's rank among those of its service; 0 goes first.
     pub priority: u8,
-    /// The caller.
-    pub caller: Caller,
+    /// The customer.
+    pub customer: Customer,
 }
 
-/// One line: a queue a caller, and whose turn is next.
+/// A line among the others: its priority, then its name.
+pub type Rank = (u8, Service);
+
+impl Spot {
+    fn rank(&self) -> Rank {
+        (self.priority, self.line.clone())
+    }
+}
+
+/// One line: a queue a customer, and whose turn is next.
 #[derive(Debug)]
 struct Line {
     service: Service,
-    priority: u8,
-    turns: VecDeque<Caller>,
-    waiting: HashMap<Caller, VecDeque<Request>>,
+    turns: VecDeque<Customer>,
+    waiting: HashMap<Customer, VecDeque<Request>>,
 }
 
 impl Line {
     fn new(spot: &Spot) -> Self {
         Self {
             service: spot.service.clone(),
-            priority: spot.priority,
             turns: VecDeque::new(),
             waiting: HashMap::new(),
         }
@@ -47,55 +54,54 @@
 /// The lines of one box.
 #[derive(Debug, Default)]
 pub struct Queue {
-    lines: BTreeMap<Service, Line>,
+    lines: BTreeMap<Rank, Line>,
     count: usize,
 }
 
 impl Queue {
     fn line(&mut self, spot: &Spot) -> &mut Line {
-        let name = spot.line.clone();
-        self.lines.entry(name).or_insert_with(|| Line::new(spot))
+        let rank = spot.rank();
+        self.lines.entry(rank).or_insert_with(|| Line::new(spot))
     }
 
-    /// Adds a request at the end of its caller's queue; false where the box holds too many.
+    /// Adds a request at the end of its customer's queue; false where the box holds too many.
     pub fn push(&mut self, spot: &Spot, request: Request) -> bool {
         if self.count >= MAX_WAITING {
             return false;
         }
         let line = self.line(spot);
-        let queue = line.waiting.entry(spot.caller.clone()).or_default();
+        let queue = line.waiting.entry(spot.customer.clone()).or_default();
         if queue.is_empty() {
-            line.turns.push_back(spot.caller.clone());
+            line.turns.push_back(spot.customer.clone());
         }
         queue.push_back(request);
         self.count += 1;
         true
     }
 
-    /// Puts a request back that was popped and still has no place; its caller keeps the turn.
+    /// Puts a request back that was popped and still has no place; its customer keeps the turn.
     pub fn put_back(&mut self, spot: &Spot, request: Request) {
         let line = self.line(spot);
-        line.turns.retain(|c| *c != spot.caller);
-        line.turns.push_front(spot.caller.clone());
-        let queue = line.waiting.entry(spot.caller.clone()).or_default();
+        line.turns.retain(|c| *c != spot.customer);
+        line.turns.push_front(spot.customer.clone());
+        let queue = line.waiting.entry(spot.customer.clone()).or_default();
         queue.push_front(request);
         self.count += 1;
     }
 
-    /// Takes the next request of a line; its caller goes to the end of the turns.
-    pub fn pop(&mut self, line: &Service) -> Option<Request> {
-        let name = line;
-        let line = self.lines.get_mut(name)?;
-        let caller = line.turns.pop_front()?;
-        let queue = line.waiting.get_mut(&caller)?;
+    /// Takes the next request of a line; its customer goes to the end of the turns.
+    pub fn pop(&mut self, rank: &Rank) -> Option<Request> {
+        let line = self.lines.get_mut(rank)?;
+        let customer = line.turns.pop_front()?;
+        let queue = line.waiting.get_mut(&customer)?;
         let request = queue.pop_front();
         if queue.is_empty() {
-            line.waiting.remove(&caller);
+            line.waiting.remove(&customer);
         } else {
-            line.turns.push_back(caller);
+            line.turns.push_back(customer);
         }
         if line.turns.is_empty() {
-            self.lines.remove(name);
+            self.lines.remove(rank);
         }
         self.count -= usize::from(request.is_some());
         request
@@ -103,35 +109,36 @@
 
     /// Takes a request out, wherever it stands.
     pub fn remove(&mut self, spot: &Spot, request: Request) {
-        let Some(line) = self.lines.get_mut(&spot.line) else {
+        let rank = spot.rank();
+        let Some(line) = self.lines.get_mut(&rank) else {
             return;
         };
-        let Some(queue) = line.waiting.get_mut(&spot.caller) else {
+        let Some(queue) = line.waiting.get_mut(&spot.customer) else {
             return;
         };
         let before = queue.len();
         queue.retain(|r| *r != request);
         self.count -= before - queue.len();
         if queue.is_empty() {
-            line.waiting.remove(&spot.caller);
-            line.turns.retain(|c| *c != spot.caller);
+            line.waiting.remove(&spot.customer);
+            line.turns.retain(|c| *c != spot.customer);
         }
         if line.turns.is_empty() {
-            self.lines.remove(&spot.line);
+            self.lines.remove(&rank);
         }
     }
 
-    /// The requests that go before a new one of `spot`, by fair turns: of another caller's queue,
-    /// however long, only as many as its own caller will have itself.
+    /// The requests that go before a new one of `spot`, by fair turns: of another customer's queue,
+    /// however long, only as many as its own customer will have itself.
     pub fn ahead(&self, spot: &Spot) -> usize {
-        let Some(line) = self.lines.get(&spot.line) else {
+        let Some(line) = self.lines.get(&spot.rank()) else {
             return 0;
         };
-        let own = line.waiting.get(&spot.caller).map_or(0, VecDeque::len);
+        let own = line.waiting.get(&spot.customer).map_or(0, VecDeque::len);
         let others = line
             .waiting
             .iter()
-            .filter(|(name, _)| **name != spot.caller);
+            .filter(|(name, _)| **name != spot.customer);
         own + others
             .map(|(_, queue)| queue.len().min(own + 1))
             .sum::<usize>()
@@ -144,11 +151,9 @@
     }
 
     /// The lines for `service`, the most urgent first.
-    pub fn lines(&self, service: &Service) -> Vec<Service> {
+    pub fn lines(&self, service: &Service) -> Vec<Rank> {
         let lines = self.lines.iter().filter(|(_, l)| l.service == *service);
-        let mut ranked: Vec<(u8, &Service)> = lines.map(|(n, l)| (l.priority, n)).collect();
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(_, name)| name.clone()).collect()
+        lines.map(|(rank, _)| rank.clone()).collect()
     }
 
     /// The services that somebody waits for.
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -1,7 +1,7 @@
-//! A request's arrival: who sends it, where it may go, whether it is over its caller's rate.
+//! A request's arrival: who sends it, where it may go, whether it is over its customer's allotment.
 
 use crate::{
-    config::{Ask, Refusal},
+    config::{Ask, Config, Refusal},
     id,
     policy::Policy,
     reducer::{
@@ -10,7 +10,7 @@
         event::{Arrival, Credential, Hop, Key},
         job::{Job, SOON},
     },
-    unit::{Millis, Rate, Time},
+    unit::{Millis, Time},
     verdict::Verdict,
     wire::Phase,
 };
@@ -24,7 +24,7 @@
 
 pub(super) fn refusal(refusal: Refusal) -> Reply {
     let status = match refusal {
-        Refusal::UnknownCaller => 401,
+        Refusal::UnknownCustomer => 401,
         Refusal::NoRoute | Refusal::NoModel | Refusal::NoSelector => 404,
         Refusal::NoRegion => 503,
     };
@@ -70,11 +70,9 @@
             let reason = "this box is stopping";
             return Err(Reply::new(503, Verdict::NotRun, reason).after(SOON));
         }
-        let caller = self
-            .caller(&arrival.credential)
-            .ok_or_else(|| refusal(Refusal::UnknownCaller))?;
+        let customer = self.sender(&config, &arrival).map_err(refusal)?;
         let ask = Ask {
-            caller,
+            customer,
             host: arrival.host,
             path: arrival.path,
             model: arrival.model,
@@ -86,12 +84,14 @@
             return Err(Reply::new(503, Verdict::NotRun, reason));
         }
         let known = match &arrival.key {
-            Key::Good(key) => self.ledger.knows(&ask.caller, key),
+            Key::Good(key) => self.ledger.knows(&ask.customer, key),
             Key::Absent | Key::Bad(_) => false,
         };
         // A re-send of a known key costs no new work.
+        let mut booking = None;
         if arrival.hop == Hop::Direct && !known {
-            self.charge(now, &ask.caller, plan.caller.rate)?;
+            let prompt = arrival.prompt.as_ref();
+            booking = self.charge(now, plan.customer, prompt, ask.draw)?;
             self.budgets.earn(&plan.service, now);
             *self.demand.entry(plan.route.name.clone()).or_default() += 1;
         }
@@ -105,6 +105,7 @@
             target: plan.route.target.map(|t| self.remaining(&arrival.hop, t)),
             deadline: now + left,
             hop: arrival.hop,
+            booking,
             ..Job::new(&plan, ask, now)
         };
         // A relay carries the decision of the box that owns the key, so it brings none itself.
@@ -125,27 +126,34 @@
         Millis(target.0.saturating_sub(way.0))
     }
 
-    /// Takes a fresh request off its caller's share.
-    pub(super) fn charge(
-        &mut self,
-        now: Time,
-        caller: &id::Caller,
-        rate: Rate,
-    ) -> Result<(), Reply> {
-        let boxes = self.table.ready(now).count() + 1;
-        let over = |wait| Reply::new(429, Verdict::NotRun, "over the caller's rate").after(wait);
-        self.limiter.take(caller, rate, boxes, now).map_err(over)
-    }
-
-    pub(super) fn caller(&self, credential: &Credential) -> Option<id::Caller> {
+    /// The customer that a credential proves.
+    pub(super) fn customer(&self, credential: &Credential) -> Option<id::Customer> {
         match credential {
-            Credential::Missing => self.config.as_ref()?.anonymous.clone(),
+            Credential::Missing => None,
             Credential::Key(hash) => {
-                let caller = self.config.as_ref()?.caller(hash)?;
-                Some(caller.name.clone())
+                let customer = self.config.as_ref()?.customer(hash)?;
+                Some(customer.name.clone())
             }
-            Credential::Vouched(caller) => Some(caller.clone()),
+            Credential::Vouched(customer) => Some(customer.clone()),
+        }
+    }
+
+    /// Whether `customer` stands for requests that came without an API key.
+    pub(super) fn is_anonymous(&self, customer: &id::Customer) -> bool {
+        let config = self.config.as_ref();
+        config.is_some_and(|config| config.anonymous.as_ref() == Some(customer))
+    }
+
+    /// The customer that a request counts as: the one that its credential proves or, on a route that
+    /// needs none, nobody in particular.
+    fn sender(&self, config: &Config, arrival: &Arrival) -> Result<id::Customer, Refusal> {
+        if let Some(customer) = self.customer(&arrival.credential) {
+            return Ok(customer);
         }
+        let route = config.route(arrival.host.as_deref(), &arrival.path);
+        let route = route.ok_or(Refusal::NoRoute)?;
+        let anonymous = config.anonymous.clone().filter(|_| route.open);
+        anonymous.ok_or(Refusal::UnknownCustomer)
     }
 
     pub(super) fn hold(&mut self, request: id::Request, job: Job) {
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -32,21 +32,21 @@
         credential: &Credential,
         out: &mut Vec<Effect>,
     ) {
-        let name = self.caller(credential);
-        let caller = self
+        let name = self.customer(credential);
+        let customer = self
             .config
             .as_ref()
             .zip(name)
-            .and_then(|(config, name)| config.callers.get(&name));
-        let Some(caller) = caller else {
+            .and_then(|(config, name)| config.customers.get(&name));
+        let Some(customer) = customer else {
             let reply = match self.config {
-                Some(_) => refusal(Refusal::UnknownCaller),
+                Some(_) => refusal(Refusal::UnknownCustomer),
                 None => Reply::new(503, Verdict::NotRun, "this box is not ready").after(SOON),
             };
             out.push(Effect::Reply { request, reply });
             return;
         };
-        let home = caller.home.clone();
+        let home = customer.home.clone();
         let boxes = self.entries(now, home.as_ref());
         out.push(Effect::Boxes {
             request,
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -22,7 +22,7 @@
         roster::Behind,
     },
     unit::{Millis, Time},
-    wire::{Body, Frame, Phase},
+    wire::{Body, Frame, Phase, Short},
 };
 
 /// Boxes of a region that watch the store.
@@ -132,7 +132,7 @@
             let greeted = &mut self.control.greeted;
             greeted.retain(|_, at| now.since(*at) < GREET_AGAIN);
             self.budgets.share(self.table.boxes(now));
-            self.limiter.sweep(now);
+            self.accounts.sweep(now);
             self.elect(now, out);
             self.note_others(now, out);
             self.beat(now, out);
@@ -146,6 +146,7 @@
             self.report(now, out);
         }
         self.choose_follow(now, out);
+        self.split_allotments(now);
         self.tell_usages(now, out);
         self.note_alone(now, out);
         self.chase_roster(now, out);
@@ -253,7 +254,7 @@
             Body::Holdings(holdings) => self.learn_holdings(now, holdings),
             Body::Members(contacts) => self.meet(now, contacts, out),
             Body::Silent(silent) => self.hear_silent(now, silent, out),
-            Body::Usages(usages) => self.hear_usages(now, &frame.from, usages),
+            Body::Report(report) => self.hear_report(now, &frame.from, report),
             Body::Tally(tally) => self.hear_tally(now, &frame.from, tally, out),
             Body::News(news) => self.hear_news(now, &frame.from, news, out),
             Body::Digest(_) => {}
@@ -316,9 +317,22 @@
         if self.fleet.apply(change, now) {
             self.forget_servers();
         }
+        for name in self.fleet.take_reborn() {
+            self.forget_life(&name, out);
+        }
         self.drain_all(now, out);
     }
 
+    /// Drops what was learned of an earlier life of a backend server: it holds nothing of that, and is
+    /// no faster, slower or worse for it. What is in hand there ends by itself.
+    fn forget_life(&mut self, name: &Backend, out: &mut Vec<Effect>) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.start_again();
+        }
+        self.cache.forget(Short::of(name.as_str()));
+        out.push(Effect::Noted(Note::Reborn(name.clone())));
+    }
+
     /// Drops what was learned of backend servers that are gone.
     fn forget_servers(&mut self) {
         let known = |name: &Backend| self.fleet.contains(name);
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -83,6 +83,7 @@
             return;
         };
         let service = job.service.clone();
+        let anonymous = self.is_anonymous(&job.ask.customer);
         let reading = self.reading(now, job, &place);
         let work = reading.map_or(0, |r| r.tokens);
         let expected = self.count_send(now, &service, &place, work);
@@ -104,11 +105,16 @@
             expected,
             begun: false,
         };
+        self.book_run(now, request);
+        let Some(job) = self.jobs.get(&request) else {
+            return;
+        };
         out.push(Effect::Send(Send {
             request,
             attempt,
             target,
-            caller: job.ask.caller.clone(),
+            customer: job.ask.customer.clone(),
+            anonymous,
             route: job.line.clone(),
             repeatable: job.repeatable,
             resumable: job.resumable,
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -46,8 +46,10 @@
     pub attempt: id::Attempt,
     /// The place.
     pub target: Target,
-    /// The caller, for another box.
-    pub caller: id::Caller,
+    /// The customer, for another box or the backend server.
+    pub customer: id::Customer,
+    /// Whether that is nobody's name: the request needed no API key, and came without one.
+    pub anonymous: bool,
     /// The route, for the log.
     pub route: id::Service,
     /// Whether the request may run twice; if not, it goes over a connection of its own.
@@ -191,6 +193,8 @@
     Failed(id::Backend),
     /// A backend server that had failed brings something again.
     Regained(id::Backend),
+    /// A backend server started again under its name.
+    Reborn(id::Backend),
     /// This box hears neither the store nor another box: servers count as cold until it does.
     Alone,
     /// It hears one of them again.
@@ -206,6 +210,7 @@
             Self::Unreached(region) => write!(f, "region={region} state=silent"),
             Self::Failed(name) => write!(f, "backend={name} state=silent"),
             Self::Regained(name) => write!(f, "backend={name} state=heard"),
+            Self::Reborn(name) => write!(f, "backend={name} state=started-again"),
             Self::Alone => f.write_str("all state=silent store=silent cold=assumed"),
             Self::Accompanied => f.write_str("all state=heard"),
         }
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -22,8 +22,8 @@
     Missing,
     /// The hash of an API key.
     Key(KeyHash),
-    /// A caller whose key another box has checked.
-    Vouched(id::Caller),
+    /// A customer whose key another box has checked.
+    Vouched(id::Customer),
 }
 
 /// How a request came here.
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -130,6 +130,10 @@
             busy: self.jobs.len() as u32,
             loads: loads.collect(),
             listed: self.listed.iter().copied().collect(),
+            uses: match self.table.has_hubs() {
+                true => Vec::new(),
+                false => self.accounts.told(now),
+            },
         };
         self.frame(Body::Heartbeat(beat))
     }
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -43,6 +43,17 @@
     Joined(id::Request),
 }
 
+/// What a request took of its customer's allotment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Booking {
+    /// Its weight.
+    pub(super) cost: f64,
+    /// When it was booked last.
+    pub(super) at: Time,
+    /// Whether the booking stands for a run that was begun; a further one is booked again.
+    pub(super) spent: bool,
+}
+
 /// One request in hand.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
@@ -74,6 +85,8 @@
     pub(super) bounded: bool,
     pub(super) tried: Vec<Place>,
     pub(super) may_have_run: bool,
+    /// What it weighs against its customer's allotment, where this box booked it.
+    pub(super) booking: Option<Booking>,
     /// Its place in the line, once it was let in; it then stays until it is served or its time is
     /// over.
     pub(super) position: Option<usize>,
@@ -100,11 +113,12 @@
             moved: false,
             attempts: 0,
             runs: route.attempts,
-            priority: route.priority,
+            priority: plan.priority(),
             target: route.target,
             bounded: route.hold.is_some(),
             tried: vec![],
             may_have_run: false,
+            booking: None,
             position: None,
             stage: Stage::Waiting,
         }
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -34,9 +34,9 @@
         if !reply.verdict.is_not_run() || reply.status == MISMATCH {
             return reply;
         }
-        let caller = self.caller(credential);
+        let customer = self.customer(credential);
         let void = self.names_me(now, key)
-            && caller.is_some_and(|caller| self.ledger.void(&caller, key, request));
+            && customer.is_some_and(|customer| self.ledger.void(&customer, key, request));
         Reply {
             verdict: if void {
                 Verdict::NotRun
@@ -84,7 +84,7 @@
         if key.pin.expiry > now + pin::LIFE {
             return Err(offer("the key's end lies too far ahead"));
         }
-        match self.ledger.claim(&job.ask.caller, key, request) {
+        match self.ledger.claim(&job.ask.customer, key, request) {
             Outcome::Fresh => {
                 job.owns_key = true;
                 self.begin(now, request, job, out);
@@ -165,7 +165,8 @@
             request,
             attempt,
             target: Target::Pass { peer },
-            caller: job.ask.caller.clone(),
+            customer: job.ask.customer.clone(),
+            anonymous: self.is_anonymous(&job.ask.customer),
             route: job.line.clone(),
             repeatable: false,
             resumable: false,
@@ -176,6 +177,7 @@
             basis: Basis::default(),
         }));
         self.hold(request, job);
+        self.book_run(now, request);
         Ok(())
     }
 }
--- a/src/reducer/line.rs
+++ b/src/reducer/line.rs
@@ -6,7 +6,7 @@
 use crate::{
     id::{self, Service},
     policy::Policy,
-    queue::Spot,
+    queue::{Rank, Spot},
     reducer::{
         State,
         effect::{Effect, Reply},
@@ -36,7 +36,7 @@
             line: self.line.clone(),
             service: self.service.clone(),
             priority: self.priority,
-            caller: self.ask.caller.clone(),
+            customer: self.ask.customer.clone(),
         }
     }
 
@@ -88,7 +88,7 @@
 }
 
 impl<P: Policy> State<P> {
-    /// Lets a request wait, at the end of its caller's queue.
+    /// Lets a request wait, at the end of its customer's queue.
     pub(super) fn enqueue(&mut self, request: id::Request, out: &mut Vec<Effect>) {
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
@@ -118,7 +118,7 @@
         }
     }
 
-    fn drain_line(&mut self, now: Time, line: &Service, out: &mut Vec<Effect>) {
+    fn drain_line(&mut self, now: Time, line: &Rank, out: &mut Vec<Effect>) {
         let mut stuck = Vec::new();
         while stuck.len() < SCAN {
             let Some(request) = self.queue.pop(line) else {
@@ -145,7 +145,7 @@
     }
 
     /// Serves late requests of a line once nobody in it can still be in time.
-    fn drain_late(&mut self, now: Time, line: &Service, out: &mut Vec<Effect>) {
+    fn drain_late(&mut self, now: Time, line: &Rank, out: &mut Vec<Effect>) {
         while let Some(request) = self.late.pop(line) {
             let Some(job) = self.jobs.get_mut(&request) else {
                 continue;
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -6,6 +6,7 @@
 //! | [`effect`] | what it wants done |
 //! | `job` | one request in hand |
 //! | `admit`, `key` | its arrival, and its idempotency key |
+//! | `allot` | what a customer may still use of its allotment |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
 //! | `cold` | the rate of cold backend servers, and this box's share of it |
 //! | `inventory` | what engines had cached before the boxes knew |
@@ -23,6 +24,7 @@
 //! | [`status`] | what operators see |
 
 mod admit;
+mod allot;
 mod ask;
 mod cold;
 mod control;
@@ -53,12 +55,12 @@
 };
 
 use crate::{
+    allotment::{Accounts, Tolerance},
     cache::Cache,
     config::{Config, Version},
     fleet::{Fleet, Revision},
     id::{self, Domain, Incarnation},
     ledger::Ledger,
-    limit::Limiter,
     member::Table,
     policy::Policy,
     queue::Queue,
@@ -95,6 +97,8 @@
     pub retry: retry::Limits,
     /// Whether backend servers register with the platform; the box then waits for their list.
     pub registry: bool,
+    /// How far the platform lets a customer's use go beyond its allotment.
+    pub tolerance: Tolerance,
 }
 
 /// All that a box decides by.
@@ -109,7 +113,8 @@
     stalls: BTreeSet<(Time, id::Request, id::Attempt)>,
     servers: HashMap<id::Backend, Server>,
     ledger: Ledger,
-    limiter: Limiter,
+    accounts: Accounts,
+    splits: allot::Splits,
     queue: Queue,
     /// Waiting requests that cannot begin in time any more.
     late: Queue,
@@ -147,7 +152,8 @@
             stalls: BTreeSet::new(),
             servers: HashMap::new(),
             ledger: Ledger::default(),
-            limiter: Limiter::default(),
+            accounts: Accounts::new(identity.tolerance),
+            splits: allot::Splits::default(),
             queue: Queue::default(),
             late: Queue::default(),
             fleet: Fleet::default(),
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -142,7 +142,9 @@
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
-        if !verdict.is_not_run() {
+        if verdict.is_not_run() {
+            job.unspend();
+        } else {
             job.ran_at(&spot);
         }
         // Behind a box another backend server may do better.
@@ -252,6 +254,7 @@
         let Some(job) = self.jobs.remove(&request) else {
             return;
         };
+        self.give_back(&job);
         self.deadlines.remove(&(job.deadline, request));
         if job.owns_key {
             for joiner in self.ledger.settle(request, key_phase(job.verdict())) {
@@ -292,6 +295,7 @@
         let Some(job) = self.jobs.remove(&request) else {
             return;
         };
+        self.give_back(&job);
         self.deadlines.remove(&(job.deadline, request));
         let reply = Reply {
             offer_key: reply.offer_key || (job.owns_key && reply.verdict.is_not_run()),
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -95,7 +95,7 @@
 
     fn candidates(&self, now: Time, config: &Config, plan: &Plan<'_>, job: &Job) -> Vec<Candidate> {
         let mine = &self.table.me.region;
-        let home = plan.caller.home.as_ref().unwrap_or(mine);
+        let home = plan.customer.home.as_ref().unwrap_or(mine);
         let mut found = Vec::new();
         if plan.permits(mine) {
             self.local(now, config, plan, job, home, &mut found);
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -8,7 +8,7 @@
     policy::{Candidate, Choice, Policy},
     reducer::{State, job::Job, place::Exclusion},
     server::Bar,
-    unit::{Millis, Time},
+    unit::{Millis, Rate, Time},
     wire::{Phase, Short},
 };
 
@@ -37,6 +37,30 @@
     pub regions: Vec<Remote>,
     /// The backend servers of its region.
     pub backends: Vec<Backend>,
+    /// The customers that have an allotment.
+    #[serde(default)]
+    pub customers: Vec<Allotted>,
+}
+
+/// A customer's allotment, and how it is used as far as this box knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Allotted {
+    /// The customer.
+    pub name: id::Customer,
+    /// What is counted.
+    pub unit: String,
+    /// Units a second over all boxes.
+    pub rate: Rate,
+    /// Units that all boxes let in lately; they fade within the span in which the rate brings them back.
+    pub used: f64,
+    /// Units that all boxes were asked for lately.
+    pub offered: f64,
+    /// The use at which nothing more is let in.
+    pub limit: f64,
+    /// Requests that this box let in since it started.
+    pub admitted: u64,
+    /// Requests that this box refused for it since it started.
+    pub refused: u64,
 }
 
 /// Another box of the region.
@@ -158,6 +182,7 @@
             boxes: peers.collect(),
             regions: regions.collect(),
             backends: self.backend_status(now),
+            customers: self.allotments(now),
         }
     }
 
--- a/src/reducer/tally.rs
+++ b/src/reducer/tally.rs
@@ -8,7 +8,7 @@
     policy::Policy,
     reducer::{State, control::Control, effect::Effect},
     unit::{Millis, Time},
-    wire::{Body, Phase, Share, Short, Tally, Usage},
+    wire::{Body, Phase, Report, Share, Short, Tally, Usage},
 };
 
 /// Time between two reports of a box to its hubs, and of a hub to its boxes.
@@ -24,29 +24,33 @@
         if !self.table.has_hubs() || !Control::due(&mut self.control.last_tally, PERIOD, now) {
             return;
         }
-        let usages = self.usages(now);
+        let report = Report {
+            usages: self.usages(now),
+            uses: self.accounts.told(now),
+        };
         let ready = self.phase(now) == Phase::Ready;
         let hubs = self.table.hubs(ready, now);
-        let idle = usages.is_empty();
+        let idle = report.usages.is_empty() && report.uses.is_empty();
         let was_idle = std::mem::replace(&mut self.control.idle, idle);
         // Who has nothing to tell says so once.
         if !(idle && was_idle) {
-            let frame = self.frame(Body::Usages(usages.clone()));
+            let frame = self.frame(Body::Report(report.clone()));
             out.extend(hubs.others.iter().map(|to| Effect::Gossip {
                 to: *to,
                 frame: frame.clone(),
             }));
         }
-        self.table.tell_usages(&usages);
+        self.table.tell_report(&report);
         if hubs.mine {
-            self.sum_up(now, usages, out);
+            self.sum_up(now, report, out);
         }
     }
 
     /// As a hub, adds up what the boxes told, and passes the sums on.
-    fn sum_up(&mut self, now: Time, usages: Vec<Usage>, out: &mut Vec<Effect>) {
-        let shares = self.table.sum_up(usages, now);
-        let idle = shares.iter().all(|share| share.usages.is_empty());
+    fn sum_up(&mut self, now: Time, report: Report, out: &mut Vec<Effect>) {
+        let shares = self.table.sum_up(report, now);
+        let is_idle = |share: &Share| share.usages.is_empty() && share.uses.is_empty();
+        let idle = shares.iter().all(is_idle);
         let was_idle = std::mem::replace(&mut self.control.idle_region, idle);
         let store = self.word(now);
         let due = Control::due(&mut self.control.last_word, WORD_PERIOD, now);
@@ -81,8 +85,8 @@
     }
 
     /// Takes what a box of this failure domain sees of backend servers.
-    pub(super) fn hear_usages(&mut self, now: Time, from: &BoxName, usages: &[Usage]) {
-        self.table.hear_usages(from, usages.to_vec(), now);
+    pub(super) fn hear_report(&mut self, now: Time, from: &BoxName, report: &Report) {
+        self.table.hear_report(from, report.clone(), now);
     }
 
     /// Takes the sums that a hub tells.
--- a/src/server.rs
+++ b/src/server.rs
@@ -121,6 +121,14 @@
 }
 
 impl Server {
+    /// Forgets all but the attempts in hand: it started again.
+    pub fn start_again(&mut self) {
+        *self = Self {
+            busy: self.busy,
+            ..Self::default()
+        };
+    }
+
     /// Why it gets no work at `now`, where that is so.
     pub fn bar(&self, now: Time) -> Option<Bar> {
         if self.cool_until.is_some_and(|t| now < t) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,7 @@
 use eyre::WrapErr;
 
 use crate::{
+    allotment::Tolerance,
     id::{BoxName, Domain, Region},
     ini::{Faults, Reader},
     platform::Places,
@@ -175,6 +176,8 @@
     pub linger: Millis,
     /// How many attempts beyond the first requests may have.
     pub retry: retry::Limits,
+    /// How far the platform lets a customer's use go beyond its allotment.
+    pub tolerance: Tolerance,
     /// How places are chosen.
     pub policy: policy::Named,
 }
@@ -273,6 +276,16 @@
         ratio: section.or("retry_ratio", retry::Limits::RATIO),
         slack: section.optional("retry_slack"),
     };
+    let tolerance = Tolerance {
+        window: section.or("allotment_window", Tolerance::WINDOW),
+        tokens: section.or("allotment_slack", 0.0),
+    };
+    if tolerance.window.0 == 0 {
+        section.fault("allotment_window", "is zero");
+    }
+    if !(tolerance.tokens.is_finite() && tolerance.tokens >= 0.0) {
+        section.fault("allotment_slack", "is not a number of tokens");
+    }
     let policy = section.or("policy", policy::Named::default());
     if max_head.0 < 8 << 10 {
         section.fault("max_head", "is under 8KiB");
@@ -306,6 +319,7 @@
         body_memory,
         linger,
         retry,
+        tolerance,
         policy,
     })
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -45,8 +45,8 @@
     Leaving,
 }
 
-/// A backend server's or service's name as 32 bits of its xxh3 hash.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+/// A backend server's, service's or customer's name as 32 bits of its xxh3 hash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Short(pub u32);
 
 impl Short {
@@ -78,6 +78,35 @@
     pub unreachable: u32,
 }
 
+/// How one customer's allotment was used in the last moments, by one box or by several: both figures
+/// fade within the allotment's span.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Use {
+    /// The customer.
+    pub customer: Short,
+    /// Units of the allotment that were let in.
+    pub used: u32,
+    /// Units that were asked for.
+    pub offered: u32,
+}
+
+impl Use {
+    /// The use of `customer` among `uses`, which stand in the order of their customers.
+    pub fn find(uses: &[Use], customer: Short) -> Option<&Use> {
+        let at = uses.binary_search_by_key(&customer, |told| told.customer);
+        at.ok().map(|at| &uses[at])
+    }
+}
+
+/// What a box tells the hubs of its failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// What it has seen of backend servers.
+    pub usages: Vec<Usage>,
+    /// Its customers' use.
+    pub uses: Vec<Use>,
+}
+
 /// How far a hub knows the platform's store by itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Word {
@@ -116,6 +145,8 @@
     pub domain: Domain,
     /// Each backend server that they used.
     pub usages: Vec<Usage>,
+    /// Their customers' use.
+    pub uses: Vec<Use>,
 }
 
 /// What a box tells the boxes of its region.
@@ -141,6 +172,8 @@
     pub loads: Vec<Load>,
     /// Addresses that the platform's list names as leaving, where this box reads it.
     pub listed: Vec<SocketAddr>,
+    /// Its customers' use, in the order of the customers, where no hubs add it up.
+    pub uses: Vec<Use>,
 }
 
 /// A box of another region that takes relayed requests.
@@ -170,7 +203,7 @@
 }
 
 /// What one region tells another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The region it speaks of.
     pub region: Region,
@@ -186,6 +219,10 @@
     pub stopping: bool,
     /// What it can take.
     pub services: Vec<Capacity>,
+    /// Its customers' use, in the order of the customers.
+    pub uses: Vec<Use>,
+    /// The part of its boxes whose use stands there.
+    pub cover: f64,
     /// Whether the receiver passes it on inside its region.
     pub spread: bool,
 }
@@ -242,8 +279,8 @@
     Holdings(Vec<Holding>),
     /// Within a region: a box that should be heard is not.
     Silent(Silent),
-    /// To the hubs of its failure domain: what a box has seen of backend servers.
-    Usages(Vec<Usage>),
+    /// To the hubs of its failure domain: what a box has seen.
+    Report(Report),
     /// From a hub: the sums of its region to the boxes of its failure domain, or those of its failure
     /// domain to the hubs of another one.
     Tally(Tally),
--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -9,10 +9,10 @@
 };
 
 use petreldrum::{
+    allotment::{Accounts, Allotment, Knowledge, Sum, Unit},
     gateway::pack::pack,
     id::{self, Incarnation},
     ledger::Ledger,
-    limit::Limiter,
     pin,
     policy::Balanced,
     reducer::{State, effect::Effect, event::Event},
@@ -125,7 +125,7 @@
     for count in [1_000, 10_000, 100_000] {
         let before = resident();
         let mut ledger = Ledger::default();
-        let caller: id::Caller = "caller-1".parse()?;
+        let caller: id::Customer = "caller-1".parse()?;
         for number in 0..count {
             let pin = pin::Pin {
                 peer: SocketAddr::from(([10, 0, 0, 1], 81)),
@@ -144,13 +144,23 @@
     }
     for count in [400, 4_000, 40_000] {
         let before = resident();
-        let mut limiter = Limiter::default();
+        let mut accounts = Accounts::default();
+        let allotment = Allotment {
+            unit: Unit::Requests,
+            rate: Rate(10.0),
+            burst: 20.0,
+            plain: 1,
+        };
+        let known = Knowledge::Heard {
+            others: Sum::default(),
+            part: 1.0,
+        };
         for number in 0..count {
-            let caller: id::Caller = format!("caller-{number}").parse()?;
-            let _ = black_box(limiter.take(&caller, Rate(10.0), 1, Time(0)));
+            let customer: id::Customer = format!("customer-{number}").parse()?;
+            let _ = black_box(accounts.take(&customer, &allotment, 1.0, known, 0, Time(0)));
         }
-        print("caller's bucket", count, before);
-        forget(limiter);
+        print("customer's account", count, before);
+        forget(accounts);
     }
     for workers in [10, 100, 1_300, 13_000] {
         let size = Size {
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -126,6 +126,7 @@
         seeds: vec![],
         retry: Default::default(),
         registry: false,
+        tolerance: Default::default(),
     };
     let mut state = State::new(identity, Balanced);
     let source = Source::Store;
@@ -154,6 +155,7 @@
             busy: 20,
             loads: loads.collect(),
             listed: vec![],
+            uses: vec![],
         }),
     )
 }
@@ -180,6 +182,8 @@
         revision: Revision(1),
         doors: doors.collect(),
         services: services.collect(),
+        uses: vec![],
+        cover: 1.0,
         spread,
     });
     frame(size, region, seq, body)
--- a/standin/src/measure/mod.rs
+++ b/standin/src/measure/mod.rs
@@ -1,5 +1,6 @@
 //! The figures that the documentation gives; each part prints its table.
 
+mod allotments;
 mod control;
 mod decisions;
 mod fleet;
@@ -11,6 +12,8 @@
 /// What to measure.
 #[derive(Debug, Subcommand)]
 pub enum What {
+    /// Ways to hold a customer's allotment over many boxes, on the same arrivals.
+    Allotments,
     /// Reducer decisions a second, and the configuration's size and checking time, by workers.
     Decisions,
     /// Bytes of state for each worker, caller, peer and remembered key.
@@ -30,6 +33,7 @@
 /// Measures and prints.
 pub async fn run(what: What) -> eyre::Result<()> {
     match what {
+        What::Allotments => allotments::run(),
         What::Decisions => decisions::run(),
         What::State => decisions::state(),
         What::Control => control::run(),
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -50,7 +50,7 @@
     let config = Draft {
         version: Version(99),
         regions: old.regions.clone(),
-        callers: old.callers.clone(),
+        customers: old.customers.clone(),
         routes: old.routes.clone(),
         selectors: old.selectors.clone(),
         profiles: [(service(), profile)].into(),
@@ -77,6 +77,7 @@
         leaving: false,
         refusal_header: None,
         cold,
+        incarnation: None,
     };
     Change::List {
         backends: vec![server],
--- a/tests/config_text.rs
+++ b/tests/config_text.rs
@@ -94,7 +94,7 @@
             let ask = Ask {
                 host: None,
                 draw: 0,
-                caller: "a".parse().expect("a name"),
+                customer: "a".parse().expect("a name"),
                 path: "/r/x".to_owned(),
                 model: None,
             };
--- a/tests/engine_caches.rs
+++ b/tests/engine_caches.rs
@@ -81,6 +81,7 @@
             }],
             retry: Default::default(),
             registry: true,
+            tolerance: Default::default(),
         },
         Balanced,
     );
--- a/tests/fleet_changes.rs
+++ b/tests/fleet_changes.rs
@@ -23,6 +23,7 @@
         leaving: false,
         refusal_header: None,
         cold: Millis(cold),
+        incarnation: None,
     }
 }
 
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -163,6 +163,7 @@
             seeds: seeds.collect(),
             retry: Default::default(),
             registry: false,
+            tolerance: Default::default(),
         };
         Slot {
             state: State::new(identity, Balanced),
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -116,6 +116,7 @@
             seeds: vec![],
             retry: Default::default(),
             registry,
+            tolerance: Default::default(),
         };
         let mut solo = Self {
             state: State::new(identity, Balanced),
@@ -188,6 +189,8 @@
             revision: Revision(0),
             doors: names.iter().enumerate().map(door).collect(),
             services: vec![capacity],
+            uses: vec![],
+            cover: 1.0,
             spread: false,
         });
         let frame = Frame {
--- a/tests/pinned_keys.rs
+++ b/tests/pinned_keys.rs
@@ -45,6 +45,7 @@
         seeds: vec![],
         retry: Default::default(),
         registry: false,
+        tolerance: Default::default(),
     };
     let mut state = State::new(identity, Balanced);
     let text = format!(
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -86,7 +86,7 @@
         let Some(next) = sends(&effects).pop() else {
             break;
         };
-        order.push(next.caller.to_string());
+        order.push(next.customer.to_string());
         running = next;
     }
     assert_eq!(order, ["a", "b", "a", "b", "a"]);
@@ -248,7 +248,7 @@
         petreldrum::config::Ask {
             host: None,
             draw: 0,
-            caller: "a".parse().expect("a name"),
+            customer: "a".parse().expect("a name"),
             path: "/read/x".to_owned(),
             model: None,
         },
--- a/tests/platform_records.rs
+++ b/tests/platform_records.rs
@@ -76,7 +76,7 @@
     let caller = config.anonymous.clone().expect("there is one");
     let service = |draw| {
         let ask = petreldrum::config::Ask {
-            caller: caller.clone(),
+            customer: caller.clone(),
             path: "/crew/long/x".to_owned(),
             model: None,
             host: Some("a.example".to_owned()),
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -85,6 +85,7 @@
                 slack: Some(58.0),
             },
             registry: true,
+            tolerance: Default::default(),
         };
         let mut world = Self {
             state: State::new(identity, Balanced),
--- a/tests/store_news.rs
+++ b/tests/store_news.rs
@@ -62,6 +62,7 @@
         leaving,
         refusal_header: None,
         cold: Millis(0),
+        incarnation: None,
     }
 }
 
