--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -10,6 +10,7 @@
 
 use petreldrum::{
     allotment::{Accounts, Allotment, Knowledge, Sum, Unit},
+    config::{Config, Envelope, KeyHash, Version},
     gateway::pack::pack,
     id::{self, Incarnation},
     ledger::Ledger,
@@ -22,8 +23,39 @@
 use super::fleet::{self, Size};
 
 const REQUESTS: u64 = 20_000;
+const LOOK_UPS: usize = 100_000;
 const PAGE: usize = 4096;
 
+/// What it takes to find the customer of a key, by the number of keys.
+fn keys() -> eyre::Result<()> {
+    println!("keys     look-up, hash included");
+    for count in [40, 400, 4_000, 40_000] {
+        let mut text = "[region perth]\n".to_owned();
+        for number in 0..count / 4 {
+            let key = |spare: usize| KeyHash::of(format!("key-{number}-{spare}").as_bytes());
+            let hashes: Vec<String> = (0..4).map(|spare| key(spare).to_string()).collect();
+            let hashes = hashes.join(", ");
+            text += &format!("[customer c-{number}]\nkey_sha256 = {hashes}\n");
+        }
+        let envelope = Envelope {
+            version: Version(1),
+            write: String::new(),
+            author: String::new(),
+            text,
+        };
+        let config = Config::parse("keys", &envelope)?;
+        let start = Instant::now();
+        for number in 0..LOOK_UPS {
+            let key = format!("key-{}-{}", number % (count / 4), number % 4);
+            let hash = KeyHash::of(key.as_bytes());
+            assert!(black_box(config.customer(&hash)).is_some());
+        }
+        let each = start.elapsed().as_nanos() / LOOK_UPS as u128;
+        println!("{count:6}  {each:8} ns");
+    }
+    Ok(())
+}
+
 /// Sizes that grow, up to the goal.
 fn sizes() -> [Size; 3] {
     let size = |boxes, regions, workers| Size {
@@ -72,6 +104,7 @@
 }
 
 pub(super) fn run() -> eyre::Result<()> {
+    keys()?;
     println!("workers  boxes  regions  decisions/s  us/decision  config KB  packed KB  check ms");
     for size in sizes() {
         let text = fleet::text(size);
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -59,15 +59,17 @@
     requests: HashMap<id::Request, Seen>,
     last: u64,
     lives: [u64; SERVERS],
+    /// How often each started again under its name.
+    births: [u64; SERVERS],
     leaving: BTreeSet<String>,
     evacuated: bool,
     cold: HashMap<String, (Time, Vec<Time>)>,
 }
 
-fn backend(name: &str, leaving: bool, cold: u64) -> Backend {
+fn backend(name: &str, leaving: bool, cold: u64, born: u64) -> Backend {
     let entry = format!(
         r#"{{"service":"s","address":"10.0.0.1:1","zone":"atl-a","slots":3,
-            "state":"{}","coldRemainingMs":{cold}}}"#,
+            "state":"{}","coldRemainingMs":{cold},"born":{born}}}"#,
         if leaving { "draining" } else { "ready" }
     );
     let name = name.parse().expect("a name");
@@ -93,6 +95,7 @@
             requests: HashMap::new(),
             last: 0,
             lives: [0; SERVERS],
+            births: [1; SERVERS],
             leaving: BTreeSet::new(),
             evacuated: false,
             cold: HashMap::new(),
@@ -101,7 +104,7 @@
         let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
         let source = Source::Store;
         world.step(Event::Offered { config, source });
-        let all = (0..SERVERS).map(|index| backend(&world.name(index), false, 0));
+        let all = (0..SERVERS).map(|index| backend(&world.name(index), false, 0, 1));
         let list = Change::List {
             backends: all.collect(),
             doubt: Millis(0),
@@ -275,10 +278,11 @@
     fn news(&mut self, choice: u8, kind: u8) {
         let index = usize::from(choice) % SERVERS;
         let name = self.name(index);
-        match kind % 5 {
+        let born = self.births[index];
+        match kind % 6 {
             0 => {
                 self.leaving.insert(name.clone());
-                let change = Change::Put(backend(&name, true, 0));
+                let change = Change::Put(backend(&name, true, 0, born));
                 self.step(news(change));
             }
             1 => {
@@ -295,7 +299,7 @@
                 let name = self.name(index);
                 let until = self.now + Millis(3000);
                 self.cold.insert(name.clone(), (until, Vec::new()));
-                let change = Change::Put(backend(&name, false, 3000));
+                let change = Change::Put(backend(&name, false, 3000, born));
                 self.step(news(change));
                 for name in old {
                     self.leaving.insert(name.clone());
@@ -304,6 +308,17 @@
                     self.step(news(Change::Gone { name, doubt }));
                 }
             }
+            5 => {
+                // It starts again under its name, cold; then the life before writes late.
+                self.births[index] += 1;
+                self.leaving.remove(&name);
+                let until = self.now + Millis(3000);
+                let (_, sent) = self.cold.remove(&name).unwrap_or_default();
+                self.cold.insert(name.clone(), (until, sent));
+                let fresh = backend(&name, false, 3000, born + 1);
+                self.step(news(Change::Put(fresh)));
+                self.step(news(Change::Put(backend(&name, true, 0, born))));
+            }
             kind => {
                 self.evacuated = kind == 3;
                 let domain: Domain = "atl-a".parse().expect("a name");
