Test that requests after a calm time are let in

Fails: hubs with nothing to tell say so once, and after a second a box takes their silence for being alone. Found by reading.

--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -372,3 +372,18 @@
         );
     }
 }
+
+/// Symptom: the first requests after a calm time were refused. Sequence: nobody asks for anything, hubs
+/// have nothing to tell and say so once, and a box takes their silence for being alone. Cause: the age of
+/// the last sums was all that it looked at, and the silence of who has nothing to tell looked the same.
+#[test]
+fn first_requests_after_a_pause_are_served() {
+    for seed in 0..SEEDS {
+        let mut fleet = Fleet::new(seed);
+        fleet.crowd.pass(20_000);
+        fleet.forget();
+        fleet.pass(1000, 0.4);
+        assert!(fleet.asked > 50);
+        assert_eq!(fleet.refused, 0, "seed {seed}: of {}", fleet.asked);
+    }
+}
