Let an idle region's first requests in

Cause: hubs with nothing to tell say so once, so that the last sums get old in an idle region; a box took that for the loss of its hubs and let in only what fits half of its even share. On the users' platform hubs speak twice a second of the store, so that it showed in our own interface alone.

Change: old sums count as known where no use was told last.

--- a/src/member/tally.rs
+++ b/src/member/tally.rs
@@ -161,6 +161,11 @@
         all.saturating_sub(mine)
     }
 
+    /// Whether no customer's use was told last, or none ever.
+    pub(super) fn is_unused(&self) -> bool {
+        self.uses.is_empty()
+    }
+
     /// Customers' use in the region.
     pub(super) fn uses(&self) -> &HashMap<Short, Sum> {
         &self.uses
--- a/src/member/uses.rs
+++ b/src/member/uses.rs
@@ -25,8 +25,9 @@
             return None;
         }
         if self.has_hubs() {
-            let fresh = self.knows_usages(now);
-            return fresh.then(|| self.tally.use_elsewhere(customer));
+            // Hubs with nothing to tell say so once; their silence after that is no loss.
+            let known = self.knows_usages(now) || self.tally.is_unused();
+            return known.then(|| self.tally.use_elsewhere(customer));
         }
         let mut sum = Sum::default();
         for peer in self.live(now) {
@@ -55,10 +56,11 @@
     pub fn cover(&self, now: Time) -> f64 {
         let at_work = |p: &&Peer| p.is_live(now) || p.last.phase != Phase::Leaving;
         let peers: Vec<&Peer> = self.peers().filter(at_work).collect();
-        if peers.is_empty() {
+        let hubs = self.has_hubs();
+        let idle = hubs && !self.knows_usages(now) && self.tally.is_unused();
+        if peers.is_empty() || idle {
             return 1.0;
         }
-        let hubs = self.has_hubs();
         let missing: BTreeSet<&Domain> = peers
             .iter()
             .map(|p| &p.last.contact.domain)
