--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | job |
 //! |---|---|
+//! | `shell` | what all tasks of one box share |
 //! | `core` | the actor that owns the reducer and carries out its effects |
 //! | `exchange`, `read`, `attempt`, [`resume`] | one request and its answer |
 //! | `serve`, `framing`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
@@ -34,6 +35,7 @@
 mod report;
 pub mod resume;
 mod serve;
+mod shell;
 mod signs;
 mod store;
 pub mod sync;
@@ -42,15 +44,10 @@
 use std::{
     fmt,
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU64},
     time::Duration,
 };
 
-use hyper::{Response, StatusCode};
-use subtle::ConstantTimeEq;
 use tokio::{
     sync::{Semaphore, watch},
     task::JoinHandle,
@@ -58,26 +55,18 @@
 };
 
 use crate::{
-    config::Version,
-    id,
-    pin::{self, Pin},
-    reducer::{
-        Identity, TICK,
-        effect::{Follow, Reply},
-        event::{Credential, Event},
-    },
+    reducer::{Identity, TICK, effect::Follow, event::Event},
     settings::{Interface, Settings},
-    verdict::Verdict,
-    wire::{Contact, Phase},
+    wire::Contact,
 };
 
 use self::{
-    body::Body,
     clock::Clock,
-    core::{Current, Handle, Parts},
+    core::{Handle, Parts},
     dial::Pool,
     metrics::Metrics,
     replay::Replay,
+    shell::Shell,
     signs::Signs,
     store::Store,
     trace::Tracer,
@@ -88,88 +77,6 @@
 /// How often a box that stops looks whether its work is done.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
-/// What all tasks of one box share.
-pub(crate) struct Shell {
-    settings: Arc<Settings>,
-    identity: Identity,
-    clock: Clock,
-    core: Handle,
-    pool: Arc<Pool>,
-    signs: Arc<Signs>,
-    store: Store,
-    replay: Arc<Replay>,
-    metrics: Arc<Metrics>,
-    tracer: Tracer,
-    current: watch::Receiver<Option<Current>>,
-    bodies: Arc<Semaphore>,
-    requests: AtomicU64,
-    stop: watch::Sender<bool>,
-}
-
-impl Shell {
-    fn next_request(&self) -> id::Request {
-        id::Request(self.requests.fetch_add(1, Ordering::Relaxed))
-    }
-
-    fn is_secret(&self, secret: &[u8]) -> bool {
-        self.settings.cluster_secret.as_bytes().ct_eq(secret).into()
-    }
-
-    fn is_admin(&self, token: &[u8]) -> bool {
-        self.settings.admin_token.as_bytes().ct_eq(token).into()
-    }
-
-    /// Refuses a stranger before its body is read; the reducer decides again.
-    fn known(&self, credential: &Credential) -> Result<(), Reply> {
-        let current = self.current.borrow();
-        let Some(current) = current.as_ref() else {
-            let wait = crate::unit::Millis(1000);
-            return Err(Reply::new(503, Verdict::NotRun, "this box is not ready").after(wait));
-        };
-        match credential {
-            Credential::Key(hash) if current.config.customer(hash).is_some() => Ok(()),
-            _ => Err(Reply::new(401, Verdict::NotRun, "the API key is unknown")),
-        }
-    }
-
-    /// Whether customers have API keys, by the configuration in force.
-    fn has_keys(&self) -> bool {
-        let current = self.current.borrow();
-        current.as_ref().is_some_and(|c| c.config.has_keys())
-    }
-
-    /// A fresh pin that names this box.
-    fn own_pin(&self) -> Pin {
-        Pin {
-            peer: self.identity.contact.peer,
-            incarnation: self.identity.incarnation,
-            expiry: self.clock.now() + pin::LIFE,
-        }
-    }
-
-    async fn readiness(&self) -> Response<Body> {
-        let phase = self.core.phase().await;
-        let ready = phase == Some(Phase::Ready);
-        let code = if ready {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        let current = self.current.borrow().clone();
-        let version = current.map_or(Version(0), |c| c.config.version);
-        let content = serde_json::json!({ "ready": ready, "version": version });
-        head::json_answer(code, &content)
-    }
-
-    fn stop(&self) {
-        self.stop.send_replace(true);
-    }
-
-    fn is_stopping(&self) -> bool {
-        *self.stop.borrow()
-    }
-}
-
 /// Where a box listens; a port of 0 in the settings was chosen by the kernel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bound {
