--- a/tests/customer_keys.rs
+++ b/tests/customer_keys.rs
@@ -8,7 +8,9 @@
 
 mod harness;
 
-use harness::{cloud::Cloud, eventually};
+use harness::{Standin, World, backend, cloud::Cloud, eventually, preamble};
+use hyper::Method;
+use petreldrum_standin::http::call;
 use serde_json::{Value, json};
 
 const CLINIC: &str = "key-of-the-clinic";
@@ -110,3 +112,28 @@
         assert!(!log.contains(key), "a key stands in the log");
     }
 }
+
+/// Symptom: a route that says that it needs no key refused who came without one, in our own interface.
+/// Sequence: the operator sets `open`, a caller sends no key, the box answers 401 before it looks at the
+/// route. Cause: nobody stood for such requests there, and the first look at the key knew no open routes.
+#[tokio::test]
+async fn open_routes_need_no_key() {
+    let world = World::start(&["perth"], 1).await;
+    let app = Standin::start("app").await;
+    let text = preamble(&["perth"], "perth")
+        + "[route open]\nprefix = /open\nkind = application\nrepeatable = true\nopen = true\n"
+        + &backend("app", app.address, "perth", "open, slots", "")
+        + "[selector all]\n";
+    world.configure("perth-1", 0, &text).await;
+    let public = world.get("perth-1").public;
+    for (path, headers, status) in [
+        ("/open/x", &[][..], 200),
+        ("/open/x", &[("x-api-key", "nobody-held-this")][..], 200),
+        ("/slots/x", &[][..], 401),
+        ("/slots/x", &[("x-api-key", "nobody-held-this")][..], 401),
+    ] {
+        let body = json!({ "id": "one" }).to_string();
+        let answer = call(public, Method::POST, path, headers, body).await;
+        assert_eq!(answer.expect("the box answers").status, status, "{path}");
+    }
+}
