Let open routes serve who comes without a key

Cause: in our own interface nobody stood for requests without a key, and the first look at the key refused them before the route was known.

Change: a configuration with an open route has a customer for them, as the platform's has; the first look lets them through where there is one, and the reducer decides by the route. The customer stands once, in config. A customer of that name is a fault.

On the platform nothing changes.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -140,6 +140,24 @@
     pub allotment: Option<Allotment>,
 }
 
+/// Requests that need no API key, and come without a known one, count as this customer's.
+const ANYBODY: &str = "anybody";
+
+impl Customer {
+    /// Whoever needs no API key; nothing bounds them.
+    pub fn anybody() -> Self {
+        Self {
+            name: ANYBODY.parse().expect("a proper name"),
+            keys: vec![],
+            labels: Labels::default(),
+            home: None,
+            regions: vec![],
+            priority: None,
+            allotment: None,
+        }
+    }
+}
+
 /// How a route's requests are read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -48,11 +48,26 @@
         reader.fault("", "", "no [region NAME] section");
     }
     check_references(reader, &draft);
+    if draft.routes.iter().any(|route| route.open) {
+        admit_anybody(reader, &mut draft);
+    }
     draft.version = envelope.version;
     draft.write = envelope.write.clone();
     Some(draft.finish())
 }
 
+/// Lets requests of open routes count as somebody's.
+fn admit_anybody(reader: &mut Reader, draft: &mut Draft) {
+    let anybody = Customer::anybody();
+    let name = anybody.name.clone();
+    if draft.customers.contains_key(&name) {
+        let section = customer_section(reader, &name);
+        reader.fault(&section, "", "is the name of who comes without a key");
+    }
+    draft.customers.insert(name.clone(), anybody);
+    draft.anonymous = Some(name);
+}
+
 fn read_section(reader: &mut Reader, title: &str, draft: &mut Draft) {
     let (kind, name) = title.split_once(' ').unwrap_or((title, ""));
     let mut section = reader.section(title);
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -75,6 +75,8 @@
         };
         match credential {
             Credential::Key(hash) if current.config.customer(hash).is_some() => Ok(()),
+            // Some route needs none; the reducer looks at the route.
+            _ if current.config.anonymous.is_some() => Ok(()),
             _ => Err(Reply::new(401, Verdict::NotRun, "the API key is unknown")),
         }
     }
