--- a/src/allotment.rs
+++ b/src/allotment.rs
@@ -203,13 +203,13 @@
 }
 
 impl Account {
-    fn left(&self, now: Time) -> f64 {
-        let age = now.since(self.at).0 as f64;
-        (-age / self.span.0 as f64).exp()
+    /// The part that is left after `age`.
+    fn left(&self, age: Millis) -> f64 {
+        (-(age.0 as f64) / self.span.0 as f64).exp()
     }
 
     fn at(&self, now: Time) -> Sum {
-        let left = self.left(now);
+        let left = self.left(now.since(self.at));
         Sum {
             used: self.sum.used * left,
             offered: self.sum.offered * left,
@@ -316,8 +316,7 @@
     /// Takes a booking of the moment `booked` back: the request surely did not run.
     pub fn give_back(&mut self, customer: &Customer, cost: f64, booked: Time) {
         if let Some(account) = self.accounts.get_mut(customer) {
-            let age = account.at.since(booked).0 as f64;
-            let left = (-age / account.span.0 as f64).exp();
+            let left = account.left(account.at.since(booked));
             account.sum.used = (account.sum.used - cost * left).max(0.0);
         }
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -140,6 +140,8 @@
     pub allotment: Option<Allotment>,
 }
 
+/// The least urgent rank of a request.
+pub(crate) const LOWEST_PRIORITY: u8 = 9;
 /// Requests that need no API key, and come without a known one, count as this customer's.
 const ANYBODY: &str = "anybody";
 
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -5,8 +5,8 @@
 use crate::{
     allotment::{Allotment, Unit},
     config::{
-        Backend, Config, Customer, Draft, Envelope, Kind, Model, RegionEntry, Route, Selector,
-        Share, Stream, Weights,
+        Backend, Config, Customer, Draft, Envelope, Kind, LOWEST_PRIORITY, Model, RegionEntry,
+        Route, Selector, Share, Stream, Weights,
     },
     id::{self, Region, Service},
     ini::{Faults, Reader, Section},
@@ -28,7 +28,6 @@
 /// Attempts of one request in all, where the route does not say.
 const DEFAULT_ATTEMPTS: u32 = 3;
 const DEFAULT_PRIORITY: u8 = 5;
-const LOWEST_PRIORITY: u8 = 9;
 
 impl Config {
     /// Checks the text of `envelope`; `file` is the name that faults carry.
--- a/src/member/uses.rs
+++ b/src/member/uses.rs
@@ -1,6 +1,6 @@
 //! How the boxes use customers' allotments, and whose word of it is missing.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 
 use crate::{
     allotment::Sum,
@@ -61,13 +61,9 @@
         if peers.is_empty() || idle {
             return 1.0;
         }
-        let missing: BTreeSet<&Domain> = peers
-            .iter()
-            .map(|p| &p.last.contact.domain)
-            .filter(|domain| **domain != self.me.domain && !self.tally.covers(domain))
-            .collect();
+        let told = |domain: &Domain| *domain == self.me.domain || self.tally.covers(domain);
         let is_heard = |p: &&&Peer| match hubs {
-            true => !missing.contains(&p.last.contact.domain),
+            true => told(&p.last.contact.domain),
             false => p.is_live(now),
         };
         let heard = peers.iter().filter(is_heard).count();
--- a/src/reducer/allot.rs
+++ b/src/reducer/allot.rs
@@ -23,7 +23,7 @@
         JOIN_GRACE, State,
         control::Control,
         effect::Reply,
-        job::{Booking, Job},
+        job::{self, Booking, Job},
         status::Allotted,
     },
     unit::{Millis, Time},
@@ -84,15 +84,10 @@
             .accounts
             .take(&customer.name, allotment, cost, known, draw, now);
         let over = |wait: Millis| {
-            // Those who are refused together come back spread.
-            let spread = 0.7 + 0.6 * (draw % 1024) as f64 / 1024.0;
-            let wait = Millis((wait.0 as f64 * spread) as u64);
-            let reason = format_args!(
-                "over the allotment: customer={} cost={cost} {known}",
-                customer.name
-            )
-            .to_string();
-            Reply::new(429, Verdict::NotRun, reason).after(wait)
+            let name = &customer.name;
+            let reason = format_args!("over the allotment: customer={name} cost={cost} {known}");
+            let reply = Reply::new(429, Verdict::NotRun, reason);
+            reply.after(job::spread(wait.0 as f64, draw))
         };
         taken.map_err(over)?;
         Ok(Some(Booking {
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -13,6 +13,13 @@
 /// When to come back where nothing better is known.
 pub(super) const SOON: Millis = Millis(1000);
 
+/// A wait that differs between callers who are sent away together, by up to three tenths either way;
+/// `draw` is a random number of the request's own.
+pub(super) fn spread(wait: f64, draw: u64) -> Millis {
+    let factor = 0.7 + 0.6 * (draw % 1024) as f64 / 1024.0;
+    Millis((wait * factor) as u64)
+}
+
 /// Where an attempt is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum Spot {
--- a/src/reducer/line.rs
+++ b/src/reducer/line.rs
@@ -11,7 +11,7 @@
         State,
         effect::{Effect, Reply},
         event::Hop,
-        job::{Job, SOON},
+        job::{self, Job, SOON},
     },
     unit::{Millis, Time},
 };
@@ -81,9 +81,8 @@
         if self.target.is_none() {
             return wait.max(SOON);
         }
-        let spread = 0.7 + 0.6 * (self.ask.draw % 1024) as f64 / 1024.0;
-        let base = wait.clamp(COME_BACK.0, COME_BACK.1).0 as f64;
-        Millis((base * spread) as u64)
+        let wait = wait.clamp(COME_BACK.0, COME_BACK.1);
+        job::spread(wait.0 as f64, self.ask.draw)
     }
 }
 
