Log what broke at which server, and a hash of what was asked for

Change: each request gets a hash of method, host, target and body, keyed with the boxes' secret; an attempt whose connection breaks writes 'broken at= content= age= begun=', and is counted by whether its answer had begun. No decision changes.

Conclusion: with it the hypotheses can be told apart by grep.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -353,7 +353,7 @@
             Effect::Reply { request, reply } => self.last_order(request, Order::Reply(reply)),
             Effect::Replay { request, answer } => self.last_order(request, Order::Replay(answer)),
             Effect::Boxes { request, boxes, .. } => self.last_order(request, Order::Boxes(boxes)),
-            Effect::Queued { .. } => {}
+            Effect::Queued { .. } | Effect::Broken { .. } => {}
             Effect::Forget(answer) => self.parts.replay.forget(answer),
             Effect::Gossip { to, frame } => self.parts.links.send(to, &frame),
             Effect::Fetch { peer, version } => self.fetch(peer, version),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -279,6 +279,7 @@
         model: told.routing.model,
         prefix: told.routing.prefix,
         prompt: told.prompt,
+        content: told.content,
         draw: rand::random(),
         runs: (door == Door::Peer).then(|| head::runs(headers)).flatten(),
         key: told.key,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,8 @@
     pub customers: IntCounterVec,
     /// How allotments are used over all boxes, by customer.
     pub allotments: IntGaugeVec,
+    /// Attempts whose connection to a backend server broke, by whether the answer had begun.
+    pub broken: IntCounterVec,
     /// Kept answers given again.
     pub replays: IntCounter,
     /// Alarms.
@@ -144,6 +146,11 @@
                 "How allotments are used over all boxes.",
                 &["customer", "what"],
             )?,
+            broken: counters(
+                "broken_attempts_total",
+                "Attempts whose connection to a backend server broke.",
+                &["answer"],
+            )?,
             replays: counter("replays_total", "Kept answers given again.")?,
             alarms: counter("alarms_total", "Alarms; each is in the log.")?,
             gossip: counters(
--- a/src/gateway/read.rs
+++ b/src/gateway/read.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     config::Kind,
+    content::Content,
     gateway::{Shell, exchange::Door, head},
     id::Service,
     pin::{self, Pin},
@@ -67,7 +68,7 @@
 }
 
 #[derive(Deserialize)]
-struct Content<'a> {
+struct ModelBody<'a> {
     model: Option<String>,
     #[serde(borrow)]
     messages: Option<&'a RawValue>,
@@ -87,6 +88,7 @@
     pub(crate) routing: Routing,
     pub(crate) key: Key,
     pub(crate) prompt: Option<Prompt>,
+    pub(crate) content: Content,
     /// Time left for it.
     pub(crate) left: Option<Millis>,
 }
@@ -100,17 +102,29 @@
     door: Door,
 ) -> Result<Told, Reply> {
     let headers = &parts.headers;
+    let platform = shell.settings.interface == Interface::Platform;
+    // Between boxes of our own interface the host is the receiving box's.
+    let host = platform.then(|| head::host(headers)).flatten();
+    let content = Content::of(
+        &shell.settings.cluster_secret,
+        parts.method.as_str(),
+        host.as_deref().unwrap_or_default(),
+        &uri.to_string(),
+        body,
+    );
     match shell.settings.interface {
         Interface::Own => Ok(Told {
             routing: read_prompt(shell, uri.path(), body)?,
             key: read_key(shell, headers, &parts.method, uri, body)?,
             prompt: None,
+            content,
             left: head::left(headers),
         }),
         Interface::Platform => Ok(Told {
             routing: Routing::default(),
             key: Key::Absent,
             prompt: platform::head::prompt(headers),
+            content,
             left: match door {
                 Door::Public => platform::head::left(headers),
                 Door::Peer => head::left(headers),
@@ -126,7 +140,7 @@
     if kind != Some(Kind::Model) {
         return Ok(Routing::default());
     }
-    let prompt: Content<'_> = serde_json::from_slice(body)
+    let prompt: ModelBody<'_> = serde_json::from_slice(body)
         .map_err(|e| deny(400, &format!("the body is not a model request: {e}")))?;
     let text = prompt.messages.or(prompt.prompt).map_or("", RawValue::get);
     let beginning = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -70,14 +70,20 @@
     }
 
     pub(super) fn measure_effect(&self, effect: &Effect) {
-        let Effect::Send(send) = effect else {
-            return;
+        let metrics = &self.parts.metrics;
+        let send = match effect {
+            Effect::Send(send) => send,
+            Effect::Broken { begun, .. } => {
+                let label = if begun.is_some() { "begun" } else { "waiting" };
+                return metrics.broken.with_label_values(&[label]).inc();
+            }
+            _ => return,
         };
         if send.basis.number > 1 {
-            return self.parts.metrics.repeats.inc();
+            return metrics.repeats.inc();
         }
         let waited = send.basis.waited.duration().as_secs_f64();
-        self.parts.metrics.waited.observe(waited);
+        metrics.waited.observe(waited);
     }
 
     /// Writes one line of a request, within the quota.
@@ -144,6 +150,19 @@
             Effect::Send(send) => {
                 self.log_request(send.request, SendLine(send));
             }
+            Effect::Broken {
+                request,
+                backend,
+                content,
+                age,
+                begun,
+            } => {
+                let begun = begun.map_or("no".to_owned(), |span| span.to_string());
+                self.log_request(
+                    *request,
+                    format_args!("broken at={backend} content={content} age={age} begun={begun}"),
+                );
+            }
             Effect::Queued { request, waiting } => {
                 self.log_request(*request, format_args!("queued waiting={waiting}"));
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! | noun | module |
 //! |---|---|
 //! | names, sizes, times | [`id`], [`mod@unit`] |
+//! | what a request asks for | [`content`] |
 //! | whether a request may have run | [`verdict`] |
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
@@ -22,6 +23,7 @@
 pub mod cache;
 pub mod cmd;
 pub mod config;
+pub mod content;
 pub mod detector;
 pub mod fleet;
 pub mod gateway;
--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -106,7 +106,7 @@
             deadline: now + left,
             hop: arrival.hop,
             booking,
-            ..Job::new(&plan, ask, now)
+            ..Job::new(&plan, ask, arrival.content, now)
         };
         // A relay carries the decision of the box that owns the key, so it brings none itself.
         let keyed = !job.repeatable && plan.route.keyed;
--- a/src/reducer/detect.rs
+++ b/src/reducer/detect.rs
@@ -80,7 +80,7 @@
             };
             let load = loads.entry(name.clone()).or_default();
             load.attempts.push((*request, *attempt));
-            load.streams += usize::from(*begun && job.stream);
+            load.streams += usize::from(begun.is_some() && job.stream);
         }
         for load in loads.values_mut() {
             load.attempts.sort_unstable();
@@ -105,7 +105,7 @@
             return;
         }
         let job = &self.jobs[&request];
-        let may_go = if held.begun {
+        let may_go = if held.has_begun() {
             job.resumable
         } else {
             job.repeatable
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -103,7 +103,7 @@
             at: now,
             work,
             expected,
-            begun: false,
+            begun: None,
         };
         self.book_run(now, request);
         let Some(job) = self.jobs.get(&request) else {
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::Version,
+    content::Fingerprint,
     fleet::Revision,
     id::{self, Incarnation, Region},
     unit::{Millis, Time},
@@ -279,6 +280,19 @@
         /// The attempt.
         attempt: id::Attempt,
     },
+    /// Write down that the connection of an attempt to its backend server broke.
+    Broken {
+        /// The request.
+        request: id::Request,
+        /// The backend server.
+        backend: id::Backend,
+        /// What was asked for.
+        content: Fingerprint,
+        /// How long ago it was sent.
+        age: Millis,
+        /// How long ago its answer began, where it had.
+        begun: Option<Millis>,
+    },
     /// Close the connections to this address that nobody uses.
     CloseIdle(SocketAddr),
     /// Give a request its final answer.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::{Config, KeyHash, Version},
+    content::Content,
     fleet::{self, Revision},
     id::{self, Domain, Region, Service},
     pin,
@@ -67,6 +68,8 @@
     pub prefix: u64,
     /// What the caller tells of its prompt.
     pub prompt: Option<Prompt>,
+    /// What it asks for.
+    pub content: Content,
     /// A random number that chooses among the services of a shared route.
     pub draw: u64,
     /// The most backend servers that may run it, where another box has used up some.
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     config::{Ask, Plan},
+    content::{Content, Fingerprint},
     id::{self, Service},
     policy::Place,
     prompt::Prompt,
@@ -43,8 +44,8 @@
         work: u32,
         /// When the answer was expected to begin, after the attempt went out.
         expected: Millis,
-        /// Whether its answer has begun.
-        begun: bool,
+        /// When its answer began.
+        begun: Option<Time>,
     },
     /// It waits for another request with its key.
     Joined(id::Request),
@@ -66,6 +67,8 @@
 pub(super) struct Job {
     pub(super) ask: Ask,
     pub(super) service: Service,
+    /// What it asks for, and for whom.
+    pub(super) content: Fingerprint,
     /// The line that it waits in, where it has to.
     pub(super) line: Service,
     pub(super) prefix: u64,
@@ -102,11 +105,12 @@
 
 impl Job {
     /// A request of `plan` that comes straight from its caller at `now`, with all that its route says.
-    pub(super) fn new(plan: &Plan<'_>, ask: Ask, now: Time) -> Self {
+    pub(super) fn new(plan: &Plan<'_>, ask: Ask, content: Content, now: Time) -> Self {
         let route = plan.route;
         Self {
-            ask,
             service: plan.service.clone(),
+            content: Fingerprint::new(&ask.customer, content),
+            ask,
             line: plan.line.clone(),
             prefix: 0,
             prompt: None,
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -159,7 +159,7 @@
             at: now,
             work: 0,
             expected: Millis(0),
-            begun: false,
+            begun: None,
         };
         out.push(Effect::Send(Send {
             request,
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -22,7 +22,15 @@
     pub(super) at: Time,
     pub(super) work: u32,
     pub(super) expected: Millis,
-    pub(super) begun: bool,
+    /// When its answer began.
+    pub(super) begun: Option<Time>,
+}
+
+impl Held {
+    /// Whether its answer has begun.
+    pub(super) fn has_begun(&self) -> bool {
+        self.begun.is_some()
+    }
 }
 
 impl<P: Policy> State<P> {
@@ -67,7 +75,7 @@
             out.push(Effect::Noted(Note::Regained(name.clone())));
         }
         if let Stage::Sent { begun, .. } = &mut job.stage {
-            *begun = true;
+            *begun = Some(now);
         }
         if !job.bounded {
             self.deadlines.remove(&(job.deadline, request));
@@ -137,6 +145,9 @@
             return;
         };
         self.release(&held, None);
+        if cause == Cause::Broken {
+            self.note_broken(now, request, &held, out);
+        }
         let spot = held.spot;
         self.blame(now, &spot, cause);
         let Some(job) = self.jobs.get_mut(&request) else {
@@ -176,6 +187,23 @@
         self.drain(now, &service, out);
     }
 
+    /// Tells of an attempt whose connection to its backend server broke.
+    fn note_broken(&self, now: Time, request: id::Request, held: &Held, out: &mut Vec<Effect>) {
+        let Spot::Chosen(Place::Backend(backend), _) = &held.spot else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&request) else {
+            return;
+        };
+        out.push(Effect::Broken {
+            request,
+            backend: backend.clone(),
+            content: job.content,
+            age: now.since(held.at),
+            begun: held.begun.map(|at| now.since(at)),
+        });
+    }
+
     /// Lets a stream that was cut go on elsewhere, where it may.
     pub(super) fn broke(
         &mut self,
@@ -186,7 +214,7 @@
     ) {
         if self
             .in_hand(request, attempt)
-            .is_some_and(|held| held.begun)
+            .is_some_and(|held| held.has_begun())
         {
             let verdict = Verdict::MayHaveRun;
             self.failed(now, request, attempt, verdict, Cause::Broken, out);
@@ -198,7 +226,7 @@
         match &held.spot {
             Spot::Chosen(Place::Backend(name), _) => {
                 if let Some(server) = self.servers.get_mut(name) {
-                    if !held.begun {
+                    if !held.has_begun() {
                         server.withdraw(held.work);
                     }
                     server.end(took);
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -58,7 +58,10 @@
         attempt: id::Attempt,
         out: &mut Vec<Effect>,
     ) {
-        let Some(held) = self.in_hand(request, attempt).filter(|held| !held.begun) else {
+        let Some(held) = self
+            .in_hand(request, attempt)
+            .filter(|held| !held.has_begun())
+        else {
             return;
         };
         self.relocate(now, request, attempt, &held, out);
@@ -80,7 +83,7 @@
         if !self.budgets.spend(&service, now) {
             return;
         }
-        out.push(match held.begun {
+        out.push(match held.has_begun() {
             true => Effect::Leave { request, attempt },
             false => Effect::Abort { request, attempt },
         });
@@ -88,7 +91,7 @@
         self.blame(now, &held.spot, Cause::Silent);
         if let Some(job) = self.jobs.get_mut(&request) {
             job.ran_at(&held.spot);
-            job.moved |= held.begun;
+            job.moved |= held.has_begun();
             job.stage = Stage::Waiting;
         }
         self.send(now, request, place, basis, out);
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::{Ask, Version},
+    content::Content,
     id::{self, BoxName, Domain, Region, Selector, Service},
     policy::{Candidate, Choice, Policy},
     reducer::{State, job::Job, place::Exclusion},
@@ -215,7 +216,7 @@
         let plan = config.plan(&ask).map_err(|refusal| refusal.to_string())?;
         let job = Job {
             prefix,
-            ..Job::new(&plan, ask.clone(), now)
+            ..Job::new(&plan, ask.clone(), Content::default(), now)
         };
         let decision = self
             .decide(now, &job)
--- a/src/sign.rs
+++ b/src/sign.rs
@@ -5,14 +5,30 @@
 
 use crate::settings::Secret;
 
-fn mac(secret: &Secret, purpose: &str, body: &[u8]) -> Hmac<Sha256> {
+fn keyed(secret: &Secret, purpose: &str) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any key length");
     mac.update(purpose.as_bytes());
     mac.update(&[0]);
+    mac
+}
+
+fn mac(secret: &Secret, purpose: &str, body: &[u8]) -> Hmac<Sha256> {
+    let mut mac = keyed(secret, purpose);
     mac.update(body);
     mac
 }
 
+/// 64 bits of a hash of `parts`, one after the other, that only a holder of the secret can make.
+pub(crate) fn hash(secret: &Secret, purpose: &str, parts: &[&[u8]]) -> u64 {
+    let mut mac = keyed(secret, purpose);
+    for part in parts {
+        mac.update(part);
+    }
+    let bytes = mac.finalize().into_bytes();
+    let first = bytes.first_chunk().expect("a hash has 32 bytes");
+    u64::from_le_bytes(*first)
+}
+
 /// Puts a signature of `length` bytes behind `body`; one purpose's does not pass for another's.
 pub(crate) fn seal(secret: &Secret, purpose: &str, mut body: Vec<u8>, length: usize) -> Vec<u8> {
     let tag = mac(secret, purpose, &body).finalize().into_bytes();
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -203,6 +203,7 @@
     let caller = number as usize % size.callers;
     let model = number as usize % size.models;
     Event::Arrived(Arrival {
+        content: Default::default(),
         tag: None,
         host: None,
         prompt: None,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -15,6 +15,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::sleep,
 };
 
@@ -23,6 +24,9 @@
 /// The header by which a request says how it is to be answered.
 pub const MODE: &str = "x-mode";
 
+/// How long a request that ends its server has run by then.
+const CRASH_AFTER: Duration = Duration::from_millis(50);
+
 /// A request as it came.
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
@@ -43,6 +47,8 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     left: Arc<Mutex<Vec<String>>>,
     connections: Arc<AtomicUsize>,
+    /// Set once the process would have ended.
+    ended: watch::Sender<bool>,
 }
 
 impl Worker {
@@ -55,14 +61,24 @@
             seen: Arc::default(),
             left: Arc::default(),
             connections: Arc::default(),
+            ended: watch::Sender::new(false),
         };
         let served = worker.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut end = served.ended.subscribe();
+            loop {
+                let stream = tokio::select! {
+                    Ok((stream, _)) = listener.accept() => stream,
+                    _ = end.wait_for(|ended| *ended) => return,
+                };
                 let worker = served.clone();
                 worker.connections.fetch_add(1, Ordering::Relaxed);
                 tokio::spawn(async move {
-                    let _ = worker.serve(stream).await;
+                    let mut end = worker.ended.subscribe();
+                    tokio::select! {
+                        _ = worker.serve(stream) => {}
+                        _ = end.wait_for(|ended| *ended) => {}
+                    }
                 });
             }
         });
@@ -84,6 +100,11 @@
             .clone()
     }
 
+    /// Whether a request has ended it: nothing listens any more, and all its connections are closed.
+    pub fn has_ended(&self) -> bool {
+        *self.ended.borrow()
+    }
+
     /// Connections that were opened to it so far.
     pub fn connections(&self) -> usize {
         self.connections.load(Ordering::Relaxed)
@@ -184,6 +205,13 @@
                     .stream(stream, id, &head("200 OK", signed), last, end)
                     .await;
             }
+            "crash" => {
+                let start = head("200 OK", signed) + "Transfer-Encoding: chunked\r\n\r\n";
+                stream.write_all(start.as_bytes()).await?;
+                sleep(CRASH_AFTER).await;
+                self.ended.send_replace(true);
+                return Ok(false);
+            }
             "silent" => return self.wait(stream, id).await,
             "slow" => {
                 sleep(Duration::from_millis(400)).await;
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -104,6 +104,7 @@
     pub fn prompt(&mut self, parts: &[Part]) -> Vec<Send> {
         self.requests += 1;
         let arrival = Arrival {
+            content: Default::default(),
             request: id::Request(self.requests),
             tag: None,
             credential: Credential::Missing,
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -264,6 +264,7 @@
             | Effect::Forget(_)
             | Effect::Watch(_)
             | Effect::Adopted(_)
+            | Effect::Broken { .. }
             | Effect::Alarm(_) => {}
         }
     }
--- a/tests/harness/oracle/delivery.rs
+++ b/tests/harness/oracle/delivery.rs
@@ -27,6 +27,7 @@
             }
         };
         let arrival = Arrival {
+            content: Default::default(),
             tag: None,
             host: None,
             prompt: None,
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -75,6 +75,7 @@
 /// A request for `/read` comes from a caller.
 pub fn arrival(number: u64, caller: &str, left: Option<Millis>) -> Event {
     Event::Arrived(Arrival {
+        content: Default::default(),
         tag: None,
         host: None,
         prompt: None,
--- a/tests/pinned_keys.rs
+++ b/tests/pinned_keys.rs
@@ -86,6 +86,7 @@
 
 fn arrive(state: &mut State<Balanced>, request: u64, key: Key, hop: Hop) -> Vec<Effect> {
     let arrival = Arrival {
+        content: Default::default(),
         tag: None,
         host: None,
         prompt: None,
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -200,6 +200,7 @@
         };
         self.requests.insert(request, seen);
         self.step(Event::Arrived(Arrival {
+            content: Default::default(),
             tag: None,
             request,
             credential: Credential::Missing,
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -16,6 +16,7 @@
 
 fn relayed(request: u64) -> Event {
     Event::Arrived(Arrival {
+        content: Default::default(),
         tag: None,
         request: id::Request(request),
         credential: Credential::Vouched("a".parse().expect("a name")),
