Count every age by a clock that goes on while suspended

Cause: the box's clock and each age kept beside it (idle connections, streams' pauses, the store's silence) went by the steady clock, which stands still while a machine is suspended. A box that woke took its old beliefs for new, and the check for a freeze saw no gap.

The runtime's clock only wakes tasks.

Not shown: no suspension was played; found by reading.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,11 +9,12 @@
     body::Incoming,
     header::{HOST, HeaderName},
 };
-use tokio::{sync::OwnedSemaphorePermit, time::Instant};
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
     gateway::{
         Shell,
+        clock::Moment,
         dial::{Distance, Failure, Lease},
         exchange::Door,
         head,
@@ -37,7 +38,7 @@
     /// The body's share of the memory for bodies, given back with it.
     pub(crate) _memory: Option<OwnedSemaphorePermit>,
     pub(crate) span: Span,
-    pub(crate) came: Instant,
+    pub(crate) came: Moment,
     /// How it came.
     pub(crate) door: Door,
 }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -20,6 +20,7 @@
 use crate::{
     gateway::{
         attempt::Found,
+        clock::Moment,
         core::{Handle, Order},
         dial::Lease,
         resume::{Next, Resume},
@@ -122,19 +123,19 @@
 #[derive(Clone, Copy, Debug)]
 struct Pace {
     /// When its request came.
-    came: Instant,
+    came: Moment,
     /// From then to the beginning of the answer.
     first: Duration,
     /// The last piece, or the beginning.
-    last: Instant,
+    last: Moment,
     /// The longest time between two pieces.
     pause: Duration,
 }
 
 impl Pace {
     /// An answer that begins now.
-    fn begin(came: Instant) -> Self {
-        let now = Instant::now();
+    fn begin(came: Moment) -> Self {
+        let now = Moment::now();
         Self {
             came,
             first: now - came,
@@ -144,7 +145,7 @@
     }
 
     /// Notes a piece that comes at `now`.
-    fn piece(&mut self, now: Instant) {
+    fn piece(&mut self, now: Moment) {
         self.pause = self.pause.max(now - self.last);
         self.last = now;
     }
@@ -188,7 +189,7 @@
         orders: mpsc::UnboundedReceiver<Order>,
         source: Source,
         framed: bool,
-        came: Instant,
+        came: Moment,
         resume: Option<Resume>,
     ) -> Self {
         Self {
@@ -242,12 +243,12 @@
                     return Poll::Ready(Piece::Cut);
                 }
                 Poll::Ready(Some(Ok(frame))) => {
-                    let now = Instant::now();
+                    let now = Moment::now();
                     self.pace.piece(now);
                     if let Some(pulse) = &mut self.pulse {
                         pulse.note(now);
                     }
-                    self.stall.as_mut().reset(now + STALL);
+                    self.stall.as_mut().reset(Instant::now() + STALL);
                     if let Ok(bytes) = frame.into_data() {
                         return Poll::Ready(Piece::Data(bytes));
                     }
@@ -360,11 +361,11 @@
                     self.core.tell(Event::Begun { request, attempt });
                     self.incoming = found.response.into_body();
                     self.lease = Some(found.lease);
-                    let now = Instant::now();
+                    let now = Moment::now();
                     if let Some(pulse) = &mut self.pulse {
                         pulse.begin(now);
                     }
-                    self.stall.as_mut().reset(now + STALL);
+                    self.stall.as_mut().reset(Instant::now() + STALL);
                     self.moving = false;
                     return Poll::Ready(true);
                 }
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -13,13 +13,9 @@
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{
-    net::TcpStream,
-    task::JoinHandle,
-    time::{Instant, timeout},
-};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::{platform, verdict::Verdict};
+use crate::{gateway::clock::Moment, platform, verdict::Verdict};
 
 /// How long a connection may take to open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,7 +75,7 @@
     sender: Sender,
     task: JoinHandle<()>,
     /// When it is not used any more.
-    expires: Instant,
+    expires: Moment,
 }
 
 impl Drop for Link {
@@ -111,7 +107,7 @@
             mut link,
             idle,
         } = self;
-        let now = Instant::now();
+        let now = Moment::now();
         link.expires = now + idle;
         let mut pools = pool.idle.lock().expect("the pool's lock is never poisoned");
         let links = pools.entry(address).or_default();
@@ -148,7 +144,7 @@
     Ok(Link {
         sender,
         task,
-        expires: Instant::now(),
+        expires: Moment::now(),
     })
 }
 
@@ -226,7 +222,7 @@
         }
         let mut idle = self.idle.lock().expect("the pool's lock is never poisoned");
         let links = idle.get_mut(&address)?;
-        let now = Instant::now();
+        let now = Moment::now();
         while let Some(link) = links.pop() {
             if link.expires > now && !link.sender.is_closed() {
                 return Some(link);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -10,10 +10,7 @@
     header::CONTENT_LENGTH,
     http::request::Parts,
 };
-use tokio::{
-    sync::mpsc,
-    time::{Instant, timeout},
-};
+use tokio::{sync::mpsc, time::timeout};
 
 use crate::{
     config::KeyHash,
@@ -21,6 +18,7 @@
         Shell,
         attempt::{Found, Miss, Prepared, try_once},
         body::{Body, Cut, Piece, STALL, Source, Stream, is_framed},
+        clock::Moment,
         core::{Handle, Order},
         head, pack,
         read::{self, deny},
@@ -244,7 +242,7 @@
     hop: Hop,
     span: &Span,
 ) -> Result<Response<Body>, Reply> {
-    let came = Instant::now();
+    let came = Moment::now();
     let label = match hop {
         Hop::Direct => "direct",
         Hop::Relay(_) => "relay",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 pub mod admin;
 mod attempt;
 mod body;
-mod clock;
+pub mod clock;
 mod core;
 pub(crate) mod dial;
 mod directory;
--- a/src/gateway/signs.rs
+++ b/src/gateway/signs.rs
@@ -10,9 +10,8 @@
     },
 };
 
-use tokio::time::Instant;
-
 use crate::{
+    gateway::clock::Moment,
     id,
     reducer::{effect::Target, event},
     unit::Millis,
@@ -31,18 +30,18 @@
 #[derive(Debug)]
 pub(crate) struct Pulse {
     sign: Arc<Sign>,
-    last: Instant,
+    last: Moment,
 }
 
 impl Pulse {
     /// Notes that the answer begins at `now`: what came before was no pause.
-    pub(crate) fn begin(&mut self, now: Instant) {
+    pub(crate) fn begin(&mut self, now: Moment) {
         self.last = now;
         self.sign.heard.store(true, Relaxed);
     }
 
     /// Notes a piece that comes at `now`.
-    pub(crate) fn note(&mut self, now: Instant) {
+    pub(crate) fn note(&mut self, now: Moment) {
         let pause = (now - self.last).as_millis() as u64;
         self.last = now;
         self.sign.pause.fetch_max(pause, Relaxed);
@@ -67,7 +66,7 @@
         };
         let short = Short::of(id::Backend::as_str(name));
         let sign = self.lock().entry(short).or_default().clone();
-        let last = Instant::now();
+        let last = Moment::now();
         Some(Pulse { sign, last })
     }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -6,15 +6,12 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use tokio::{
-    sync::watch,
-    time::{Instant, sleep},
-};
+use tokio::{sync::watch, time::sleep};
 
 use crate::{
     config::Backend,
     fleet::{self, Change as FleetChange, Revision},
-    gateway::{core::Handle, dial::Pool, follow, metrics::Metrics},
+    gateway::{clock::Moment, core::Handle, dial::Pool, follow, metrics::Metrics},
     id::Domain,
     platform::{
         call::Error,
@@ -55,7 +52,7 @@
     revision: Option<Revision>,
     evacuated: BTreeSet<Domain>,
     /// When the store last failed, or came back: what vanishes soon after is in doubt.
-    disturbed: Option<Instant>,
+    disturbed: Option<Moment>,
     failures: u32,
     duty: Duty,
 }
@@ -128,7 +125,7 @@
     }
 
     async fn read(&mut self, freshness: Freshness) -> Result<(), Error> {
-        let asked = Instant::now();
+        let asked = Moment::now();
         let read = self.client.range(ALL, freshness).await;
         self.count("read", &read);
         let (items, revision) = read?;
@@ -293,7 +290,7 @@
             log::info!("store: back after {} failed calls.", self.failures);
             self.failures = 0;
             self.metrics.store_failures.set(0);
-            self.disturbed = Some(Instant::now());
+            self.disturbed = Some(Moment::now());
         }
     }
 
@@ -303,7 +300,7 @@
         }
         self.failures += 1;
         self.metrics.store_failures.set(i64::from(self.failures));
-        self.disturbed = Some(Instant::now());
+        self.disturbed = Some(Moment::now());
         let doublings = self.failures.saturating_sub(1).min(8);
         let wait = (BACKOFF.0 * (1 << doublings)).min(BACKOFF.1);
         sleep(wait.mul_f64(rand::random_range(0.5..1.5))).await;
