--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -40,12 +40,12 @@
 const ALIBI: Millis = Millis(30_000);
 /// Whole answers that are remembered: about ten seconds of a busy box, 40 KB.
 const MAX_ALIBIS: usize = 1024;
-/// Marks of all customers, about 150 KB.
-const MAX_MARKS: usize = 1024;
+/// Marks of all customers, about 300 KB: one end of a server strikes up to 64 contents.
+pub const MAX_MARKS: usize = 2048;
 /// Marks of one customer.
-const MAX_EACH: usize = 128;
+pub const MAX_EACH: usize = 512;
 /// Held contents that a box tells the others of, the latest first: 16 bytes each.
-const MAX_TOLD: usize = 32;
+pub const MAX_TOLD: usize = 32;
 
 /// A server ended while a content was in hand there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -330,10 +330,11 @@
         }
     }
 
-    /// Drops the mark of `customer` that says least: not held, and unheard for longest.
+    /// Drops the mark of `customer` that says least: not held, the least evidence, and unheard for longest.
     fn drop_oldest(&mut self, customer: Short) {
         let marks = self.marks.iter().filter(|(c, _)| c.customer == customer);
-        let oldest = marks.min_by_key(|(content, mark)| (mark.held, mark.heard, **content));
+        let oldest =
+            marks.min_by_key(|(content, mark)| (mark.held, mark.evidence(), mark.heard, **content));
         if let Some(oldest) = oldest.map(|(content, _)| *content) {
             self.marks.remove(&oldest);
         }
