Count answers that were cut as evidence

Cause: only streams that may go on elsewhere told of a break; the others ended by another event, without a suspect. A deadly request on a route that may not be repeated would have ended servers for ever.

Change: an answer that ends before it is whole makes its content a suspect too. Before: 0 knocks for a cut answer; after: 1, and the third end holds the content back.

--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -94,6 +94,10 @@
             return;
         };
         self.release(&held, whole.then_some(now.since(held.at)));
+        if !whole {
+            // Its server may have ended, though nobody may go on with the answer.
+            self.suspect(now, request, &held, out);
+        }
         let Some(job) = self.jobs.remove(&request) else {
             return;
         };
