Count one end once while its server is knocked at

Cause: the weight of evidence that waits for word of a server added up all strikes there, so three requests with one content that broke at one server, or one that broke while no word came, made the next ones wait: a test of the breaker found nothing sent.

Change: one end counts once, and word is waited for 500 ms at most, after which the server may be knocked at again.

Tests: held_contents::one_end_delays_nobody_whatever_broke_there, word_that_never_comes_delays_nobody_for_long.

--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -27,7 +27,7 @@
             self.finish(request, reply, out);
             return true;
         }
-        if self.awaits_word(job) {
+        if self.awaits_word(now, job) {
             return false;
         }
         let verdict = job.verdict();
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -101,7 +101,7 @@
     fn better_place(&self, now: Time, request: id::Request) -> Option<(Place, Basis)> {
         let job = self.jobs.get(&request)?;
         let spent = job.runs < 2 || job.attempts >= retry::MAX_ATTEMPTS;
-        if spent || self.awaits_word(job) || self.withheld(now, job).is_some() {
+        if spent || self.awaits_word(now, job) || self.withheld(now, job).is_some() {
             return None;
         }
         let decision = self.decide(now, job).ok()?;
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -20,7 +20,7 @@
         job::{Job, Spot, Stage},
         outcome,
     },
-    unit::Time,
+    unit::{Millis, Time},
     wire::{Body, Frame, Marks, Short},
 };
 
@@ -29,15 +29,34 @@
 /// Suspects that are remembered for one server while it is knocked at; a batch of an engine is 64.
 const MAX_SUSPECTS: usize = 128;
 
+/// How long a request waits for word of a server that is knocked at: several times what a knock takes
+/// at most.
+const WORD_PATIENCE: Millis = Millis(500);
+
+/// A server that is knocked at.
+#[derive(Debug)]
+struct Knock {
+    since: Time,
+    /// What its end would say.
+    strikes: Vec<Strike>,
+}
+
 /// Attempts that broke at servers which may have ended.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    /// Strikes that wait for word of their server.
-    waiting: HashMap<id::Backend, Vec<Strike>>,
+    knocks: HashMap<id::Backend, Knock>,
     /// Contents whose clearing the others are to hear of.
     cleared: Vec<Fingerprint>,
 }
 
+impl Knock {
+    /// What the server's end would say of `content`; one end counts once, whatever broke there.
+    fn weight(&self, content: &Fingerprint) -> Option<u32> {
+        let same = self.strikes.iter().filter(|s| s.content == *content);
+        same.map(|strike| strike.weight).max()
+    }
+}
+
 impl<P: Policy> State<P> {
     /// Notes an attempt whose connection to its backend server broke, and finds out whether the server
     /// has ended.
@@ -76,13 +95,19 @@
             weight: quarantine::weight(begun),
         };
         let address = backend.address;
-        let waiting = self.suspects.waiting.entry(name.clone()).or_default();
-        if waiting.is_empty() {
+        let knocks = &mut self.suspects.knocks;
+        // Word that comes later may speak of the next life.
+        knocks.retain(|_, knock| now.since(knock.since) < WORD_PATIENCE);
+        if !knocks.contains_key(name) {
             let backend = name.clone();
             out.push(Effect::Knock { backend, address });
         }
-        if waiting.len() < MAX_SUSPECTS {
-            waiting.push(strike);
+        let knock = knocks.entry(name.clone()).or_insert(Knock {
+            since: now,
+            strikes: Vec::new(),
+        });
+        if knock.strikes.len() < MAX_SUSPECTS {
+            knock.strikes.push(strike);
         }
     }
 
@@ -94,9 +119,10 @@
         closed: bool,
         out: &mut Vec<Effect>,
     ) {
-        let strikes = self.suspects.waiting.remove(backend).unwrap_or_default();
+        let knock = self.suspects.knocks.remove(backend);
+        let strikes = knock.filter(|_| closed).map(|knock| knock.strikes);
         let mut news = Vec::new();
-        for strike in strikes.into_iter().filter(|_| closed) {
+        for strike in strikes.into_iter().flatten() {
             if self.strike(now, strike, out) {
                 news.push(strike);
             }
@@ -183,13 +209,12 @@
     /// next server is not risked before that is known. Without it a stream went on to a fourth server in the
     /// milliseconds that the knock took, in 2 of 10 runs of ten such requests at two boxes; in none of 16
     /// with it.
-    pub(super) fn awaits_word(&self, job: &Job) -> bool {
-        if self.suspects.waiting.is_empty() {
-            return false;
-        }
-        let pending = self.suspects.waiting.values().flatten();
-        let same = pending.filter(|strike| strike.content == job.content);
-        let weight: u32 = same.map(|strike| strike.weight).sum();
+    pub(super) fn awaits_word(&self, now: Time, job: &Job) -> bool {
+        let knocks = self.suspects.knocks.values();
+        let weight: u32 = knocks
+            .filter(|knock| now.since(knock.since) < WORD_PATIENCE)
+            .filter_map(|knock| knock.weight(&job.content))
+            .sum();
         weight > 0 && self.quarantine.would_hold(&job.content, weight)
     }
 
--- a/tests/held_contents.rs
+++ b/tests/held_contents.rs
@@ -312,6 +312,42 @@
     assert!(sends(&effects).is_empty());
 }
 
+#[test]
+fn one_end_delays_nobody_whatever_broke_there() {
+    let mut solo = solo();
+    let first: Vec<Send> = (1..=12)
+        .flat_map(|r| sends(&ask(&mut solo, r, 9)))
+        .collect();
+    let mut there: Vec<&Send> = first
+        .iter()
+        .filter(|s| s.target == first[0].target)
+        .collect();
+    let last = there.pop().expect("several at one server");
+    for send in there {
+        solo.failed(send, Verdict::MayHaveRun, Cause::Broken);
+    }
+    // Three of its requests broke there, and nobody has heard yet whether the server lives.
+    let again = solo.failed(last, Verdict::MayHaveRun, Cause::Broken);
+    assert_eq!(sends(&again).len(), 1);
+}
+
+#[test]
+fn word_that_never_comes_delays_nobody_for_long() {
+    let mut solo = solo();
+    for life in [1, 2] {
+        hear(
+            &mut solo,
+            life,
+            vec![strike(fingerprint(9), life as u32)],
+            vec![],
+        );
+    }
+    let send = sends(&ask(&mut solo, 1, 9)).remove(0);
+    let effects = solo.failed(&send, Verdict::MayHaveRun, Cause::Broken);
+    assert!(sends(&effects).is_empty());
+    assert_eq!(sends(&solo.pass(500)).len(), 1);
+}
+
 #[test]
 fn it_goes_on_where_the_server_lives() {
     let mut solo = solo();
