--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -11,6 +11,7 @@
 use petreldrum::{
     allotment::{Accounts, Allotment, Knowledge, Sum, Unit},
     config::{Config, Envelope, KeyHash, Version},
+    content::Content,
     gateway::pack::pack,
     id::{self, Incarnation},
     ledger::Ledger,
@@ -56,6 +57,30 @@
     Ok(())
 }
 
+/// What it takes to tell what a request asks for, by the size of its body.
+fn contents() -> eyre::Result<()> {
+    println!("body bytes  fingerprint");
+    let secret = "the-secret-of-all-boxes"
+        .parse()
+        .map_err(eyre::Report::msg)?;
+    for size in [300, 1_000, 17_000] {
+        let body = vec![7; size];
+        let start = Instant::now();
+        for _ in 0..REQUESTS {
+            black_box(Content::of(
+                &secret,
+                "POST",
+                "a.example",
+                "/x/y",
+                black_box(&body),
+            ));
+        }
+        let each = start.elapsed().as_nanos() / u128::from(REQUESTS);
+        println!("{size:10}  {each:8} ns");
+    }
+    Ok(())
+}
+
 /// Sizes that grow, up to the goal.
 fn sizes() -> [Size; 3] {
     let size = |boxes, regions, workers| Size {
@@ -104,6 +129,7 @@
 }
 
 pub(super) fn run() -> eyre::Result<()> {
+    contents()?;
     keys()?;
     println!("workers  boxes  regions  decisions/s  us/decision  config KB  packed KB  check ms");
     for size in sizes() {
