Test that held contents outlast all boxes, failing

Looking for the same cause elsewhere: boxes alone know what is held back, so after the loss of all of them the content ends three more servers. The stand-in of the store takes writes and leases now.

--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -177,6 +177,22 @@
         })
     }
 
+    /// Writes what a call without conditions says; leases never run out here.
+    fn write(&self, body: &[u8]) -> Response<Body> {
+        let Ok(call) = serde_json::from_slice::<Value>(body) else {
+            return whole(StatusCode::BAD_REQUEST, "");
+        };
+        let rows = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        for put in rows("puts") {
+            let value = put["value"].as_str().map(str::to_owned);
+            self.change(put["key"].as_str().unwrap_or_default(), value);
+        }
+        for key in rows("remove") {
+            self.change(key.as_str().unwrap_or_default(), None);
+        }
+        json_answer(&json!({ "revision": self.lock().revision }))
+    }
+
     /// What changed after a revision; an error where that is not known any more.
     fn changes(&self, prefix: &str, after: u64) -> Result<Value, StatusCode> {
         let inner = self.lock();
@@ -255,6 +271,14 @@
                 Fault::None => self.watch(&query).await,
                 fault => misbehave(fault).await,
             },
+            "/v1/kv-lease" => match self.count("lease") {
+                Fault::None => Some(json_answer(&json!({ "lease": 1, "ttlMs": 600_000 }))),
+                fault => misbehave(fault).await,
+            },
+            "/v1/kv-txn" => match self.count("write") {
+                Fault::None => Some(self.write(request.body())),
+                fault => misbehave(fault).await,
+            },
             _ => Some(whole(StatusCode::NOT_FOUND, "")),
         }
     }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use harness::{cloud::Cloud, eventually};
+use nix::sys::signal::Signal;
 use petreldrum_standin::http::Answer;
 use tokio::time::sleep;
 
@@ -69,3 +70,28 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn it_stays_held_back_when_all_boxes_are_gone() {
+    let mut cloud = Cloud::serving(&["w-1", "w-2", "w-3", "w-4"]).await;
+    let mut life = 4;
+    let mut ended = 0;
+    for number in 0..4 {
+        repeat(&cloud, number).await;
+        sleep(Duration::from_millis(200)).await;
+        ended += replace_ended(&mut cloud, &mut life).await;
+    }
+    assert_eq!(ended, PROOF);
+    eventually("it is written down", async || {
+        cloud.registry.calls("write") > 0
+    })
+    .await;
+    cloud.boxes[0].signal(Signal::SIGKILL);
+    cloud.boxes[0].wait().await;
+    cloud.boxes.clear();
+    cloud.add_box("atl").await;
+    cloud.settled().await;
+    let answer = repeat(&cloud, 9).await;
+    assert_eq!(answer.status.as_u16(), 503);
+    assert_eq!(replace_ended(&mut cloud, &mut life).await, 0);
+}
