Keep held contents in the platform's store

Cause: only boxes knew what is held back, so after the loss of all of them a content could end three more servers, and more where it came to several boxes at once.

Weighed: an entry for each strike (many writes in a storm of crashes, none of them a decision), a file (boxes have no disk), and nothing (the failing test). An operator's pardon, or a whole answer, takes it out.

After: a box that starts when all are gone refuses the content at once; two calls to the store for a conviction.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -20,6 +20,7 @@
         follow,
         gossip::Links,
         head,
+        keep::{self, Write},
         lines::Quota,
         metrics::Metrics,
         replay::Replay,
@@ -356,6 +357,8 @@
             Effect::Abort { request, .. } => self.order(request, Order::Abort),
             Effect::Leave { request, .. } => self.order(request, Order::Leave),
             Effect::Knock { backend, address } => self.knock(backend, address),
+            Effect::Keep(held) => self.keep(Write::Keep(held)),
+            Effect::Discard(content) => self.keep(Write::Discard(content)),
             Effect::Quarantine(step) if step.is_decision() => log::warn!("quarantine: {step}"),
             Effect::Quarantine(step) => log::debug!("quarantine: {step}"),
             Effect::CloseIdle(address) => self.parts.pool.close_idle(address),
@@ -426,6 +429,14 @@
         });
     }
 
+    /// Writes to the platform's store, where there is one.
+    fn keep(&self, write: Write) {
+        let Some(store) = self.parts.settings.stores.first() else {
+            return;
+        };
+        tokio::spawn(keep::write(*store, self.parts.pool.clone(), write));
+    }
+
     /// Finds out whether a backend server's process has ended.
     fn knock(&self, backend: id::Backend, address: std::net::SocketAddr) {
         let Some(handle) = self.handle.clone() else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod framing;
 mod gossip;
 mod head;
+mod keep;
 pub mod lines;
 mod list;
 mod metrics;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -188,6 +188,7 @@
                     evacuated.insert(domain);
                 }
                 Some(Name::Server(name)) => backends.extend(self.backend(&name, &item.value)),
+                Some(Name::Held(content)) => self.core.tell(Event::Kept(content)),
                 None => {}
             }
         }
@@ -215,6 +216,7 @@
                     let change = self.entry(name, &item.value);
                     self.core.tell(Event::Fleet { change, revision });
                 }
+                Some(Name::Held(content)) => self.core.tell(Event::Kept(content)),
                 None => {}
             },
             Change::Deleted { key, revision } => match Name::parse(&key) {
@@ -226,7 +228,8 @@
                     self.core.tell(Event::Fleet { change, revision });
                 }
                 Some(Name::Config) => log::error!("store: the configuration was deleted."),
-                None => {}
+                // The boxes tell each other what is cleared; the rest runs out by itself.
+                Some(Name::Held(_)) | None => {}
             },
         }
     }
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -7,7 +7,7 @@
     content::Fingerprint,
     fleet::Revision,
     id::{self, Incarnation, Region},
-    quarantine::Step,
+    quarantine::{Held, Step},
     unit::{Millis, Time},
     verdict::Verdict,
     wire::{Contact, Frame},
@@ -301,6 +301,10 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Keep in the platform's store that a content is held back, for boxes that start after all are gone.
+    Keep(Held),
+    /// Take that out of the store again.
+    Discard(Fingerprint),
     /// Write down what changed of a content that may end backend servers.
     Quarantine(Step),
     /// Close the connections to this address that nobody uses.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -252,6 +252,8 @@
         /// Whether its port is closed, so that the process behind it has ended.
         closed: bool,
     },
+    /// The platform's store holds that a content is held back.
+    Kept(Fingerprint),
     /// An operator lets a content run again.
     Pardoned(Fingerprint),
     /// The settings were read again.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -234,6 +234,7 @@
                 host,
             } => self.resolve(now, request, &region, host.as_deref(), &mut out),
             Event::Knocked { backend, closed } => self.knocked(now, &backend, closed, &mut out),
+            Event::Kept(content) => self.kept(now, content, &mut out),
             Event::Pardoned(content) => self.pardon(now, content, &mut out),
             Event::Reloaded { seeds, retry } => {
                 self.seeds = seeds;
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -125,6 +125,7 @@
         for strike in strikes.into_iter().flatten() {
             if self.strike(now, strike, out) {
                 news.push(strike);
+                self.keep(now, strike.content, out);
             }
         }
         for strikes in news.chunks(MAX_TOLD) {
@@ -136,12 +137,31 @@
 
     /// Notes a whole answer: it speaks for its content.
     pub(super) fn exonerate(&mut self, now: Time, content: Fingerprint, out: &mut Vec<Effect>) {
-        if let Some(step) = self.quarantine.clear(content, now) {
-            out.push(Effect::Quarantine(step));
-            self.suspects.cleared.push(content);
+        let Some(step) = self.quarantine.clear(content, now) else {
+            return;
+        };
+        out.push(Effect::Quarantine(step));
+        self.suspects.cleared.push(content);
+        if self.registry && step.is_decision() {
+            out.push(Effect::Discard(content));
         }
     }
 
+    /// Keeps in the store what this box's own word has proved.
+    fn keep(&self, now: Time, content: Fingerprint, out: &mut Vec<Effect>) {
+        if !self.registry {
+            return;
+        }
+        let left = self.quarantine.held(&content, now);
+        out.extend(left.map(|left| Effect::Keep(Held { content, left })));
+    }
+
+    /// Takes the store's word for a content; it does not say for how much longer.
+    pub(super) fn kept(&mut self, now: Time, content: Fingerprint, out: &mut Vec<Effect>) {
+        let left = quarantine::HOLD;
+        self.hear_held(now, &[Held { content, left }], out);
+    }
+
     /// Tells the others what was cleared since the last tick.
     pub(super) fn tell_cleared(&mut self, now: Time, out: &mut Vec<Effect>) {
         let cleared = std::mem::take(&mut self.suspects.cleared);
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -267,6 +267,8 @@
             | Effect::Broken { .. }
             | Effect::Knock { .. }
             | Effect::Quarantine(_)
+            | Effect::Keep(_)
+            | Effect::Discard(_)
             | Effect::Alarm(_) => {}
         }
     }
