--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,19 +15,10 @@
     config::{Ask, Config, Envelope, Version},
     fleet::Roster,
     gateway::{
-        clock::Clock,
-        dial::{self, Pool},
-        follow,
-        gossip::Links,
-        head,
-        keep::{self, Write},
-        lines::Quota,
-        metrics::Metrics,
+        clock::Clock, dial::Pool, gossip::Links, keep::Write, lines::Quota, metrics::Metrics,
         replay::Replay,
     },
-    id,
-    platform::engine,
-    policy,
+    id, policy,
     reducer::{
         Identity, State,
         effect::{Effect, Entry, Follow, Reply, Send as SendOrder},
@@ -98,7 +89,7 @@
     offered: Option<Current>,
     /// When the metrics were last told of allotments.
     allotments_told: Time,
-    handle: Option<Handle>,
+    pub(super) handle: Option<Handle>,
 }
 
 /// A request in hand, as its task and the log know it.
@@ -406,77 +397,4 @@
         self.order(request, order);
         self.orders.remove(&request);
     }
-
-    fn fetch_roster(&self, peer: std::net::SocketAddr) {
-        let Some(handle) = self.handle.clone() else {
-            return;
-        };
-        let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
-        tokio::spawn(async move {
-            let secret = &settings.cluster_secret;
-            match follow::fetch::<Roster>(&pool, peer, head::ROSTER_PATH, secret).await {
-                Ok(roster) => {
-                    let (servers, evacuated) = (roster.backends.len(), roster.evacuated.len());
-                    log::info!(
-                        "peers: {peer} tells of {servers} backend servers, evacuated={evacuated} \
-                         store={}",
-                        roster.revision
-                    );
-                    handle.tell(Event::Roster(roster));
-                }
-                Err(error) => log::warn!("peers: {error:#}"),
-            }
-        });
-    }
-
-    /// Writes to the platform's store, where there is one.
-    fn keep(&self, write: Write) {
-        let Some(store) = self.parts.settings.stores.first() else {
-            return;
-        };
-        tokio::spawn(keep::write(*store, self.parts.pool.clone(), write));
-    }
-
-    /// Finds out whether a backend server's process has ended.
-    fn knock(&self, backend: id::Backend, address: std::net::SocketAddr) {
-        let Some(handle) = self.handle.clone() else {
-            return;
-        };
-        tokio::spawn(async move {
-            let closed = dial::is_closed(address).await;
-            log::info!("knock: backend={backend} closed={closed}");
-            handle.tell(Event::Knocked { backend, closed });
-        });
-    }
-
-    /// Asks an engine what it has cached; without an answer its parts count as unknown.
-    fn ask_cached(&self, backend: id::Backend, address: std::net::SocketAddr) {
-        let Some(handle) = self.handle.clone() else {
-            return;
-        };
-        let pool = self.parts.pool.clone();
-        tokio::spawn(async move {
-            match engine::cached(&pool, address).await {
-                Ok(parts) => {
-                    log::info!("cache: backend={backend} parts={}", parts.len());
-                    handle.tell(Event::Cached { backend, parts });
-                }
-                Err(error) => log::warn!("cache: backend={backend} unknown: {error}"),
-            }
-        });
-    }
-
-    fn fetch(&self, peer: std::net::SocketAddr, version: Version) {
-        let Some(handle) = self.handle.clone() else {
-            return;
-        };
-        let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
-        tokio::spawn(async move {
-            let secret = &settings.cluster_secret;
-            match follow::fetch(&pool, peer, head::CONFIG_PATH, secret).await {
-                Ok(envelope) => follow::offer(&handle, &settings, envelope, Source::Peer),
-                Err(error) => log::warn!("config: {version}: {error:#}"),
-            }
-        });
-    }
 }
--- /dev/null
+++ b/src/gateway/errand.rs
@@ -0,0 +1,93 @@
+//! What the reducer wants found out or fetched: each a task of its own, whose word comes back as an event.
+
+use std::net::SocketAddr;
+
+use crate::{
+    config::Version,
+    fleet::Roster,
+    gateway::{
+        core::Core,
+        dial, follow, head,
+        keep::{self, Write},
+    },
+    id,
+    platform::engine,
+    reducer::event::{Event, Source},
+};
+
+impl Core {
+    /// Fetches what another box knows of registered backend servers.
+    pub(super) fn fetch_roster(&self, peer: SocketAddr) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
+        tokio::spawn(async move {
+            let secret = &settings.cluster_secret;
+            match follow::fetch::<Roster>(&pool, peer, head::ROSTER_PATH, secret).await {
+                Ok(roster) => {
+                    let (servers, evacuated) = (roster.backends.len(), roster.evacuated.len());
+                    log::info!(
+                        "peers: {peer} tells of {servers} backend servers, evacuated={evacuated} \
+                         store={}",
+                        roster.revision
+                    );
+                    handle.tell(Event::Roster(roster));
+                }
+                Err(error) => log::warn!("peers: {error:#}"),
+            }
+        });
+    }
+
+    /// Writes to the platform's store, where there is one.
+    pub(super) fn keep(&self, write: Write) {
+        let Some(store) = self.parts.settings.stores.first() else {
+            return;
+        };
+        tokio::spawn(keep::write(*store, self.parts.pool.clone(), write));
+    }
+
+    /// Finds out whether a backend server's process has ended.
+    pub(super) fn knock(&self, backend: id::Backend, address: SocketAddr) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let closed = dial::is_closed(address).await;
+            log::info!("knock: backend={backend} closed={closed}");
+            handle.tell(Event::Knocked { backend, closed });
+        });
+    }
+
+    /// Asks an engine what it has cached; without an answer its parts count as unknown.
+    pub(super) fn ask_cached(&self, backend: id::Backend, address: SocketAddr) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        let pool = self.parts.pool.clone();
+        tokio::spawn(async move {
+            match engine::cached(&pool, address).await {
+                Ok(parts) => {
+                    log::info!("cache: backend={backend} parts={}", parts.len());
+                    handle.tell(Event::Cached { backend, parts });
+                }
+                Err(error) => log::warn!("cache: backend={backend} unknown: {error}"),
+            }
+        });
+    }
+
+    /// Fetches a newer configuration from another box.
+    pub(super) fn fetch(&self, peer: SocketAddr, version: Version) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
+        tokio::spawn(async move {
+            let secret = &settings.cluster_secret;
+            match follow::fetch(&pool, peer, head::CONFIG_PATH, secret).await {
+                Ok(envelope) => follow::offer(&handle, &settings, envelope, Source::Peer),
+                Err(error) => log::warn!("config: {version}: {error:#}"),
+            }
+        });
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use crate::{
     config::KeyHash,
     gateway::{
-        Shell,
+        Shell, ask,
         attempt::{Found, Miss, Prepared, try_once},
         body::{Body, Cut, Piece, STALL, Source, Stream, is_framed},
         clock::Moment,
@@ -26,15 +26,12 @@
         resume::Resume,
         trace::Span,
     },
-    id,
-    pin::{self, Pin},
-    platform,
+    id, platform,
     reducer::{
-        effect::{Entry, Reply, Send, Target},
+        effect::{Reply, Send, Target},
         event::{Arrival, Credential, Event, Hop, Key},
     },
     settings::Interface,
-    unit::Millis,
     verdict::Verdict,
 };
 
@@ -43,8 +40,6 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pieces of an answer that wait for a slow caller.
 const BACKLOG: usize = 8;
-/// How long the boxes of an "ask" may be used.
-const ASK_LIFE: Millis = Millis(10_000);
 
 /// Which listener a request came by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -158,7 +153,7 @@
     match inbound.parts.uri.path() {
         "/petreldrum/health" => return Ok(head::whole(StatusCode::OK, "text/plain", "alive\n")),
         "/petreldrum/ready" => return Ok(shell.readiness().await),
-        "/petreldrum/ask" => return ask(shell, credential).await,
+        "/petreldrum/ask" => return ask::answer(shell, credential).await,
         _ => {}
     }
     shell.known(&credential)?;
@@ -197,43 +192,6 @@
     forward(shell, inbound, Credential::Vouched(customer), hop, span).await
 }
 
-async fn ask(shell: &Arc<Shell>, credential: Credential) -> Result<Response<Body>, Reply> {
-    let request = shell.next_request();
-    let mut orders = shell.core.open(Event::Asked {
-        request,
-        credential,
-    });
-    match orders.recv().await {
-        Some(Order::Boxes(boxes)) => Ok(list_boxes(shell, &boxes)),
-        Some(Order::Reply(reply)) => Err(reply),
-        _ => Err(deny(503, "this box is stopping")),
-    }
-}
-
-fn list_boxes(shell: &Shell, boxes: &[Entry]) -> Response<Body> {
-    let secret = &shell.settings.cluster_secret;
-    let rows: Vec<serde_json::Value> = boxes
-        .iter()
-        .map(|entry| {
-            let pin = Pin {
-                peer: entry.contact.peer,
-                incarnation: entry.incarnation,
-                expiry: entry.uptime + pin::LIFE,
-            };
-            serde_json::json!({
-                "box": entry.contact.name,
-                "region": entry.contact.region,
-                "failure_domain": entry.contact.domain,
-                "address": entry.contact.public,
-                "key_prefix": pin.prefix(secret),
-                "busy": entry.busy,
-            })
-        })
-        .collect();
-    let content = serde_json::json!({ "boxes": rows, "use_for_ms": ASK_LIFE });
-    head::json_answer(StatusCode::OK, &content)
-}
-
 /// Reads a request, brings it to the reducer and follows its orders.
 async fn forward(
     shell: &Arc<Shell>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,12 +15,14 @@
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
 
 pub mod admin;
+mod ask;
 mod attempt;
 mod body;
 pub mod clock;
 mod core;
 pub(crate) mod dial;
 mod directory;
+mod errand;
 mod exchange;
 mod follow;
 mod framing;
--- a/src/reducer/reading.rs
+++ b/src/reducer/reading.rs
@@ -53,18 +53,6 @@
         }
     }
 
-    /// Every box of the region, and one of each other region that is to spread the word there.
-    pub(super) fn everyone(&self, now: Time) -> Vec<(SocketAddr, bool)> {
-        let near = self.table.live(now).map(|p| p.last.contact.gossip);
-        let far = self.table.reachable(now).filter_map(|(_, remote)| {
-            let doors = &remote.digest.doors;
-            let turn = (self.attempts as usize).checked_rem(doors.len())?;
-            Some(doors[turn].contact.gossip)
-        });
-        let near = near.map(|to| (to, false));
-        near.chain(far.map(|to| (to, true))).collect()
-    }
-
     /// Takes in that a backend server begins to read a long prompt, and passes it on where asked.
     pub(super) fn hear_reading(
         &mut self,
