Take API keys off at the send, by the configuration then in force

Cause: a head was made ready when its request came, and lost its key only where customers had keys by then; the attempt went out later, after a box that had just started read its first configuration. Ruled out: a relay (the box sent it itself), a route without keys (slot-lookup needs one).

Change: the key is taken off in each attempt, by the configuration in force at that moment.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
     body::Incoming,
-    header::{HOST, HeaderName},
+    header::{AUTHORIZATION, HOST, HeaderName},
 };
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -194,6 +194,10 @@
     let mut headers = prepared.headers.clone();
     let left = send.not_after.since(shell.clock.now());
     let platform = shell.settings.interface == Interface::Platform;
+    // Customers may have come with a configuration since the request did.
+    if shell.has_keys() {
+        headers.remove(AUTHORIZATION);
+    }
     let own = |name: &'static str| HeaderName::from_static(name);
     let (address, name) = match &send.target {
         Target::Backend { address, name, .. } => {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -246,11 +246,7 @@
     let prepared = Arc::new(Prepared {
         method: parts.method.clone(),
         uri,
-        headers: head::request(
-            parts.headers.clone(),
-            shell.settings.interface,
-            shell.has_keys(),
-        ),
+        headers: head::request(parts.headers.clone(), shell.settings.interface),
         body,
         _memory: memory,
         span: span.clone(),
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -76,9 +76,9 @@
     }
 }
 
-/// What of a caller's head goes on: nothing of its connection and, where customers have API keys, not
-/// its key.
-pub(crate) fn request(mut headers: HeaderMap, interface: Interface, has_keys: bool) -> HeaderMap {
+/// What of a caller's head goes on: nothing of its connection. Whether an API key may is known at the send
+/// only.
+pub(crate) fn request(mut headers: HeaderMap, interface: Interface) -> HeaderMap {
     strip(&mut headers);
     headers.remove(CONTENT_LENGTH);
     headers.remove("expect");
@@ -88,12 +88,7 @@
             headers.remove(HOST);
             headers.remove(API_KEY);
         }
-        Interface::Platform => {
-            if has_keys {
-                headers.remove(AUTHORIZATION);
-            }
-            platform::head::strip(&mut headers);
-        }
+        Interface::Platform => platform::head::strip(&mut headers),
     }
     headers
 }
