Write the loop of deadly requests once, and correct a module page

The page of suspect.rs said that a box knocks once; it knocks twice where the port is open at first. No behaviour changes.

--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -3,7 +3,7 @@
 //!
 //! Load pattern: a server that ends breaks tens of attempts of several boxes within milliseconds. A broken
 //! connection alone proves no end, since servers reset some and links are cut; so the box knocks at the
-//! server's port once, and only a closed port is taken for the end of that life. What it then knows goes
+//! server's port, twice where it is open at first, and only a closed port is the end of that life. What it then knows goes
 //! to every box at once, and what is held back stands in the messages that the boxes exchange anyway: a box
 //! that started, woke or was cut off learns it from the first of them.
 
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -31,32 +31,37 @@
     ended.len()
 }
 
-/// The same content under a new id, at one box after the other.
-async fn repeat(cloud: &Cloud, number: usize) -> Answer {
-    repeat_as(cloud, number, "crash").await
-}
-
-/// The same, where the servers end in this mode.
-async fn repeat_as(cloud: &Cloud, number: usize, mode: &str) -> Answer {
+/// The same content under a new id, at one box after the other; the server ends in this mode.
+async fn repeat(cloud: &Cloud, number: usize, mode: &str) -> Answer {
     let entry = &cloud.boxes[number % cloud.boxes.len()];
     let id = format!("deadly-{number}");
     let begun = entry.begin_with("/stream/x", &id, mode, "deadly".to_owned());
     begun.await.finish().await
 }
 
+/// Repeats the content, and replaces the servers that end; how many did, and the last answer.
+async fn repeat_often(
+    cloud: &mut Cloud,
+    life: &mut usize,
+    times: usize,
+    mode: &str,
+) -> (usize, Option<Answer>) {
+    let mut ended = 0;
+    let mut last = None;
+    for number in 0..times {
+        last = Some(repeat(cloud, number, mode).await);
+        sleep(Duration::from_millis(200)).await;
+        ended += replace_ended(cloud, life).await;
+    }
+    (ended, last)
+}
+
 #[tokio::test]
 async fn content_that_ends_servers_is_held_back_at_every_box() {
     let mut cloud = Cloud::serving(&["w-1", "w-2", "w-3", "w-4"]).await;
     cloud.add_box("atl").await;
     cloud.settled().await;
-    let mut life = 4;
-    let mut ended = 0;
-    let mut last = None;
-    for number in 0..10 {
-        last = Some(repeat(&cloud, number).await);
-        sleep(Duration::from_millis(200)).await;
-        ended += replace_ended(&mut cloud, &mut life).await;
-    }
+    let (ended, last) = repeat_often(&mut cloud, &mut 4, 10, "crash").await;
     assert!(ended <= PROOF, "{ended} servers ended under one content");
     let last = last.expect("an answer of the box's own");
     assert_eq!(last.status.as_u16(), 503, "it did not run this time");
@@ -80,12 +85,7 @@
 async fn it_stays_held_back_when_all_boxes_are_gone() {
     let mut cloud = Cloud::serving(&["w-1", "w-2", "w-3", "w-4"]).await;
     let mut life = 4;
-    let mut ended = 0;
-    for number in 0..4 {
-        repeat(&cloud, number).await;
-        sleep(Duration::from_millis(200)).await;
-        ended += replace_ended(&mut cloud, &mut life).await;
-    }
+    let (ended, _) = repeat_often(&mut cloud, &mut life, 4, "crash").await;
     assert_eq!(ended, PROOF);
     eventually("it is written down", async || {
         cloud.registry.calls("write") > 0
@@ -96,7 +96,7 @@
     cloud.boxes.clear();
     cloud.add_box("atl").await;
     cloud.settled().await;
-    let answer = repeat(&cloud, 9).await;
+    let answer = repeat(&cloud, 9, "crash").await;
     assert_eq!(answer.status.as_u16(), 503);
     assert_eq!(replace_ended(&mut cloud, &mut life).await, 0);
 }
@@ -107,12 +107,6 @@
 #[tokio::test]
 async fn an_end_counts_though_the_port_closes_last() {
     let mut cloud = Cloud::serving(&["w-1", "w-2", "w-3", "w-4"]).await;
-    let mut life = 4;
-    let mut ended = 0;
-    for number in 0..6 {
-        repeat_as(&cloud, number, "crash-slowly").await;
-        sleep(Duration::from_millis(200)).await;
-        ended += replace_ended(&mut cloud, &mut life).await;
-    }
+    let (ended, _) = repeat_often(&mut cloud, &mut 4, 6, "crash-slowly").await;
     assert_eq!(ended, PROOF);
 }
