Log and count what backend servers say that they take

Cause: nothing showed whether a box was told of a server's limit. An answer's header is now read (own interface: limit_header of a backend section), a line is written where a server's word changes, each sent line says what the box knew of the chosen place, and a gauge counts the servers that name a limit. No choice of a place changes.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -293,6 +293,8 @@
     pub leaving: bool,
     /// An answer with this header means that the request did not run there.
     pub refusal_header: Option<String>,
+    /// The header of its answers that says how many requests a second it takes from all boxes.
+    pub limit_header: Option<String>,
     /// How long it stays cold after it became known.
     pub cold: Millis,
     /// Its life, where it tells: one that starts again under its name has a greater number.
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -252,6 +252,7 @@
     let price = section.or("price", 1.0);
     let leaving = section.or("leaving", false);
     let refusal_header = section.optional("refusal_header");
+    let limit_header = section.optional("limit_header");
     Some(Backend {
         name: name?,
         address: address?,
@@ -263,6 +264,7 @@
         price,
         leaving,
         refusal_header,
+        limit_header,
         cold: Millis(0),
         incarnation: None,
     })
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, Uri,
     body::Incoming,
-    header::{AUTHORIZATION, HOST, HeaderName},
+    header::{AUTHORIZATION, HOST, HeaderName, HeaderValue},
 };
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -20,10 +20,11 @@
         head,
         trace::Span,
     },
+    limit::Word,
     platform::{self, head::Outcome},
     reducer::{
         effect::{Send, Target},
-        event::Cause,
+        event::{Cause, Event},
     },
     settings::Interface,
     verdict::Verdict,
@@ -115,6 +116,7 @@
         Miss::new(failure.verdict(), cause)
     })?;
     span.note("http.response.status_code", response.status().as_u16());
+    hear_limit(shell, prepared, send, &response);
     let refused = refusal(shell, prepared, &send.target, &response);
     let found = Found {
         response,
@@ -141,6 +143,28 @@
     }
 }
 
+/// Tells what an answer of a backend server says of its limit. One that answers another request, or for
+/// another server, says nothing of this one.
+fn hear_limit(shell: &Shell, prepared: &Prepared, send: &Send, response: &Response<Incoming>) {
+    let Target::Backend {
+        name, limit_header, ..
+    } = &send.target
+    else {
+        return;
+    };
+    let headers = response.headers();
+    let platform = shell.settings.interface == Interface::Platform;
+    if platform && !platform::head::is_answer(&prepared.headers, response.status(), headers) {
+        return;
+    }
+    let fields = limit_header.iter().flat_map(|name| headers.get_all(name));
+    let word = Word::read(fields.map(HeaderValue::as_bytes));
+    if word != Word::Silent || send.basis.limit.is_some() {
+        let backend = name.clone();
+        shell.core.tell(Event::Limited { backend, word });
+    }
+}
+
 /// What an answer on the platform says of the request, where it is not the answer to it.
 fn judge(prepared: &Prepared, response: &Response<Incoming>) -> Option<(Verdict, Cause)> {
     let (status, headers) = (response.status(), response.headers());
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -30,6 +30,8 @@
     pub broken: IntCounterVec,
     /// Contents that were struck, held back or cleared.
     pub quarantine: IntCounterVec,
+    /// Backend servers of the region that name a limit, as far as this box knows.
+    pub limited: IntGauge,
     /// Kept answers given again.
     pub replays: IntCounter,
     /// Alarms.
@@ -158,6 +160,10 @@
                 "Contents under which backend servers ended: struck, held back, cleared.",
                 &["step"],
             )?,
+            limited: gauge(
+                "limited_backends",
+                "Backend servers that say how many requests a second they take.",
+            )?,
             replays: counter("replays_total", "Kept answers given again.")?,
             alarms: counter("alarms_total", "Alarms; each is in the log.")?,
             gossip: counters(
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -35,7 +35,7 @@
         write!(
             f,
             " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
-             target={} prompt={} unread={} cold={} store={} store_age={}",
+             target={} prompt={} unread={} cold={} limit={} store={} store_age={}",
             basis.version,
             basis.places,
             basis.wait,
@@ -49,6 +49,9 @@
             basis.prompt,
             basis.unread,
             basis.cold,
+            basis
+                .limit
+                .map_or("none".to_owned(), |rate| rate.to_string()),
             basis.revision,
             basis.store_age
         )
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`fleet`], [`server`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`quarantine`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`quarantine`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
@@ -30,6 +30,7 @@
 pub mod id;
 pub mod ini;
 pub mod ledger;
+pub mod limit;
 pub mod member;
 pub mod pin;
 #[path = "../platform/mod.rs"]
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -165,6 +165,7 @@
                     name: name.clone(),
                     address: backend.address,
                     refusal_header: backend.refusal_header.clone(),
+                    limit_header: backend.limit_header.clone(),
                 };
                 Some((target, None))
             }
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -8,7 +8,7 @@
     fleet::Revision,
     id::{self, Incarnation, Region},
     quarantine::{Held, Step},
-    unit::{Millis, Time},
+    unit::{Millis, Rate, Time},
     verdict::Verdict,
     wire::{Contact, Frame},
 };
@@ -24,6 +24,8 @@
         address: SocketAddr,
         /// The header that marks a trusted refusal.
         refusal_header: Option<String>,
+        /// The header that names its limit.
+        limit_header: Option<String>,
     },
     /// A box of another region, which must not send it on.
     Relay {
@@ -40,7 +42,7 @@
 }
 
 /// An order to try a request at one place.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Send {
     /// The request.
     pub request: id::Request,
@@ -71,7 +73,7 @@
 }
 
 /// What a choice of a place rested on, for the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Basis {
     /// The configuration in force.
     pub version: Version,
@@ -101,6 +103,8 @@
     pub unread: u32,
     /// How long the place is still cold, as far as the box knows; zero where it is warm.
     pub cold: Millis,
+    /// What the place says that it takes from all boxes, where it says so.
+    pub limit: Option<Rate>,
     /// How far the box knows the platform's store; zero where it follows none.
     pub revision: Revision,
     /// Age of the store's last word; zero where there was none.
@@ -181,7 +185,7 @@
 }
 
 /// What a box believes of the others, where that changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Note {
     /// A box of this region was heard.
     Heard(id::BoxName),
@@ -197,6 +201,11 @@
     Regained(id::Backend),
     /// A backend server started again under its name.
     Reborn(id::Backend),
+    /// A backend server says that it takes no more than this a second from all boxes, or no longer says
+    /// so.
+    Limited(id::Backend, Option<Rate>),
+    /// What a backend server says of its limit cannot be read.
+    Unreadable(id::Backend),
     /// This box hears neither the store nor another box: servers count as cold until it does.
     Alone,
     /// It hears one of them again.
@@ -213,6 +222,9 @@
             Self::Failed(name) => write!(f, "backend={name} state=silent"),
             Self::Regained(name) => write!(f, "backend={name} state=heard"),
             Self::Reborn(name) => write!(f, "backend={name} state=started-again"),
+            Self::Limited(name, Some(rate)) => write!(f, "backend={name} limit={rate}"),
+            Self::Limited(name, None) => write!(f, "backend={name} limit=none"),
+            Self::Unreadable(name) => write!(f, "backend={name} limit=unreadable"),
             Self::Alone => f.write_str("all state=silent store=silent cold=assumed"),
             Self::Accompanied => f.write_str("all state=heard"),
         }
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -7,7 +7,7 @@
     content::{Content, Fingerprint},
     fleet::{self, Revision},
     id::{self, Domain, Region, Service},
-    pin,
+    limit, pin,
     prompt::{Part, Prompt},
     retry,
     settings::Seed,
@@ -162,6 +162,13 @@
     },
     /// The one who sent a request went away.
     Gone(id::Request),
+    /// A backend server answered, and said something of its limit or was known for one.
+    Limited {
+        /// The backend server.
+        backend: id::Backend,
+        /// What it said.
+        word: limit::Word,
+    },
     /// An answer begins to reach the caller.
     Begun {
         /// The request.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -9,6 +9,7 @@
 //! | `allot` | what a customer may still use of its allotment |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
 //! | `cold` | the rate of cold backend servers, and this box's share of it |
+//! | `limit` | what backend servers say that they take |
 //! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
 //! | `tally` | how the region uses its backend servers, told through hubs |
@@ -39,6 +40,7 @@
 mod inventory;
 mod job;
 mod key;
+mod limit;
 mod line;
 mod news;
 mod outcome;
@@ -192,6 +194,7 @@
                 credential,
             } => self.boxes(now, request, &credential, &mut out),
             Event::Gone(request) => self.gone(now, request, &mut out),
+            Event::Limited { backend, word } => self.hear_limit(&backend, word, &mut out),
             Event::Begun { request, attempt } => self.begun(now, request, attempt, &mut out),
             Event::Ended {
                 request,
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -74,6 +74,10 @@
                 Place::Backend(name) => self.fleet.cold_left(name, now),
                 Place::Region(_) => Millis(0),
             },
+            limit: match place {
+                Place::Backend(name) => self.servers.get(name).and_then(Server::limit),
+                Place::Region(_) => None,
+            },
             revision: self.revision,
             store_age: self.store_heard.map_or(Millis(0), |at| now.since(at)),
         }
--- a/src/server.rs
+++ b/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     detector::Detector,
+    limit::Word,
     unit::{self, Millis, Rate, Time},
     wire::{Short, Usage},
 };
@@ -92,6 +93,10 @@
     /// When that was reckoned.
     reckoned: Time,
     detector: Detector,
+    /// What it says that it takes from all boxes.
+    limit: Option<Rate>,
+    /// Whether what it said of that last could not be read.
+    unreadable: bool,
 }
 
 impl Default for Server {
@@ -116,6 +121,8 @@
             running: 0.0,
             reckoned: Time(0),
             detector: Detector::default(),
+            limit: None,
+            unreadable: false,
         }
     }
 }
@@ -129,6 +136,20 @@
         };
     }
 
+    /// What it says that it takes from all boxes, where it says so.
+    pub fn limit(&self) -> Option<Rate> {
+        self.limit
+    }
+
+    /// Takes what an answer says of its limit; true where that is news.
+    pub fn hear_limit(&mut self, word: Word) -> bool {
+        let unreadable = word == Word::Unreadable;
+        let news = self.limit != word.rate() || (unreadable && !self.unreadable);
+        self.limit = word.rate();
+        self.unreadable = unreadable;
+        news
+    }
+
     /// Why it gets no work at `now`, where that is so.
     pub fn bar(&self, now: Time) -> Option<Bar> {
         if self.cool_until.is_some_and(|t| now < t) {
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -76,6 +76,7 @@
         price: 0.0,
         leaving: false,
         refusal_header: None,
+        limit_header: None,
         cold,
         incarnation: None,
     };
--- a/tests/fleet_changes.rs
+++ b/tests/fleet_changes.rs
@@ -22,6 +22,7 @@
         price: 0.0,
         leaving: false,
         refusal_header: None,
+        limit_header: None,
         cold: Millis(cold),
         incarnation: None,
     }
--- a/tests/store_news.rs
+++ b/tests/store_news.rs
@@ -61,6 +61,7 @@
         price: 0.0,
         leaving,
         refusal_header: None,
+        limit_header: None,
         cold: Millis(0),
         incarnation: None,
     }
