--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -9,7 +9,7 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -61,6 +61,10 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     left: Arc<Mutex<Vec<String>>>,
     connections: Arc<AtomicUsize>,
+    /// When requests came.
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    /// What its answers say that it takes a second.
+    limit: Arc<Mutex<Option<String>>>,
     /// How far the end of the process has come.
     end: watch::Sender<End>,
 }
@@ -75,6 +79,8 @@
             seen: Arc::default(),
             left: Arc::default(),
             connections: Arc::default(),
+            arrivals: Arc::default(),
+            limit: Arc::default(),
             end: watch::Sender::new(End::None),
         };
         let served = worker.clone();
@@ -114,6 +120,24 @@
             .clone()
     }
 
+    /// When requests came.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        let arrivals = self.arrivals.lock().expect("the lock is never poisoned");
+        arrivals.clone()
+    }
+
+    /// Its answers say from now on that it takes so many requests a second, or nothing.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        let mut named = self.limit.lock().expect("the lock is never poisoned");
+        *named = limit.map(str::to_owned);
+    }
+
+    fn limit_line(&self) -> String {
+        let named = self.limit.lock().expect("the lock is never poisoned");
+        let line = |limit: &String| format!("Server-Limit: {limit}\r\n");
+        named.as_ref().map(line).unwrap_or_default()
+    }
+
     /// Whether a request has ended it: nothing listens any more, and all its connections are closed.
     pub fn has_ended(&self) -> bool {
         *self.end.borrow() == End::Port
@@ -163,6 +187,8 @@
     }
 
     fn note(&self, request: Seen) {
+        let mut arrivals = self.arrivals.lock().expect("the lock is never poisoned");
+        arrivals.push(Instant::now());
         let mut seen = self.seen.lock().expect("the lock is never poisoned");
         seen.push(request);
     }
@@ -175,8 +201,10 @@
         mode: &str,
         last: u32,
     ) -> std::io::Result<bool> {
-        let head =
-            |status: &str, more: &str| format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{more}");
+        let limit = self.limit_line();
+        let head = |status: &str, more: &str| {
+            format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{limit}{more}")
+        };
         let signed = "Response-Signature: signed\r\n";
         let body = format!("{}:{id}", self.name);
         let length = format!("Content-Length: {}\r\n\r\n", body.len());
--- /dev/null
+++ b/tests/server_limits.rs
@@ -0,0 +1,100 @@
+//! Backend servers that say how many requests a second they take from all boxes together.
+//!
+//! A server that named a limit of 1 a second got 138 requests in 4 s from the three boxes of its region, and
+//! one that named 5.5 got 136. Each box chose them by their slots, which were free, and no answer that named
+//! a limit changed that: after `backend=w-1 limit=1/s` the same box goes on with `sent ... to=w-1 wait=0ms
+//! free=8 limit=1/s`.
+
+mod harness;
+
+use std::time::{Duration, Instant};
+
+use harness::cloud::{Cloud, CloudBox};
+use petreldrum_standin::{http::Answer, worker::Worker};
+use tokio::time::sleep;
+
+/// Boxes of one region.
+const BOXES: usize = 3;
+/// Time between two requests at a box.
+const STEP: Duration = Duration::from_millis(83);
+/// From when on all boxes must keep to a limit, after it was named first.
+const FORCE: Duration = Duration::from_secs(5);
+/// The span over which a server's requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// What a server with this limit may get in a window: half as much again, and five more.
+fn allowed(limit: f64) -> usize {
+    (1.5 * limit * WINDOW.as_secs_f64()) as usize + 5
+}
+
+async fn cloud(workers: &[&str]) -> Cloud {
+    let mut cloud = Cloud::serving(workers).await;
+    for _ in 1..BOXES {
+        cloud.add_box("atl").await;
+    }
+    cloud.settled().await;
+    // Boxes that just started use no share of a limit.
+    sleep(Duration::from_millis(2500)).await;
+    cloud
+}
+
+/// Sends requests to one box for a while, each of which runs for 400 ms; every answer.
+async fn press(entry: &CloudBox, mark: &str, span: Duration) -> Vec<Answer> {
+    let count = (span.as_millis() / STEP.as_millis()) as u32;
+    let answers = (0..count).map(|number| async move {
+        sleep(STEP * number).await;
+        let id = format!("{mark}-{number}");
+        entry.send("/safe/x", &id, "slow").await
+    });
+    futures_util::future::join_all(answers).await
+}
+
+/// Sends requests to all boxes at once.
+async fn press_all(cloud: &Cloud, mark: &str, span: Duration) -> Vec<Answer> {
+    let marks: Vec<String> = (0..BOXES)
+        .map(|number| format!("{mark}-{number}"))
+        .collect();
+    let presses = cloud.boxes.iter().zip(&marks);
+    let presses = presses.map(|(entry, mark)| press(entry, mark, span));
+    let answers = futures_util::future::join_all(presses).await;
+    answers.into_iter().flatten().collect()
+}
+
+/// The most requests that came in one window from `since` on.
+fn worst(worker: &Worker, since: Instant) -> usize {
+    let mut arrivals = worker.arrivals();
+    arrivals.retain(|at| *at >= since);
+    let ends = arrivals.iter().enumerate().map(|(last, end)| {
+        let within = arrivals[..=last].iter();
+        within
+            .filter(|at| end.duration_since(**at) < WINDOW)
+            .count()
+    });
+    ends.max().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn all_boxes_together_keep_to_it() {
+    let cloud = cloud(&["w-1", "w-2", "w-3", "w-4"]).await;
+    let limits = [("w-1", 1.0), ("w-2", 3.9)];
+    for (name, limit) in limits {
+        cloud.workers[name].name_limit(Some(&limit.to_string()));
+    }
+    let named = Instant::now();
+    let answers = press_all(&cloud, "a", FORCE + WINDOW + WINDOW).await;
+    for (name, limit) in limits {
+        let worker = &cloud.workers[name];
+        let worst = worst(worker, named + FORCE);
+        assert!(
+            worst <= allowed(limit),
+            "{name} takes {limit} a second and got {worst} in 4 s"
+        );
+        // What it takes is used.
+        let used = worker.arrivals();
+        let used = used.iter().filter(|at| **at >= named + FORCE).count();
+        let least = limit * (WINDOW + WINDOW).as_secs_f64() * 0.5;
+        assert!(used as f64 >= least, "{name} got {used} in 8 s");
+    }
+    let served = answers.iter().filter(|a| a.status.is_success()).count();
+    assert_eq!(served, answers.len(), "the other servers take the rest");
+}
