Share a server's limit among the boxes of its region

Cause: places are chosen by slots and by health that each box learns for itself; what a server says of its capacity for all boxes had no place in that. Ruled out by the lines before it: boxes without the news (all were told within 0.25 s) and repeats (all 107 were first sends).

Change: a box that reads a limit tells its region within a tick, and heartbeats repeat it, so a box that started, woke or was cut off learns it from the first it hears. A few boxes share each limit by rank (2, and 2 for each request a second), each with one request saved up: 5.6 N + 2 at most in 4 s where 6 N + 5 may pass. Newest is what was read last; a higher limit or none holds only from when its request was sent. Without a share a server is no place; with one, its wait is the time to the next turn; digests count what runs at the limit. What does not fit is refused at once. Every send passes the one place that counts it.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,7 +5,10 @@
 use eyre::WrapErr;
 use hyper::Method;
 
-use crate::{cmd::call::Admin, reducer::status::Status};
+use crate::{
+    cmd::call::Admin,
+    reducer::status::{Limit, Status},
+};
 
 /// Show a box's view: boxes and versions in force, regions, backend servers and why each is used.
 #[derive(Debug, clap::Args)]
@@ -99,17 +102,27 @@
     }
     for backend in &status.backends {
         println!(
-            "  backend {:12} {}: {}, {}/{} busy, first byte {}",
+            "  backend {:12} {}: {}, {}/{} busy, first byte {}{}",
             backend.name.to_string(),
             if backend.used { "used" } else { "NOT used" },
             backend.reason,
             backend.busy,
             backend.slots,
-            backend.first
+            backend.first,
+            backend.limit.as_ref().map(limit).unwrap_or_default()
         );
     }
 }
 
+fn limit(limit: &Limit) -> String {
+    let teller = limit.teller.as_ref();
+    let teller = teller.map_or("itself".to_owned(), ToString::to_string);
+    format!(
+        ", takes {} of all boxes and {:.2}/s of this one, by {teller} {} ago",
+        limit.rate, limit.share.0, limit.age
+    )
+}
+
 pub(super) fn drain(args: DrainArgs) -> eyre::Result<ExitCode> {
     let body = args.admin.call(Method::POST, "/drain", &[], "")?.good()?;
     print!("{}", String::from_utf8_lossy(&body));
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -17,6 +17,7 @@
     allotment::Allotment,
     id::{self, Domain, Incarnation, Region, Service},
     unit::{Millis, Rate},
+    wire::Short,
 };
 
 pub use label::{Labels, Matcher};
@@ -301,6 +302,16 @@
     pub incarnation: Option<Incarnation>,
 }
 
+impl Backend {
+    /// Its name and life in short: one that starts again under its name has another.
+    pub fn life(&self) -> Short {
+        match self.incarnation {
+            Some(incarnation) => Short::of(&format!("{} {incarnation}", self.name)),
+            None => Short::of(self.name.as_str()),
+        }
+    }
+}
+
 /// One line of who may go where; the first that matches decides.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Selector {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -27,6 +27,7 @@
         event::{Cause, Event},
     },
     settings::Interface,
+    unit::Time,
     verdict::Verdict,
 };
 
@@ -116,7 +117,7 @@
         Miss::new(failure.verdict(), cause)
     })?;
     span.note("http.response.status_code", response.status().as_u16());
-    hear_limit(shell, prepared, send, &response);
+    hear_limit(shell, prepared, send, &response, now);
     let refused = refusal(shell, prepared, &send.target, &response);
     let found = Found {
         response,
@@ -145,7 +146,13 @@
 
 /// Tells what an answer of a backend server says of its limit. One that answers another request, or for
 /// another server, says nothing of this one.
-fn hear_limit(shell: &Shell, prepared: &Prepared, send: &Send, response: &Response<Incoming>) {
+fn hear_limit(
+    shell: &Shell,
+    prepared: &Prepared,
+    send: &Send,
+    response: &Response<Incoming>,
+    sent: Time,
+) {
     let Target::Backend {
         name, limit_header, ..
     } = &send.target
@@ -161,7 +168,11 @@
     let word = Word::read(fields.map(HeaderValue::as_bytes));
     if word != Word::Silent || send.basis.limit.is_some() {
         let backend = name.clone();
-        shell.core.tell(Event::Limited { backend, word });
+        shell.core.tell(Event::Limited {
+            backend,
+            word,
+            sent,
+        });
     }
 }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -32,6 +32,8 @@
     pub quarantine: IntCounterVec,
     /// Backend servers of the region that name a limit, as far as this box knows.
     pub limited: IntGauge,
+    /// Requests that were refused because of such limits.
+    pub limit_refusals: IntCounter,
     /// Kept answers given again.
     pub replays: IntCounter,
     /// Alarms.
@@ -164,6 +166,10 @@
                 "limited_backends",
                 "Backend servers that say how many requests a second they take.",
             )?,
+            limit_refusals: counter(
+                "limit_refusals_total",
+                "Requests refused because backend servers say how many they take.",
+            )?,
             replays: counter("replays_total", "Kept answers given again.")?,
             alarms: counter("alarms_total", "Alarms; each is in the log.")?,
             gossip: counters(
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -76,6 +76,7 @@
         let metrics = &self.parts.metrics;
         let send = match effect {
             Effect::Send(send) => send,
+            Effect::Reply { reply, .. } if reply.limited => return metrics.limit_refusals.inc(),
             Effect::Broken { begun, .. } => {
                 let label = if begun.is_some() { "begun" } else { "waiting" };
                 return metrics.broken.with_label_values(&[label]).inc();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`quarantine`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
@@ -20,6 +20,7 @@
 //! | subcommands of the binary | [`cmd`] |
 
 pub mod allotment;
+pub mod bucket;
 pub mod cache;
 pub mod cmd;
 pub mod config;
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -401,10 +401,15 @@
     }
 
     /// This box's rank (from 0) for a duty among the boxes of its region that may still be at work, and
-    /// how many those are: all phases count, and who fell silent does for `kept` after it should have
-    /// been heard.
-    pub fn standing(&self, duty: &str, kept: Millis, now: Time) -> (usize, usize) {
-        let at_work = |p: &&Peer| p.is_live(now) || now.since(p.heard) <= p.last.pace + kept;
+    /// how many those are: all phases count, and who fell silent does for as long as `kept` says, after
+    /// it should have been heard.
+    pub fn standing(
+        &self,
+        duty: &str,
+        kept: impl Fn(&Peer) -> Millis,
+        now: Time,
+    ) -> (usize, usize) {
+        let at_work = |p: &&Peer| p.is_live(now) || now.since(p.heard) <= p.last.pace + kept(p);
         let mine = weight(&self.me.name, duty);
         let others = self.peers.values().filter(at_work);
         others.fold((0, 1), |(rank, boxes), peer| {
--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -20,7 +20,7 @@
 /// How long a box keeps its share after it should have been heard: one that stood still for less than
 /// [`FREEZE`](super::FREEZE) does not notice, and goes on with it. Longer than the store may be silent
 /// before it counts as lost, so that a box that is cut off from everything never takes more.
-const KEPT: Millis = Millis(5000);
+pub(super) const KEPT: Millis = Millis(5000);
 
 impl<P: Policy> State<P> {
     /// What this box may send a second to one cold backend server of `service`.
@@ -40,7 +40,7 @@
             true => KEPT,
             false => FORGET,
         };
-        let (rank, boxes) = self.table.standing(service.as_str(), kept, now);
+        let (rank, boxes) = self.table.standing(service.as_str(), |_| kept, now);
         let senders = SENDERS.min(boxes);
         let share = SAFETY * rate.0 / senders as f64;
         Some(Rate(if rank < senders { share } else { 0.0 }))
@@ -48,7 +48,7 @@
 
     /// Whether this box has run, without standing still, for long enough to know the other boxes of
     /// its region.
-    fn knows_region(&self, now: Time) -> bool {
+    pub(super) fn knows_region(&self, now: Time) -> bool {
         now >= Time(0) + JOIN_GRACE && self.control.is_awake_for(JOIN_GRACE, now)
     }
 
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -150,6 +150,8 @@
         self.split_allotments(now);
         self.tell_usages(now, out);
         self.tell_cleared(now, out);
+        self.split_limits(now);
+        self.tell_limits(now, out);
         self.note_alone(now, out);
         self.chase_roster(now, out);
         self.ask_caches(now, out);
@@ -239,6 +241,7 @@
             Body::Heartbeat(beat) if beat.contact.region == self.table.me.region => {
                 self.control.heard = true;
                 self.hear_held(now, &beat.held, out);
+                self.hear_limits(now, &frame.from, &beat.limits, beat.contact.gossip, out);
                 let to = beat.contact.gossip;
                 let fresh = self.table.heartbeat(frame.incarnation, beat.clone(), now);
                 if fresh {
@@ -261,6 +264,9 @@
             Body::Report(report) => self.hear_report(now, &frame.from, report),
             Body::Tally(tally) => self.hear_tally(now, &frame.from, tally, out),
             Body::Marks(marks) => self.hear_marks(now, &frame, marks, out),
+            Body::Limits(limits) => {
+                self.learn_limits(now, &frame.from, limits, out);
+            }
             Body::News(news) => self.hear_news(now, &frame.from, news, out),
             Body::Digest(_) => {}
         }
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -132,8 +132,15 @@
                     continue;
                 }
                 let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
-                total.slots += server.slots(backend.slots, now);
-                total.busy += server.busy + self.table.busy(Short::of(backend.name.as_str()), now);
+                let slots = server.slots(backend.slots, now);
+                let busy = server.busy + self.table.busy(Short::of(backend.name.as_str()), now);
+                // Free slots of a limited server are none that others may use.
+                let limited = server.limit.slots(slots, server.whole());
+                total.slots += limited;
+                total.busy += match limited < slots {
+                    true => busy.min(limited),
+                    false => busy,
+                };
                 total.first.0 += server.first_token(0, now).0;
                 total.whole.0 += server.whole().0;
                 servers += 1;
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -49,10 +49,16 @@
                 self.send(now, request, place, basis, out);
             }
             Choice::Refuse(_) if job.moved => return false,
-            Choice::Refuse(_) if decision.candidates.is_empty() && job.may_linger(now) => {
+            Choice::Refuse(_) if decision.candidates.is_empty() && job.awaits_direct(now) => {
                 return false;
             }
-            Choice::Refuse(_) if decision.candidates.is_empty() && job.awaits_direct(now) => {
+            Choice::Refuse(wait) if self.is_limited(now, job) => {
+                let reason = "what backend servers say that they take is used up";
+                let reply = Reply::new(503, verdict, reason).after(job.next_turn(wait));
+                let limited = true;
+                self.finish(request, Reply { limited, ..reply }, out);
+            }
+            Choice::Refuse(_) if decision.candidates.is_empty() && job.may_linger(now) => {
                 return false;
             }
             Choice::Refuse(wait) => {
@@ -146,6 +152,7 @@
             Place::Backend(name) => {
                 self.charge_cold(now, service, name);
                 let server = self.servers.entry(name.clone()).or_default();
+                server.limit.spend(now);
                 let expected = server.first_token(work, now);
                 server.start(work, now);
                 expected
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -122,6 +122,8 @@
     pub reason: String,
     /// When to come back.
     pub retry_after: Option<Millis>,
+    /// Whether a backend server could have taken it, but for the limit that it names.
+    pub limited: bool,
     /// Whether a fresh key prefix goes with it.
     pub offer_key: bool,
 }
@@ -134,6 +136,7 @@
             verdict,
             reason: reason.to_string(),
             retry_after: None,
+            limited: false,
             offer_key: false,
         }
     }
@@ -203,7 +206,14 @@
     Reborn(id::Backend),
     /// A backend server says that it takes no more than this a second from all boxes, or no longer says
     /// so.
-    Limited(id::Backend, Option<Rate>),
+    Limited {
+        /// The backend server.
+        backend: id::Backend,
+        /// What it takes; none where it names nothing.
+        rate: Option<Rate>,
+        /// The box that told it; none where the server itself did.
+        teller: Option<id::BoxName>,
+    },
     /// What a backend server says of its limit cannot be read.
     Unreadable(id::Backend),
     /// This box hears neither the store nor another box: servers count as cold until it does.
@@ -222,8 +232,21 @@
             Self::Failed(name) => write!(f, "backend={name} state=silent"),
             Self::Regained(name) => write!(f, "backend={name} state=heard"),
             Self::Reborn(name) => write!(f, "backend={name} state=started-again"),
-            Self::Limited(name, Some(rate)) => write!(f, "backend={name} limit={rate}"),
-            Self::Limited(name, None) => write!(f, "backend={name} limit=none"),
+            Self::Limited {
+                backend,
+                rate,
+                teller,
+            } => {
+                write!(f, "backend={backend} limit=")?;
+                match rate {
+                    Some(rate) => write!(f, "{rate}")?,
+                    None => f.write_str("none")?,
+                }
+                match teller {
+                    Some(teller) => write!(f, " told-by={teller}"),
+                    None => f.write_str(" told-by=itself"),
+                }
+            }
             Self::Unreadable(name) => write!(f, "backend={name} limit=unreadable"),
             Self::Alone => f.write_str("all state=silent store=silent cold=assumed"),
             Self::Accompanied => f.write_str("all state=heard"),
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -11,7 +11,7 @@
     prompt::{Part, Prompt},
     retry,
     settings::Seed,
-    unit::Millis,
+    unit::{Millis, Time},
     verdict::Verdict,
     wire::{Frame, Short},
 };
@@ -168,6 +168,8 @@
         backend: id::Backend,
         /// What it said.
         word: limit::Word,
+        /// When the request was sent that it answered.
+        sent: Time,
     },
     /// An answer begins to reach the caller.
     Begun {
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -130,6 +130,7 @@
             busy: self.jobs.len() as u32,
             loads: loads.collect(),
             held: self.quarantine.told(now),
+            limits: self.known_limits(now),
             listed: self.listed.iter().copied().collect(),
             uses: match self.table.has_hubs() {
                 true => Vec::new(),
--- a/src/reducer/line.rs
+++ b/src/reducer/line.rs
@@ -75,6 +75,12 @@
         self.came + Millis((whole * GIVE_UP) as u64)
     }
 
+    /// When its caller should come back after a refusal, where it would have had its turn at a limited
+    /// backend server after `wait`.
+    pub(super) fn next_turn(&self, wait: Millis) -> Millis {
+        job::spread(wait.max(COME_BACK.0).0 as f64, self.ask.draw)
+    }
+
     /// When its caller should come back after a refusal, where it would wait for `wait`: callers
     /// that were refused together come back spread.
     pub(super) fn come_back(&self, wait: Millis) -> Millis {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -194,7 +194,11 @@
                 credential,
             } => self.boxes(now, request, &credential, &mut out),
             Event::Gone(request) => self.gone(now, request, &mut out),
-            Event::Limited { backend, word } => self.hear_limit(&backend, word, &mut out),
+            Event::Limited {
+                backend,
+                word,
+                sent,
+            } => self.hear_limit(now, &backend, word, sent, &mut out),
             Event::Begun { request, attempt } => self.begun(now, request, attempt, &mut out),
             Event::Ended {
                 request,
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -75,7 +75,7 @@
                 Place::Region(_) => Millis(0),
             },
             limit: match place {
-                Place::Backend(name) => self.servers.get(name).and_then(Server::limit),
+                Place::Backend(name) => self.servers.get(name).and_then(|s| s.limit.rate()),
                 Place::Region(_) => None,
             },
             revision: self.revision,
@@ -130,6 +130,7 @@
             .filter(|b| plan.allows(b))
             .filter(|b| self.excluded(now, b).is_none())
             .filter(|b| self.admits(now, config, &plan.service, b))
+            .filter(|b| self.limit_wait(now, &b.name, 0.0).is_some())
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .filter(|b| !self.is_shunned(now, b, job.ask.draw))
             .collect();
@@ -146,6 +147,8 @@
             None => self.queue.ahead(&job.spot()),
         };
         let line = ahead * boxes / usable.len().max(1);
+        // Shares of limits are this box's own, and so is the line for them.
+        let turns = ahead as f64 / usable.len().max(1) as f64;
         let fresh = Server::default();
         let memory = self.memory(&plan.service);
         for backend in &usable {
@@ -158,10 +161,14 @@
                 .saturating_sub(busy)
                 .max(share.saturating_sub(server.busy));
             let ahead = u64::from(busy.saturating_sub(slots)) + line as u64 + 1;
-            let wait = if free > 0 {
-                Millis(0)
-            } else {
-                Millis(server.whole().0 * ahead / u64::from(slots))
+            let turn = server.limit.wait(turns, now).unwrap_or_default();
+            let slot = match free {
+                0 => Millis(server.whole().0 * ahead / u64::from(slots)),
+                _ => Millis(0),
+            };
+            let (free, wait) = match turn {
+                Millis(0) => (free, slot),
+                _ => (0, slot.max(turn)),
             };
             let owner = warm.as_ref() == Some(&backend.name);
             let (first, burden) = match &job.prompt {
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -119,6 +119,33 @@
     pub slots: u32,
     /// Expected time to the first byte.
     pub first: Millis,
+    /// What it says that it takes from all boxes, where it says so.
+    #[serde(default)]
+    pub limit: Option<Limit>,
+}
+
+/// What a backend server says that it takes.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Limit {
+    /// Requests a second, from all boxes together.
+    pub rate: Rate,
+    /// What this box may send of it.
+    pub share: Rate,
+    /// The box that told this one; none where the server itself did.
+    pub teller: Option<BoxName>,
+    /// How long ago that was so.
+    pub age: Millis,
+}
+
+impl Limit {
+    fn of(limit: &crate::limit::Limit, now: Time) -> Option<Self> {
+        Some(Self {
+            rate: limit.rate()?,
+            share: limit.share(),
+            teller: limit.teller().cloned(),
+            age: now.since(limit.at()?),
+        })
+    }
 }
 
 /// Where a request would go, and why.
@@ -226,6 +253,7 @@
                     busy: server.busy + self.table.busy(Short::of(b.name.as_str()), now),
                     slots: server.slots(b.slots, now),
                     first: server.first(),
+                    limit: Limit::of(&server.limit, now),
                 }
             })
             .collect();
@@ -256,6 +284,9 @@
                     () if !plan.permits(&b.region) => "its region is not permitted",
                     () if !plan.allows(b) => "its labels do not match the selector",
                     () if excluded.is_some() => reason(excluded),
+                    () if self.limit_wait(now, &b.name, 0.0).is_none() => {
+                        "other boxes share the limit that it names"
+                    }
                     () => return None,
                 };
                 Some(LeftOut {
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -21,7 +21,7 @@
         outcome,
     },
     unit::{Millis, Time},
-    wire::{Body, Frame, Marks, Short},
+    wire::{Body, Frame, Marks},
 };
 
 /// Strikes and clearings that one message tells of: about 1.5 KB.
@@ -85,13 +85,9 @@
         let Some(backend) = self.fleet.get(name).filter(|backend| !backend.leaving) else {
             return;
         };
-        let life = match backend.incarnation {
-            Some(incarnation) => Short::of(&format!("{name} {incarnation}")),
-            None => Short::of(name.as_str()),
-        };
         let strike = Strike {
             content: job.content,
-            life,
+            life: backend.life(),
             weight: quarantine::weight(begun),
         };
         let address = backend.address;
--- a/src/server.rs
+++ b/src/server.rs
@@ -1,8 +1,9 @@
 //! What this box knows of one backend server from its own traffic: work in hand, times, health.
 
 use crate::{
+    bucket::Bucket,
     detector::Detector,
-    limit::Word,
+    limit::Limit,
     unit::{self, Millis, Rate, Time},
     wire::{Short, Usage},
 };
@@ -86,17 +87,15 @@
     answered: Option<Time>,
     /// When it could not be reached, where it has not answered since.
     unreachable: Option<Time>,
-    /// Requests that it may get while it is cold, and since when they are counted.
-    cold_tokens: Option<(f64, Time)>,
+    /// Requests that it may get while it is cold; none before it got one.
+    cold_saved: Option<Bucket>,
     /// Prompt tokens of the requests that run there, as far as they are known.
     running: f64,
     /// When that was reckoned.
     reckoned: Time,
     detector: Detector,
     /// What it says that it takes from all boxes.
-    limit: Option<Rate>,
-    /// Whether what it said of that last could not be read.
-    unreadable: bool,
+    pub limit: Limit,
 }
 
 impl Default for Server {
@@ -117,12 +116,11 @@
             heard: Time(0),
             answered: None,
             unreachable: None,
-            cold_tokens: None,
+            cold_saved: None,
             running: 0.0,
             reckoned: Time(0),
             detector: Detector::default(),
-            limit: None,
-            unreadable: false,
+            limit: Limit::default(),
         }
     }
 }
@@ -136,20 +134,6 @@
         };
     }
 
-    /// What it says that it takes from all boxes, where it says so.
-    pub fn limit(&self) -> Option<Rate> {
-        self.limit
-    }
-
-    /// Takes what an answer says of its limit; true where that is news.
-    pub fn hear_limit(&mut self, word: Word) -> bool {
-        let unreadable = word == Word::Unreadable;
-        let news = self.limit != word.rate() || (unreadable && !self.unreadable);
-        self.limit = word.rate();
-        self.unreadable = unreadable;
-        news
-    }
-
     /// Why it gets no work at `now`, where that is so.
     pub fn bar(&self, now: Time) -> Option<Bar> {
         if self.cool_until.is_some_and(|t| now < t) {
@@ -232,16 +216,13 @@
 
     /// Notes a request that it gets while it is cold.
     pub fn spend_cold(&mut self, rate: Rate, now: Time) {
-        let saved = self.cold_saved(rate, now);
-        self.cold_tokens = Some((saved - 1.0, now));
+        let saved = self.cold_saved.get_or_insert(Bucket::new(1.0, now));
+        saved.spend(rate, 1.0, now);
     }
 
     fn cold_saved(&self, rate: Rate, now: Time) -> f64 {
-        let Some((saved, at)) = self.cold_tokens else {
-            return 1.0;
-        };
-        let earned = now.since(at).0 as f64 / 1000.0 * rate.0;
-        (saved + earned).min(1.0)
+        let saved = self.cold_saved.as_ref();
+        saved.map_or(1.0, |saved| saved.saved(rate, 1.0, now))
     }
 
     /// Expected time of a whole answer.
--- a/src/unit.rs
+++ b/src/unit.rs
@@ -134,7 +134,7 @@
 }
 
 /// Requests a second.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Rate(pub f64);
 
 impl fmt::Display for Rate {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -12,7 +12,7 @@
     quarantine::{Held, Strike},
     settings::Secret,
     sign,
-    unit::{Millis, Time},
+    unit::{Millis, Rate, Time},
 };
 
 const TAG: usize = 8;
@@ -154,7 +154,7 @@
 }
 
 /// What a box tells the boxes of its region.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Who it is.
     pub contact: Contact,
@@ -180,6 +180,8 @@
     pub uses: Vec<Use>,
     /// Contents that it holds back.
     pub held: Vec<Held>,
+    /// What backend servers of its region say that they take.
+    pub limits: Vec<Limit>,
 }
 
 /// A box of another region that takes relayed requests.
@@ -283,6 +285,19 @@
     pub spread: bool,
 }
 
+/// What a backend server says that it takes from all boxes together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// The backend server.
+    pub backend: Short,
+    /// Its life.
+    pub life: Short,
+    /// Requests a second; none where it no longer names a limit.
+    pub rate: Option<Rate>,
+    /// How long ago that was so.
+    pub age: Millis,
+}
+
 /// A message's content.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
@@ -307,6 +322,8 @@
     News(News),
     /// Within a region, and once to each other one: what ended backend servers, and what did not.
     Marks(Marks),
+    /// Within a region: what backend servers say that they take, where that changed.
+    Limits(Vec<Limit>),
 }
 
 /// One message.
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -145,6 +145,7 @@
         number,
         seq,
         Body::Heartbeat(Heartbeat {
+            limits: Vec::new(),
             held: vec![],
             contact: contact(size, number),
             uptime: Time(seq * 1000),
--- a/tests/harness/crowd.rs
+++ b/tests/harness/crowd.rs
@@ -74,6 +74,11 @@
         Self::start(size, config, true, 2, 1)
     }
 
+    /// Boxes of one region with two failure domains, where the configuration names the servers.
+    pub fn in_one_region(size: usize, config: Arc<Config>) -> Self {
+        Self::start(size, config, false, 2, 1)
+    }
+
     /// Boxes of three regions with two failure domains each, where the configuration names the servers.
     pub fn in_three_regions(size: usize, config: Arc<Config>) -> Self {
         Self::start(size, config, false, 2, 3)
@@ -136,12 +141,17 @@
         self.step(number, offer);
     }
 
+    /// The time of a box's own clock.
+    pub fn clock(&self, number: usize) -> Time {
+        Time(self.now.since(self.started[number]).0)
+    }
+
     /// Tells a box of an event; its messages go out.
     pub fn step(&mut self, number: usize, event: Event) -> Vec<Effect> {
+        let clock = self.clock(number);
         let Some(state) = &mut self.boxes[number] else {
             return Vec::new();
         };
-        let clock = Time(self.now.since(self.started[number]).0);
         let effects = state.step(clock, event);
         for effect in &effects {
             if let Effect::Gossip { to, frame } = effect {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -5,6 +5,7 @@
 pub mod cloud;
 pub mod crowd;
 pub mod engines;
+pub mod limits;
 pub mod oracle;
 pub mod solo;
 
--- /dev/null
+++ b/tests/limit_words.rs
@@ -0,0 +1,131 @@
+//! What a server's answer says of its limit, and which of several words is the newest.
+
+use petreldrum::{
+    id::BoxName,
+    limit::{Limit, Word, Worth, share},
+    unit::{Millis, Rate, Time},
+};
+
+fn read(fields: &[&str]) -> Word {
+    Word::read(fields.iter().map(|field| field.as_bytes()))
+}
+
+fn teller() -> BoxName {
+    "other".parse().expect("a name")
+}
+
+#[test]
+fn numbers_are_read_and_nothing_else() {
+    assert_eq!(read(&[]), Word::Silent);
+    for (text, rate) in [
+        ("1", 1.0),
+        (" 3.9 ", 3.9),
+        ("0", 0.0),
+        ("-0", 0.0),
+        ("1000000", 1e6),
+        ("1e-05", 1e-5),
+        ("4, 2.5", 2.5),
+        ("4, x", 4.0),
+    ] {
+        assert_eq!(read(&[text]), Word::Most(Rate(rate)), "{text:?}");
+    }
+    assert_eq!(read(&["5", "2"]), Word::Most(Rate(2.0)), "the least holds");
+    for text in [
+        "", "-1", "NaN", "inf", "1e309", "1 2", "a", "\u{661}", "1/s",
+    ] {
+        assert_eq!(read(&[text]), Word::Unreadable, "{text:?}");
+    }
+    assert_eq!(Word::read([&[0xff, 0x31][..]]), Word::Unreadable);
+}
+
+#[test]
+fn any_bytes_give_a_rate_that_can_be_kept() {
+    bolero::check!()
+        .with_type::<Vec<Vec<u8>>>()
+        .for_each(|fields| {
+            let word = Word::read(fields.iter().map(Vec::as_slice));
+            if let Some(rate) = word.rate() {
+                assert!(rate.0.is_finite() && rate.0 >= 0.0);
+                let parts = (0..9).map(|rank| share(rate, rank, 9).rate.0);
+                assert!(parts.sum::<f64>() <= rate.0.max(0.1) * 1.000_001);
+            }
+        });
+}
+
+/// A server that names nonsense is used as if it named nothing, and the log hears of it once.
+#[test]
+fn nonsense_counts_as_nothing() {
+    let mut limit = Limit::default();
+    assert!(limit.hear(Word::Unreadable, Time(10), Time(20)));
+    assert!(!limit.hear(Word::Unreadable, Time(30), Time(40)));
+    assert_eq!(limit.rate(), None);
+    assert_eq!(limit.wait(0.0, Time(40)), Some(Millis(0)));
+}
+
+/// An answer that waited in a box that stood still says how things were when its request was sent.
+#[test]
+fn an_answer_from_before_ends_no_limit() {
+    let mut limit = Limit::default();
+    assert!(limit.hear(Word::Most(Rate(1.0)), Time(100), Time(200)));
+    assert!(!limit.hear(Word::Silent, Time(150), Time(9000)));
+    assert!(!limit.hear(Word::Most(Rate(5.0)), Time(200), Time(9000)));
+    assert_eq!(limit.rate(), Some(Rate(1.0)));
+    assert!(limit.hear(Word::Most(Rate(5.0)), Time(201), Time(300)));
+    assert!(limit.hear(Word::Silent, Time(301), Time(400)));
+    assert_eq!(limit.rate(), None);
+}
+
+#[test]
+fn a_lower_limit_holds_from_its_reading() {
+    let mut limit = Limit::default();
+    assert!(limit.hear(Word::Most(Rate(5.0)), Time(100), Time(200)));
+    assert!(limit.hear(Word::Most(Rate(1.0)), Time(100), Time(210)));
+    assert_eq!(limit.rate(), Some(Rate(1.0)));
+}
+
+#[test]
+fn older_word_of_others_is_known_for_what_it_is() {
+    let mut limit = Limit::default();
+    let rate = |rate| Some(Rate(rate));
+    assert_eq!(
+        limit.learn(None, Time(5), &teller()),
+        Worth::Known,
+        "the end of a limit that was never heard of"
+    );
+    assert_eq!(limit.learn(rate(1.0), Time(10), &teller()), Worth::News);
+    assert_eq!(limit.learn(rate(2.0), Time(9), &teller()), Worth::Old);
+    assert_eq!(
+        limit.learn(rate(2.0), Time(10), &teller()),
+        Worth::Old,
+        "the lower of two of one moment holds"
+    );
+    assert_eq!(limit.learn(None, Time(11), &teller()), Worth::News);
+    assert_eq!(limit.learn(rate(1.0), Time(10), &teller()), Worth::Old);
+    assert_eq!(limit.rate(), None);
+    for odd in [f64::NAN, f64::INFINITY, -1.0] {
+        let worth = limit.learn(Some(Rate(odd)), Time(99), &teller());
+        assert_eq!(worth, Worth::Known, "{odd}");
+    }
+}
+
+/// Words reach boxes in any order; all believe the same in the end.
+#[test]
+fn order_of_arrival_does_not_matter() {
+    bolero::check!()
+        .with_type::<Vec<(Option<u8>, u8)>>()
+        .for_each(|words| {
+            let believe = |words: &mut dyn Iterator<Item = &(Option<u8>, u8)>| {
+                let mut limit = Limit::default();
+                // All know that it named a limit once.
+                limit.learn(Some(Rate(1.0)), Time(0), &teller());
+                for (rate, at) in words {
+                    let rate = rate.map(|rate| Rate(f64::from(rate)));
+                    limit.learn(rate, Time(u64::from(*at)), &teller());
+                }
+                (limit.rate(), limit.at())
+            };
+            let there = believe(&mut words.iter());
+            let back = believe(&mut words.iter().rev());
+            assert_eq!(there, back);
+        });
+}
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -3,7 +3,7 @@
 //! A server that named a limit of 1 a second got 138 requests in 4 s from the three boxes of its region, and
 //! one that named 5.5 got 136. Each box chose them by their slots, which were free, and no answer that named
 //! a limit changed that: after `backend=w-1 limit=1/s` the same box goes on with `sent ... to=w-1 wait=0ms
-//! free=8 limit=1/s`.
+//! free=8 limit=1/s`. Now the boxes of a region share what a server takes.
 
 mod harness;
 
