Test that a lower limit holds at once, failing

Random orders of requests, limits, servers' news and time found one in which a server that had just named 2 a second got one request too many: a box goes on with its share of the old limit until it looks again, 100 ms at most. The test that this came from drives one reducer against a simple model of the limit; a small one shows the cause alone. The stand-in engine of the own interface can name a limit too.

--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     app::App,
-    engine::{Behaviour, Engine, REFUSED},
+    engine::{Behaviour, Engine, LIMIT, REFUSED},
     http::start,
     system::{API_KEY, Plan, System, TOKEN, sections},
 };
@@ -37,7 +37,7 @@
             text,
             "[backend engine-{region}]\naddress = {engine}\nregion = {region}\n\
              failure_domain = {region}-a\nserves = referral\nlabels = via=gateway\n\
-             refusal_header = {REFUSED}\n\
+             refusal_header = {REFUSED}\nlimit_header = {LIMIT}\n\
              [backend app-{region}]\naddress = {app}\nregion = {region}\n\
              failure_domain = {region}-a\nserves = booking\nlabels = via=gateway"
         )?;
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -19,6 +19,8 @@
 
 /// The header by which the engine says that it did not run a request.
 pub const REFUSED: &str = "x-engine-refused";
+/// The header by which it says how many requests a second it takes.
+pub const LIMIT: &str = "x-engine-limit";
 /// Prefixes that fit into the cache.
 const CACHE: usize = 32;
 const DEFAULT_TOKENS: u64 = 8;
@@ -39,6 +41,8 @@
     pub cut: bool,
     /// Whether it closes the connection before any answer.
     pub reset: bool,
+    /// The requests a second that its answers say it takes from all boxes.
+    pub limit: Option<f64>,
 }
 
 impl Default for Behaviour {
@@ -50,6 +54,7 @@
             refuse: false,
             cut: false,
             reset: false,
+            limit: None,
         }
     }
 }
@@ -123,6 +128,11 @@
         let mut response = stream(receiver);
         let kind = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert("content-type", kind);
+        if let Some(limit) = self.behaviour().limit
+            && let Ok(limit) = HeaderValue::from_str(&limit.to_string())
+        {
+            response.headers_mut().insert(LIMIT, limit);
+        }
         response
     }
 
--- a/standin/src/measure/policies.rs
+++ b/standin/src/measure/policies.rs
@@ -46,6 +46,7 @@
     refuse: false,
     cut: false,
     reset: false,
+    limit: None,
 };
 
 /// Requests a second of each region, phase by phase.
--- a/tests/limit_words.rs
+++ b/tests/limit_words.rs
@@ -129,3 +129,14 @@
             assert_eq!(there, back);
         });
 }
+
+/// A box looks at its shares ten times a second. Between two looks it went on with the share of 20 a second
+/// of a server that had just named 2: `i-0-0 takes 2/s` with one request too many, in one of 921 random orders.
+#[test]
+fn a_lower_limit_lowers_the_share_at_once() {
+    let mut limit = Limit::default();
+    limit.hear(Word::Most(Rate(20.0)), Time(0), Time(10));
+    limit.split(share(Rate(20.0), 0, 1), Time(10));
+    limit.hear(Word::Most(Rate(2.0)), Time(0), Time(20));
+    assert!(limit.share().0 <= 2.0, "{}", limit.share());
+}
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -13,6 +13,7 @@
     config::Backend,
     fleet::Change,
     id::{self, Domain, Incarnation},
+    limit::{PROBE, Word},
     platform::record,
     policy::Balanced,
     reducer::{
@@ -20,7 +21,7 @@
         effect::{Effect, Send, Target},
         event::{Arrival, Cause, Credential, Event, Hop, Key, Sign, Source},
     },
-    unit::{Millis, Time},
+    unit::{Millis, Rate, Time},
     verdict::Verdict,
     wire::Short,
 };
@@ -42,6 +43,33 @@
 /// The most that the cold rate lets one server get within a second, of all boxes.
 const COLD_MOST: usize = 15;
 
+/// What backend servers say of their limits.
+const WORDS: [Word; 6] = [
+    Word::Silent,
+    Word::Unreadable,
+    Word::Most(Rate(0.0)),
+    Word::Most(Rate(0.5)),
+    Word::Most(Rate(2.0)),
+    Word::Most(Rate(20.0)),
+];
+
+/// A limit that a backend server named, and what it got since it named this one.
+struct Limited {
+    rate: Rate,
+    at: Time,
+    since: Time,
+    got: usize,
+}
+
+impl Limited {
+    /// What one box may have sent since then: the rate, what it looks at each tick, and one saved up.
+    fn most(&self, now: Time) -> usize {
+        let rate = self.rate.0.max(PROBE.0);
+        let seconds = now.since(self.since).0 as f64 / 1000.0;
+        (rate * (seconds + 0.1)) as usize + 1
+    }
+}
+
 /// One request as its caller knows it.
 #[derive(Default)]
 struct Seen {
@@ -64,6 +92,7 @@
     leaving: BTreeSet<String>,
     evacuated: bool,
     cold: HashMap<String, (Time, Vec<Time>)>,
+    limited: HashMap<String, Limited>,
 }
 
 fn backend(name: &str, leaving: bool, cold: u64, born: u64) -> Backend {
@@ -99,6 +128,7 @@
             leaving: BTreeSet::new(),
             evacuated: false,
             cold: HashMap::new(),
+            limited: HashMap::new(),
         };
         let envelope = record::envelope(CONFIG.into()).expect("it reads");
         let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
@@ -177,6 +207,11 @@
             let recent = times.iter().filter(|t| self.now.since(**t) < Millis(1000));
             assert!(recent.count() <= COLD_MOST, "{name} is cold");
         }
+        if let Some(limited) = self.limited.get_mut(&name) {
+            limited.got += 1;
+            let most = limited.most(self.now);
+            assert!(limited.got <= most, "{name} takes {}", limited.rate);
+        }
         let seen = self.requests.get_mut(&send.request).expect("it is known");
         assert!(!seen.over && seen.open.is_none(), "one attempt at a time");
         assert_ne!(PATHS[seen.path], "/away/x", "it may not run in this region");
@@ -313,6 +348,7 @@
                 // It starts again under its name, cold; then the life before writes late.
                 self.births[index] += 1;
                 self.leaving.remove(&name);
+                self.limited.remove(&name);
                 let until = self.now + Millis(3000);
                 let (_, sent) = self.cold.remove(&name).unwrap_or_default();
                 self.cold.insert(name.clone(), (until, sent));
@@ -329,6 +365,41 @@
         }
     }
 
+    /// A server answers a request that was just sent, and says something of its limit.
+    fn limit(&mut self, choice: u8, kind: u8) {
+        let name = self.name(usize::from(choice) % SERVERS);
+        let word = WORDS[usize::from(kind) % WORDS.len()];
+        let (now, sent) = (self.now, self.now);
+        let known = self.leaving.contains(&name);
+        let backend = name.parse().expect("a name");
+        self.step(Event::Limited {
+            backend,
+            word,
+            sent,
+        });
+        let old = self.limited.get(&name);
+        let looser = match (old, word.rate()) {
+            (Some(old), Some(rate)) => rate > old.rate,
+            (old, _) => old.is_some(),
+        };
+        if known || looser && old.is_some_and(|old| sent <= old.at) {
+            return;
+        }
+        let Some(rate) = word.rate() else {
+            self.limited.remove(&name);
+            return;
+        };
+        let same = self.limited.remove(&name).filter(|old| old.rate == rate);
+        let fresh = Limited {
+            rate,
+            at: now,
+            since: now,
+            got: 0,
+        };
+        let limited = same.map_or(fresh, |old| Limited { at: now, ..old });
+        self.limited.insert(name, limited);
+    }
+
     /// The streams of some servers bring something.
     fn heard(&mut self, which: u8, pause: u8) {
         let alive = (0..SERVERS).filter(|index| which & (1 << index) != 0);
@@ -347,6 +418,23 @@
         }
     }
 
+    fn act(&mut self, what: u8, one: u8, two: u8) {
+        match what {
+            0..=2 => self.arrive(usize::from(one) % PATHS.len()),
+            3 | 4 => self.outcome(one, two),
+            5 => self.news(one, two),
+            6 => self.pass(one),
+            7 => self.heard(one, two),
+            _ => {
+                if let Some((request, ..)) = self.pick(one) {
+                    let seen = self.requests.get_mut(&request).expect("it is known");
+                    seen.over = true;
+                    self.step(Event::Gone(request));
+                }
+            }
+        }
+    }
+
     /// Nobody is left without an answer.
     fn settle(&mut self) {
         for _ in 0..60 {
@@ -366,19 +454,22 @@
         .for_each(|steps| {
             let mut world = World::new();
             for (what, one, two) in steps {
-                match what % 9 {
-                    0..=2 => world.arrive(usize::from(*one) % PATHS.len()),
-                    3 | 4 => world.outcome(*one, *two),
-                    5 => world.news(*one, *two),
-                    6 => world.pass(*one),
-                    7 => world.heard(*one, *two),
-                    _ => {
-                        if let Some((request, ..)) = world.pick(*one) {
-                            let seen = world.requests.get_mut(&request).expect("it is known");
-                            seen.over = true;
-                            world.step(Event::Gone(request));
-                        }
-                    }
+                world.act(what % 9, *one, *two);
+            }
+            world.settle();
+        });
+}
+
+#[test]
+fn limits_hold_in_any_order() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8, u8)>>()
+        .for_each(|steps| {
+            let mut world = World::new();
+            for (what, one, two) in steps {
+                match what % 10 {
+                    9 => world.limit(*one, *two),
+                    what => world.act(what, *one, *two),
                 }
             }
             world.settle();
