Lower a share as soon as its server's limit is lower

Callers saw nothing of it; a server that lowered its limit got up to a tenth of a second's worth of the old one from each box that shares it. Cause: shares are found at each tick, and a lower limit between two ticks left the old share standing. Now the share falls with the limit, and the next tick finds the right one.

--- a/src/limit.rs
+++ b/src/limit.rs
@@ -204,9 +204,14 @@
     /// Takes over what holds at `at`; true where it is another rate than before.
     fn believe(&mut self, rate: Option<Rate>, at: Time) -> bool {
         let news = self.rate != rate;
-        if self.rate.is_none() {
-            self.share = Rate(0.0);
-            self.saved = None;
+        match (self.rate, rate) {
+            (None, _) => {
+                self.share = Rate(0.0);
+                self.saved = None;
+            }
+            // The next look finds the share of the new limit; until then a lower one holds as well.
+            (Some(old), Some(new)) if new < old => self.share.0 *= new.0 / old.0,
+            _ => {}
         }
         self.rate = rate;
         self.at = Some(at);
