--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -12,6 +12,7 @@
     config::{Backend, Config, Draft, Labels, Profile, Version},
     fleet::{Change, Revision},
     id::Service,
+    limit::Word,
     reducer::{
         effect::Effect,
         event::{Event, Source},
@@ -87,7 +88,7 @@
 }
 
 /// Requests that go out within a second when many come.
-fn sent(solo: &mut Solo) -> usize {
+fn sent_within(solo: &mut Solo) -> usize {
     let mut count = 0;
     for _ in 0..10 {
         for _ in 0..5 {
@@ -102,14 +103,35 @@
 fn the_rate_and_no_more() {
     let mut solo = solo();
     for second in 0..3 {
-        let count = sent(&mut solo);
+        let count = sent_within(&mut solo);
         // One request may be saved up.
         assert!(
             (1..=RATE as usize + 1).contains(&count),
             "{count} in second {second}"
         );
     }
-    assert!(sent(&mut solo) >= 30, "warm: as many as it has slots");
+    assert!(
+        sent_within(&mut solo) >= 30,
+        "warm: as many as it has slots"
+    );
+}
+
+/// A server that is cold and names a limit gets the lesser of the two.
+#[test]
+fn the_lesser_of_cold_rate_and_limit_holds() {
+    for (limit, most) in [(2.0, 2), (1000.0, RATE as usize + 1)] {
+        let mut solo = solo();
+        let (backend, sent) = ("one".parse().expect("a name"), solo.now);
+        let word = Word::Most(Rate(limit));
+        solo.step(Event::Limited {
+            backend,
+            word,
+            sent,
+        });
+        solo.pass(100);
+        let count = sent_within(&mut solo);
+        assert!(count <= most, "{count} at a limit of {limit}");
+    }
 }
 
 /// Boxes that start together know nobody yet; each would take itself for one of the few that send.
@@ -128,7 +150,7 @@
         "{count} in the first second"
     );
     fresh[0].pass(2000);
-    assert!(sent(&mut fresh[0]) > 0, "later it sends");
+    assert!(sent_within(&mut fresh[0]) > 0, "later it sends");
 }
 
 /// Boxes of one region before one cold server, each with more requests than it may send.
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -9,7 +9,10 @@
 
 use std::time::{Duration, Instant};
 
-use harness::cloud::{Cloud, CloudBox};
+use harness::{
+    cloud::{Cloud, CloudBox},
+    eventually,
+};
 use petreldrum_standin::{http::Answer, worker::Worker};
 use tokio::time::sleep;
 
@@ -98,3 +101,39 @@
     let served = answers.iter().filter(|a| a.status.is_success()).count();
     assert_eq!(served, answers.len(), "the other servers take the rest");
 }
+
+/// Every server that may take them is limited: callers get what the limits allow, and the rest hears at once
+/// that it did not run, and when to come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_does_not_fit_is_refused_at_once() {
+    let cloud = cloud(&["w-1", "w-2"]).await;
+    for worker in cloud.workers.values() {
+        worker.name_limit(Some("3"));
+    }
+    let named = Instant::now();
+    let answers = press_all(&cloud, "b", FORCE + WINDOW).await;
+    let (served, refused): (Vec<_>, Vec<_>) = answers
+        .iter()
+        .partition(|answer| answer.status.is_success());
+    assert!(!served.is_empty() && refused.len() > 100);
+    for answer in refused {
+        assert_eq!(answer.status.as_u16(), 503);
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+    for (name, worker) in &cloud.workers {
+        let worst = worst(worker, named + FORCE);
+        assert!(worst <= allowed(3.0), "{name} got {worst} in 4 s");
+        let used = worker.arrivals();
+        let used = used.iter().filter(|at| **at >= named + FORCE).count();
+        assert!(used >= 6, "{name} got {used} in 4 s");
+    }
+    // Once they name nothing, all are served again.
+    for worker in cloud.workers.values() {
+        worker.name_limit(None);
+    }
+    eventually("the end is heard", async || {
+        let answers = press_all(&cloud, "c", Duration::from_millis(500)).await;
+        answers.iter().all(|answer| answer.status.is_success())
+    })
+    .await;
+}
