Show by a run what a suspended box does

What a suspension does had been found by reading alone. A library that the test builds puts the clock since boot on by a minute in one box process, while that process is stopped and the steady clock goes on: the box says how long it stood still, answers 503 until it has heard the news, and serves the configuration that came meanwhile. No code of the product changes.

--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -206,6 +206,11 @@
     }
 
     pub async fn add_box(&mut self, region: &str) {
+        self.add_box_with(region, &[]).await;
+    }
+
+    /// The same, with variables in the environment of the process.
+    pub async fn add_box_with(&mut self, region: &str, variables: &[(&str, &PathBuf)]) {
         let number = self.boxes.len();
         let text = format!(
             "[box]\nname = box-{number}\nregion = {region}\nfailure_domain = {region}-a\n\
@@ -224,6 +229,7 @@
         std::fs::write(&path, text).expect("the settings are written");
         let mut command = Command::new(PathBuf::from(env!("CARGO_BIN_EXE_petreldrum")));
         command.args(["gateway", "--settings"]).arg(&path);
+        command.envs(variables.iter().copied());
         let (child, line, log) = spawn_logged(command).await;
         let pairs = line.split(' ').filter_map(|pair| pair.split_once('='));
         let bound: BTreeMap<&str, SocketAddr> = pairs
--- a/tests/suspended_box.rs
+++ b/tests/suspended_box.rs
@@ -2,8 +2,8 @@
 //!
 //! The steady clock and the runtime's stand still while a machine is suspended, so a box that woke saw no
 //! gap: heartbeats, load, allotments and idle connections were as old as before for it, and it went on at
-//! once. Found by reading; no suspension was played, and the test of the clock itself fails only on a
-//! machine that has been suspended.
+//! once. Found by reading; the test of the clock itself fails only on a machine that has been suspended, and
+//! `suspended_run` shows a process whose machine was.
 
 mod harness;
 
