Leave a higher limit aside too until a woken box hears it again

A box that stood still would have taken a higher limit out of old messages and told it on as new; the server would have got its share of that until its next answer. Cause: only the end of a limit was held back in the second after a box woke. Now all that lets more through is, by the one comparison that also orders a server's own words. Holds because what is left aside comes again with the next heartbeat.

--- a/src/limit.rs
+++ b/src/limit.rs
@@ -153,6 +153,11 @@
         self.teller.as_ref()
     }
 
+    /// Whether `rate` would let more through.
+    pub fn is_loosened_by(&self, rate: Option<Rate>) -> bool {
+        is_looser(rate, self.rate)
+    }
+
     /// What this box may send.
     pub fn share(&self) -> Rate {
         self.share
@@ -165,12 +170,13 @@
         self.unreadable = unreadable;
         let rate = word.rate();
         let stamp = match rate {
-            Some(_) if !is_looser(rate, self.rate) => now,
+            Some(_) if !self.is_loosened_by(rate) => now,
             _ => sent,
         };
+        let loosened = self.is_loosened_by(rate);
         if self
             .at
-            .is_some_and(|at| stamp < at || stamp == at && is_looser(rate, self.rate))
+            .is_some_and(|at| stamp < at || stamp == at && loosened)
         {
             return odd;
         }
--- a/src/reducer/limit.rs
+++ b/src/reducer/limit.rs
@@ -77,12 +77,13 @@
             let Some(backend) = self.named_here(told).cloned() else {
                 continue;
             };
+            let awake = self.control.is_awake(now);
+            let server = self.servers.entry(backend.name.clone()).or_default();
             // Word that waited while this box stood still seems newer than it is; one that lets more
             // through then has to come again.
-            if told.rate.is_none() && !self.control.is_awake(now) {
+            if !awake && server.limit.is_loosened_by(told.rate) {
                 continue;
             }
-            let server = self.servers.entry(backend.name.clone()).or_default();
             match server.limit.learn(told.rate, now - told.age, from) {
                 Worth::News => out.push(Effect::Noted(limited(&backend.name, &server.limit))),
                 Worth::Known => {}
