--- a/tests/harness/limits.rs
+++ b/tests/harness/limits.rs
@@ -124,7 +124,8 @@
         }
     }
 
-    fn ask(&mut self) {
+    /// A request comes to the box whose turn it is.
+    pub fn ask(&mut self) {
         self.requests += 1;
         // Boxes in an order that repeats only after all had their turn.
         let number = (self.requests as usize * 7919) % self.crowd.boxes.len();
--- a/tests/limit_shares.rs
+++ b/tests/limit_shares.rs
@@ -171,6 +171,18 @@
     }
 }
 
+/// One answer to one box is enough: the others are told within two ticks, and not with a heartbeat that comes
+/// to each of them every 15 s in a region of a hundred.
+#[test]
+fn one_answer_tells_all_boxes_at_once() {
+    let mut scene = Scene::new(100, 1, 0.0);
+    scene.limits[0] = Some(2.0);
+    scene.ask();
+    scene.pass(300);
+    let boxes = scene.crowd.boxes.iter().flatten();
+    assert_eq!(boxes.filter(|state| state.limited() == 1).count(), 100);
+}
+
 /// A box that just started is told with the first heartbeat that it hears.
 #[test]
 fn a_box_that_starts_knows_it_at_once() {
