Keep the store's changes whether or not the box is a hub yet

What could have reached boxes: news that is said to lead from one revision to the next and lacks a change, so that a leaving server stays in use there. Cause: changes were kept only while the box was a hub, and the end of their batch alone decided whether to pass them on. Now they are always kept, and each batch's end passes them on or drops them, so memory stays that of one batch.

--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -63,11 +63,9 @@
         }
     }
 
-    /// Keeps a change that the store told for the boxes that don't follow it.
+    /// Keeps a change that the store told for the boxes that don't follow it: this one may be a hub by the
+    /// end of the batch, and each batch's end clears what was kept.
     pub(super) fn gather(&mut self, change: &Change) {
-        if self.control.follow != Follow::Hub {
-            return;
-        }
         match change {
             Change::List { .. } => self.control.gathered.whole = true,
             change => self.control.gathered.changes.push(change.clone()),
