--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -211,6 +211,24 @@
         }
     }
 
+    /// Sends one message to several listeners.
+    pub(super) fn send_all(
+        &mut self,
+        body: Body,
+        targets: impl IntoIterator<Item = SocketAddr>,
+        out: &mut Vec<Effect>,
+    ) {
+        let mut targets = targets.into_iter().peekable();
+        if targets.peek().is_none() {
+            return;
+        }
+        let frame = self.frame(body);
+        out.extend(targets.map(|to| Effect::Gossip {
+            to,
+            frame: frame.clone(),
+        }));
+    }
+
     /// Asks for a newer configuration where one is known of.
     fn chase(&mut self, now: Time, out: &mut Vec<Effect>) {
         let Some((version, contact)) = self.table.newest(now) else {
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -9,7 +9,7 @@
     reducer::{State, control::Control, effect::Effect},
     settings::Seed,
     unit::{Millis, Time},
-    wire::{Body, Contact, Frame, Heartbeat, Load, Short, Silent},
+    wire::{Body, Contact, Heartbeat, Load, Short, Silent},
 };
 
 /// How long a box that others named has to answer a greeting before it is greeted again.
@@ -103,23 +103,19 @@
         out: &mut Vec<Effect>,
     ) {
         let mut targets = targets.into_iter().peekable();
-        if targets.peek().is_none() {
-            return;
+        if targets.peek().is_some() {
+            let beat = self.heartbeat(now, pace);
+            self.send_all(Body::Heartbeat(beat), targets, out);
         }
-        let frame = self.heartbeat(now, pace);
-        out.extend(targets.map(|to| Effect::Gossip {
-            to,
-            frame: frame.clone(),
-        }));
     }
 
-    fn heartbeat(&mut self, now: Time, pace: Millis) -> Frame {
+    fn heartbeat(&self, now: Time, pace: Millis) -> Heartbeat {
         let busy = self.servers.iter().filter(|(_, s)| s.busy > 0);
         let loads = busy.map(|(name, server)| Load {
             backend: Short::of(name.as_str()),
             busy: server.busy,
         });
-        let beat = Heartbeat {
+        Heartbeat {
             contact: self.table.me.clone(),
             uptime: now,
             version: self.version(),
@@ -136,8 +132,7 @@
                 true => Vec::new(),
                 false => self.accounts.told(now),
             },
-        };
-        self.frame(Body::Heartbeat(beat))
+        }
     }
 
     /// Answers a box that just appeared and knows `boxes` others: who is here, where that can be
--- a/src/reducer/limit.rs
+++ b/src/reducer/limit.rs
@@ -59,8 +59,7 @@
     ) {
         let old = self.learn_limits(now, from, limits, out);
         if !old.is_empty() {
-            let frame = self.frame(Body::Limits(old));
-            out.push(Effect::Gossip { to, frame });
+            self.send_all(Body::Limits(old), [to], out);
         }
     }
 
@@ -125,11 +124,9 @@
             }
         }
         for news in news.chunks(MAX_TOLD) {
-            let frame = self.frame(Body::Limits(news.to_vec()));
-            out.extend(self.table.live(now).map(|peer| Effect::Gossip {
-                to: peer.last.contact.gossip,
-                frame: frame.clone(),
-            }));
+            let near = self.table.live(now).map(|peer| peer.last.contact.gossip);
+            let near: Vec<SocketAddr> = near.collect();
+            self.send_all(Body::Limits(news.to_vec()), near, out);
         }
     }
 
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -85,11 +85,7 @@
             evacuated: self.evacuated.clone(),
         };
         let targets = self.table.neighbours(now);
-        let frame = self.frame(Body::News(news));
-        out.extend(targets.into_iter().map(|to| Effect::Gossip {
-            to,
-            frame: frame.clone(),
-        }));
+        self.send_all(Body::News(news), targets, out);
     }
 
     /// Takes what a hub passes on.
--- a/src/reducer/tally.rs
+++ b/src/reducer/tally.rs
@@ -1,7 +1,5 @@
 //! What the boxes of a region tell each other, through hubs, of how they use its backend servers.
 
-use std::net::SocketAddr;
-
 use crate::{
     config::Backend,
     id::BoxName,
@@ -34,11 +32,7 @@
         let was_idle = std::mem::replace(&mut self.control.idle, idle);
         // Who has nothing to tell says so once.
         if !(idle && was_idle) {
-            let frame = self.frame(Body::Report(report.clone()));
-            out.extend(hubs.others.iter().map(|to| Effect::Gossip {
-                to: *to,
-                frame: frame.clone(),
-            }));
+            self.send_all(Body::Report(report.clone()), hubs.others, out);
         }
         self.table.tell_report(&report);
         if hubs.mine {
@@ -61,32 +55,18 @@
         let own: Vec<Share> = shares.iter().take(1).cloned().collect();
         let here = self.table.neighbours(now);
         let away = self.table.other_hubs(now);
-        self.send_tally(
-            Tally {
-                shares,
-                store,
-                held,
-            },
-            here,
-            out,
-        );
+        let told = Tally {
+            shares,
+            store,
+            held,
+        };
+        self.send_all(Body::Tally(told), here, out);
         let told = Tally {
             shares: own,
             store: None,
             held: Vec::new(),
         };
-        self.send_tally(told, away, out);
-    }
-
-    fn send_tally(&mut self, tally: Tally, to: Vec<SocketAddr>, out: &mut Vec<Effect>) {
-        if to.is_empty() {
-            return;
-        }
-        let frame = self.frame(Body::Tally(tally));
-        out.extend(to.into_iter().map(|to| Effect::Gossip {
-            to,
-            frame: frame.clone(),
-        }));
+        self.send_all(Body::Tally(told), away, out);
     }
 
     /// What this box has seen of backend servers in the last moments.
