--- a/tests/limit_news.rs
+++ b/tests/limit_news.rs
@@ -154,3 +154,19 @@
         "what cannot be read is no limit"
     );
 }
+
+/// Boxes that start together do not know each other yet, and each would take itself for the only one.
+#[test]
+fn a_box_that_just_started_has_no_share() {
+    let one = engine("one", "ready", 0);
+    let mut scene = Scene {
+        world: World::new(vec![one.clone()]),
+        seq: 0,
+    };
+    scene.world.pass(300);
+    scene.tell(&one, Some(2.0), 0);
+    scene.world.pass(1000);
+    assert_eq!(scene.limit("one").expect("it is limited").share, Rate(0.0));
+    scene.world.pass(1000);
+    assert!(scene.limit("one").expect("it is limited").share.0 > 1.0);
+}
