Test that errors that name no limit end none, failing

A refusal or an error may be made before whoever names the limit has seen the request. Each ended the limit, for all boxes, until the next answer that named it.

--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -216,6 +216,11 @@
             ),
             "promise" => (head("503 Hm", signed) + &length + &body, true),
             "error" => (head("500 Error", signed) + &length + &body, true),
+            // Made before whoever names the limit has seen it.
+            "bare-error" => (
+                format!("HTTP/1.1 500 Error\r\nRequest-Id: {id}\r\n{signed}{length}{body}"),
+                true,
+            ),
             "unsigned" => (head("200 OK", "") + &length + &body, true),
             "replaced" => (
                 "HTTP/1.1 421 Other\r\nServed-By: x\r\nContent-Length: 0\r\n\r\n".to_owned(),
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -137,3 +137,25 @@
     })
     .await;
 }
+
+/// Refusals and errors may be made before whoever names the limit has seen the request. Where one without the
+/// header ended a limit, the boxes went on at full speed until the next answer: `backend=w-1 limit=none` after
+/// each such error, and `limit=1/s` after the next request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_error_that_names_nothing_ends_no_limit() {
+    let cloud = Cloud::serving(&["w-1"]).await;
+    cloud.workers["w-1"].name_limit(Some("4"));
+    sleep(Duration::from_millis(2500)).await;
+    let entry = &cloud.boxes[0];
+    let answer = entry.send("/safe/x", "first", "").await;
+    assert!(answer.status.is_success());
+    for number in 0..4 {
+        sleep(Duration::from_millis(400)).await;
+        let mode = ["bare-error", "full"][number % 2];
+        let answer = entry.send("/once/x", &format!("e-{number}"), mode).await;
+        assert!(!answer.status.is_success());
+    }
+    let log = entry.log.text();
+    assert!(log.contains("peers: backend=w-1 limit=4/s"), "{log}");
+    assert!(!log.contains("limit=none told-by"), "{log}");
+}
