End a limit only by a success that names none

What callers would have heard: none. A server in need whose errors or refusals lack the header got all boxes' full speed after each, until its next answer. Cause: any answer without the header was taken for the end of the limit. Now only an answer to a request that ran to a success says so; a limit that an error or refusal names still counts. Holds because the end is judged where the answer's kind is known.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -117,8 +117,9 @@
         Miss::new(failure.verdict(), cause)
     })?;
     span.note("http.response.status_code", response.status().as_u16());
-    hear_limit(shell, prepared, send, &response, now);
     let refused = refusal(shell, prepared, &send.target, &response);
+    let ran = refused.is_none() && response.status().is_success();
+    hear_limit(shell, prepared, send, &response, now, ran);
     let found = Found {
         response,
         lease,
@@ -145,13 +146,15 @@
 }
 
 /// Tells what an answer of a backend server says of its limit. One that answers another request, or for
-/// another server, says nothing of this one.
+/// another server, says nothing of this one; one that names nothing says so only where the request `ran` to
+/// a success: refusals and errors may be made before whoever names the limit has seen it.
 fn hear_limit(
     shell: &Shell,
     prepared: &Prepared,
     send: &Send,
     response: &Response<Incoming>,
     sent: Time,
+    ran: bool,
 ) {
     let Target::Backend {
         name, limit_header, ..
@@ -166,7 +169,8 @@
     }
     let fields = limit_header.iter().flat_map(|name| headers.get_all(name));
     let word = Word::read(fields.map(HeaderValue::as_bytes));
-    if word != Word::Silent || send.basis.limit.is_some() {
+    let limited = send.basis.limit.is_some();
+    if word.rate().is_some() || ran && (limited || word == Word::Unreadable) {
         let backend = name.clone();
         shell.core.tell(Event::Limited {
             backend,
--- a/src/reducer/limit.rs
+++ b/src/reducer/limit.rs
@@ -22,7 +22,7 @@
     wire::{self, Body, Phase, Short},
 };
 
-/// Limits that one message tells of, the newest first: under 1 KB.
+/// Limits that one message tells of, the newest first: 21 bytes each, 1 KB in all.
 const MAX_TOLD: usize = 48;
 
 impl<P: Policy> State<P> {
