Name the nearest key where a setting is misspelt

A fault named the odd key and left it to the operator to find out which one was meant. The keys that a section was asked for are known at its end: the one that shares seven tenths of its letters is named, in the configuration and in a box's settings.

--- a/src/ini.rs
+++ b/src/ini.rs
@@ -3,6 +3,10 @@
 use std::{collections::BTreeSet, fmt, str::FromStr};
 
 use ::ini::{Ini, ParseOption, Properties};
+use similar::TextDiff;
+
+/// Part of the letters that a misspelt key shares with the one that is suggested.
+const ALIKE: f32 = 0.7;
 
 /// One thing that is wrong with a text, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -223,7 +227,22 @@
             .filter(|key| !self.known.contains(key))
             .collect();
         for key in odd {
-            self.fault(&key, "is not a key of this section");
+            let problem = match self.nearest(&key) {
+                Some(known) => format!("is not a key of this section; did you mean {known:?}?"),
+                None => "is not a key of this section".to_owned(),
+            };
+            self.fault(&key, problem);
         }
     }
+
+    /// The key of this section that is most like `key`, where one is.
+    fn nearest(&self, key: &str) -> Option<&str> {
+        let alike = self.known.iter().map(|known| {
+            let ratio = TextDiff::from_chars(key, known.as_str()).ratio();
+            (ratio, known.as_str())
+        });
+        let best = alike.max_by(|a, b| a.0.total_cmp(&b.0));
+        best.filter(|(ratio, _)| *ratio >= ALIKE)
+            .map(|(_, known)| known)
+    }
 }
--- a/tests/config_text.rs
+++ b/tests/config_text.rs
@@ -46,6 +46,31 @@
     assert!(told.lines().all(|line| line.starts_with("file: [")));
 }
 
+#[test]
+fn a_misspelt_key_names_the_one_that_was_meant() {
+    let text = "[region perth]\n[backend b]\naddress=127.0.0.1:1\nregion=perth\nfailure_domain=a\n\
+        serves=q\nrefusal_headr=x\nlimit_haeder=x\nslot=3\ncolour=red\n";
+    let told = parse(text).expect_err("faults").to_string();
+    for (key, meant) in [
+        ("refusal_headr", "refusal_header"),
+        ("limit_haeder", "limit_header"),
+        ("slot", "slots"),
+    ] {
+        let line = format!("{key}: is not a key of this section; did you mean {meant:?}?");
+        assert!(told.contains(&line), "{line} in:\n{told}");
+    }
+    assert!(told.contains("colour: is not a key of this section"));
+    assert!(
+        !told.contains("colour: is not a key of this section;"),
+        "nothing is like it"
+    );
+    let settings = "[box]\nnam = x\nregion = perth\n[listn]\n";
+    let told = Settings::parse("file", settings)
+        .expect_err("faults")
+        .to_string();
+    assert!(told.contains("did you mean \"name\"?"), "{told}");
+}
+
 #[test]
 fn any_text_is_safe() {
     check!().with_type::<String>().for_each(|text| {
