--- a/tests/limit_news.rs
+++ b/tests/limit_news.rs
@@ -16,6 +16,7 @@
         event::Event,
         status::{self, Status},
     },
+    settings::Secret,
     unit::{Millis, Rate},
     wire::{Body, Frame, Limit, Short},
 };
@@ -170,3 +171,27 @@
     scene.world.pass(1000);
     assert!(scene.limit("one").expect("it is limited").share.0 > 1.0);
 }
+
+/// What is told stays small: nothing where nobody names a limit, and about a kilobyte at most.
+#[test]
+fn limits_cost_few_bytes() {
+    let secret: Secret = "0123456789abcdef".parse().expect("a secret");
+    let size = |count: u32| {
+        let limit = |number: u32| Limit {
+            backend: Short(u32::MAX - number),
+            life: Short(u32::MAX - number),
+            rate: Some(Rate(3.9)),
+            age: Millis(4000),
+        };
+        let frame = Frame {
+            from: "other".parse().expect("a name"),
+            incarnation: Incarnation(9),
+            seq: 1,
+            body: Body::Limits((0..count).map(limit).collect()),
+        };
+        frame.encode(&secret).len()
+    };
+    let one = size(2) - size(1);
+    assert!(one <= 24, "{one} bytes a server");
+    assert!(size(48) <= 1200, "{} bytes a message", size(48));
+}
