Test that an order to roll out a release is carried out, failing

Real processes before the platform's store: a good release takes over within the order's time, a bad one is rolled back, and the boxes write the end once. The stand-in of the store keeps the conditions of a write, and a server can answer all requests in one way.

Red: nothing in the product reads the order, so servers of the new release get requests like any other, and no status is ever written.

--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -177,12 +177,43 @@
         })
     }
 
-    /// Writes what a call without conditions says; leases never run out here.
+    /// What stands under a key.
+    fn item(&self, query: &HashMap<String, String>) -> Response<Body> {
+        let key = query.get("key").cloned().unwrap_or_default();
+        match self.lock().items.get(&key) {
+            Some((value, revision)) => json_answer(&json!({
+                "key": key, "value": value, "revision": revision, "created": revision,
+            })),
+            None => whole(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
+    /// The content under a key, where it is JSON.
+    pub fn content(&self, key: &str) -> Option<Value> {
+        let inner = self.lock();
+        let (value, _) = inner.items.get(key)?;
+        serde_json::from_slice(&BASE64.decode(value).ok()?).ok()
+    }
+
+    /// Whether the items of a call's conditions were last changed by the numbers that it names.
+    fn is_expected(&self, rows: &[Value]) -> bool {
+        let inner = self.lock();
+        rows.iter().all(|row| {
+            let key = row["key"].as_str().unwrap_or_default();
+            let revision = inner.items.get(key).map_or(0, |(_, revision)| *revision);
+            row["revision"].as_u64() == Some(revision)
+        })
+    }
+
+    /// Writes what a call says if its conditions hold; leases never run out here.
     fn write(&self, body: &[u8]) -> Response<Body> {
         let Ok(call) = serde_json::from_slice::<Value>(body) else {
             return whole(StatusCode::BAD_REQUEST, "");
         };
         let rows = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        if !self.is_expected(&rows("expectedRev")) {
+            return whole(StatusCode::PRECONDITION_FAILED, r#"{"items":[]}"#);
+        }
         for put in rows("puts") {
             let value = put["value"].as_str().map(str::to_owned);
             self.change(put["key"].as_str().unwrap_or_default(), value);
@@ -267,6 +298,10 @@
                 Fault::None => Some(json_answer(&self.range(&query))),
                 fault => misbehave(fault).await,
             },
+            "/v1/kv-key" => match self.count("key") {
+                Fault::None => Some(self.item(&query)),
+                fault => misbehave(fault).await,
+            },
             "/v1/kv-watch" => match self.count("watch") {
                 Fault::None => self.watch(&query).await,
                 fault => misbehave(fault).await,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -65,6 +65,8 @@
     arrivals: Arc<Mutex<Vec<Instant>>>,
     /// What its answers say that it takes a second.
     limit: Arc<Mutex<Option<String>>>,
+    /// How it answers whatever a request asks for.
+    always: Arc<Mutex<Option<String>>>,
     /// How far the end of the process has come.
     end: watch::Sender<End>,
 }
@@ -81,6 +83,7 @@
             connections: Arc::default(),
             arrivals: Arc::default(),
             limit: Arc::default(),
+            always: Arc::default(),
             end: watch::Sender::new(End::None),
         };
         let served = worker.clone();
@@ -132,6 +135,12 @@
         *named = limit.map(str::to_owned);
     }
 
+    /// It answers in `mode` from now on, whatever a request asks for.
+    pub fn answer_always(&self, mode: &str) {
+        let mut always = self.always.lock().expect("the lock is never poisoned");
+        *always = Some(mode.to_owned());
+    }
+
     fn limit_line(&self) -> String {
         let named = self.limit.lock().expect("the lock is never poisoned");
         let line = |limit: &String| format!("Server-Limit: {limit}\r\n");
@@ -172,7 +181,13 @@
                 continue;
             }
             let id = request.headers.get("request-id").cloned();
-            let mode = request.headers.get(MODE).cloned().unwrap_or_default();
+            let always = self
+                .always
+                .lock()
+                .expect("the lock is never poisoned")
+                .clone();
+            let asked = request.headers.get(MODE).cloned();
+            let mode = always.or(asked).unwrap_or_default();
             let last = request.headers.get("last-event-id");
             let last: u32 = last.and_then(|l| l.parse().ok()).unwrap_or(0);
             let mine = request.headers.get("target-instance") == Some(&self.name);
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -176,9 +176,21 @@
     }
 
     pub fn register(&self, name: &str, address: SocketAddr, region: &str, state: &str) {
+        self.register_release(name, address, region, state, "v1");
+    }
+
+    /// The same for a release of its software.
+    pub fn register_release(
+        &self,
+        name: &str,
+        address: SocketAddr,
+        region: &str,
+        state: &str,
+        release: &str,
+    ) {
         let content = json!({
-            "service": "app", "address": address, "zone": format!("{region}-a"), "version": "v1",
-            "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
+            "service": "app", "address": address, "zone": format!("{region}-a"),
+            "version": release, "slots": 8, "state": state, "coldRemainingMs": 0, "sequence": 1,
         });
         self.registry.put(&format!("servers/{name}"), &content);
     }
--- /dev/null
+++ b/tests/rollout_run.rs
@@ -0,0 +1,166 @@
+//! An operator rolls out another release through the platform's store, with real processes: it is watched and
+//! finished, or rolled back, and the boxes write that once.
+
+mod harness;
+
+use std::time::{Duration, Instant};
+
+use harness::{cloud::Cloud, eventually};
+use petreldrum_standin::{registry::Fault, worker::Worker};
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+const ORDER: &str = "op/rollout/app";
+const STATUS: &str = "status/rollout/app";
+
+/// Two boxes and two servers of the release v1 in one region, and one of each in another.
+async fn cloud() -> Cloud {
+    let mut cloud = Cloud::start().await;
+    cloud.configure(1);
+    for (name, region) in [("old-1", "atl"), ("old-2", "atl"), ("old-3", "mcn")] {
+        cloud.add_worker(name, region).await;
+    }
+    for region in ["atl", "atl", "mcn"] {
+        cloud.add_box(region).await;
+    }
+    cloud.settled().await;
+    cloud
+}
+
+/// Asks for the release v2, and starts its servers.
+async fn order(cloud: &mut Cloud, seconds: f64, mode: Option<&str>) {
+    let order = json!({ "service": "app", "targetVersion": "v2", "durationS": seconds });
+    cloud.registry.put(ORDER, &order);
+    for (name, region) in [("new-1", "atl"), ("new-2", "atl"), ("new-3", "mcn")] {
+        let worker = Worker::start(name).await.expect("the worker starts");
+        mode.iter().for_each(|mode| worker.answer_always(mode));
+        cloud.register_release(name, worker.address, region, "ready", "v2");
+        cloud.workers.insert(name.to_owned(), worker);
+    }
+}
+
+fn state(cloud: &Cloud) -> Value {
+    let status = cloud.registry.content(STATUS).unwrap_or_default();
+    status["state"].clone()
+}
+
+fn arrivals(cloud: &Cloud, prefix: &str, since: Instant) -> usize {
+    let workers = cloud
+        .workers
+        .iter()
+        .filter(|(name, _)| name.starts_with(prefix));
+    let later = workers.flat_map(|(_, worker)| worker.arrivals());
+    later.filter(|at| *at > since).count()
+}
+
+/// Callers ask until `done`, for so long at most; how many requests failed.
+async fn ask_until(cloud: &Cloud, most: Duration, done: impl Fn(&Cloud) -> bool) -> usize {
+    let (start, mut number, mut failed) = (Instant::now(), 0, 0);
+    while start.elapsed() < most && !done(cloud) {
+        let asks = (0..6).map(|one| {
+            let id = format!("r{number}-{one}");
+            let entry = &cloud.boxes[one % cloud.boxes.len()];
+            async move { entry.send("/safe/x", &id, "").await.status.is_success() }
+        });
+        for ask in asks {
+            failed += usize::from(!ask.await);
+        }
+        number += 1;
+        sleep(Duration::from_millis(15)).await;
+    }
+    failed
+}
+
+#[tokio::test]
+async fn good_releases_take_over_in_time() {
+    let mut cloud = cloud().await;
+    ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    let ordered = Instant::now();
+    order(&mut cloud, 8.0, None).await;
+    let failed = ask_until(&cloud, Duration::from_secs(20), |c| state(c) == "completed").await;
+    assert_eq!(state(&cloud), "completed");
+    assert!(ordered.elapsed() < Duration::from_secs(8), "after its time");
+    let status = cloud.registry.content(STATUS).expect("it is written");
+    assert_eq!(status["targetVersion"], "v2");
+    // The old servers are stopped at once: nothing is on its way to them.
+    let stopped = Instant::now();
+    let more = ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    assert_eq!(arrivals(&cloud, "old", stopped), 0);
+    assert!(arrivals(&cloud, "new", stopped) > 0);
+    assert_eq!(failed + more, 0, "callers saw nothing of it");
+}
+
+#[tokio::test]
+async fn bad_releases_are_rolled_back() {
+    let mut cloud = cloud().await;
+    ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    order(&mut cloud, 60.0, Some("error")).await;
+    let start = Instant::now();
+    let failed = ask_until(&cloud, Duration::from_secs(30), |c| {
+        state(c) == "rolled_back"
+    })
+    .await;
+    assert_eq!(state(&cloud), "rolled_back");
+    let (new, old) = (
+        arrivals(&cloud, "new", start),
+        arrivals(&cloud, "old", start),
+    );
+    assert!(new <= old / 9 + 50, "{new} requests beside {old}");
+    let stopped = Instant::now();
+    let more = ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    assert_eq!(arrivals(&cloud, "new", stopped), 0);
+    assert_eq!(failed + more, 0, "what failed there went on elsewhere");
+    eventually("a box tells why", || async {
+        let logs = cloud.boxes.iter().map(|b| b.log.text());
+        logs.into_iter()
+            .any(|log| log.contains("judged=rolled-back"))
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_store_that_was_away_is_told_after_its_return() {
+    let mut cloud = cloud().await;
+    ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    order(&mut cloud, 60.0, Some("error")).await;
+    eventually("it is under way", || async { state(&cloud) == "active" }).await;
+    cloud.registry.set_fault(Fault::Busy);
+    ask_until(&cloud, Duration::from_secs(6), |_| false).await;
+    assert_eq!(state(&cloud), "active", "the store takes nothing");
+    let held = Instant::now();
+    ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    assert_eq!(
+        arrivals(&cloud, "new", held),
+        0,
+        "nothing goes there meanwhile"
+    );
+    cloud.registry.set_fault(Fault::None);
+    eventually("it is written", || async { state(&cloud) == "rolled_back" }).await;
+}
+
+#[tokio::test]
+async fn odd_orders_and_statuses_harm_nobody() {
+    let cloud = cloud().await;
+    let odd: [&[u8]; 9] = [
+        b"",
+        b"null",
+        b"{}",
+        b"\xff\xfe",
+        br#"{"targetVersion":7,"durationS":12}"#,
+        br#"{"targetVersion":"","durationS":12}"#,
+        br#"{"targetVersion":"v2","durationS":"soon"}"#,
+        br#"{"targetVersion":"v2","durationS":-3}"#,
+        br#"{"targetVersion":"v2","durationS":1e300}"#,
+    ];
+    for bytes in odd {
+        cloud.registry.put_bytes(ORDER, bytes);
+        cloud.registry.put_bytes("op/rollout/%", bytes);
+        sleep(Duration::from_millis(200)).await;
+        cloud.registry.put_bytes(STATUS, bytes);
+        let failed = ask_until(&cloud, Duration::from_millis(300), |_| false).await;
+        assert_eq!(failed, 0, "{}", String::from_utf8_lossy(bytes));
+    }
+    for process in &cloud.boxes {
+        assert!(process.is_ready().await);
+    }
+}
