--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod hash;
 mod pardon;
+mod rollout;
 mod status;
 mod trace;
 
@@ -43,6 +44,7 @@
     Trace(trace::Args),
     Drain(status::DrainArgs),
     Pardon(pardon::Args),
+    Rollout(rollout::Args),
     HashKey(hash::Args),
     Completions(completions::Args),
 }
@@ -58,6 +60,7 @@
             Task::Trace(args) => trace::run(args),
             Task::Drain(args) => status::drain(args),
             Task::Pardon(args) => pardon::run(args),
+            Task::Rollout(args) => rollout::run(args),
             Task::HashKey(args) => hash::run(args),
             Task::Completions(args) => completions::run(args),
         };
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -300,6 +300,8 @@
     pub cold: Millis,
     /// Its life, where it tells: one that starts again under its name has a greater number.
     pub incarnation: Option<Incarnation>,
+    /// The release that it runs, where it tells.
+    pub release: Option<id::Release>,
 }
 
 impl Backend {
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -253,6 +253,7 @@
     let leaving = section.or("leaving", false);
     let refusal_header = section.optional("refusal_header");
     let limit_header = section.optional("limit_header");
+    let release = section.optional("release");
     Some(Backend {
         name: name?,
         address: address?,
@@ -265,6 +266,7 @@
         leaving,
         refusal_header,
         limit_header,
+        release,
         cold: Millis(0),
         incarnation: None,
     })
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,6 +15,7 @@
 use crate::{
     config::Backend,
     id::{self, Domain, Region, Service},
+    rollout,
     unit::{Millis, Time},
     wire::Short,
 };
@@ -48,6 +49,9 @@
     }
 }
 
+/// The roll-outs of services that the platform's store tells of.
+pub type Rollouts = BTreeMap<Service, rollout::Entry>;
+
 /// All that a box knows of registered backend servers, for a box that cannot ask the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Roster {
@@ -57,6 +61,8 @@
     pub doubted: BTreeMap<id::Backend, Millis>,
     /// The failure domains under evacuation.
     pub evacuated: BTreeSet<Domain>,
+    /// The roll-outs.
+    pub rollouts: Rollouts,
     /// How far it goes.
     pub revision: Revision,
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -337,6 +337,7 @@
         if now.since(self.allotments_told) >= TELL_ALLOTMENTS {
             self.allotments_told = now;
             metrics.tell_allotments(&self.state.allotments(now));
+            metrics.tell_rollouts(&self.state.rollouts(now));
         }
         metrics.store_revision.set(self.state.revision().0 as i64);
     }
@@ -351,6 +352,12 @@
             Effect::Knock { backend, address } => self.knock(backend, address),
             Effect::Keep(held) => self.keep(Write::Keep(held)),
             Effect::Discard(content) => self.keep(Write::Discard(content)),
+            Effect::Settle {
+                service,
+                order,
+                standing,
+            } => self.settle(service, order, standing),
+            Effect::Rollout(step) => log::warn!("rollout: {step}"),
             Effect::Quarantine(step) if step.is_decision() => log::warn!("quarantine: {step}"),
             Effect::Quarantine(step) => log::debug!("quarantine: {step}"),
             Effect::CloseIdle(address) => self.parts.pool.close_idle(address),
--- a/src/gateway/errand.rs
+++ b/src/gateway/errand.rs
@@ -13,6 +13,7 @@
     id,
     platform::engine,
     reducer::event::{Event, Source},
+    rollout::{Order, Standing},
 };
 
 impl Core {
@@ -47,6 +48,15 @@
         tokio::spawn(keep::write(*store, self.parts.pool.clone(), write));
     }
 
+    /// Writes to the platform's store how a roll-out stands, where there is one.
+    pub(super) fn settle(&self, service: id::Service, order: Order, standing: Standing) {
+        let Some(store) = self.parts.settings.stores.first() else {
+            return;
+        };
+        let pool = self.parts.pool.clone();
+        tokio::spawn(keep::settle(*store, pool, service, order, standing));
+    }
+
     /// Finds out whether a backend server's process has ended.
     pub(super) fn knock(&self, backend: id::Backend, address: SocketAddr) {
         let Some(handle) = self.handle.clone() else {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! What the box counts, for prometheus; docs/operate.md says when to worry.
 
-use crate::reducer::status::Allotted;
+use crate::reducer::status::{Allotted, Rollout};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -30,6 +30,8 @@
     pub broken: IntCounterVec,
     /// Contents that were struck, held back or cleared.
     pub quarantine: IntCounterVec,
+    /// How roll-outs stand that are not over: answers since the order, by service, release and kind.
+    pub rollouts: IntGaugeVec,
     /// Backend servers of the region that name a limit, as far as this box knows.
     pub limited: IntGauge,
     /// Requests that were refused because of such limits.
@@ -78,8 +80,27 @@
 
 /// Customers that are told of, in the order of their names; the metrics stay bounded.
 const CUSTOMERS: usize = 64;
+/// The same of services whose releases are rolled out.
+const SERVICES: usize = 64;
 
 impl Metrics {
+    /// Takes over what the releases answered that are rolled out.
+    pub(crate) fn tell_rollouts(&self, rows: &[Rollout]) {
+        self.rollouts.reset();
+        for row in rows.iter().take(SERVICES) {
+            let (old, new) = row.answers;
+            for (release, count) in [("old", old), ("new", new)] {
+                let kinds = [("all", count.answers), ("bad", count.bad)];
+                for (kind, value) in kinds {
+                    let labels = [row.service.as_str(), release, kind];
+                    self.rollouts
+                        .with_label_values(&labels)
+                        .set(i64::from(value));
+                }
+            }
+        }
+    }
+
     /// Takes over how allotments are used: those of the first [`CUSTOMERS`].
     pub(crate) fn tell_allotments(&self, allotted: &[Allotted]) {
         self.allotments.reset();
@@ -152,6 +173,11 @@
                 "How allotments are used over all boxes.",
                 &["customer", "what"],
             )?,
+            rollouts: gauges(
+                "rollout_answers",
+                "Answers since the order of each roll-out, over all boxes.",
+                &["service", "release", "kind"],
+            )?,
             broken: counters(
                 "broken_attempts_total",
                 "Attempts whose connection to a backend server broke.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -360,6 +360,7 @@
         retry: settings.retry,
         registry: settings.interface == Interface::Platform,
         tolerance: settings.tolerance,
+        exposure: settings.exposure,
     }
 }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -10,18 +10,20 @@
 
 use crate::{
     config::Backend,
-    fleet::{self, Change as FleetChange, Revision},
+    fleet::{self, Change as FleetChange, Revision, Rollouts},
     gateway::{clock::Moment, core::Handle, dial::Pool, follow, metrics::Metrics},
-    id::Domain,
+    id::{Domain, Service},
     platform::{
         call::Error,
         record::{self, Name},
+        rollout,
         store::{Change, Client, Freshness, Item},
     },
     reducer::{
         effect::Follow,
         event::{Event, Source},
     },
+    rollout::Entry,
     settings::Settings,
     unit::Millis,
 };
@@ -51,6 +53,7 @@
     /// Where the watch goes on; none before everything was read.
     revision: Option<Revision>,
     evacuated: BTreeSet<Domain>,
+    rollouts: Rollouts,
     /// When the store last failed, or came back: what vanishes soon after is in doubt.
     disturbed: Option<Moment>,
     failures: u32,
@@ -83,6 +86,7 @@
         metrics: metrics.clone(),
         revision: None,
         evacuated: BTreeSet::new(),
+        rollouts: Rollouts::new(),
         disturbed: None,
         failures: 0,
         duty,
@@ -181,6 +185,7 @@
         let mut backends = Vec::new();
         let mut evacuated = BTreeSet::new();
         let mut config = None;
+        self.rollouts.clear();
         for item in items {
             match Name::parse(&item.key) {
                 Some(Name::Config) => config = Some(item.value),
@@ -189,6 +194,8 @@
                 }
                 Some(Name::Server(name)) => backends.extend(self.backend(&name, &item.value)),
                 Some(Name::Held(content)) => self.core.tell(Event::Kept(content)),
+                Some(Name::Rollout(service)) => self.note_order(service, Some(&item)),
+                Some(Name::RolloutStatus(service)) => self.note_status(service, Some(&item)),
                 None => {}
             }
         }
@@ -197,6 +204,8 @@
         }
         self.evacuated = evacuated;
         self.tell_evacuated(revision);
+        // Servers that were started for an order come after it.
+        self.tell_rollouts(revision);
         let doubt = self.doubt();
         log::info!(
             "store: read everything: {} backend servers, {} evacuations.",
@@ -217,6 +226,14 @@
                     self.core.tell(Event::Fleet { change, revision });
                 }
                 Some(Name::Held(content)) => self.core.tell(Event::Kept(content)),
+                Some(Name::Rollout(service)) => {
+                    self.note_order(service, Some(&item));
+                    self.tell_rollouts(revision);
+                }
+                Some(Name::RolloutStatus(service)) => {
+                    self.note_status(service, Some(&item));
+                    self.tell_rollouts(revision);
+                }
                 None => {}
             },
             Change::Deleted { key, revision } => match Name::parse(&key) {
@@ -228,6 +245,14 @@
                     self.core.tell(Event::Fleet { change, revision });
                 }
                 Some(Name::Config) => log::error!("store: the configuration was deleted."),
+                Some(Name::Rollout(service)) => {
+                    self.note_order(service, None);
+                    self.tell_rollouts(revision);
+                }
+                Some(Name::RolloutStatus(service)) => {
+                    self.note_status(service, None);
+                    self.tell_rollouts(revision);
+                }
                 // The boxes tell each other what is cleared; the rest runs out by itself.
                 Some(Name::Held(_)) | None => {}
             },
@@ -281,6 +306,39 @@
         self.core.tell(Event::Evacuated { domains, revision });
     }
 
+    /// Takes an order for a roll-out, or that there is none; one that does not read is none.
+    fn note_order(&mut self, service: Service, item: Option<&Item>) {
+        let order = item.and_then(|item| {
+            rollout::order(&item.value, item.revision)
+                .inspect_err(|error| log::error!("rollout: service={service} {error:#}"))
+                .ok()
+        });
+        self.note_rollout(service, |entry| entry.order = order);
+    }
+
+    /// Takes what was written of a roll-out.
+    fn note_status(&mut self, service: Service, item: Option<&Item>) {
+        let written = item.and_then(|item| {
+            rollout::written(&item.value, item.revision)
+                .inspect_err(|error| log::error!("rollout: service={service} {error:#}"))
+                .ok()
+        });
+        self.note_rollout(service, |entry| entry.written = written);
+    }
+
+    fn note_rollout(&mut self, service: Service, change: impl FnOnce(&mut Entry)) {
+        let mut entry = self.rollouts.remove(&service).unwrap_or_default();
+        change(&mut entry);
+        if entry.order.is_some() || entry.written.is_some() {
+            self.rollouts.insert(service, entry);
+        }
+    }
+
+    fn tell_rollouts(&self, revision: Revision) {
+        let rollouts = self.rollouts.clone();
+        self.core.tell(Event::Rollouts { rollouts, revision });
+    }
+
     /// How long what vanishes now may be back: until a while after the store came back.
     fn doubt(&self) -> Millis {
         let elapsed = self.disturbed.map(|at| at.elapsed());
--- a/src/id.rs
+++ b/src/id.rs
@@ -117,6 +117,10 @@
     /// What a backend server serves: the name of a model or of an application route.
     Service
 );
+name!(
+    /// The release of the software that a backend server runs.
+    Release
+);
 name!(
     /// A selector of the configuration.
     Selector
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
 //! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
+//! | another release of backend servers, watched | [`rollout`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
@@ -42,6 +43,7 @@
 pub mod queue;
 pub mod reducer;
 pub mod retry;
+pub mod rollout;
 pub mod server;
 pub mod settings;
 mod sign;
--- a/src/member/tally.rs
+++ b/src/member/tally.rs
@@ -14,8 +14,9 @@
 use crate::{
     allotment::Sum,
     id::{BoxName, Domain},
+    rollout,
     unit::{Millis, Time},
-    wire::{Report, Share, Short, Usage, Use},
+    wire::{Report, Share, Short, Trial, Usage, Use},
 };
 
 /// Word older than this is not used: five messages were missed.
@@ -52,6 +53,8 @@
     /// The customers' use in the region, and this box's own of it, in the same way.
     uses: HashMap<Short, Sum>,
     own_uses: HashMap<Short, Sum>,
+    /// What the region has seen of roll-outs.
+    trials: Vec<Trial>,
     /// The failure domains whose sums those are.
     domains: BTreeSet<Domain>,
 }
@@ -71,6 +74,13 @@
     }
 }
 
+/// Adds up what boxes have seen of roll-outs.
+pub(super) fn add_trials(sums: &mut Vec<Trial>, trials: &[Trial]) {
+    for trial in trials {
+        rollout::add_trial(sums, trial);
+    }
+}
+
 /// Adds up customers' use.
 pub(super) fn add_uses(sums: &mut HashMap<Short, Sum>, uses: &[Use]) {
     for told in uses {
@@ -106,11 +116,10 @@
 
     /// At a hub, takes the sums of another failure domain.
     pub(super) fn share(&mut self, share: Share, now: Time) {
-        let report = Report {
-            usages: share.usages,
-            uses: share.uses,
+        let told = Told {
+            report: share.report,
+            at: now,
         };
-        let told = Told { report, at: now };
         self.shares.insert(share.domain, told);
     }
 
@@ -118,10 +127,12 @@
     pub(super) fn take(&mut self, shares: &[Share], now: Time) {
         self.sums.clear();
         self.uses.clear();
+        self.trials.clear();
         self.domains.clear();
         for share in shares {
-            add(&mut self.sums, &share.usages);
-            add_uses(&mut self.uses, &share.uses);
+            add(&mut self.sums, &share.report.usages);
+            add_uses(&mut self.uses, &share.report.uses);
+            add_trials(&mut self.trials, &share.report.trials);
             self.domains.insert(share.domain.clone());
         }
         self.summed = Some(now);
@@ -131,20 +142,23 @@
     pub(super) fn sum_up(&mut self, domain: &Domain, now: Time) -> Vec<Share> {
         self.reports.retain(|_, told| told.is_fresh(now));
         self.shares.retain(|_, told| told.is_fresh(now));
-        let (mut own, mut uses) = (HashMap::new(), HashMap::new());
+        let (mut own, mut uses, mut trials) = (HashMap::new(), HashMap::new(), Vec::new());
         for told in self.reports.values() {
             add(&mut own, &told.report.usages);
             add_uses(&mut uses, &told.report.uses);
+            add_trials(&mut trials, &told.report.trials);
         }
         let own = Share {
             domain: domain.clone(),
-            usages: own.into_values().collect(),
-            uses: told_uses(uses),
+            report: Report {
+                usages: own.into_values().collect(),
+                uses: told_uses(uses),
+                trials,
+            },
         };
         let others = self.shares.iter().map(|(domain, told)| Share {
             domain: domain.clone(),
-            usages: told.report.usages.clone(),
-            uses: told.report.uses.clone(),
+            report: told.report.clone(),
         });
         std::iter::once(own).chain(others).collect()
     }
@@ -171,6 +185,11 @@
         &self.uses
     }
 
+    /// What the region has seen of roll-outs.
+    pub(super) fn trials(&self) -> &[Trial] {
+        &self.trials
+    }
+
     /// A customer's use at the other boxes of the region.
     pub(super) fn use_elsewhere(&self, customer: Short) -> Sum {
         let all = self.uses.get(&customer).copied().unwrap_or_default();
--- a/src/member/uses.rs
+++ b/src/member/uses.rs
@@ -7,10 +7,10 @@
     id::Domain,
     member::{
         Peer, Table,
-        tally::{add_uses, told_uses},
+        tally::{add_trials, add_uses, told_uses},
     },
     unit::{Millis, Time},
-    wire::{Phase, Short, Use},
+    wire::{Phase, Short, Trial, Use},
 };
 
 /// A box that hears none of its region for this long is alone: the hubs of a large region speak twice
@@ -51,6 +51,18 @@
         told_uses(sums)
     }
 
+    /// What the boxes of this region have seen of roll-outs, where this one tells of `own`.
+    pub fn trials(&self, own: Vec<Trial>, now: Time) -> Vec<Trial> {
+        if self.has_hubs() && self.knows_usages(now) {
+            return self.tally.trials().to_vec();
+        }
+        let mut sums = own;
+        for peer in self.live(now) {
+            add_trials(&mut sums, &peer.last.trials);
+        }
+        sums
+    }
+
     /// The part of this region's boxes whose use this box hears of. One that was killed counts until it
     /// is forgotten, since it may as well be cut off; one that stopped by plan does not.
     pub fn cover(&self, now: Time) -> f64 {
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -149,6 +149,7 @@
         self.choose_follow(now, out);
         self.split_allotments(now);
         self.tell_usages(now, out);
+        self.watch_rollouts(now, out);
         self.tell_cleared(now, out);
         self.split_limits(now);
         self.tell_limits(now, out);
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -109,6 +109,7 @@
             services: self.capacities(now),
             held: self.quarantine.told(now),
             uses: self.table.uses(self.accounts.told(now), now),
+            trials: self.table.trials(self.rollouts.told(now), now),
             cover: self.table.cover(now),
             boxes: self.table.live(now).count() as u32 + 1,
             spread: true,
@@ -128,7 +129,8 @@
             let mut servers = 0;
             for backend in self.fleet.serving(service, &self.table.me.region) {
                 let down = self.table.is_down(Short::of(backend.name.as_str()), now);
-                if down || self.excluded(now, backend).is_some() {
+                let trial = self.rollouts.is_on_trial(service, backend, now);
+                if down || trial || self.excluded(now, backend).is_some() {
                     continue;
                 }
                 let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -109,6 +109,7 @@
             return;
         };
         job.attempts += 1;
+        job.judged = false;
         job.tried.push(place.clone());
         job.stage = Stage::Sent {
             attempt,
@@ -151,6 +152,9 @@
         match place {
             Place::Backend(name) => {
                 self.charge_cold(now, service, name);
+                if let Some(backend) = self.fleet.get(name) {
+                    self.rollouts.count_send(service, backend);
+                }
                 let server = self.servers.entry(name.clone()).or_default();
                 server.limit.spend(now);
                 let expected = server.first_token(work, now);
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -6,8 +6,9 @@
     config::Version,
     content::Fingerprint,
     fleet::Revision,
-    id::{self, Incarnation, Region},
-    quarantine::{Held, Step},
+    id::{self, Incarnation, Region, Service},
+    quarantine::{self, Held},
+    rollout::{Finding, Order, Standing},
     unit::{Millis, Rate, Time},
     verdict::Verdict,
     wire::{Contact, Frame},
@@ -254,6 +255,69 @@
     }
 }
 
+/// What became of a roll-out, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// It was ordered.
+    Ordered {
+        /// The service.
+        service: Service,
+        /// What was asked for.
+        order: Order,
+    },
+    /// The order was taken back.
+    Withdrawn(Service),
+    /// Traffic moves to the new release.
+    Moved(Service),
+    /// This box wants its end written.
+    Judged {
+        /// The service.
+        service: Service,
+        /// How it should end.
+        standing: Standing,
+        /// What decided.
+        finding: Finding,
+    },
+    /// This is what the store holds.
+    Written {
+        /// The service.
+        service: Service,
+        /// How far it has come.
+        standing: Standing,
+    },
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Ordered { service, order } => write!(
+                f,
+                "service={service} release={} within={} order={} ordered",
+                order.release, order.within, order.revision
+            ),
+            Self::Withdrawn(service) => write!(f, "service={service} withdrawn"),
+            Self::Moved(service) => write!(f, "service={service} traffic=new-release"),
+            Self::Judged {
+                service,
+                standing,
+                finding,
+            } => write!(
+                f,
+                "service={service} judged={} old={}/{} new={}/{} evidence={:.1}",
+                standing.name(),
+                finding.old.bad,
+                finding.old.answers,
+                finding.new.bad,
+                finding.new.answers,
+                finding.weight
+            ),
+            Self::Written { service, standing } => {
+                write!(f, "service={service} written={}", standing.name())
+            }
+        }
+    }
+}
+
 /// How a box follows the platform's store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Follow {
@@ -341,7 +405,18 @@
     /// Take that out of the store again.
     Discard(Fingerprint),
     /// Write down what changed of a content that may end backend servers.
-    Quarantine(Step),
+    Quarantine(quarantine::Step),
+    /// Write to the platform's store how a roll-out stands, unless its end stands there.
+    Settle {
+        /// The service.
+        service: Service,
+        /// The order that it answers.
+        order: Order,
+        /// How it stands.
+        standing: Standing,
+    },
+    /// Write down what became of a roll-out.
+    Rollout(Step),
     /// Close the connections to this address that nobody uses.
     CloseIdle(SocketAddr),
     /// Give a request its final answer.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -5,7 +5,7 @@
 use crate::{
     config::{Config, KeyHash, Version},
     content::{Content, Fingerprint},
-    fleet::{self, Revision},
+    fleet::{self, Revision, Rollouts},
     id::{self, Domain, Region, Service},
     limit, pin,
     prompt::{Part, Prompt},
@@ -245,6 +245,13 @@
         /// The store's number of the change.
         revision: Revision,
     },
+    /// The platform's store told which roll-outs there are.
+    Rollouts {
+        /// All of them.
+        rollouts: Rollouts,
+        /// The store's number of the change.
+        revision: Revision,
+    },
     /// A caller asks which boxes of its region to use.
     Resolve {
         /// The question.
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -132,6 +132,10 @@
                 true => Vec::new(),
                 false => self.accounts.told(now),
             },
+            trials: match self.table.has_hubs() {
+                true => Vec::new(),
+                false => self.rollouts.told(now),
+            },
         }
     }
 
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -101,6 +101,8 @@
     /// over.
     pub(super) position: Option<usize>,
     pub(super) stage: Stage,
+    /// Whether the answer of the attempt in hand was counted for or against its release.
+    pub(super) judged: bool,
 }
 
 impl Job {
@@ -132,6 +134,7 @@
             booking: None,
             position: None,
             stage: Stage::Waiting,
+            judged: false,
         }
     }
 
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -19,6 +19,8 @@
 //! | `suspect` | content that ends backend servers, and what the boxes tell each other of it |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask` | which boxes a caller should use |
+//! | `rollout`, `watch` | another release of a service's backend servers: who gets it, and how that ends |
+//! | `judge` | what answers say of the release of their server |
 //! | `news` | who follows the platform's store, and how its news reaches the others |
 //! | `roster` | backend servers that peers tell of while the store is away |
 //! | `heartbeat`, `digest` | what boxes of a region, and regions, tell each other |
@@ -39,6 +41,7 @@
 mod heartbeat;
 mod inventory;
 mod job;
+mod judge;
 mod key;
 mod limit;
 mod line;
@@ -46,11 +49,13 @@
 mod outcome;
 mod place;
 mod reading;
+mod rollout;
 mod roster;
 mod stall;
 pub mod status;
 mod suspect;
 mod tally;
+mod watch;
 
 use std::{
     collections::{BTreeSet, HashMap},
@@ -70,6 +75,7 @@
     quarantine::Quarantine,
     queue::Queue,
     retry::{self, Budgets},
+    rollout::Exposure,
     server::Server,
     settings::Seed,
     unit::{Millis, Time},
@@ -104,6 +110,8 @@
     pub registry: bool,
     /// How far the platform lets a customer's use go beyond its allotment.
     pub tolerance: Tolerance,
+    /// How far a release may be exposed before it was shown to be good.
+    pub exposure: Exposure,
 }
 
 /// All that a box decides by.
@@ -132,6 +140,7 @@
     demand: HashMap<id::Service, u64>,
     listed: BTreeSet<SocketAddr>,
     evacuated: BTreeSet<Domain>,
+    rollouts: rollout::Rollouts,
     /// Whether the backend servers are known.
     supplied: bool,
     /// How far the platform's store is known, by its own word or by another box's.
@@ -171,6 +180,7 @@
             demand: HashMap::new(),
             listed: BTreeSet::new(),
             evacuated: BTreeSet::new(),
+            rollouts: rollout::Rollouts::new(identity.exposure),
             supplied: !identity.registry,
             revision: Revision::default(),
             store_heard: None,
@@ -221,7 +231,9 @@
                 self.drain_all(now, &mut out);
             }
             Event::Roster(roster) => self.take_roster(now, roster, &mut out),
-            Event::Fleet { revision, .. } | Event::Evacuated { revision, .. }
+            Event::Fleet { revision, .. }
+            | Event::Evacuated { revision, .. }
+            | Event::Rollouts { revision, .. }
                 if self.is_old(revision) => {}
             Event::Fleet { change, .. } => {
                 self.gather(&change);
@@ -235,6 +247,7 @@
                 self.learn_cached(now, &backend, &parts, &mut out);
             }
             Event::Evacuated { domains, .. } => self.evacuate(now, domains, &mut out),
+            Event::Rollouts { rollouts, .. } => self.take_rollouts(now, &rollouts, &mut out),
             Event::Resolve {
                 request,
                 region,
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -83,6 +83,7 @@
             until,
             changes: gathered.changes,
             evacuated: self.evacuated.clone(),
+            rollouts: self.rollouts.tell(now),
         };
         let targets = self.table.neighbours(now);
         self.send_all(Body::News(news), targets, out);
@@ -106,6 +107,8 @@
         if news.evacuated != self.evacuated {
             self.evacuate(now, news.evacuated.clone(), out);
         }
+        // An order comes before the servers that were started for it.
+        self.take_rollouts(now, &news.rollouts, out);
         for change in &news.changes {
             self.supplied(now, change.clone(), out);
         }
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -65,6 +65,7 @@
         let Some(held) = self.in_hand(request, attempt) else {
             return;
         };
+        self.judge_begun(now, request, &held);
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
@@ -94,7 +95,10 @@
             return;
         };
         self.release(&held, whole.then_some(now.since(held.at)));
-        if !whole {
+        if whole {
+            self.judge_ended(now, request, &held);
+        } else {
+            self.judge_failed(request, &held.spot, Cause::Broken);
             // Its server may have ended, though nobody may go on with the answer.
             self.suspect(now, request, &held, out);
         }
@@ -156,6 +160,7 @@
             self.suspect(now, request, &held, out);
         }
         let spot = held.spot;
+        self.judge_failed(request, &spot, cause);
         self.blame(now, &spot, cause);
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -39,6 +39,8 @@
     Configured,
     Listed,
     Evacuated,
+    /// A roll-out keeps requests off its release.
+    Release,
     Barred(Bar),
 }
 
@@ -134,6 +136,7 @@
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .filter(|b| !self.is_shunned(now, b, job.ask.draw))
             .collect();
+        let usable = self.lane(now, &plan.service, job, usable);
         let shared = job.prompt.as_ref().and_then(Prompt::longest);
         let prefix = shared.map_or(job.prefix, |part| part.id);
         let affinity = |b: &&&Backend| {
@@ -290,6 +293,9 @@
         if self.is_listed(&backend.address) {
             return Some(Exclusion::Listed);
         }
+        if self.rollouts.bars(backend, now) {
+            return Some(Exclusion::Release);
+        }
         let bar = self.servers.get(&backend.name)?.bar(now)?;
         Some(Exclusion::Barred(bar))
     }
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -45,6 +45,7 @@
             backends: self.fleet.registered(now),
             doubted: self.fleet.doubted(now),
             evacuated: self.evacuated.clone(),
+            rollouts: self.rollouts.tell(now),
             revision: self.revision,
         })
     }
@@ -137,6 +138,7 @@
         }
         self.revision = roster.revision;
         self.evacuate(now, roster.evacuated, out);
+        self.take_rollouts(now, &roster.rollouts, out);
         let change = Change::List {
             backends: roster.backends,
             doubt: Millis(0),
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -5,9 +5,10 @@
 use crate::{
     config::{Ask, Version},
     content::Content,
-    id::{self, BoxName, Domain, Region, Selector, Service},
+    id::{self, BoxName, Domain, Region, Release, Selector, Service},
     policy::{Candidate, Choice, Policy},
     reducer::{State, job::Job, place::Exclusion},
+    rollout::{Count, Finding, Standing},
     server::Bar,
     unit::{Millis, Rate, Time},
     wire::{Phase, Short},
@@ -44,6 +45,32 @@
     /// Contents that are held back because backend servers ended under them.
     #[serde(default)]
     pub held: Vec<HeldBack>,
+    /// The roll-outs that the platform's store tells of.
+    #[serde(default)]
+    pub rollouts: Vec<Rollout>,
+}
+
+/// A service's roll-out, as far as this box knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Rollout {
+    /// The service.
+    pub service: Service,
+    /// The release that is to serve.
+    pub release: Option<Release>,
+    /// What the store holds of it.
+    pub standing: Option<Standing>,
+    /// The time that the order gives; none where it was withdrawn.
+    pub within: Option<Millis>,
+    /// Time since the order.
+    pub age: Millis,
+    /// Whether traffic has moved to the new release.
+    pub moved: bool,
+    /// Whether the new release gets nothing.
+    pub held: bool,
+    /// What the other releases answered since the order, and the new one.
+    pub answers: (Count, Count),
+    /// What weighs most against the new release.
+    pub finding: Option<Finding>,
 }
 
 /// A content that is held back.
@@ -184,6 +211,7 @@
         Some(Exclusion::Configured) => "leaving, by the configuration",
         Some(Exclusion::Listed) => "leaving, by the platform's list",
         Some(Exclusion::Evacuated) => "its failure domain is evacuated",
+        Some(Exclusion::Release) => "a roll-out keeps requests off its release",
         Some(Exclusion::Barred(Bar::Broken)) => "failing",
         Some(Exclusion::Barred(Bar::Refusing)) => "refusing work",
     }
@@ -234,6 +262,7 @@
             backends: self.backend_status(now),
             customers: self.allotments(now),
             held: self.held_back(now),
+            rollouts: self.rollouts(now),
         }
     }
 
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -115,6 +115,7 @@
         closed: bool,
         out: &mut Vec<Effect>,
     ) {
+        self.judge_broken(backend, closed);
         let knock = self.suspects.knocks.remove(backend);
         let strikes = knock.filter(|_| closed).map(|knock| knock.strikes);
         let mut news = Vec::new();
--- a/src/reducer/tally.rs
+++ b/src/reducer/tally.rs
@@ -25,10 +25,11 @@
         let report = Report {
             usages: self.usages(now),
             uses: self.accounts.told(now),
+            trials: self.rollouts.told(now),
         };
         let ready = self.phase(now) == Phase::Ready;
         let hubs = self.table.hubs(ready, now);
-        let idle = report.usages.is_empty() && report.uses.is_empty();
+        let idle = report.is_empty();
         let was_idle = std::mem::replace(&mut self.control.idle, idle);
         // Who has nothing to tell says so once.
         if !(idle && was_idle) {
@@ -43,7 +44,7 @@
     /// As a hub, adds up what the boxes told, and passes the sums on.
     fn sum_up(&mut self, now: Time, report: Report, out: &mut Vec<Effect>) {
         let shares = self.table.sum_up(report, now);
-        let is_idle = |share: &Share| share.usages.is_empty() && share.uses.is_empty();
+        let is_idle = |share: &Share| share.report.is_empty();
         let held = self.quarantine.told(now);
         let idle = held.is_empty() && shares.iter().all(is_idle);
         let was_idle = std::mem::replace(&mut self.control.idle_region, idle);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
     ini::{Faults, Reader},
     platform::Places,
     policy, retry,
+    rollout::Exposure,
     unit::{Bytes, Millis},
 };
 
@@ -178,6 +179,8 @@
     pub retry: retry::Limits,
     /// How far the platform lets a customer's use go beyond its allotment.
     pub tolerance: Tolerance,
+    /// How far a release may be exposed before it was shown to be good.
+    pub exposure: Exposure,
     /// How places are chosen.
     pub policy: policy::Named,
 }
@@ -286,6 +289,16 @@
     if !(tolerance.tokens.is_finite() && tolerance.tokens >= 0.0) {
         section.fault("allotment_slack", "is not a number of tokens");
     }
+    let exposure = Exposure {
+        share: section.or("expose_share", Exposure::default().share),
+        slack: section.or("expose_slack", Exposure::default().slack),
+    };
+    if !(0.0..=1.0).contains(&exposure.share) {
+        section.fault("expose_share", "is not between 0 and 1");
+    }
+    if !(exposure.slack.is_finite() && exposure.slack >= 0.0) {
+        section.fault("expose_slack", "is not a number of requests");
+    }
     let policy = section.or("policy", policy::Named::default());
     if max_head.0 < 8 << 10 {
         section.fault("max_head", "is under 8KiB");
@@ -320,6 +333,7 @@
         linger,
         retry,
         tolerance,
+        exposure,
         policy,
     })
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,9 +7,10 @@
 use crate::{
     config::Version,
     content::Fingerprint,
-    fleet::{Change, Revision},
+    fleet::{Change, Revision, Rollouts},
     id::{BoxName, Domain, Incarnation, Region},
     quarantine::{Held, Strike},
+    rollout::Count,
     settings::Secret,
     sign,
     unit::{Millis, Rate, Time},
@@ -100,6 +101,34 @@
     }
 }
 
+/// What the answers of backend servers say of a roll-out on one route, at one box or at several.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Trial {
+    /// The service.
+    pub service: Short,
+    /// The store's number of the order.
+    pub order: Revision,
+    /// The route.
+    pub route: Short,
+    /// How long a box has known the order.
+    pub age: Millis,
+    /// Answers of the releases that served before.
+    pub old: Count,
+    /// Answers of the new one.
+    pub new: Count,
+    /// Its servers that answered: a bit for each, by a hash of its name.
+    pub seen: u64,
+    /// Those of them that answered badly.
+    pub failing: u64,
+}
+
+impl Trial {
+    /// What rows must have in common to be added up.
+    pub fn key(&self) -> (Short, Revision, Short) {
+        (self.service, self.order, self.route)
+    }
+}
+
 /// What a box tells the hubs of its failure domain.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -107,6 +136,15 @@
     pub usages: Vec<Usage>,
     /// Its customers' use.
     pub uses: Vec<Use>,
+    /// What it has seen of roll-outs.
+    pub trials: Vec<Trial>,
+}
+
+impl Report {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.usages.is_empty() && self.uses.is_empty() && self.trials.is_empty()
+    }
 }
 
 /// How far a hub knows the platform's store by itself.
@@ -129,6 +167,8 @@
     pub changes: Vec<Change>,
     /// All failure domains under evacuation.
     pub evacuated: BTreeSet<Domain>,
+    /// All roll-outs.
+    pub rollouts: Rollouts,
 }
 
 /// What a hub tells several times a second.
@@ -147,10 +187,8 @@
 pub struct Share {
     /// The failure domain.
     pub domain: Domain,
-    /// Each backend server that they used.
-    pub usages: Vec<Usage>,
-    /// Their customers' use.
-    pub uses: Vec<Use>,
+    /// What they tell together.
+    pub report: Report,
 }
 
 /// What a box tells the boxes of its region.
@@ -178,6 +216,8 @@
     pub listed: Vec<SocketAddr>,
     /// Its customers' use, in the order of the customers, where no hubs add it up.
     pub uses: Vec<Use>,
+    /// What it has seen of roll-outs, where no hubs add it up.
+    pub trials: Vec<Trial>,
     /// Contents that it holds back.
     pub held: Vec<Held>,
     /// What backend servers of its region say that they take.
@@ -229,6 +269,8 @@
     pub services: Vec<Capacity>,
     /// Its customers' use, in the order of the customers.
     pub uses: Vec<Use>,
+    /// What its boxes have seen of roll-outs.
+    pub trials: Vec<Trial>,
     /// Contents that its boxes hold back.
     pub held: Vec<Held>,
     /// The part of its boxes whose use stands there.
--- a/tests/harness/crowd.rs
+++ b/standin/src/crowd.rs
@@ -16,10 +16,27 @@
     wire::{Contact, Frame},
 };
 
-use super::solo::{address, contact};
-
+/// Time between two ticks, in milliseconds.
 pub const TICK: u64 = 100;
 
+/// A listener on loopback.
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// A box with three listeners from `port` on.
+pub fn contact(name: &str, region: &str, port: u16) -> Contact {
+    Contact {
+        name: name.parse().expect("a name"),
+        region: region.parse().expect("a name"),
+        domain: "a".parse().expect("a name"),
+        public: address(port),
+        peer: address(port + 1),
+        gossip: address(port + 2),
+    }
+}
+
+/// The name of a box.
 pub fn name(number: usize) -> String {
     format!("box-{number}")
 }
@@ -36,9 +53,13 @@
 }
 
 /// Boxes of one region, or of several.
+#[derive(Debug)]
 pub struct Crowd {
+    /// The time outside.
     pub now: Time,
+    /// The boxes; none in place of one that was killed.
     pub boxes: Vec<Option<State<Balanced>>>,
+    /// Messages on their way.
     pub mail: Vec<(SocketAddr, Frame)>,
     /// Messages that were sent.
     pub sent: usize,
@@ -84,6 +105,17 @@
         Self::start(size, config, false, 2, 3)
     }
 
+    /// The same on a platform where backend servers register themselves.
+    pub fn across_regions(size: usize, config: Arc<Config>) -> Self {
+        Self::start(size, config, true, 2, 3)
+    }
+
+    /// The box whose HTTP listener for other boxes this is.
+    pub fn by_peer(&self, peer: SocketAddr) -> Option<usize> {
+        let gossip = SocketAddr::new(peer.ip(), peer.port() + 1);
+        self.numbers.get(&gossip).copied()
+    }
+
     fn start(
         size: usize,
         config: Arc<Config>,
@@ -131,6 +163,7 @@
             retry: Default::default(),
             registry: self.registry,
             tolerance: Default::default(),
+            exposure: Default::default(),
         };
         self.boxes[number] = Some(State::new(identity, Balanced));
         self.started[number] = self.now;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,10 +14,13 @@
 //! | [`collector`] | a trace collector that counts the spans it was sent |
 //! | [`link`] | a link between regions: slow, or cut |
 //! | [`system`], [`demo`] | a whole system in one process |
+//! | [`crowd`] | the other boxes: reducers of several, in virtual time |
+//! | [`releases`] | backend servers of two releases before such boxes, and the operator who rolls one out |
 //! | [`measure`] | the figures that the documentation gives |
 
 pub mod app;
 pub mod collector;
+pub mod crowd;
 pub mod demo;
 pub mod engine;
 pub mod http;
@@ -25,6 +28,7 @@
 pub mod measure;
 pub mod platform;
 pub mod registry;
+pub mod releases;
 pub mod store;
 pub mod system;
 pub mod worker;
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -127,6 +127,7 @@
         retry: Default::default(),
         registry: false,
         tolerance: Default::default(),
+        exposure: Default::default(),
     };
     let mut state = State::new(identity, Balanced);
     let source = Source::Store;
@@ -158,6 +159,7 @@
             loads: loads.collect(),
             listed: vec![],
             uses: vec![],
+            trials: Vec::new(),
         }),
     )
 }
@@ -186,6 +188,7 @@
         doors: doors.collect(),
         services: services.collect(),
         uses: vec![],
+        trials: Vec::new(),
         cover: 1.0,
         spread,
     });
--- a/standin/src/measure/mod.rs
+++ b/standin/src/measure/mod.rs
@@ -7,6 +7,7 @@
 mod hop;
 mod limits;
 mod policies;
+mod rollout;
 
 use clap::Subcommand;
 
@@ -23,6 +24,15 @@
     Control,
     /// How boxes that share a backend server's limit hold it, and how much of it they use.
     Limits,
+    /// How far a release is exposed that is rolled out, how soon a bad one is stopped, and wrong verdicts.
+    Rollout {
+        /// Runs of each row.
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// Boxes; several sizes where nothing is said.
+        #[arg(long)]
+        boxes: Vec<usize>,
+    },
     /// The price of a hop: a request straight to the backend server, through one box, through two.
     Hop,
     /// The policies against each other, under peaks, lost capacity, a cut link and cold caches.
@@ -44,6 +54,10 @@
             limits::run();
             Ok(())
         }
+        What::Rollout { seeds, boxes } => {
+            rollout::run(seeds, &boxes);
+            Ok(())
+        }
         What::Hop => hop::run().await,
         What::Policies { seconds } => policies::run(seconds).await,
     }
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -78,6 +78,7 @@
         leaving: false,
         refusal_header: None,
         limit_header: None,
+        release: None,
         cold,
         incarnation: None,
     };
--- a/tests/engine_caches.rs
+++ b/tests/engine_caches.rs
@@ -77,11 +77,12 @@
             incarnation: Incarnation(1),
             seeds: vec![petreldrum::settings::Seed {
                 region: None,
-                gossip: harness::solo::address(12),
+                gossip: harness::crowd::address(12),
             }],
             retry: Default::default(),
             registry: true,
             tolerance: Default::default(),
+            exposure: Default::default(),
         },
         Balanced,
     );
--- a/tests/fleet_changes.rs
+++ b/tests/fleet_changes.rs
@@ -23,6 +23,7 @@
         leaving: false,
         refusal_header: None,
         limit_header: None,
+        release: None,
         cold: Millis(cold),
         incarnation: None,
     }
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -58,6 +58,7 @@
             retry: Default::default(),
             registry: true,
             tolerance: Default::default(),
+            exposure: Default::default(),
         };
         let state = State::new(identity, Balanced);
         let mut world = Self {
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -3,7 +3,6 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod cloud;
-pub mod crowd;
 pub mod engines;
 pub mod limits;
 pub mod oracle;
@@ -25,6 +24,7 @@
     unistd::Pid,
 };
 use petreldrum::{config::KeyHash, reducer::status::Status};
+pub use petreldrum_standin::crowd;
 use petreldrum_standin::http::{Answer, Begun, begin, call};
 use serde_json::{Value, json};
 use tempfile::TempDir;
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -164,6 +164,7 @@
             retry: Default::default(),
             registry: false,
             tolerance: Default::default(),
+            exposure: Default::default(),
         };
         Slot {
             state: State::new(identity, Balanced),
@@ -267,6 +268,8 @@
             | Effect::Broken { .. }
             | Effect::Knock { .. }
             | Effect::Quarantine(_)
+            | Effect::Settle { .. }
+            | Effect::Rollout(_)
             | Effect::Keep(_)
             | Effect::Discard(_)
             | Effect::Alarm(_) => {}
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -1,6 +1,6 @@
 //! One reducer with a hand on its clock.
 
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeSet, sync::Arc};
 
 use petreldrum::{
     config::{Config, Envelope, KeyHash, Version},
@@ -15,9 +15,11 @@
     },
     unit::{Millis, Time},
     verdict::Verdict,
-    wire::{Body, Capacity, Contact, Digest, Door, Frame, Short},
+    wire::{Body, Capacity, Digest, Door, Frame, Short},
 };
 
+pub use petreldrum_standin::crowd::contact;
+
 /// Two regions of one failure domain each.
 pub fn places() -> Places {
     let domain = |d: &str, r: &str| (d.parse().expect("a name"), r.parse().expect("a name"));
@@ -28,21 +30,6 @@
     }
 }
 
-pub fn address(port: u16) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
-pub fn contact(name: &str, region: &str, port: u16) -> Contact {
-    Contact {
-        name: name.parse().expect("a name"),
-        region: region.parse().expect("a name"),
-        domain: "a".parse().expect("a name"),
-        public: address(port),
-        peer: address(port + 1),
-        gossip: address(port + 2),
-    }
-}
-
 /// Perth and Bunbury; callers `a` and `b`; a repeatable route `/read`.
 pub const BASE: &str = "[region perth]\nhop=40ms\n[region bunbury]\nhop=40ms\n\
     [route read]\nprefix=/read\nkind=application\nrepeatable=true\ndeadline=2s\n";
@@ -118,6 +105,7 @@
             retry: Default::default(),
             registry,
             tolerance: Default::default(),
+            exposure: Default::default(),
         };
         let mut solo = Self {
             state: State::new(identity, Balanced),
@@ -192,6 +180,7 @@
             doors: names.iter().enumerate().map(door).collect(),
             services: vec![capacity],
             uses: vec![],
+            trials: Vec::new(),
             cover: 1.0,
             spread: false,
         });
--- a/tests/pinned_keys.rs
+++ b/tests/pinned_keys.rs
@@ -46,6 +46,7 @@
         retry: Default::default(),
         registry: false,
         tolerance: Default::default(),
+        exposure: Default::default(),
     };
     let mut state = State::new(identity, Balanced);
     let text = format!(
--- a/tests/platform_records.rs
+++ b/tests/platform_records.rs
@@ -2,10 +2,16 @@
 
 mod harness;
 
+use bolero::check;
 use harness::solo::places;
 use petreldrum::{
     config::Config,
-    platform::record::{self, Name},
+    fleet::Revision,
+    platform::{
+        record::{self, Name},
+        rollout,
+    },
+    rollout::Standing,
     unit::Millis,
 };
 
@@ -41,6 +47,12 @@
     assert_eq!(Name::parse("op/evacuate/atl-a"), evacuation);
     let server = "i-1".parse().expect("a name");
     assert_eq!(Name::parse("servers/i-1"), Some(Name::Server(server)));
+    let service = |name: &str| name.parse().expect("a name");
+    let order = Name::parse("op/rollout/app");
+    assert_eq!(order, Some(Name::Rollout(service("app"))));
+    let status = Name::parse("status/rollout/app");
+    assert_eq!(status, Some(Name::RolloutStatus(service("app"))));
+    assert_eq!(Name::parse("op/rollout/"), None);
     assert_eq!(Name::parse("op/other"), None);
     assert_eq!(Name::parse("servers/"), None);
 }
@@ -113,3 +125,55 @@
         }
     });
 }
+
+#[test]
+fn orders_and_what_is_written_of_them() {
+    let entry = br#"{"service":"app","targetVersion":"v2","durationS":12.5}"#;
+    let order = rollout::order(entry, Revision(7)).expect("it reads");
+    assert_eq!(order.release.as_str(), "v2");
+    assert_eq!(
+        (order.within, order.revision),
+        (Millis(12_500), Revision(7))
+    );
+    for (standing, word) in [
+        (Standing::Active, "active"),
+        (Standing::Completed, "completed"),
+        (Standing::RolledBack, "rolled_back"),
+    ] {
+        let bytes = rollout::status(&order, standing);
+        let text = String::from_utf8(bytes.clone()).expect("text");
+        assert_eq!(
+            text,
+            format!(r#"{{"state":"{word}","targetVersion":"v2"}}"#)
+        );
+        let written = rollout::written(&bytes, Revision(8)).expect("it reads");
+        assert_eq!(
+            (written.standing, &written.release),
+            (standing, &order.release)
+        );
+    }
+}
+
+#[test]
+fn orders_of_odd_durations_leave_no_time_or_much() {
+    let order = |duration: &str| {
+        let entry = format!(r#"{{"targetVersion":"v2","durationS":{duration}}}"#);
+        rollout::order(entry.as_bytes(), Revision(1)).map(|order| order.within)
+    };
+    assert_eq!(order("-3").expect("it reads"), Millis(0));
+    assert_eq!(order("0").expect("it reads"), Millis(0));
+    assert_eq!(order("1e300").expect("it reads"), Millis(u64::MAX));
+    assert!(order("1e999").is_err());
+    assert!(order("null").is_err());
+}
+
+#[test]
+fn rollout_entries_of_any_bytes_read_or_do_not() {
+    check!().with_type::<Vec<u8>>().for_each(|bytes| {
+        if let Ok(order) = rollout::order(bytes, Revision(1)) {
+            let bytes = rollout::status(&order, Standing::Active);
+            assert!(rollout::written(&bytes, Revision(2)).is_ok());
+        }
+        let _ = rollout::written(bytes, Revision(1));
+    });
+}
--- a/tests/registry_fuzz.rs
+++ b/tests/registry_fuzz.rs
@@ -117,6 +117,7 @@
             },
             registry: true,
             tolerance: Default::default(),
+            exposure: Default::default(),
         };
         let mut world = Self {
             state: State::new(identity, Balanced),
--- /dev/null
+++ b/tests/rollout_traffic.rs
@@ -0,0 +1,254 @@
+//! A roll-out over the boxes of three regions: what the new release gets, how it ends, and that it ends once.
+
+use petreldrum::{rollout::Standing, unit::Millis};
+use petreldrum_standin::releases::{Fault, Scene};
+
+const SERVERS: usize = 24;
+const WITHIN: Millis = Millis(12_000);
+/// What a platform lets a release get that may be bad: a tenth of the requests, and fifty more.
+const SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+/// How long after its 50th bad answer it may still get requests.
+const STOP: Millis = Millis(5000);
+
+fn scene(boxes: usize, seed: u64) -> Scene {
+    Scene::new(boxes, SERVERS, 200.0, seed)
+}
+
+/// The release may be exposed so far at each moment until it ended.
+fn assert_exposure(scene: &Scene, what: &str) {
+    let (all, new) = scene.exposed(scene.crowd.now);
+    assert!(
+        !scene.is_overexposed(scene.crowd.now, SHARE, SLACK),
+        "{what}: {new} of {all} requests came to the new release"
+    );
+    assert_eq!(scene.late(STOP), 0, "{what}: requests after the bound");
+}
+
+fn assert_ends(scene: &Scene, standing: Standing, what: &str) {
+    let ends: Vec<Standing> = scene.store.ends.iter().map(|(_, end)| *end).collect();
+    assert_eq!(ends, [standing], "{what}");
+}
+
+#[test]
+fn a_good_release_serves_in_time() {
+    for boxes in [3, 30] {
+        let mut scene = scene(boxes, 1);
+        scene.order(SERVERS, WITHIN, Fault::None);
+        assert!(scene.pass_until_end(Millis(15_000)), "{boxes} boxes");
+        assert_ends(&scene, Standing::Completed, "it is good");
+        let (after, _) = scene.end_after().expect("it ended");
+        assert!(after <= WITHIN, "{boxes} boxes: only after {after}");
+        // The old servers are stopped at once: nothing goes there any more.
+        scene.pass(600);
+        let moved = scene.crowd.now;
+        scene.pass(3000);
+        let old = scene
+            .came
+            .iter()
+            .filter(|came| came.at > moved && !came.new);
+        assert_eq!(old.count(), 0, "{boxes} boxes");
+    }
+}
+
+#[test]
+fn bad_releases_are_rolled_back() {
+    let faults = [
+        Fault::Fails(1.0),
+        Fault::Fails(0.4),
+        Fault::Slow(0.6),
+        Fault::Later(0.6, Millis(4000)),
+        Fault::OneRoute(0.6),
+    ];
+    for boxes in [3, 30] {
+        for fault in faults {
+            let what = format!("{boxes} boxes, {fault:?}");
+            let mut scene = scene(boxes, 2);
+            scene.order(SERVERS, WITHIN, fault);
+            assert!(scene.pass_until_end(Millis(20_000)), "{what}: no end");
+            scene.pass(8000);
+            assert_ends(&scene, Standing::RolledBack, &what);
+            assert_exposure(&scene, &what);
+            let after = scene.came.iter().rev().take(200).filter(|came| came.new);
+            assert_eq!(after.count(), 0, "{what}: it still gets requests");
+        }
+    }
+}
+
+#[test]
+fn one_end_is_written_where_boxes_are_killed_meanwhile() {
+    for seed in 0..4 {
+        let fault = if seed % 2 == 0 {
+            Fault::None
+        } else {
+            Fault::Fails(0.3)
+        };
+        let mut scene = scene(30, seed);
+        scene.order(SERVERS, WITHIN, fault);
+        for round in 0..8 {
+            scene.pass(1200);
+            for number in 0..5 {
+                scene.restart((round * 5 + number) % 30);
+            }
+        }
+        scene.pass(16_000);
+        assert_eq!(
+            scene.store.ends.len(),
+            1,
+            "seed {seed}: {:?}",
+            scene.store.ends
+        );
+        let good = scene.store.ends[0].1 == Standing::Completed;
+        assert_eq!(good, fault == Fault::None, "seed {seed}");
+        if !good {
+            assert_exposure(&scene, &format!("seed {seed}"));
+        }
+    }
+}
+
+#[test]
+fn a_store_that_is_away_holds_up_the_word_and_not_the_stop() {
+    let mut scene = scene(30, 3);
+    scene.order(SERVERS, WITHIN, Fault::Fails(1.0));
+    scene.pass(300);
+    scene.store.down = true;
+    scene.pass(9000);
+    assert!(scene.store.ends.is_empty());
+    assert_exposure(&scene, "the store is away");
+    let lately = scene.came.iter().rev().take(200).filter(|came| came.new);
+    assert_eq!(
+        lately.count(),
+        0,
+        "boxes keep requests off it by themselves"
+    );
+    scene.store.down = false;
+    assert!(scene.pass_until_end(Millis(6000)));
+    assert_ends(&scene, Standing::RolledBack, "after the store's return");
+}
+
+#[test]
+fn regions_that_lost_each_other_write_one_end() {
+    let mut scene = scene(30, 4);
+    scene.order(SERVERS, WITHIN, Fault::Fails(0.4));
+    let regions = scene.regions();
+    let pairs = (0..30).flat_map(|one| (0..30).map(move |other| (one, other)));
+    let apart = |(one, other): &(usize, usize)| {
+        regions
+            .values()
+            .any(|r| r.contains(one) && !r.contains(other))
+    };
+    scene.crowd.cut = pairs.filter(apart).collect();
+    scene.pass(25_000);
+    assert_ends(&scene, Standing::RolledBack, "each region judges by itself");
+    assert_exposure(&scene, "three regions apart");
+}
+
+#[test]
+fn a_region_whose_old_servers_crash_is_not_given_to_the_new_ones() {
+    let mut scene = scene(30, 5);
+    scene.order(SERVERS, WITHIN, Fault::Fails(0.3));
+    scene.pass(1000);
+    let lost: Vec<usize> = (0..scene.servers.len())
+        .filter(|s| {
+            let backend = &scene.servers[*s].backend;
+            backend.region.as_str() == "geraldton" && backend.name.as_str().starts_with("v1")
+        })
+        .collect();
+    for server in lost {
+        scene.remove(server);
+    }
+    scene.pass(20_000);
+    assert_ends(&scene, Standing::RolledBack, "it is bad");
+    assert_exposure(&scene, "a region without old servers");
+}
+
+#[test]
+fn servers_that_crash_convict_no_release() {
+    let mut scene = scene(30, 6);
+    scene.order(SERVERS, WITHIN, Fault::None);
+    for server in [3, 12, 26, 35, 40] {
+        scene.pass(1000);
+        scene.crash(server);
+    }
+    scene.pass(12_000);
+    assert_ends(&scene, Standing::Completed, "five servers crashed");
+}
+
+#[test]
+fn an_order_without_servers_or_without_time_is_rolled_back() {
+    let mut scene = scene(3, 7);
+    scene.give_order("v9", WITHIN);
+    assert!(scene.pass_until_end(Millis(30_000)), "no server ever came");
+    assert_ends(&scene, Standing::RolledBack, "no server ever came");
+    let mut scene = Scene::new(3, SERVERS, 200.0, 8);
+    scene.order(SERVERS, Millis(0), Fault::None);
+    scene.pass(3000);
+    assert_ends(&scene, Standing::RolledBack, "no time to watch it");
+    assert!(scene.came.iter().filter(|came| came.new).count() < 10);
+}
+
+#[test]
+fn the_release_in_force_is_completed_at_once() {
+    let mut scene = scene(3, 9);
+    scene.give_order("v1", WITHIN);
+    assert!(
+        scene.pass_until_end(Millis(5000)),
+        "there is nothing to move"
+    );
+    assert_ends(&scene, Standing::Completed, "it serves already");
+}
+
+#[test]
+fn servers_in_one_region_only_replace_nobody() {
+    let mut scene = scene(30, 10);
+    scene.give_order("v2", WITHIN);
+    scene.start_servers(SERVERS, "v2", Millis(3000), &["perth"]);
+    assert!(scene.pass_until_end(Millis(40_000)));
+    assert_ends(
+        &scene,
+        Standing::RolledBack,
+        "two regions would have no server",
+    );
+    assert!(
+        scene.refused * 100 < scene.served,
+        "{} refused",
+        scene.refused
+    );
+}
+
+#[test]
+fn an_order_that_is_withdrawn_leaves_the_old_release_in_place() {
+    let mut scene = scene(30, 11);
+    scene.order(SERVERS, WITHIN, Fault::None);
+    scene.pass(4000);
+    scene.withdraw();
+    scene.pass(1500);
+    let withdrawn = scene.crowd.now;
+    scene.pass(15_000);
+    assert!(scene.store.ends.is_empty(), "{:?}", scene.store.ends);
+    let new = scene.crowd.now;
+    assert!(new > withdrawn);
+    let came = scene
+        .came
+        .iter()
+        .filter(|came| came.at > withdrawn && came.new);
+    assert_eq!(came.count(), 0);
+}
+
+#[test]
+fn an_order_back_to_the_old_release_ends_at_once() {
+    let mut scene = scene(30, 12);
+    scene.order(SERVERS, WITHIN, Fault::Fails(0.05));
+    scene.pass(3000);
+    scene.give_order("v1", WITHIN);
+    assert!(
+        scene.pass_until_end(Millis(6000)),
+        "the old one is known to be good"
+    );
+    assert_ends(&scene, Standing::Completed, "back to the old release");
+    scene.pass(600);
+    let back = scene.crowd.now;
+    scene.pass(3000);
+    let other = scene.came.iter().filter(|came| came.at > back && !came.new);
+    assert_eq!(other.count(), 0, "the withdrawn release gets nothing");
+}
--- a/tests/store_news.rs
+++ b/tests/store_news.rs
@@ -8,10 +8,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use bolero::check;
-use harness::{
-    crowd::{Crowd, TICK},
-    solo::address,
-};
+use harness::crowd::{Crowd, TICK, address};
 use petreldrum::{
     config::{Backend, Draft, Labels},
     fleet::{Change, Revision},
@@ -63,6 +60,7 @@
         leaving,
         refusal_header: None,
         limit_header: None,
+        release: None,
         cold: Millis(0),
         incarnation: None,
     }
