Test what boxes ask that start together before many servers, failing

Three causes of the fleet's start, each small: every box asks every engine what it has cached, every box fetches the list from the same one, and the whole list is sent where two changes were missed.

--- /dev/null
+++ b/tests/fleet_start.rs
@@ -0,0 +1,145 @@
+//! Many boxes start together before many servers: what they ask engines, the store and each other is bounded by
+//! what there is to know.
+
+mod harness;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use harness::{
+    SECRET,
+    cloud::{Cloud, NEWS},
+    crowd::Crowd,
+    solo::places,
+};
+use hyper::Method;
+use petreldrum::{
+    config::Backend,
+    fleet::{Change, Revision},
+    platform::record,
+    reducer::{effect::Effect, event::Event},
+    unit::Millis,
+};
+use petreldrum_standin::http::call;
+use tokio::time::sleep;
+
+const CONFIG: &str = r#"{"version":1,"routes":[],
+    "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639}}]}"#;
+const BOXES: usize = 60;
+
+fn engine(number: usize, region: &str) -> Backend {
+    let entry = br#"{"service":"s","address":"10.0.0.1:1","zone":"atl-a","slots":12,
+        "state":"ready","coldRemainingMs":0}"#;
+    let name = format!("engine-{number}").parse().expect("a name");
+    let backend = record::server(&name, entry, &places()).expect("it reads");
+    Backend {
+        region: region.parse().expect("a name"),
+        ..backend
+    }
+}
+
+fn crowd() -> Crowd {
+    let envelope = record::envelope(CONFIG.into()).expect("it reads");
+    let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
+    Crowd::in_two_domains(BOXES, config)
+}
+
+/// Sixty boxes of one region asked 600 engines 36,000 times what they have cached, all of them in the first
+/// tenths of a second: each box took itself for the one whose duty it is while it knew none of the others. 984 boxes asked
+/// 9,552 engines 187,840 times before their first request, and each question was a new connection.
+#[test]
+fn engines_are_asked_about_once_whoever_starts() {
+    let mut crowd = crowd();
+    let backends: Vec<Backend> = (0..600).map(|n| engine(n, "perth")).collect();
+    let revision = Revision(1);
+    for number in 0..BOXES {
+        let change = Change::List {
+            backends: backends.clone(),
+            doubt: Millis(0),
+        };
+        crowd.step(number, Event::Fleet { change, revision });
+        crowd.step(number, Event::Synced(revision));
+    }
+    let mut asked: BTreeMap<String, usize> = BTreeMap::new();
+    for _ in 0..60 {
+        crowd.now = crowd.now + Millis(100);
+        for (_, effect) in crowd.tick() {
+            if let Effect::Inventory { backend, .. } = effect {
+                *asked.entry(backend.to_string()).or_default() += 1;
+            }
+        }
+    }
+    let questions: usize = asked.values().sum();
+    // Four of each box go out before it knows the others.
+    let most = backends.len() + 4 * BOXES;
+    assert!(questions <= most, "{questions} questions, {most} at most");
+    assert!(
+        asked.len() * 10 >= backends.len() * 9,
+        "{} engines",
+        asked.len()
+    );
+}
+
+/// Boxes that start while others know the list all fetched it from the one whose name comes first: 984 boxes
+/// that did so ended some of those that were asked for memory (`memory over the limit`, 310 MB), and other
+/// boxes got no answer in time (`cannot fetch /petreldrum/roster`).
+#[test]
+fn boxes_that_start_ask_different_boxes_for_the_list() {
+    let mut crowd = crowd();
+    let revision = Revision(5);
+    for number in 0..BOXES / 2 {
+        let change = Change::List {
+            backends: vec![engine(1, "perth")],
+            doubt: Millis(0),
+        };
+        crowd.step(number, Event::Fleet { change, revision });
+        crowd.step(number, Event::Synced(revision));
+    }
+    let mut asked: BTreeMap<_, usize> = BTreeMap::new();
+    let mut first: BTreeMap<usize, _> = BTreeMap::new();
+    for _ in 0..60 {
+        crowd.now = crowd.now + Millis(100);
+        for (number, effect) in crowd.tick() {
+            if let Effect::FetchRoster { peer, .. } = effect {
+                first.entry(number).or_insert(peer);
+            }
+        }
+    }
+    for peer in first.values() {
+        *asked.entry(*peer).or_default() += 1;
+    }
+    let most = asked.values().copied().max().unwrap_or(0);
+    assert!(first.len() >= BOXES / 2, "{} boxes asked", first.len());
+    assert!(most <= 6, "one box was asked by {most} of {}", first.len());
+}
+
+/// A box that missed a few changes was sent the whole list of servers: at 10,002 servers that was 4.2 GB
+/// between failure domains before the first request.
+#[tokio::test]
+async fn a_box_that_missed_some_changes_is_sent_those() {
+    let mut cloud = Cloud::start().await;
+    cloud.configure(1);
+    let address = "127.0.0.1:9".parse().expect("an address");
+    for number in 0..200 {
+        cloud.register(&format!("server-{number}"), address, "atl", "ready");
+    }
+    cloud.add_box("atl").await;
+    cloud.settled().await;
+    cloud.register("server-200", address, "atl", "ready");
+    cloud.registry.remove("servers/server-7");
+    sleep(NEWS).await;
+    let peer = cloud.boxes[0].peer;
+    let ask = async |path: &str| {
+        let headers = [("petreldrum-secret", SECRET)];
+        let answer = call(peer, Method::GET, path, &headers, "").await;
+        let answer = answer.expect("the box answers");
+        assert!(answer.status.is_success(), "{path}: {}", answer.status);
+        answer.body.len()
+    };
+    // The configuration is the first of the store's changes.
+    let whole = ask("/petreldrum/roster").await;
+    let missed = ask("/petreldrum/roster?since=201").await;
+    assert!(
+        missed * 4 < whole,
+        "{missed} bytes for two changes, {whole} for all"
+    );
+}
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -20,6 +20,7 @@
 /// A box process that runs on the platform.
 pub struct CloudBox {
     pub public: SocketAddr,
+    pub peer: SocketAddr,
     pub gossip: SocketAddr,
     pub ready: SocketAddr,
     pub directory: SocketAddr,
@@ -250,6 +251,7 @@
         self.seeds.push(bound["gossip"].to_string());
         self.boxes.push(CloudBox {
             public: bound["public"],
+            peer: bound["peer"],
             gossip: bound["gossip"],
             ready: bound["ready"],
             directory: bound["directory"],
