Let each box that starts fetch the list from another one

What callers saw: boxes that were asked ended for memory over their limit before the traffic (eight of 984, 310 to 340 MB), and the others waited for the list.

Cause: the first ready box in the order of names was asked, by all.

Change: rendezvous rank between the two names, in the asker's failure domain first; the same among equals where a box asks for news that another one has.

Holds at any size: what one box is asked is the boxes of its domain over those that are ready, in the mean.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -376,11 +376,15 @@
         near.max().unwrap_or_default()
     }
 
-    /// The ready box of this region that knows the platform's store best, if it knows it beyond
-    /// `known`; one of this box's failure domain goes first.
+    /// A ready box of this region that knows the platform's store beyond `known`: one of this box's failure
+    /// domain goes first, then the one that knows most, and of equals each box prefers another.
     pub fn ahead_here(&self, known: Revision, now: Time) -> Option<&Peer> {
         let ahead = self.ready(now).filter(|p| p.last.revision > known);
-        ahead.max_by_key(|p| (p.last.contact.domain == self.me.domain, p.last.revision))
+        ahead.max_by_key(|p| {
+            let contact = &p.last.contact;
+            let preferred = weight(&contact.name, self.me.name.as_str());
+            (contact.domain == self.me.domain, p.last.revision, preferred)
+        })
     }
 
     /// The region that knows the platform's store best, if it knows it beyond `known`.
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     fleet::{self, Change, Revision, Roster},
+    member::weight,
     policy::Policy,
     reducer::{State, control::Control, effect::Effect},
     unit::{Millis, Time},
@@ -88,13 +89,17 @@
         if now < Time(0) + STORE_FIRST {
             return None;
         }
-        let near = self.table.ready(now);
+        let mine = &self.table.me;
+        let near = self.table.ready(now).map(|p| &p.last.contact);
+        // Each box prefers another one, and one whose bytes stay in the failure domain.
+        let near = near.max_by_key(|contact| {
+            let here = contact.domain == mine.domain;
+            (here, weight(&contact.name, mine.name.as_str()))
+        });
         let far = self.table.reachable(now);
-        let far = far.flat_map(|(_, remote)| &remote.digest.doors);
-        let mut boxes = near
-            .map(|p| p.last.contact.peer)
-            .chain(far.map(|door| door.contact.peer));
-        boxes.next()
+        let mut far = far.flat_map(|(_, remote)| &remote.digest.doors);
+        let far = || far.next().map(|door| door.contact.peer);
+        near.map(|contact| contact.peer).or_else(far)
     }
 
     /// A box that has known more than this one for longer than the store's news take.
