Send a box that missed changes those changes, not the whole list

What callers saw: nothing of their own; 4.2 GB between failure domains before the first request, and boxes that ended for memory while they packed the list of 10,002 servers for others.

Cause: a box that missed one change fetched all servers, as often as it missed one; while servers register each box misses some many times.

Change: a box remembers the names that changed last (fleet::Changes, 16,384, 0.4 MB) and sends the asker what changed after the revision that it names; all where it does not remember that, or where it knows only the outcome between two revisions.

Found by store_news::news_settle_after_any_trouble in the first form: a box that read a list at once did not know what had come and gone meanwhile, and an asker that had been told the first half kept a server that is gone. Such gaps are remembered, and an asker inside one is sent all.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,6 +5,8 @@
 //! around an outage of the store is in doubt for a while, because the store may have dropped it by
 //! itself and the server may register again.
 
+mod changes;
+
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt,
@@ -20,6 +22,8 @@
     wire::Short,
 };
 
+pub use changes::Changes;
+
 /// How long a registration that vanished around an outage of the store is still believed. Servers
 /// that live are back about two seconds after the store; the rest covers the way of the news.
 pub const DOUBT: Millis = Millis(2300);
@@ -55,8 +59,12 @@
 /// All that a box knows of registered backend servers, for a box that cannot ask the store.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Roster {
-    /// The backend servers.
+    /// The backend servers; where it tells only what changed, those that are new or changed.
     pub backends: Vec<Backend>,
+    /// The revision after which it tells what changed; none where it tells all.
+    pub since: Option<Revision>,
+    /// Those that are gone since.
+    pub gone: Vec<id::Backend>,
     /// How long those of them are believed whose registration is in doubt.
     pub doubted: BTreeMap<id::Backend, Millis>,
     /// The failure domains under evacuation.
@@ -97,6 +105,16 @@
     missing_until: Option<Time>,
 }
 
+impl Member {
+    /// The server as others are told of it at `now`.
+    fn told(&self, now: Time) -> Backend {
+        Backend {
+            cold: self.cold_until.since(now),
+            ..self.backend.clone()
+        }
+    }
+}
+
 /// What backend servers are looked up by: service and region, or the short form of a name.
 ///
 /// Each change touches its own server alone: thousands register one after another.
@@ -302,12 +320,47 @@
     /// The backend servers that registered themselves, as of `now`.
     pub fn registered(&self, now: Time) -> Vec<Backend> {
         let registered = self.members.values().filter(|m| m.registered);
-        registered
-            .map(|m| Backend {
-                cold: m.cold_until.since(now),
-                ..m.backend.clone()
+        registered.map(|m| m.told(now)).collect()
+    }
+
+    /// Those of `names` that registered themselves, as of `now`, and those that are gone.
+    pub fn sort_out<'a>(
+        &self,
+        names: impl IntoIterator<Item = &'a id::Backend>,
+        now: Time,
+    ) -> (Vec<Backend>, Vec<id::Backend>) {
+        let (mut found, mut gone) = (Vec::new(), Vec::new());
+        for name in names {
+            match self.members.get(name) {
+                Some(member) if member.registered => found.push(member.told(now)),
+                Some(_) => {}
+                None => gone.push(name.clone()),
+            }
+        }
+        (found, gone)
+    }
+
+    /// The names in which a list differs from what is known.
+    pub fn differences(&self, list: &[Backend]) -> Vec<id::Backend> {
+        let listed: HashMap<&id::Backend, &Backend> = list.iter().map(|b| (&b.name, b)).collect();
+        let same = |name: &id::Backend, backend: &Backend| {
+            let known = self.members.get(name).map(|m| &m.backend);
+            known.is_some_and(|known| {
+                let cold = known.cold;
+                *known
+                    == Backend {
+                        cold,
+                        ..backend.clone()
+                    }
             })
-            .collect()
+        };
+        let registered = self.members.iter().filter(|(_, m)| m.registered);
+        let missing = registered
+            .map(|(name, _)| name)
+            .filter(|n| !listed.contains_key(n));
+        let changed = listed.iter().filter(|(name, b)| !same(name, b));
+        let changed = changed.map(|(name, _)| *name);
+        missing.chain(changed).cloned().collect()
     }
 
     /// How long each registration that is in doubt is believed from `now` on.
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     config::{Ask, Config, Envelope, Version},
-    fleet::Roster,
+    fleet::{Revision, Roster},
     gateway::{
         clock::Clock, dial::Pool, gossip::Links, keep::Write, lines::Quota, metrics::Metrics,
         replay::Replay,
@@ -120,7 +120,9 @@
 #[derive(ActorReply)]
 struct StatusAnswer(Status);
 
-struct RosterQuery;
+struct RosterQuery {
+    since: Option<Revision>,
+}
 
 #[derive(ActorReply)]
 struct RosterAnswer(Option<Roster>);
@@ -209,9 +211,9 @@
         self.0.ask(StatusQuery).await.ok().map(|answer| answer.0)
     }
 
-    /// What this box knows of registered backend servers.
-    pub(crate) async fn roster(&self) -> Option<Roster> {
-        self.0.ask(RosterQuery).await.ok()?.0
+    /// What this box knows of registered backend servers, or what changed after `since`.
+    pub(crate) async fn roster(&self, since: Option<Revision>) -> Option<Roster> {
+        self.0.ask(RosterQuery { since }).await.ok()?.0
     }
 
     /// Where a request would go.
@@ -287,8 +289,12 @@
 
 impl Message<RosterQuery> for Core {
     type Reply = RosterAnswer;
-    async fn handle(&mut self, _: RosterQuery, _: &mut Context<Self, Self::Reply>) -> RosterAnswer {
-        RosterAnswer(self.state.roster(self.parts.clock.now()))
+    async fn handle(
+        &mut self,
+        query: RosterQuery,
+        _: &mut Context<Self, Self::Reply>,
+    ) -> RosterAnswer {
+        RosterAnswer(self.state.roster(self.parts.clock.now(), query.since))
     }
 }
 
@@ -368,7 +374,7 @@
             Effect::Forget(answer) => self.parts.replay.forget(answer),
             Effect::Gossip { to, frame } => self.parts.links.send(to, &frame),
             Effect::Fetch { peer, version } => self.fetch(peer, version),
-            Effect::FetchRoster { peer } => self.fetch_roster(peer),
+            Effect::FetchRoster { peer, since } => self.fetch_roster(peer, since),
             Effect::Inventory { backend, address } => self.ask_cached(backend, address),
             Effect::Follow(follow) => {
                 log::info!("store: followed={follow}");
--- a/src/gateway/errand.rs
+++ b/src/gateway/errand.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     config::Version,
-    fleet::Roster,
+    fleet::{Revision, Roster},
     gateway::{
         core::Core,
         dial, follow, head,
@@ -18,19 +18,24 @@
 
 impl Core {
     /// Fetches what another box knows of registered backend servers.
-    pub(super) fn fetch_roster(&self, peer: SocketAddr) {
+    pub(super) fn fetch_roster(&self, peer: SocketAddr, since: Option<Revision>) {
         let Some(handle) = self.handle.clone() else {
             return;
         };
         let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
         tokio::spawn(async move {
             let secret = &settings.cluster_secret;
-            match follow::fetch::<Roster>(&pool, peer, head::ROSTER_PATH, secret).await {
+            let path = head::roster_path(since);
+            match follow::fetch::<Roster>(&pool, peer, &path, secret).await {
                 Ok(roster) => {
                     let (servers, evacuated) = (roster.backends.len(), roster.evacuated.len());
+                    let what = roster
+                        .since
+                        .map_or("all".to_owned(), |r| format!("since {r}"));
                     log::info!(
-                        "peers: {peer} tells of {servers} backend servers, evacuated={evacuated} \
-                         store={}",
+                        "peers: {peer} tells of {servers} backend servers, {what}, gone={} \
+                         evacuated={evacuated} store={}",
+                        roster.gone.len(),
                         roster.revision
                     );
                     handle.tell(Event::Roster(roster));
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -176,7 +176,8 @@
         return Ok(head::whole(StatusCode::OK, pack::TYPE, current.packed));
     }
     if inbound.parts.uri.path() == head::ROSTER_PATH {
-        let roster = shell.core.roster().await;
+        let since = head::roster_since(inbound.parts.uri.query());
+        let roster = shell.core.roster(since).await;
         let roster = roster.ok_or_else(|| deny(404, "no list of backend servers is known"))?;
         let packed = pack::pack(&roster).map_err(|error| deny(500, &format!("{error:#}")))?;
         return Ok(head::whole(StatusCode::OK, pack::TYPE, packed));
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -11,8 +11,8 @@
 use serde_json::json;
 
 use crate::{
-    gateway::body::Body, platform, reducer::effect::Reply, settings::Interface, unit::Millis,
-    verdict::Verdict,
+    fleet::Revision, gateway::body::Body, platform, reducer::effect::Reply, settings::Interface,
+    unit::Millis, verdict::Verdict,
 };
 
 /// Whether the request may have run; on every answer.
@@ -49,6 +49,23 @@
 pub const CONFIG_PATH: &str = "/petreldrum/config";
 /// Where a box tells others of the registered backend servers that it knows.
 pub const ROSTER_PATH: &str = "/petreldrum/roster";
+/// The field of its query that names how far the asker knows them.
+const SINCE: &str = "since";
+
+/// The path to the list of servers, or to what changed of it after `since`.
+pub fn roster_path(since: Option<Revision>) -> String {
+    let query = since.map(|revision| format!("?{SINCE}={}", revision.0));
+    ROSTER_PATH.to_owned() + &query.unwrap_or_default()
+}
+
+/// How far the asker for the list knows it.
+pub fn roster_since(query: Option<&str>) -> Option<Revision> {
+    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    let mut since = pairs
+        .filter(|(name, _)| *name == SINCE)
+        .map(|(_, value)| value);
+    since.next()?.parse().ok().map(Revision)
+}
 
 const OWN: &str = "petreldrum-";
 const HOP_BY_HOP: [HeaderName; 5] = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     config::{Config, Version},
-    fleet::Change,
+    fleet::{Change, Revision},
     id::{Backend, BoxName, Domain, Region, Service},
     member::HEARTBEAT,
     policy::Policy,
@@ -342,7 +342,23 @@
     }
 
     /// Takes in what became known of registered backend servers.
-    pub(super) fn supplied(&mut self, now: Time, change: Change, out: &mut Vec<Effect>) {
+    pub(super) fn supplied(
+        &mut self,
+        now: Time,
+        change: Change,
+        revision: Revision,
+        out: &mut Vec<Effect>,
+    ) {
+        match &change {
+            Change::List { .. } if !self.supplied => self.changes.begin(revision),
+            Change::List { backends, .. } => {
+                self.changes.skip(self.revision, revision);
+                let names = self.fleet.differences(backends).into_iter();
+                names.for_each(|name| self.changes.add(revision, name));
+            }
+            Change::Put(backend) => self.changes.add(revision, backend.name.clone()),
+            Change::Gone { name, .. } => self.changes.add(revision, name.clone()),
+        }
         self.supplied |= matches!(change, Change::List { .. });
         if self.fleet.apply(change, now) {
             self.forget_servers();
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -358,6 +358,8 @@
     FetchRoster {
         /// The other box's listener.
         peer: SocketAddr,
+        /// How far this box knows them; none where it knows none.
+        since: Option<Revision>,
     },
     /// Ask a model engine which parts of prompts it has cached.
     Inventory {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -67,7 +67,7 @@
     allotment::{Accounts, Tolerance},
     cache::Cache,
     config::{Config, Version},
-    fleet::{Fleet, Revision},
+    fleet::{Changes, Fleet, Revision},
     id::{self, Domain, Incarnation},
     ledger::Ledger,
     member::Table,
@@ -132,6 +132,7 @@
     /// Waiting requests that cannot begin in time any more.
     late: Queue,
     fleet: Fleet,
+    changes: Changes,
     cache: Cache,
     budgets: Budgets,
     quarantine: Quarantine,
@@ -173,6 +174,7 @@
             queue: Queue::default(),
             late: Queue::default(),
             fleet: Fleet::default(),
+            changes: Changes::default(),
             cache: Cache::default(),
             budgets: Budgets::new(identity.retry),
             quarantine: Quarantine::default(),
@@ -235,9 +237,9 @@
             | Event::Evacuated { revision, .. }
             | Event::Rollouts { revision, .. }
                 if self.is_old(revision) => {}
-            Event::Fleet { change, .. } => {
+            Event::Fleet { change, revision } => {
                 self.gather(&change);
-                self.supplied(now, change, &mut out);
+                self.supplied(now, change, revision, &mut out);
             }
             Event::Synced(revision) => {
                 self.pass_news(now, revision, &mut out);
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -110,7 +110,7 @@
         // An order comes before the servers that were started for it.
         self.take_rollouts(now, &news.rollouts, out);
         for change in &news.changes {
-            self.supplied(now, change.clone(), out);
+            self.supplied(now, change.clone(), news.until, out);
         }
         self.revision = news.until;
     }
@@ -145,7 +145,7 @@
         if let Some(peer) = peer
             && Control::due(&mut self.control.last_roster, AGAIN, now)
         {
-            out.push(Effect::FetchRoster { peer });
+            out.push(self.fetch_roster(peer));
         }
     }
 }
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -40,10 +40,22 @@
 }
 
 impl<P: Policy> State<P> {
-    /// What this box knows of registered backend servers; none before it knows any list.
-    pub fn roster(&self, now: Time) -> Option<Roster> {
-        (self.registry && self.supplied).then(|| Roster {
-            backends: self.fleet.registered(now),
+    /// What this box knows of registered backend servers, or what changed of it after `since` where it
+    /// remembers that; none before it knows any list.
+    pub fn roster(&self, now: Time, since: Option<Revision>) -> Option<Roster> {
+        if !(self.registry && self.supplied) {
+            return None;
+        }
+        let known = since.filter(|since| *since <= self.revision);
+        let changed = known.and_then(|since| Some((since, self.changes.since(since)?)));
+        let (since, (backends, gone)) = match changed {
+            Some((since, names)) => (Some(since), self.fleet.sort_out(names, now)),
+            None => (None, (self.fleet.registered(now), Vec::new())),
+        };
+        Some(Roster {
+            backends,
+            since,
+            gone,
             doubted: self.fleet.doubted(now),
             evacuated: self.evacuated.clone(),
             rollouts: self.rollouts.tell(now),
@@ -80,10 +92,16 @@
             return;
         };
         if Control::due(&mut self.control.last_roster, AGAIN, now) {
-            out.push(Effect::FetchRoster { peer });
+            out.push(self.fetch_roster(peer));
         }
     }
 
+    /// The order to fetch what this box lacks from `peer`.
+    pub(super) fn fetch_roster(&self, peer: SocketAddr) -> Effect {
+        let since = self.supplied.then_some(self.revision);
+        Effect::FetchRoster { peer, since }
+    }
+
     /// A box that takes work, so that it has a list: of this region, or of another one.
     fn first_roster(&self, now: Time) -> Option<SocketAddr> {
         if now < Time(0) + STORE_FIRST {
@@ -141,16 +159,35 @@
         if self.supplied && roster.revision <= self.revision {
             return;
         }
-        self.revision = roster.revision;
+        // Changes alone are of no use to a box that lacks what they follow.
+        let follows = |since: Revision| self.supplied && since <= self.revision;
+        if !roster.since.is_none_or(follows) {
+            return;
+        }
+        let revision = roster.revision;
+        if self.supplied {
+            self.changes.skip(self.revision, revision);
+        }
+        self.revision = revision;
         self.evacuate(now, roster.evacuated, out);
         self.take_rollouts(now, &roster.rollouts, out);
-        let change = Change::List {
-            backends: roster.backends,
-            doubt: Millis(0),
+        let doubt = Millis(0);
+        let changes: Vec<Change> = match roster.since {
+            None => vec![Change::List {
+                backends: roster.backends,
+                doubt,
+            }],
+            Some(_) => {
+                let gone = roster.gone.into_iter();
+                let gone = gone.map(|name| Change::Gone { name, doubt });
+                gone.chain(roster.backends.into_iter().map(Change::Put))
+                    .collect()
+            }
         };
-        self.supplied(now, change, out);
-        for (name, doubt) in roster.doubted {
-            self.supplied(now, Change::Gone { name, doubt }, out);
+        let doubted = roster.doubted.into_iter();
+        let doubted = doubted.map(|(name, doubt)| Change::Gone { name, doubt });
+        for change in changes.into_iter().chain(doubted) {
+            self.supplied(now, change, revision, out);
         }
     }
 }
--- a/standin/src/releases.rs
+++ b/standin/src/releases.rs
@@ -3,7 +3,10 @@
 
 mod servers;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+};
 
 use petreldrum::{
     fleet::{Change, Revision, Rollouts},
@@ -368,7 +371,7 @@
                 }
             },
             Effect::Follow(follow) => self.follows[number] = follow,
-            Effect::FetchRoster { peer } => self.fetch(number, peer),
+            Effect::FetchRoster { peer, since } => self.fetch(number, peer, since),
             Effect::Settle {
                 order, standing, ..
             } => self.settle(&order, standing),
@@ -381,13 +384,13 @@
         }
     }
 
-    fn fetch(&mut self, number: usize, peer: std::net::SocketAddr) {
+    fn fetch(&mut self, number: usize, peer: SocketAddr, since: Option<Revision>) {
         let Some(other) = self.crowd.by_peer(peer) else {
             return;
         };
         let clock = self.crowd.clock(other);
         let state = self.crowd.boxes[other].as_ref();
-        if let Some(roster) = state.and_then(|state| state.roster(clock)) {
+        if let Some(roster) = state.and_then(|state| state.roster(clock, since)) {
             self.step(number, Event::Roster(roster));
         }
     }
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use bolero::check;
 use harness::{
     SECRET,
     cloud::{Cloud, NEWS},
@@ -13,7 +14,7 @@
 };
 use hyper::Method;
 use petreldrum::{
-    config::Backend,
+    config::{Backend, Config},
     fleet::{Change, Revision},
     platform::record,
     reducer::{effect::Effect, event::Event},
@@ -37,10 +38,13 @@
     }
 }
 
-fn crowd() -> Crowd {
+fn crowd_config() -> Arc<Config> {
     let envelope = record::envelope(CONFIG.into()).expect("it reads");
-    let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
-    Crowd::in_two_domains(BOXES, config)
+    Arc::new(record::config(&envelope, &places()).expect("it reads"))
+}
+
+fn crowd() -> Crowd {
+    Crowd::in_two_domains(BOXES, crowd_config())
 }
 
 /// Sixty boxes of one region asked 600 engines 36,000 times what they have cached, all of them in the first
@@ -119,12 +123,12 @@
     let mut cloud = Cloud::start().await;
     cloud.configure(1);
     let address = "127.0.0.1:9".parse().expect("an address");
-    for number in 0..200 {
+    for number in 0..1000 {
         cloud.register(&format!("server-{number}"), address, "atl", "ready");
     }
     cloud.add_box("atl").await;
     cloud.settled().await;
-    cloud.register("server-200", address, "atl", "ready");
+    cloud.register("server-1000", address, "atl", "ready");
     cloud.registry.remove("servers/server-7");
     sleep(NEWS).await;
     let peer = cloud.boxes[0].peer;
@@ -137,9 +141,71 @@
     };
     // The configuration is the first of the store's changes.
     let whole = ask("/petreldrum/roster").await;
-    let missed = ask("/petreldrum/roster?since=201").await;
+    let missed = ask("/petreldrum/roster?since=1001").await;
     assert!(
         missed * 4 < whole,
         "{missed} bytes for two changes, {whole} for all"
     );
 }
+
+/// What happens at the box that tells, and how much of it the other box misses.
+type Told = (u8, u8, bool);
+
+#[test]
+fn what_was_missed_leads_to_the_same_list() {
+    check!().with_type::<Vec<Told>>().for_each(|told| {
+        let mut crowd = Crowd::on_platform(2, crowd_config());
+        let mut revision = Revision(1);
+        for number in 0..2 {
+            let change = Change::List {
+                backends: (0..4).map(|n| engine(n, "perth")).collect(),
+                doubt: Millis(0),
+            };
+            crowd.step(number, Event::Fleet { change, revision });
+            crowd.step(number, Event::Synced(revision));
+        }
+        for (what, which, fetch) in told {
+            revision.0 += 1;
+            let which = usize::from(*which % 8);
+            let change = match what % 4 {
+                0 => Change::Gone {
+                    name: engine(which, "perth").name,
+                    doubt: Millis(0),
+                },
+                1 => Change::List {
+                    backends: (which..8).map(|n| engine(n, "perth")).collect(),
+                    doubt: Millis(0),
+                },
+                _ => Change::Put(Backend {
+                    slots: u32::from(*what),
+                    ..engine(which, "perth")
+                }),
+            };
+            crowd.step(0, Event::Fleet { change, revision });
+            crowd.step(0, Event::Synced(revision));
+            if *fetch {
+                fetch_missed(&mut crowd);
+            }
+        }
+        fetch_missed(&mut crowd);
+        assert_eq!(list(&crowd, 0), list(&crowd, 1));
+    });
+}
+
+/// The second box fetches what it missed from the first.
+fn fetch_missed(crowd: &mut Crowd) {
+    let (now, since) = (crowd.now, crowd.boxes[1].as_ref().map(|b| b.revision()));
+    let teller = crowd.boxes[0].as_ref().expect("it runs");
+    let roster = teller.roster(now, since).expect("it knows a list");
+    assert_eq!(roster.since, since, "it remembers all");
+    crowd.step(1, Event::Roster(roster));
+}
+
+fn list(crowd: &Crowd, number: usize) -> Vec<(String, u32)> {
+    let state = crowd.boxes[number].as_ref().expect("it runs");
+    let all = state.roster(crowd.now, None).expect("it knows a list");
+    let rows = all.backends.iter().map(|b| (b.name.to_string(), b.slots));
+    let mut rows: Vec<(String, u32)> = rows.collect();
+    rows.sort();
+    rows
+}
--- a/tests/store_news.rs
+++ b/tests/store_news.rs
@@ -159,13 +159,13 @@
                     self.read_all(number);
                 }
             }
-            Effect::FetchRoster { peer } => {
+            Effect::FetchRoster { peer, since } => {
                 self.fetched += 1;
                 let now = self.crowd.now;
                 let other =
                     (0..self.told.len()).find(|n| address(1000 + 10 * *n as u16 + 1) == peer);
                 let state = other.and_then(|n| self.crowd.boxes[n].as_ref());
-                if let Some(roster) = state.and_then(|state| state.roster(now)) {
+                if let Some(roster) = state.and_then(|state| state.roster(now, since)) {
                     self.step(number, Event::Roster(roster));
                 }
             }
@@ -213,7 +213,7 @@
 
     fn knows_leaving(&self, number: usize, server: u64) -> bool {
         let state = self.crowd.boxes[number].as_ref().expect("it lives");
-        let roster = state.roster(self.crowd.now).expect("it knows a list");
+        let roster = state.roster(self.crowd.now, None).expect("it knows a list");
         let name = backend(server, true).name;
         roster.backends.iter().any(|b| b.name == name && b.leaving)
     }
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -164,7 +164,7 @@
     };
     let evacuated = |pair: &Crowd| {
         let state = pair.boxes[1].as_ref().expect("it runs");
-        let known = state.roster(pair.now).expect("it knows a list");
+        let known = state.roster(pair.now, None).expect("it knows a list");
         (known.evacuated.len(), known.revision)
     };
     pair.step(1, roster(12));
