Let traffic wait while the evidence on a release is in doubt

Cause: one bound (a weight of 6.2) for what may take over and for what is rolled back in the end; 16 bad of 46 answers stood at 5.4.

Change: above 3.0 traffic does not move; shortly before the order's time is over what stands below 6.2 may move all the same, so that good releases are still finished in time.

--- a/src/reducer/watch.rs
+++ b/src/reducer/watch.rs
@@ -17,6 +17,8 @@
 const LEAD: (Millis, u64) = (Millis(3000), 4);
 /// How long before that time the end is written, at most, and the part of its time: the store may be slow.
 const FINISH: (Millis, u64) = (Millis(700), 10);
+/// How long traffic has moved at least before the end is written: all boxes move within a few looks.
+const MOVING: Millis = Millis(500);
 /// How many times its time a roll-out is watched that nothing can be said of, before it is rolled back.
 const PATIENCE: u64 = 2;
 /// For how long after its end the old servers are left alone: they are stopped, and vanish from the list.
@@ -155,16 +157,17 @@
     /// What this box wants written now, by `verdict`.
     pub(super) fn want(&self, order: &Order, verdict: Verdict, now: Time) -> Standing {
         let age = now.since(self.since);
-        let (lead, finish) = (part(order, LEAD), part(order, FINISH));
-        let moved_for = self.moved.map(|at| now.since(at));
         let overdue = age >= Millis(order.within.0.saturating_mul(PATIENCE));
+        let moved = self.moved.is_some_and(|at| now.since(at) >= MOVING);
+        let due = age + part(order, FINISH) >= order.within;
         match verdict {
             _ if order.within == Millis(0) => Standing::RolledBack,
             Verdict::Bad(_) => Standing::RolledBack,
-            Verdict::Doubtful(_) if age >= order.within => Standing::RolledBack,
-            _ if moved_for.is_some_and(|span| span + finish >= lead) && self.covering => {
-                Standing::Completed
+            Verdict::Doubtful(_) if age >= order.within && !verdict.is_fair() => {
+                Standing::RolledBack
             }
+            Verdict::Doubtful(_) if !verdict.is_fair() => Standing::Active,
+            _ if moved && (due || !self.had_others) && self.covering => Standing::Completed,
             _ if overdue && self.moved.is_none() => Standing::RolledBack,
             _ => Standing::Active,
         }
@@ -176,8 +179,11 @@
         if !self.had_others {
             return self.staffed;
         }
-        let due = now.since(self.since) + part(order, LEAD) >= order.within;
-        due && self.covering && matches!(verdict, Verdict::Good(_))
+        let age = now.since(self.since);
+        let due = age + part(order, LEAD) >= order.within;
+        let last_call = age + part(order, FINISH) + MOVING >= order.within;
+        let good = matches!(verdict, Verdict::Good(_)) || last_call && verdict.is_fair();
+        due && self.covering && good
     }
 }
 
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -28,6 +28,9 @@
 const CONVICTED: f64 = 9.2;
 /// The same where the roll-out would be finished: one look, and one in 500.
 const SUSPECTED: f64 = 6.2;
+/// Less weighs nothing. More waits for further answers before traffic moves: a release whose bad answers were
+/// few by chance, at 5.4 of this, got all traffic for a second before it was stopped.
+const CLEARED: f64 = 3.0;
 /// How much worse than the other releases a bad one is taken to be: parts of the answers that are good there.
 const DEGREES: [f64; 5] = [0.05, 0.1, 0.2, 0.4, 0.8];
 /// Answers of the other releases without which nothing can be compared.
@@ -335,12 +338,23 @@
     Open,
     /// It answers as well as the others.
     Good(Finding),
-    /// It may be worse than the others: not enough to end its roll-out before time.
+    /// It may be worse than the others: more answers will tell.
     Doubtful(Finding),
     /// It is worse than the others.
     Bad(Finding),
 }
 
+impl Verdict {
+    /// Whether the release may take over where there is no time to learn more.
+    pub fn is_fair(self) -> bool {
+        match self {
+            Self::Good(_) => true,
+            Self::Doubtful(finding) => finding.weight < SUSPECTED,
+            Self::Open | Self::Bad(_) => false,
+        }
+    }
+}
+
 /// Looks at the evidence from time to time.
 #[derive(Clone, Debug, Default)]
 pub struct Judge {
@@ -373,7 +387,7 @@
         let worst = worst.unwrap_or_default();
         match worst.weight {
             weight if weight >= CONVICTED => Verdict::Bad(worst),
-            weight if weight >= SUSPECTED => Verdict::Doubtful(worst),
+            weight if weight >= CLEARED => Verdict::Doubtful(worst),
             _ if shown < SHOWN => Verdict::Open,
             _ => Verdict::Good(whole.unwrap_or_default()),
         }
--- a/tests/rollout_traffic.rs
+++ b/tests/rollout_traffic.rs
@@ -252,3 +252,16 @@
     let other = scene.came.iter().filter(|came| came.at > back && !came.new);
     assert_eq!(other.count(), 0, "the withdrawn release gets nothing");
 }
+
+/// A release that fails on one route, whose bad answers were few by chance while it was watched: 16 of 46, with
+/// a weight of 5.4 where 6.2 kept traffic off. All traffic moved, and in the second until it was stopped the
+/// release got 297 of 2,040 requests, 254 allowed. The looks before the move had said `moved false` at 5.4 and
+/// 5.4; the next ones 7.6, 9.5.
+#[test]
+fn traffic_waits_while_the_evidence_is_in_doubt() {
+    let mut scene = scene(72, 119);
+    scene.order(SERVERS, WITHIN, Fault::OneRoute(0.5));
+    assert!(scene.pass_until_end(Millis(20_000)));
+    assert_ends(&scene, Standing::RolledBack, "it is bad on one route");
+    assert_exposure(&scene, "few bad answers by chance");
+}
