--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -15,7 +15,8 @@
 use hyper::Method;
 use petreldrum::{
     config::{Backend, Config},
-    fleet::{Change, Revision},
+    fleet::{Change, Revision, Roster},
+    gateway::pack,
     platform::record,
     reducer::{effect::Effect, event::Event},
     unit::Millis,
@@ -209,3 +210,18 @@
     rows.sort();
     rows
 }
+
+/// Written as text, a list of 10,002 servers is 3 MB: it just passed the bound on what one box takes from
+/// another (4 MiB), and one of twice as many did not, so that no box would have got it.
+#[test]
+fn lists_of_twice_the_fleet_pass_between_boxes() {
+    let backends: Vec<Backend> = (0..20_004).map(|n| engine(n, "perth")).collect();
+    let roster = Roster {
+        backends,
+        ..Roster::default()
+    };
+    let packed = pack::pack(&roster).expect("it packs");
+    let unpacked: Roster = pack::unpack(&packed).expect("it unpacks");
+    assert_eq!(unpacked.backends.len(), 20_004);
+    assert!(packed.len() < 1 << 20, "{} bytes", packed.len());
+}
