--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -1,6 +1,11 @@
 //! The reducers of the boxes of one region or several, whose messages arrive within a tick.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    str::FromStr as _,
+    sync::Arc,
+};
 
 use petreldrum::{
     config::{Config, Draft},
@@ -11,9 +16,9 @@
         effect::Effect,
         event::{Event, Source},
     },
-    settings::Seed,
+    settings::{Secret, Seed},
     unit::{Millis, Time},
-    wire::{Contact, Frame},
+    wire::{Body, Contact, Frame},
 };
 
 /// Time between two ticks, in milliseconds.
@@ -52,6 +57,31 @@
     }
 }
 
+/// Bytes of TCP, IP and nng around a message.
+pub const OVERHEAD: usize = 60;
+
+/// The bytes of a message on its way.
+fn weight(frame: &Frame) -> usize {
+    let secret = Secret::from_str("a-secret-of-sixteen").expect("it is long enough");
+    frame.encode(&secret).len() + OVERHEAD
+}
+
+fn kind(body: &Body) -> &'static str {
+    match body {
+        Body::Heartbeat(_) => "heartbeat",
+        Body::Digest(_) => "digest",
+        Body::Members(_) => "members",
+        Body::Reading(_) => "reading",
+        Body::Holdings(_) => "holdings",
+        Body::Silent(_) => "silent",
+        Body::Report(_) => "report",
+        Body::Tally(_) => "tally",
+        Body::News(_) => "news",
+        Body::Marks(_) => "marks",
+        Body::Limits(_) => "limits",
+    }
+}
+
 /// Boxes of one region, or of several.
 #[derive(Debug)]
 pub struct Crowd {
@@ -63,6 +93,8 @@
     pub mail: Vec<(SocketAddr, Frame)>,
     /// Messages that were sent.
     pub sent: usize,
+    /// The bytes that each box sent, by kind of message, where somebody asks for them.
+    pub weighed: Option<Vec<BTreeMap<&'static str, usize>>>,
     /// Pairs whose messages are lost.
     pub cut: Vec<(usize, usize)>,
     /// Boxes that stand still.
@@ -129,6 +161,7 @@
             boxes: (0..size).map(|_| None).collect(),
             mail: Vec::new(),
             sent: 0,
+            weighed: None,
             cut: Vec::new(),
             frozen: Vec::new(),
             numbers: numbers.collect(),
@@ -189,6 +222,9 @@
         for effect in &effects {
             if let Effect::Gossip { to, frame } = effect {
                 self.sent += 1;
+                if let Some(weighed) = &mut self.weighed {
+                    *weighed[number].entry(kind(&frame.body)).or_default() += weight(frame);
+                }
                 let lost = |n: &usize| self.cut.contains(&(number, *n));
                 if !self.numbers.get(to).is_some_and(lost) {
                     self.mail.push((*to, frame.clone()));
--- a/standin/src/measure/control.rs
+++ b/standin/src/measure/control.rs
@@ -11,11 +11,10 @@
 };
 
 use super::fleet::{self, Size};
+use crate::crowd::OVERHEAD;
 
 /// Seconds of the box's clock that are played.
 const SECONDS: u64 = 60;
-/// Bytes of TCP, IP and nng around a message.
-const OVERHEAD: usize = 60;
 
 /// Milliseconds between two ticks.
 const TENTH: u64 = 100;
--- a/standin/src/measure/mod.rs
+++ b/standin/src/measure/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod policies;
 mod rollout;
+mod start;
 
 use clap::Subcommand;
 
@@ -24,6 +25,12 @@
     Control,
     /// How boxes that share a backend server's limit hold it, and how much of it they use.
     Limits,
+    /// What boxes tell and ask when all of a fleet start together, by size.
+    Start {
+        /// Boxes; several sizes where nothing is said.
+        #[arg(long)]
+        boxes: Vec<usize>,
+    },
     /// How far a release is exposed that is rolled out, how soon a bad one is stopped, and wrong verdicts.
     Rollout {
         /// Runs of each row.
@@ -54,6 +61,10 @@
             limits::run();
             Ok(())
         }
+        What::Start { boxes } => {
+            start::run(&boxes);
+            Ok(())
+        }
         What::Rollout { seeds, boxes } => {
             rollout::run(seeds, &boxes);
             Ok(())
