Let a few tell a new box of the others, not all

What callers saw: nothing of their own; 4.3 MB a box between boxes before the first request at 984 boxes, most of it lists of boxes by this table; links of 10 to 20 Mbit/s were full while the fleet started.

Cause: each box that heard a new one for the first time told it all boxes that it knew, and so did all others: the bytes of a start grew by the cube of the region.

Change: the seeds tell a box that knows nobody, and the three that rank first for its name tell it what they know besides; a box counts those that it was told of and has greeted among those it knows.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -424,10 +424,19 @@
 
     /// Whether this box ranks first for a duty among the live of its region, `other` left aside.
     pub fn is_first(&self, duty: &str, other: &BoxName, now: Time) -> bool {
+        self.rank_without(duty, other, now) == 0
+    }
+
+    /// This box's rank (from 0) among those that tell `other` what they know, `other` left aside.
+    pub fn rank_beside(&self, other: &BoxName, now: Time) -> usize {
+        self.rank_without(other.as_str(), other, now)
+    }
+
+    fn rank_without(&self, duty: &str, other: &BoxName, now: Time) -> usize {
         let mine = weight(&self.me.name, duty);
-        let above = |p: &Peer| weight(&p.last.contact.name, duty) > mine;
+        let above = |p: &&Peer| weight(&p.last.contact.name, duty) > mine;
         let others = self.live(now).filter(|p| p.last.contact.name != *other);
-        !others.into_iter().any(above)
+        others.filter(above).count()
     }
 
     /// Forgets those unheard for long.
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -14,6 +14,11 @@
 
 /// How long a box that others named has to answer a greeting before it is greeted again.
 pub(super) const GREET_AGAIN: Millis = Millis(1000);
+/// A box that knows so few others greets its seeds, and is told all by each of them.
+const FEW: u32 = 3;
+/// Boxes that tell others of all that they know: where every box does, the bytes of a start grow by the cube of
+/// the region.
+const TELLERS: usize = 3;
 
 impl<P: Policy> State<P> {
     /// Sends a heartbeat to every box of the region, known or a seed.
@@ -122,7 +127,7 @@
             revision: self.revision,
             phase: self.phase(now),
             pace,
-            boxes: self.table.live(now).count() as u32,
+            boxes: self.known_boxes(now),
             busy: self.jobs.len() as u32,
             loads: loads.collect(),
             held: self.quarantine.told(now),
@@ -139,6 +144,14 @@
         }
     }
 
+    /// Boxes of this region that this one hears, or was told of and has greeted.
+    fn known_boxes(&self, now: Time) -> u32 {
+        let live = self.table.live(now).map(|p| p.last.contact.gossip);
+        let live: BTreeSet<SocketAddr> = live.collect();
+        let greeted = self.control.greeted.keys().filter(|to| !live.contains(to));
+        (live.len() + greeted.count()) as u32
+    }
+
     /// Answers a box that just appeared and knows `boxes` others: who is here, where that can be
     /// news to it, and a heartbeat at once.
     pub(super) fn greet(
@@ -152,7 +165,8 @@
         self.share_holdings(now, to, name, out);
         let contacts = self.table.live(now).map(|p| p.last.contact.clone());
         let contacts: Vec<Contact> = contacts.collect();
-        if contacts.len() as u32 > boxes {
+        let tells = boxes <= FEW || self.table.rank_beside(name, now) < TELLERS;
+        if tells && contacts.len() as u32 > boxes {
             let frame = self.frame(Body::Members(contacts));
             out.push(Effect::Gossip { to, frame });
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -206,7 +206,7 @@
     pub phase: Phase,
     /// When the receiver hears of it again at the latest.
     pub pace: Millis,
-    /// Live boxes of its region that it knows of.
+    /// Boxes of its region that it hears, or was told of and has greeted.
     pub boxes: u32,
     /// Requests in hand.
     pub busy: u32,
