Test that boxes which hear nobody ask few engines, failing

By its third second a box knows few of 328, and each takes itself for the first in rank for some 180 engines. In the test, boxes that hear nobody ask all 600 engines each.

--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -84,6 +84,34 @@
     );
 }
 
+/// 984 boxes that start together know few of the 328 of their region by their third second, so that ranks among
+/// those that they know let each ask some 180 engines: 180,017 questions before 2,935 requests. What a box asks must
+/// not hang on whom it knows.
+#[test]
+fn boxes_that_hear_nobody_ask_few_engines() {
+    let mut crowd = crowd();
+    let pairs = (0..BOXES).flat_map(|one| (0..BOXES).map(move |other| (one, other)));
+    crowd.cut = pairs.collect();
+    let revision = Revision(1);
+    for number in 0..BOXES {
+        let change = Change::List {
+            backends: (0..600).map(|n| engine(n, "perth")).collect(),
+            doubt: Millis(0),
+        };
+        crowd.step(number, Event::Fleet { change, revision });
+        crowd.step(number, Event::Synced(revision));
+    }
+    let mut asked = vec![0; BOXES];
+    for _ in 0..60 {
+        crowd.now = crowd.now + Millis(100);
+        for (number, effect) in crowd.tick() {
+            asked[number] += usize::from(matches!(effect, Effect::Inventory { .. }));
+        }
+    }
+    let most = asked.iter().max().copied().unwrap_or(0);
+    assert!(most <= 16, "a box asked {most} engines");
+}
+
 /// Boxes that start while others know the list all fetched it from the one whose name comes first: 984 boxes
 /// that did so ended some of those that were asked for memory (`memory over the limit`, 310 MB), and other
 /// boxes got no answer in time (`cannot fetch /petreldrum/roster`).
