Bound the engines that one box asks for their caches

Cause: a duty by rank is bounded only where the boxes know each other, which takes longer than 3 s at 328 boxes a region.

Change: a box asks 16 engines at most, whomever it knows: 15,744 at 984 boxes. Regions of fewer engines a box ask as before.

--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -40,6 +40,8 @@
     last_pulse: Option<Time>,
     pub(super) last_denial: Option<Time>,
     pub(super) last_roster: Option<Time>,
+    /// Engines that were asked what they have cached.
+    pub(super) inventories: usize,
     pub(super) behind: Option<Behind>,
     /// The boxes that hear this one often.
     pub(super) monitors: BTreeSet<SocketAddr>,
--- a/src/reducer/inventory.rs
+++ b/src/reducer/inventory.rs
@@ -27,6 +27,9 @@
 /// Engines that a box asks before it knows the boxes of its region, and how many it looks at for that: by then
 /// each box takes itself for the first in rank. 60 boxes asked 600 engines 36,000 times, and 840 at most with it.
 const EARLY: usize = 4;
+/// Engines that a box asks in all: in a large region it may not know the others by then, and would ask most of
+/// their share as well.
+const MOST: usize = 16;
 
 impl<P: Policy> State<P> {
     /// Asks the engines of this region that nobody has told anything of.
@@ -57,7 +60,9 @@
             for (backend, address) in unknown {
                 // Who else's duty it is need not be found out again.
                 self.asked.insert(backend.clone());
-                if self.table.rank(backend.as_str(), now) == 0 {
+                let left = self.control.inventories < MOST;
+                if left && self.table.rank(backend.as_str(), now) == 0 {
+                    self.control.inventories += 1;
                     out.push(Effect::Inventory { backend, address });
                 }
             }
