Rank engines by the box once, not at each tick of the start

Found by reading the change once more: after its four early questions a box went on to hash and sort all engines of its region at each tick until its third second, and took none of them. With 4,328 engines that is 28 times 4,328 for nothing.

Behaviour unchanged: the same engines are asked at the same moments.

--- a/src/reducer/inventory.rs
+++ b/src/reducer/inventory.rs
@@ -38,6 +38,10 @@
         if !self.registry || !self.supplied || age < LISTEN || age > ASK {
             return;
         }
+        // Nothing more goes out until then, and thousands of engines need not be ranked at each tick.
+        if age < MET && self.asked.len() >= EARLY {
+            return;
+        }
         let Some(config) = self.config.clone() else {
             return;
         };
