Count the bytes between boxes by kind of message

Change: `gossip_bytes_total` has a label `kind`; lists, changes and configurations that other boxes fetch are counted as well; a log line tells the sums each 10 s.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -32,6 +32,8 @@
 
 /// Time between two looks at allotments for the metrics.
 const TELL_ALLOTMENTS: Millis = Millis(1000);
+/// Time between two lines on the bytes between boxes.
+const TELL_TRAFFIC: Millis = Millis(10_000);
 
 /// What a request's task is told by the reducer.
 #[derive(Debug)]
@@ -89,6 +91,8 @@
     offered: Option<Current>,
     /// When the metrics were last told of allotments.
     allotments_told: Time,
+    /// When the log was last told of the bytes between boxes.
+    traffic_told: Time,
     pub(super) handle: Option<Handle>,
 }
 
@@ -151,6 +155,7 @@
             quota: Quota::default(),
             offered: None,
             allotments_told: Time(0),
+            traffic_told: Time(0),
             handle: None,
         };
         let handle = Self(Core::spawn_with_mailbox(core, mailbox::unbounded()));
@@ -345,6 +350,10 @@
             metrics.tell_allotments(&self.state.allotments(now));
             metrics.tell_rollouts(&self.state.rollouts(now));
         }
+        if now.since(self.traffic_told) >= TELL_TRAFFIC {
+            self.traffic_told = now;
+            log::info!("peers: bytes {}", metrics.traffic());
+        }
         metrics.store_revision.set(self.state.revision().0 as i64);
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -173,6 +173,7 @@
     if inbound.parts.uri.path() == head::CONFIG_PATH {
         let current = shell.current.borrow().clone();
         let current = current.ok_or_else(|| deny(404, "no configuration is in force"))?;
+        shell.metrics.count_sent("config", current.packed.len());
         return Ok(head::whole(StatusCode::OK, pack::TYPE, current.packed));
     }
     if inbound.parts.uri.path() == head::ROSTER_PATH {
@@ -180,6 +181,8 @@
         let packed = shell.packed_roster(since).await;
         let packed = packed.map_err(|error| deny(500, &format!("{error:#}")))?;
         let packed = packed.ok_or_else(|| deny(404, "no list of backend servers is known"))?;
+        let kind = since.map_or("list", |_| "changes");
+        shell.metrics.count_sent(kind, packed.len());
         return Ok(head::whole(StatusCode::OK, pack::TYPE, packed));
     }
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -63,7 +63,6 @@
 pub(crate) fn listen(listener: Listener, secret: Secret, core: Handle, metrics: Arc<Metrics>) {
     let mut socket = listener.socket;
     tokio::spawn(async move {
-        let received = metrics.gossip.with_label_values(&["received"]);
         loop {
             let message = match socket.pull().await {
                 Ok(message) => message,
@@ -73,10 +72,15 @@
                     continue;
                 }
             };
-            received.inc_by(message.len() as u64);
             match Frame::decode(&secret, message.as_slice()) {
-                Ok(frame) => core.tell(Event::Heard(frame)),
-                Err(error) => log::debug!("gossip: dropped a message: {error}"),
+                Ok(frame) => {
+                    metrics.count_received(frame.body.kind(), message.len());
+                    core.tell(Event::Heard(frame));
+                }
+                Err(error) => {
+                    metrics.count_received("unreadable", message.len());
+                    log::debug!("gossip: dropped a message: {error}");
+                }
             }
         }
     });
@@ -123,8 +127,7 @@
     /// Sends `frame` to `to`, or drops it where the addressee is slow.
     pub(crate) fn send(&mut self, to: SocketAddr, frame: &Frame) {
         let bytes = frame.encode(&self.secret);
-        let sent = self.metrics.gossip.with_label_values(&["sent"]);
-        sent.inc_by(bytes.len() as u64);
+        self.metrics.count_sent(frame.body.kind(), bytes.len());
         self.open.retain(|_, link| !link.is_closed());
         let link = self.open.entry(to).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(BACKLOG);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -3,7 +3,7 @@
 use crate::reducer::status::{Allotted, Rollout};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Registry, TextEncoder, core::Collector as _,
 };
 
 /// Upper bounds of the histograms, in seconds: from a hop inside a region to the longest deadline.
@@ -200,8 +200,8 @@
             alarms: counter("alarms_total", "Alarms; each is in the log.")?,
             gossip: counters(
                 "gossip_bytes_total",
-                "Bytes of messages between boxes.",
-                &["direction"],
+                "Bytes of messages between boxes, by kind; lists and configurations that one fetches as well.",
+                &["direction", "kind"],
             )?,
             store: counters(
                 "store_calls_total",
@@ -255,6 +255,36 @@
         })
     }
 
+    /// Counts what goes to another box.
+    pub fn count_sent(&self, kind: &str, bytes: usize) {
+        let sent = self.gossip.with_label_values(&["sent", kind]);
+        sent.inc_by(bytes as u64);
+    }
+
+    /// Counts what came from another box.
+    pub fn count_received(&self, kind: &str, bytes: usize) {
+        let received = self.gossip.with_label_values(&["received", kind]);
+        received.inc_by(bytes as u64);
+    }
+
+    /// The bytes of messages between boxes since the start, by direction and kind, for the log.
+    pub fn traffic(&self) -> String {
+        let mut sums = Vec::new();
+        for family in self.gossip.collect() {
+            for metric in family.get_metric() {
+                let labels = metric.get_label().iter().map(|label| label.value());
+                let name: Vec<&str> = labels.collect();
+                sums.push(format!(
+                    "{}={}",
+                    name.join("-"),
+                    metric.get_counter().get_value()
+                ));
+            }
+        }
+        sums.sort_unstable();
+        sums.join(" ")
+    }
+
     /// The counters as prometheus reads them.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -368,6 +368,25 @@
     Limits(Vec<Limit>),
 }
 
+impl Body {
+    /// The name of its kind, for counters and the log.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Digest(_) => "digest",
+            Self::Members(_) => "members",
+            Self::Reading(_) => "reading",
+            Self::Holdings(_) => "holdings",
+            Self::Silent(_) => "silent",
+            Self::Report(_) => "report",
+            Self::Tally(_) => "tally",
+            Self::News(_) => "news",
+            Self::Marks(_) => "marks",
+            Self::Limits(_) => "limits",
+        }
+    }
+}
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame {
--- a/tests/metric_text.rs
+++ b/tests/metric_text.rs
@@ -55,3 +55,18 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn bytes_between_boxes_by_kind() {
+    let mut cloud = Cloud::serving(&["i-1"]).await;
+    cloud.add_box("atl").await;
+    for line in [
+        "petreldrum_gossip_bytes_total{direction=\"sent\",kind=\"heartbeat\"} ",
+        "petreldrum_gossip_bytes_total{direction=\"received\",kind=\"heartbeat\"} ",
+    ] {
+        eventually("heartbeats are counted", || async {
+            value(&cloud, line).await > Some(0.0)
+        })
+        .await;
+    }
+}
