Hold a box to the time between heartbeats that it told itself

Cause: a monitor took every pace below its own period for the promise of a heartbeat each 500 ms. A box that knows more of the region has a longer period, so it accused after 1.5 s all those that know fewer and had told 5 or 30 s, and told the whole region of each; the denials go to all too.

Ruled out: boxes too slow to beat. In the test all beat at each tick.

Change: silence is three times the pace that the box told itself; only for monitors, who were told 500 ms, is that 1.5 s as before.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -189,15 +189,18 @@
         let mut found = Vec::new();
         for peer in self.peers.values_mut().filter(|p| !p.suspected) {
             let quiet = now.since(peer.heard);
-            let promised = peer.last.pace < period;
-            let mine = monitored.contains(&peer.last.contact.name);
-            if quiet <= silent || !(promised || mine) {
+            let pace = peer.last.pace;
+            // Its own word counts: a box that knows fewer others beats more often than this one, and slower
+            // than to its monitors.
+            let broken = pace < period && quiet > Millis(MISSED * pace.0);
+            let mine = monitored.contains(&peer.last.contact.name) && quiet > silent;
+            if !(broken || mine) {
                 peer.doubted = None;
                 continue;
             }
             let doubted = now.since(*peer.doubted.get_or_insert(now));
             let stage = match doubted {
-                _ if promised => Stage::Suspected,
+                _ if broken => Stage::Suspected,
                 age if age >= SUSPECT_AFTER => Stage::Suspected,
                 age if age >= PROBE_AFTER => Stage::Probed,
                 _ => continue,
