Beat by the time that was told last, also where the region has grown

Cause: the time to the next heartbeat to all is 150 ms for each known box, looked at anew at each tick. A box that told 500 ms while it knew three others and then met a hundred beat next after 15 s; all who had heard the 500 ms accused it before their whole region, rightly by its own word.

Change: the next heartbeat to all comes when the last one promised it, and tells the longer time.

--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -37,6 +37,8 @@
     last_step: Option<Time>,
     woke: Option<Time>,
     last_beat: Option<Time>,
+    /// The time until the next heartbeat, as the last one told it to the region.
+    pub(super) pace_told: Millis,
     last_pulse: Option<Time>,
     pub(super) last_denial: Option<Time>,
     pub(super) last_roster: Option<Time>,
@@ -128,7 +130,8 @@
         }
         let forgotten = self.ledger.expire(now).into_iter().map(Effect::Forget);
         out.extend(forgotten);
-        let period = self.table.heartbeat_period();
+        // Those that were told a shorter time while this box knew fewer others wait for it that long.
+        let period = self.table.heartbeat_period().min(self.control.pace_told);
         if Control::due(&mut self.control.last_beat, period, now) {
             self.table.sweep(now);
             let greeted = &mut self.control.greeted;
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -38,6 +38,7 @@
             .partition(|to| self.control.monitors.contains(to));
         self.send_heartbeat(now, HEARTBEAT, near, out);
         let period = self.table.heartbeat_period();
+        self.control.pace_told = period;
         self.send_heartbeat(now, period, far, out);
     }
 
