Test that a question is answered to who asked, failing

Cause: a box that takes itself for the monitor of another and hears nothing asks it first; the answer is a heartbeat to the whole region, since the message did not say whether the others had been told.

Change: the message names the listener of the box that asks, where it only asks; nobody reads that yet.

Test: one question to one of 60 boxes brings 60 heartbeats, where one does.

--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -78,6 +78,7 @@
                 name: suspicion.name,
                 incarnation: suspicion.incarnation,
                 since: suspicion.silent,
+                asker: (suspicion.stage == Stage::Probed).then_some(self.table.me.gossip),
             };
             for to in targets {
                 let frame = self.frame(Body::Silent(silent.clone()));
@@ -93,6 +94,7 @@
                 name,
                 incarnation,
                 since,
+                ..
             } = silent;
             return self.table.suspect(name, *incarnation, *since, now);
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -314,6 +314,8 @@
     pub incarnation: Incarnation,
     /// How long that was ago.
     pub since: Millis,
+    /// The listener of a box that asks it first; none where the others are told as well.
+    pub asker: Option<SocketAddr>,
 }
 
 /// What a box has found out of contents that may end backend servers.
--- a/tests/silent_boxes.rs
+++ b/tests/silent_boxes.rs
@@ -4,11 +4,12 @@
 
 use std::net::SocketAddr;
 
-use harness::crowd::{Crowd, name};
+use harness::crowd::{Crowd, contact, name};
 use petreldrum::{
+    id::Incarnation,
     reducer::{effect::Effect, event::Event},
     unit::Millis,
-    wire::{Body, Frame},
+    wire::{Body, Frame, Silent},
 };
 
 /// The platform's bound on how long a look-up may name a box that is gone, in ms.
@@ -127,3 +128,34 @@
     assert_eq!(accusations, 0, "with {probes} probes");
     assert_eq!(crowd.named(3).len(), BOXES, "all have met");
 }
+
+/// Boxes that know different parts of a region take themselves for monitors of others, hear nothing within 1.5 s and
+/// ask them first. Each such question was answered by a heartbeat to the whole region, as an accusation is.
+#[test]
+fn question_is_answered_to_who_asked() {
+    let mut crowd = Crowd::new(60);
+    crowd.pass(10_000);
+    let contact = |number| contact(&name(number), "perth", 7000);
+    let asker = contact(7).gossip;
+    let silent = Silent {
+        name: contact(5).name,
+        incarnation: Incarnation(7),
+        since: Millis(1600),
+        asker: Some(asker),
+    };
+    let frame = Frame {
+        from: contact(7).name,
+        incarnation: Incarnation(7),
+        seq: 1 << 40,
+        body: Body::Silent(silent),
+    };
+    let effects = crowd.step(5, Event::Heard(frame));
+    let told: Vec<SocketAddr> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Gossip { to, .. } => Some(*to),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(told, [asker]);
+}
