Answer a question to who asked, not to the region

Callers saw nothing of it by itself; in a start, where each box knows other parts of the region, boxes ask many that are not theirs to monitor, and each question cost a heartbeat to all.

Cause: the denial of an accusation, which all have heard, was used for the answer to a question as well.

Why it holds: the asker's listener comes with the question, so that it is answered also by a box that does not know it yet. An accusation is denied to all as before.

--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -98,6 +98,12 @@
             } = silent;
             return self.table.suspect(name, *incarnation, *since, now);
         }
+        if let Some(asker) = silent.asker {
+            let monitor = self.control.monitors.contains(&asker);
+            let period = self.table.heartbeat_period();
+            let pace = if monitor { HEARTBEAT } else { period };
+            return self.send_heartbeat(now, pace, [asker], out);
+        }
         if Control::due(&mut self.control.last_denial, HEARTBEAT, now) {
             self.beat(now, out);
         }
