Test that changes pass through boxes as changes, failing

Cause: a box that takes what it missed from another one notes all between as a gap in which only the outcome is known. Who knows half of it then gets the whole list from it, and has the same gap afterwards, so that gaps pass on to all.

Test: the second of three boxes takes 18 changes at once; the third, which knows nine of them, asks it. It gets the whole list. A property test plays any changes over such a chain; it passes, and is to go on passing.

--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -177,6 +177,88 @@
     );
 }
 
+/// What a box was told by another one it could not pass on as changes, since it took all between for unknown: in
+/// the fleet's start boxes fetched the whole list from each other every second or two while servers registered
+/// (`tells of 2239 backend servers, all`, seven times at one box in 12 s).
+#[test]
+fn changes_pass_through_boxes() {
+    let mut crowd = Crowd::on_platform(3, crowd_config());
+    for number in 0..3 {
+        let backends = (0..4).map(|n| engine(n, "perth")).collect();
+        let doubt = Millis(0);
+        tell(&mut crowd, number, Change::List { backends, doubt }, 1);
+    }
+    for revision in 2..20 {
+        let change = Change::Put(engine(revision as usize, "perth"));
+        tell(&mut crowd, 0, change.clone(), revision);
+        if revision <= 10 {
+            tell(&mut crowd, 2, change, revision);
+        }
+    }
+    // The second box takes all at once; the third knows half of it.
+    fetch_missed(&mut crowd, 0, 1);
+    let teller = crowd.boxes[1].as_ref().expect("it runs");
+    let roster = teller.roster(crowd.now, Some(Revision(10)));
+    let roster = roster.expect("it knows a list");
+    assert_eq!(roster.since, Some(Revision(10)), "it tells what changed");
+    crowd.step(2, Event::Roster(roster));
+    assert_eq!(list(&crowd, 0), list(&crowd, 2));
+}
+
+fn tell(crowd: &mut Crowd, number: usize, change: Change, revision: u64) {
+    let revision = Revision(revision);
+    crowd.step(number, Event::Fleet { change, revision });
+    crowd.step(number, Event::Synced(revision));
+}
+
+/// The third box hears of the store through the second, and in part by itself.
+#[test]
+fn what_passed_through_boxes_leads_to_the_same_list() {
+    check!().with_type::<Vec<(u8, u8, u8)>>().for_each(|told| {
+        let mut crowd = Crowd::on_platform(3, crowd_config());
+        let whole = |from: usize| Change::List {
+            backends: (from..8).map(|n| engine(n, "perth")).collect(),
+            doubt: Millis(0),
+        };
+        for number in 0..3 {
+            tell(&mut crowd, number, whole(4), 1);
+        }
+        let mut revision = 1;
+        // How far the third box has followed the store by itself.
+        let mut followed = true;
+        for (what, which, fetch) in told {
+            revision += 1;
+            let which = usize::from(*which % 8);
+            let change = match what % 4 {
+                0 => Change::Gone {
+                    name: engine(which, "perth").name,
+                    doubt: Millis(0),
+                },
+                1 => whole(which),
+                _ => Change::Put(Backend {
+                    slots: u32::from(*what),
+                    ..engine(which, "perth")
+                }),
+            };
+            tell(&mut crowd, 0, change.clone(), revision);
+            followed &= fetch & 4 != 0;
+            if followed {
+                tell(&mut crowd, 2, change, revision);
+            }
+            if fetch & 1 != 0 {
+                fetch_missed(&mut crowd, 0, 1);
+            }
+            if fetch & 2 != 0 {
+                fetch_missed(&mut crowd, 1, 2);
+            }
+        }
+        fetch_missed(&mut crowd, 0, 1);
+        fetch_missed(&mut crowd, 1, 2);
+        assert_eq!(list(&crowd, 0), list(&crowd, 1));
+        assert_eq!(list(&crowd, 0), list(&crowd, 2));
+    });
+}
+
 /// What happens at the box that tells, and how much of it the other box misses.
 type Told = (u8, u8, bool);
 
@@ -213,16 +295,16 @@
             crowd.step(0, Event::Fleet { change, revision });
             crowd.step(0, Event::Synced(revision));
             if *fetch {
-                fetch_missed(&mut crowd);
+                fetch_remembered(&mut crowd);
             }
         }
-        fetch_missed(&mut crowd);
+        fetch_remembered(&mut crowd);
         assert_eq!(list(&crowd, 0), list(&crowd, 1));
     });
 }
 
 /// The second box fetches what it missed from the first.
-fn fetch_missed(crowd: &mut Crowd) {
+fn fetch_remembered(crowd: &mut Crowd) {
     let (now, since) = (crowd.now, crowd.boxes[1].as_ref().map(|b| b.revision()));
     let teller = crowd.boxes[0].as_ref().expect("it runs");
     let roster = teller.roster(now, since).expect("it knows a list");
@@ -230,6 +312,14 @@
     crowd.step(1, Event::Roster(roster));
 }
 
+/// A box fetches what it missed from another one; where that does not remember it, all.
+fn fetch_missed(crowd: &mut Crowd, from: usize, to: usize) {
+    let (now, since) = (crowd.now, crowd.boxes[to].as_ref().map(|b| b.revision()));
+    let teller = crowd.boxes[from].as_ref().expect("it runs");
+    let roster = teller.roster(now, since).expect("it knows a list");
+    crowd.step(to, Event::Roster(roster));
+}
+
 fn list(crowd: &Crowd, number: usize) -> Vec<(String, u32)> {
     let state = crowd.boxes[number].as_ref().expect("it runs");
     let all = state.roster(crowd.now, None).expect("it knows a list");
