Pass on as changes what another box told as changes

Boxes fetched whole lists of thousands of servers from each other every second or two while the fleet's servers registered.

Cause: what a box took from another counted as a span of which only the outcome is known, though the other had told every name that changed. Whoever asked from within that span got all, and had such a span in turn.

Why it holds: the answer names the spans that the teller itself knows only by their outcome, and only those are taken over. All else that changed after the asker's revision is in the answer, so anyone who asks from a later revision gets no less than what changed since.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -65,6 +65,8 @@
     pub since: Option<Revision>,
     /// Those that are gone since.
     pub gone: Vec<id::Backend>,
+    /// Spans since of which only the outcome is known: what changed and changed back in them is not told.
+    pub gaps: Vec<(Revision, Revision)>,
     /// How long those of them are believed whose registration is in doubt.
     pub doubted: BTreeMap<id::Backend, Millis>,
     /// The failure domains under evacuation.
--- a/src/fleet/changes.rs
+++ b/src/fleet/changes.rs
@@ -51,6 +51,12 @@
         }
     }
 
+    /// The spans after `revision` of which only the outcome is known.
+    pub fn gaps_after(&self, revision: Revision) -> Vec<(Revision, Revision)> {
+        let gaps = self.gaps.iter().copied();
+        gaps.filter(|(_, until)| *until > revision).collect()
+    }
+
     /// What changed after `revision`; none where that is not remembered.
     pub fn since(&self, revision: Revision) -> Option<BTreeSet<&id::Backend>> {
         self.from.filter(|from| *from <= revision)?;
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -56,6 +56,7 @@
             backends,
             since,
             gone,
+            gaps: since.map_or_else(Vec::new, |since| self.changes.gaps_after(since)),
             doubted: self.fleet.doubted(now),
             evacuated: self.evacuated.clone(),
             rollouts: self.rollouts.tell(now),
@@ -165,8 +166,15 @@
             return;
         }
         let revision = roster.revision;
-        if self.supplied {
-            self.changes.skip(self.revision, revision);
+        match roster.since {
+            None if self.supplied => self.changes.skip(self.revision, revision),
+            None => {}
+            // All that changed is told, so that this box can pass it on in the same way.
+            Some(_) => {
+                for (since, until) in roster.gaps {
+                    self.changes.skip(since.max(self.revision), until);
+                }
+            }
         }
         self.revision = revision;
         self.evacuate(now, roster.evacuated, out);
