Pack the same changes once for all who missed them

Cause: news that a box misses are fetched from the hub that told of the next. In the fleet's start all 164 boxes of a failure domain asked the hub for the same changes after the same revision, and it packed them for each; hubs fell silent for over 2 s (`followed=alone` at all logged boxes of geraldton-b at -14.2 s and again at -11.4 s), so that all asked the store.

Ruled out, so far: nothing else; whether hubs are in time with this is to be shown on the fleet.

Change: an answer is kept for a second by the revision that the asker names, as the whole list was before.

Test: the same question within a second gets the same answer, after that the news.

--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -1,6 +1,7 @@
 //! What all tasks of one box share, and the small questions that they ask of it.
 
 use std::{
+    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -57,14 +58,18 @@
     pub(super) bodies: Arc<Semaphore>,
     pub(super) requests: AtomicU64,
     pub(super) stop: watch::Sender<bool>,
-    /// The whole list of backend servers as it was packed last, and when.
-    pub(super) rosters: Mutex<Option<(Moment, Bytes)>>,
+    /// Lists of backend servers, and of what changed after a revision, as they were packed lately, and when.
+    pub(super) rosters: Mutex<Rosters>,
 }
 
 /// How long a packed list is given out: boxes that start together ask for it together, and packing 10,002
-/// servers takes a box of an eighth of a core some tenths of a second. Who takes it fetches what changed since.
+/// servers takes a box of an eighth of a core some tenths of a second. A hub is asked for the same changes by
+/// all boxes of its failure domain that missed them. Who takes an older list fetches what changed since.
 const PACKED_FOR: Duration = Duration::from_secs(1);
 
+/// Packed lists by the revision after which they tell what changed; none for all servers.
+type Rosters = BTreeMap<Option<Revision>, (Moment, Bytes)>;
+
 impl Shell {
     /// What this box knows of registered backend servers, or what changed of it after `since`, as other boxes
     /// fetch it.
@@ -72,8 +77,7 @@
         &self,
         since: Option<Revision>,
     ) -> eyre::Result<Option<Bytes>> {
-        if since.is_none()
-            && let Some((at, packed)) = &*self.lock_rosters()
+        if let Some((at, packed)) = self.lock_rosters().get(&since)
             && at.elapsed() < PACKED_FOR
         {
             return Ok(Some(packed.clone()));
@@ -82,13 +86,13 @@
             return Ok(None);
         };
         let packed = pack::pack(&roster)?;
-        if since.is_none() {
-            *self.lock_rosters() = Some((Moment::now(), packed.clone()));
-        }
+        let mut rosters = self.lock_rosters();
+        rosters.retain(|_, (at, _)| at.elapsed() < PACKED_FOR);
+        rosters.insert(since, (Moment::now(), packed.clone()));
         Ok(Some(packed))
     }
 
-    fn lock_rosters(&self) -> MutexGuard<'_, Option<(Moment, Bytes)>> {
+    fn lock_rosters(&self) -> MutexGuard<'_, Rosters> {
         // A packed list is whole whatever a panicking task did.
         self.rosters.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -3,7 +3,7 @@
 
 mod harness;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bolero::check;
 use harness::{
@@ -177,6 +177,30 @@
     );
 }
 
+/// A hub packed the same changes anew for each box of its failure domain that had missed them: 164 boxes on an eighth
+/// of a core heard no word of the store for over 2 s, and all asked the store themselves.
+#[tokio::test]
+async fn changes_are_packed_once_for_many() {
+    let mut cloud = Cloud::start().await;
+    cloud.configure(1);
+    cloud.add_box("atl").await;
+    cloud.settled().await;
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let peer = cloud.boxes[0].peer;
+    let ask = async || {
+        let headers = [("petreldrum-secret", SECRET)];
+        let path = "/petreldrum/roster?since=1";
+        let answer = call(peer, Method::GET, path, &headers, "").await;
+        answer.expect("the box answers").body
+    };
+    let first = ask().await;
+    cloud.register("server-1", address, "atl", "ready");
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(ask().await, first, "it is given out for a second");
+    sleep(Duration::from_millis(800)).await;
+    assert_ne!(ask().await, first, "then what changed since is told");
+}
+
 /// What a box was told by another one it could not pass on as changes, since it took all between for unknown: in
 /// the fleet's start boxes fetched the whole list from each other every second or two while servers registered
 /// (`tells of 2239 backend servers, all`, seven times at one box in 12 s).
