--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -127,7 +127,7 @@
     /// Sends `frame` to `to`, or drops it where the addressee is slow.
     pub(crate) fn send(&mut self, to: SocketAddr, frame: &Frame) {
         let bytes = frame.encode(&self.secret);
-        self.metrics.count_sent(frame.body.kind(), bytes.len());
+        let (kind, size) = (frame.body.kind(), bytes.len());
         if self.open.get(&to).is_none_or(|link| link.is_closed()) {
             // Only a new link looks at all others: each message would be the square of a region.
             self.open.retain(|_, link| !link.is_closed());
@@ -137,8 +137,9 @@
             tokio::spawn(run(to, receiver, self.dials.clone()));
             sender
         });
-        if link.try_send(bytes).is_err() {
-            log::trace!("gossip: {to} is slow, dropped a message");
+        match link.try_send(bytes) {
+            Ok(()) => self.metrics.count_sent(kind, size),
+            Err(_) => self.metrics.count_dropped(kind, size),
         }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -261,6 +261,12 @@
         sent.inc_by(bytes as u64);
     }
 
+    /// Counts what another box was too slow for, or is not reached by yet.
+    pub fn count_dropped(&self, kind: &str, bytes: usize) {
+        let dropped = self.gossip.with_label_values(&["dropped", kind]);
+        dropped.inc_by(bytes as u64);
+    }
+
     /// Counts what came from another box.
     pub fn count_received(&self, kind: &str, bytes: usize) {
         let received = self.gossip.with_label_values(&["received", kind]);
