Look at a few of thousands of servers first, and at all where needed

Ruled out: a fixed subset a box (a dead domain, cold servers or a burst would wait for it to be widened), and counting on the hubs' sums for its size (they are late, and a box that is cut off has none).

Change: where a region has more than 512 servers of a service, a request first looks at four next to its long part's place on a ring of names, which is the same at each box, and the engines known to hold the part; short ones at sixteen of the box's own. If the choice is a server that takes it at once, fails under 5% and is at most half busy, that is it. If not, all are looked at in the same decision, as before. Services with an open roll-out are looked at whole. Other regions are judged by the same few.

Tests (few_servers): a box's 200 short requests stay at 16 engines at most; 20 boxes read a part at the same four; what leaves, fails or fills up is passed by at once; small regions are as before.

--- a/src/cache.rs
+++ b/src/cache.rs
@@ -86,6 +86,12 @@
         now.since(copy.at) < LIFE && read - copy.read < room
     }
 
+    /// The backend servers that were sent `part`, whether or not they still hold it.
+    pub fn holders(&self, part: u64) -> impl Iterator<Item = Short> {
+        let copies = self.parts.get(&part).into_iter().flatten();
+        copies.map(|copy| copy.backend)
+    }
+
     /// Tokens of `prompt` that `backend` has to read: a part counts as held only if every part
     /// before it does. Short shared parts are not followed and count as held.
     pub fn unread(&self, prompt: &Prompt, backend: Short, memory: Option<u64>, now: Time) -> u32 {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,6 +6,7 @@
 //! itself and the server may register again.
 
 mod changes;
+mod index;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -24,6 +25,8 @@
 
 pub use changes::Changes;
 
+use index::Index;
+
 /// How long a registration that vanished around an outage of the store is still believed. Servers
 /// that live are back about two seconds after the store; the rest covers the way of the news.
 pub const DOUBT: Millis = Millis(2300);
@@ -117,48 +120,6 @@
     }
 }
 
-/// What backend servers are looked up by: service and region, or the short form of a name.
-///
-/// Each change touches its own server alone: thousands register one after another.
-#[derive(Clone, Debug, Default)]
-struct Index {
-    /// Names in their order.
-    names: HashMap<Service, HashMap<Region, Vec<id::Backend>>>,
-    shorts: HashMap<Short, id::Backend>,
-}
-
-impl Index {
-    fn add(&mut self, backend: &Backend) {
-        let short = Short::of(backend.name.as_str());
-        self.shorts.insert(short, backend.name.clone());
-        for service in &backend.serves {
-            let regions = self.names.entry(service.clone()).or_default();
-            let names = regions.entry(backend.region.clone()).or_default();
-            if let Err(at) = names.binary_search(&backend.name) {
-                names.insert(at, backend.name.clone());
-            }
-        }
-    }
-
-    fn remove(&mut self, backend: &Backend) {
-        self.shorts.remove(&Short::of(backend.name.as_str()));
-        for service in &backend.serves {
-            let Some(regions) = self.names.get_mut(service) else {
-                continue;
-            };
-            if let Some(names) = regions.get_mut(&backend.region)
-                && let Ok(at) = names.binary_search(&backend.name)
-            {
-                names.remove(at);
-            }
-            regions.retain(|_, names| !names.is_empty());
-            if regions.is_empty() {
-                self.names.remove(service);
-            }
-        }
-    }
-}
-
 /// All backend servers that a box knows.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -284,7 +245,7 @@
 
     /// The name that `short` stands for.
     pub fn long(&self, short: Short) -> Option<&id::Backend> {
-        self.index.shorts.get(&short)
+        self.index.long(short)
     }
 
     /// Whether `name` is known.
@@ -391,14 +352,30 @@
 
     /// What the backend servers serve.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.index.names.keys()
+        self.index.services()
     }
 
     /// The backend servers of `region` that serve `service`, in the order of their names.
     pub fn serving(&self, service: &Service, region: &Region) -> impl Iterator<Item = &Backend> {
-        let regions = self.index.names.get(service);
-        let names = regions.and_then(|regions| regions.get(region));
-        let names = names.map_or(&[][..], Vec::as_slice);
+        let group = self.index.group(service, region);
+        let names = group.map_or(&[][..], |group| group.names.as_slice());
         names.iter().filter_map(|name| self.get(name))
     }
+
+    /// How many those are.
+    pub fn count(&self, service: &Service, region: &Region) -> usize {
+        let group = self.index.group(service, region);
+        group.map_or(0, |group| group.names.len())
+    }
+
+    /// The same servers in an order that begins anywhere by `key`, alike at every box.
+    pub fn around(
+        &self,
+        service: &Service,
+        region: &Region,
+        key: u64,
+    ) -> impl Iterator<Item = &Backend> {
+        let names = self.index.around(service, region, key);
+        names.filter_map(|name| self.get(name))
+    }
 }
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -2,11 +2,11 @@
 
 use crate::{
     cache,
-    config::{Backend, Plan},
+    config::Backend,
     id::{Region, Service},
     policy::Policy,
     prompt::Prompt,
-    reducer::{State, job::Job},
+    reducer::{State, place::Wish},
     server::Server,
     unit::{Millis, Time},
     wire::{Capacity, Short},
@@ -112,23 +112,21 @@
         hop.unwrap_or_default() + capacity.map_or(Millis(0), |c| c.first)
     }
 
-    /// Expected time to the first token of the prompt of `job` at the best engine of `region`, the
-    /// way there left out, and the burden on what runs there.
+    /// Expected time to the first token of a prompt at the best of `servers` of another region, the way
+    /// there left out, and the burden on what runs there.
     pub(super) fn remote_reading(
         &self,
-        now: Time,
-        plan: &Plan<'_>,
-        job: &Job,
-        region: &Region,
+        wish: &Wish<'_>,
+        servers: &[&Backend],
         capacity: &Capacity,
     ) -> (Millis, Millis) {
+        let Wish { now, plan, job, .. } = *wish;
         let Some(prompt) = &job.prompt else {
             return (capacity.first, Millis(0));
         };
         let memory = self.memory(&plan.service);
-        let servers = self.fleet.serving(&plan.service, region);
-        let usable = servers.filter(|b| plan.allows(b) && !self.leaving(b));
-        let usable: Vec<&Backend> = usable.collect();
+        let usable = |b: &&&Backend| plan.allows(b) && !self.leaving(b);
+        let usable: Vec<&Backend> = servers.iter().filter(usable).copied().collect();
         let busy = capacity.busy / (usable.len() as u32).max(1);
         let fresh = Server::default();
         let cost = |b: &&Backend| {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -8,6 +8,7 @@
 //! | `admit`, `key` | its arrival, and its idempotency key |
 //! | `allot` | what a customer may still use of its allotment |
 //! | `place`, `estimate`, `dispatch` | the places that may run it now, and the way there or into the line |
+//! | `subset` | the few of thousands of backend servers that are looked at first |
 //! | `cold` | the rate of cold backend servers, and this box's share of it |
 //! | `limit` | what backend servers say that they take |
 //! | `inventory` | what engines had cached before the boxes knew |
@@ -53,6 +54,7 @@
 mod roster;
 mod stall;
 pub mod status;
+mod subset;
 mod suspect;
 mod tally;
 mod watch;
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -27,6 +27,16 @@
 /// What the others are put behind by, in the times after which a slot gets free at them.
 const HANDICAP: u64 = 2;
 
+/// What a place is looked for.
+#[derive(Clone, Copy)]
+pub(super) struct Wish<'a> {
+    pub(super) now: Time,
+    pub(super) config: &'a Config,
+    pub(super) plan: &'a Plan<'a>,
+    pub(super) job: &'a Job,
+    pub(super) home: &'a Region,
+}
+
 /// A policy's choice and what it chose from.
 pub(super) struct Decision {
     pub(super) choice: Choice,
@@ -89,46 +99,66 @@
     pub(super) fn decide(&self, now: Time, job: &Job) -> Result<Decision, Refusal> {
         let config = self.config.as_ref().ok_or(Refusal::NoRegion)?;
         let plan = config.plan(&job.ask)?;
-        let candidates = self.candidates(now, config, &plan, job);
-        let view = View {
-            candidates: &candidates,
-            weights: config.weights,
-            left: job.patience(now),
+        let mine = &self.table.me.region;
+        let wish = Wish {
+            now,
+            config,
+            plan: &plan,
+            job,
+            home: plan.customer.home.as_ref().unwrap_or(mine),
         };
-        let choice = self.policy.pick(&view);
-        Ok(Decision { choice, candidates })
+        if let Some(few) = self.few(&wish) {
+            let decision = self.choose(&wish, few);
+            if decision.is_easy() {
+                return Ok(decision);
+            }
+        }
+        let all = self.fleet.serving(&plan.service, mine);
+        Ok(self.choose(&wish, all))
     }
 
-    fn candidates(&self, now: Time, config: &Config, plan: &Plan<'_>, job: &Job) -> Vec<Candidate> {
+    /// The policy's choice among `servers` of this region and the other regions.
+    fn choose<'a>(
+        &self,
+        wish: &Wish<'_>,
+        servers: impl IntoIterator<Item = &'a Backend>,
+    ) -> Decision {
         let mine = &self.table.me.region;
-        let home = plan.customer.home.as_ref().unwrap_or(mine);
-        let mut found = Vec::new();
-        if plan.permits(mine) {
-            self.local(now, config, plan, job, home, &mut found);
+        let mut candidates = Vec::new();
+        if wish.plan.permits(mine) {
+            self.assess(wish, servers, &mut candidates);
         }
-        if job.hop == Hop::Direct {
-            let remote = self.table.reachable(now);
-            let remote = remote.filter(|(region, _)| *region != mine && plan.permits(region));
-            found.extend(remote.filter_map(|(region, remote)| {
-                self.remote(now, config, plan, job, home, region, remote)
-            }));
+        if wish.job.hop == Hop::Direct {
+            let remote = self.table.reachable(wish.now);
+            let remote = remote.filter(|(region, _)| *region != mine && wish.plan.permits(region));
+            candidates.extend(remote.filter_map(|(region, told)| self.remote(wish, region, told)));
         }
-        found
+        let view = View {
+            candidates: &candidates,
+            weights: wish.config.weights,
+            left: wish.job.patience(wish.now),
+        };
+        let choice = self.policy.pick(&view);
+        Decision { choice, candidates }
     }
 
-    fn local(
+    /// What is expected at those of `servers` that may run a request now.
+    fn assess<'a>(
         &self,
-        now: Time,
-        config: &Config,
-        plan: &Plan<'_>,
-        job: &Job,
-        home: &Region,
+        wish: &Wish<'_>,
+        servers: impl IntoIterator<Item = &'a Backend>,
         found: &mut Vec<Candidate>,
     ) {
+        let Wish {
+            now,
+            config,
+            plan,
+            job,
+            home,
+        } = *wish;
         let mine = &self.table.me.region;
-        let usable: Vec<&Backend> = self
-            .fleet
-            .serving(&plan.service, mine)
+        let usable: Vec<&Backend> = servers
+            .into_iter()
             .filter(|b| plan.allows(b))
             .filter(|b| self.excluded(now, b).is_none())
             .filter(|b| self.admits(now, config, &plan.service, b))
@@ -204,32 +234,26 @@
         self.draw(now, job, found);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn remote(
-        &self,
-        now: Time,
-        config: &Config,
-        plan: &Plan<'_>,
-        job: &Job,
-        home: &Region,
-        region: &Region,
-        remote: &Remote,
-    ) -> Option<Candidate> {
+    fn remote(&self, wish: &Wish<'_>, region: &Region, remote: &Remote) -> Option<Candidate> {
+        let Wish {
+            now,
+            config,
+            plan,
+            job,
+            home,
+        } = *wish;
         let place = Place::Region(region.clone());
         let closed = remote.digest.doors.is_empty() || now < remote.cool_until;
         if closed || job.tried.contains(&place) {
             return None;
         }
         let usable = |b: &&Backend| plan.allows(b) && !self.leaving(b);
-        let price = self
-            .fleet
-            .serving(&plan.service, region)
-            .filter(usable)
-            .map(|b| b.price)
-            .reduce(f64::min)?;
+        let servers = self.some_there(wish, region);
+        let prices = servers.iter().filter(|b| usable(b)).map(|b| b.price);
+        let price = prices.reduce(f64::min)?;
         let short = Short::of(plan.service.as_str());
         let capacity = remote.digest.services.iter().find(|c| c.service == short)?;
-        let (first, burden) = self.remote_reading(now, plan, job, region, capacity);
+        let (first, burden) = self.remote_reading(wish, &servers, capacity);
         let hop = config.hop(&self.table.me.region, region);
         let free = remote.free(short, now);
         let (busy, slots) = (capacity.busy + remote.sent, capacity.slots.max(1));
--- a/src/reducer/rollout.rs
+++ b/src/reducer/rollout.rs
@@ -128,6 +128,12 @@
         }
     }
 
+    /// Whether a roll-out has a say in where requests of `service` go.
+    pub(super) fn is_watched(&self, service: &Service, now: Time) -> bool {
+        let watch = self.rollouts.watches.get(service);
+        watch.is_some_and(|watch| watch.lane(now).is_some())
+    }
+
     /// Those of `usable` that a roll-out lets this request go to.
     pub(super) fn lane<'a>(
         &self,
--- a/standin/src/measure/decisions.rs
+++ b/standin/src/measure/decisions.rs
@@ -81,15 +81,20 @@
     Ok(())
 }
 
-/// Sizes that grow, up to the goal.
-fn sizes() -> [Size; 3] {
+/// Sizes that grow, up to the goal and to few regions of thousands of servers.
+fn sizes() -> [Size; 4] {
     let size = |boxes, regions, workers| Size {
         boxes,
         regions,
         workers,
         ..Size::GOAL
     };
-    [size(9, 3, 10), size(90, 10, 100), Size::GOAL]
+    [
+        size(9, 3, 10),
+        size(90, 10, 100),
+        Size::GOAL,
+        size(984, 3, 9552),
+    ]
 }
 
 /// A box of `size` that has heard from all it would hear from.
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -51,8 +51,13 @@
 
 impl World {
     pub fn new(engines: Vec<Backend>) -> Self {
+        Self::at("box", engines)
+    }
+
+    /// The box of this name.
+    pub fn at(name: &str, engines: Vec<Backend>) -> Self {
         let identity = Identity {
-            contact: contact("box", "atl", 10),
+            contact: contact(name, "atl", 10),
             incarnation: Incarnation(1),
             seeds: vec![],
             retry: Default::default(),
