--- a/src/reducer/subset.rs
+++ b/src/reducer/subset.rs
@@ -27,9 +27,9 @@
 const OWN: usize = 16;
 /// Servers by a long part or the beginning of a prompt, alike at every box.
 const OWNERS: usize = 4;
-/// Servers that are busier than this are not enough: more are used as load grows, before any is full.
+/// Where the chosen server is busier than this, all are looked at: more are used as load grows, before any is full.
 const HALF: f64 = 0.5;
-/// A server that fails this share of its requests is no reason not to look at the others.
+/// Where the chosen server fails this share of its requests, all are looked at.
 const FAILING: f64 = 0.05;
 
 impl Decision {
@@ -46,14 +46,16 @@
     }
 }
 
-/// What a request's few servers are found by, and how many they are.
+/// What a request's few servers are found by.
 struct Few {
+    /// Where they begin on the ring of names.
     key: u64,
+    /// How many are looked at.
     most: usize,
 }
 
 impl<P: Policy> State<P> {
-    /// The few that a request looks at first; none where it looks at all.
+    /// The few servers of this region that a request looks at first; none where it looks at all of them.
     pub(super) fn few(&self, wish: &Wish<'_>) -> Option<Vec<&Backend>> {
         let service = &wish.plan.service;
         // A roll-out needs servers of both releases.
