--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -60,11 +60,8 @@
 
 /// How far the asker for the list knows it.
 pub fn roster_since(query: Option<&str>) -> Option<Revision> {
-    let pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-    let mut since = pairs
-        .filter(|(name, _)| *name == SINCE)
-        .map(|(_, value)| value);
-    since.next()?.parse().ok().map(Revision)
+    let since = platform::door::value(query, SINCE)?;
+    since.parse().ok().map(Revision)
 }
 
 const OWN: &str = "petreldrum-";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -257,20 +257,22 @@
 
     /// Counts what goes to another box.
     pub fn count_sent(&self, kind: &str, bytes: usize) {
-        let sent = self.gossip.with_label_values(&["sent", kind]);
-        sent.inc_by(bytes as u64);
+        self.count_gossip("sent", kind, bytes);
     }
 
     /// Counts what another box was too slow for, or is not reached by yet.
     pub fn count_dropped(&self, kind: &str, bytes: usize) {
-        let dropped = self.gossip.with_label_values(&["dropped", kind]);
-        dropped.inc_by(bytes as u64);
+        self.count_gossip("dropped", kind, bytes);
     }
 
     /// Counts what came from another box.
     pub fn count_received(&self, kind: &str, bytes: usize) {
-        let received = self.gossip.with_label_values(&["received", kind]);
-        received.inc_by(bytes as u64);
+        self.count_gossip("received", kind, bytes);
+    }
+
+    fn count_gossip(&self, direction: &str, kind: &str, bytes: usize) {
+        let counter = self.gossip.with_label_values(&[direction, kind]);
+        counter.inc_by(bytes as u64);
     }
 
     /// The bytes of messages between boxes since the start, by direction and kind, for the log.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -308,21 +308,13 @@
 
     /// Takes an order for a roll-out, or that there is none; one that does not read is none.
     fn note_order(&mut self, service: Service, item: Option<&Item>) {
-        let order = item.and_then(|item| {
-            rollout::order(&item.value, item.revision)
-                .inspect_err(|error| log::error!("rollout: service={service} {error:#}"))
-                .ok()
-        });
+        let order = item.and_then(|item| read_rollout(&service, item, rollout::order));
         self.note_rollout(service, |entry| entry.order = order);
     }
 
     /// Takes what was written of a roll-out.
     fn note_status(&mut self, service: Service, item: Option<&Item>) {
-        let written = item.and_then(|item| {
-            rollout::written(&item.value, item.revision)
-                .inspect_err(|error| log::error!("rollout: service={service} {error:#}"))
-                .ok()
-        });
+        let written = item.and_then(|item| read_rollout(&service, item, rollout::written));
         self.note_rollout(service, |entry| entry.written = written);
     }
 
@@ -367,3 +359,14 @@
         sleep(wait.mul_f64(rand::random_range(0.5..1.5))).await;
     }
 }
+
+/// What an item says of a service's roll-out; nothing, and a line in the log, where it does not read.
+fn read_rollout<T>(
+    service: &Service,
+    item: &Item,
+    read: fn(&[u8], Revision) -> eyre::Result<T>,
+) -> Option<T> {
+    read(&item.value, item.revision)
+        .inspect_err(|error| log::error!("rollout: service={service} {error:#}"))
+        .ok()
+}
--- a/src/member/rank.rs
+++ b/src/member/rank.rs
@@ -16,18 +16,12 @@
 impl Table {
     /// This box's rank (from 0) among the live of its region for a duty.
     pub fn rank(&self, duty: &str, now: Time) -> usize {
-        let mine = weight(&self.me.name, duty);
-        let above =
-            |p: &&Peer| p.last.phase != Phase::Leaving && weight(&p.last.contact.name, duty) > mine;
-        self.live(now).filter(above).count()
+        self.staying_above(duty, now).count()
     }
 
     /// Whether this box ranks first among the live of its region for a duty.
     pub fn leads(&self, duty: &str, now: Time) -> bool {
-        let mine = weight(&self.me.name, duty);
-        let above =
-            |p: &Peer| p.last.phase != Phase::Leaving && weight(&p.last.contact.name, duty) > mine;
-        !self.live(now).any(above)
+        self.staying_above(duty, now).next().is_none()
     }
 
     /// This box's rank (from 0) for a duty among the boxes of its region that may still be at work, and
@@ -50,18 +44,30 @@
 
     /// Whether this box ranks first for a duty among the live of its region, `other` left aside.
     pub fn is_first(&self, duty: &str, other: &BoxName, now: Time) -> bool {
-        self.rank_without(duty, other, now) == 0
+        self.above_beside(duty, other, now).next().is_none()
     }
 
     /// This box's rank (from 0) among those that tell `other` what they know, `other` left aside.
     pub fn rank_beside(&self, other: &BoxName, now: Time) -> usize {
-        self.rank_without(other.as_str(), other, now)
+        self.above_beside(other.as_str(), other, now).count()
     }
 
-    fn rank_without(&self, duty: &str, other: &BoxName, now: Time) -> usize {
+    /// The live boxes of the region that rank above this one for a duty.
+    fn above(&self, duty: &str, now: Time) -> impl Iterator<Item = &Peer> {
         let mine = weight(&self.me.name, duty);
-        let above = |p: &&Peer| weight(&p.last.contact.name, duty) > mine;
-        let others = self.live(now).filter(|p| p.last.contact.name != *other);
-        others.filter(above).count()
+        self.live(now)
+            .filter(move |p| weight(&p.last.contact.name, duty) > mine)
+    }
+
+    /// Those of them that are not leaving.
+    fn staying_above(&self, duty: &str, now: Time) -> impl Iterator<Item = &Peer> {
+        let above = self.above(duty, now);
+        above.filter(|p| p.last.phase != Phase::Leaving)
+    }
+
+    /// Those of them but `other`.
+    fn above_beside(&self, duty: &str, other: &BoxName, now: Time) -> impl Iterator<Item = &Peer> {
+        let above = self.above(duty, now);
+        above.filter(move |p| p.last.contact.name != *other)
     }
 }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -42,7 +42,7 @@
     last_pulse: Option<Time>,
     pub(super) last_denial: Option<Time>,
     pub(super) last_roster: Option<Time>,
-    /// Engines that were asked what they have cached.
+    /// Engines that this box asked what they have cached.
     pub(super) inventories: usize,
     pub(super) behind: Option<Behind>,
     /// The boxes that hear this one often.
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -112,12 +112,12 @@
         hop.unwrap_or_default() + capacity.map_or(Millis(0), |c| c.first)
     }
 
-    /// Expected time to the first token of a prompt at the best of `servers` of another region, the way
-    /// there left out, and the burden on what runs there.
+    /// Expected time to the first token of a prompt at the best of the `usable` servers of another region,
+    /// the way there left out, and the burden on what runs there.
     pub(super) fn remote_reading(
         &self,
         wish: &Wish<'_>,
-        servers: &[&Backend],
+        usable: &[&Backend],
         capacity: &Capacity,
     ) -> (Millis, Millis) {
         let Wish { now, plan, job, .. } = *wish;
@@ -125,8 +125,6 @@
             return (capacity.first, Millis(0));
         };
         let memory = self.memory(&plan.service);
-        let usable = |b: &&&Backend| plan.allows(b) && !self.leaving(b);
-        let usable: Vec<&Backend> = servers.iter().filter(usable).copied().collect();
         let busy = capacity.busy / (usable.len() as u32).max(1);
         let fresh = Server::default();
         let cost = |b: &&Backend| {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -152,7 +152,7 @@
     store_heard: Option<Time>,
     /// Whether backend servers register with the platform.
     registry: bool,
-    /// Engines that were asked what they have cached.
+    /// Engines that were looked at for whether this box is to ask what they have cached.
     asked: BTreeSet<id::Backend>,
     attempts: u64,
     control: control::Control,
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -248,12 +248,12 @@
             return None;
         }
         let usable = |b: &&Backend| plan.allows(b) && !self.leaving(b);
-        let servers = self.some_there(wish, region);
-        let prices = servers.iter().filter(|b| usable(b)).map(|b| b.price);
-        let price = prices.reduce(f64::min)?;
+        let servers = self.some_there(wish, region).into_iter();
+        let usable: Vec<&Backend> = servers.filter(usable).collect();
+        let price = usable.iter().map(|b| b.price).reduce(f64::min)?;
         let short = Short::of(plan.service.as_str());
         let capacity = remote.digest.services.iter().find(|c| c.service == short)?;
-        let (first, burden) = self.remote_reading(wish, &servers, capacity);
+        let (first, burden) = self.remote_reading(wish, &usable, capacity);
         let hop = config.hop(&self.table.me.region, region);
         let free = remote.free(short, now);
         let (busy, slots) = (capacity.busy + remote.sent, capacity.slots.max(1));
--- a/src/reducer/subset.rs
+++ b/src/reducer/subset.rs
@@ -57,27 +57,26 @@
 impl<P: Policy> State<P> {
     /// The few servers of this region that a request looks at first; none where it looks at all of them.
     pub(super) fn few(&self, wish: &Wish<'_>) -> Option<Vec<&Backend>> {
-        let service = &wish.plan.service;
         // A roll-out needs servers of both releases.
-        let watched = self.is_watched(service, wish.now);
-        if self.fleet.count(service, &self.table.me.region) <= ALL || watched {
-            return None;
+        match self.is_watched(&wish.plan.service, wish.now) {
+            true => None,
+            false => self.near(wish, &self.table.me.region),
         }
-        Some(self.near(wish, &self.table.me.region))
     }
 
     /// The servers of another region by which it is judged; all of them where they are not too many.
     pub(super) fn some_there(&self, wish: &Wish<'_>, region: &Region) -> Vec<&Backend> {
-        let service = &wish.plan.service;
-        match self.fleet.count(service, region) <= ALL {
-            true => self.fleet.serving(service, region).collect(),
-            false => self.near(wish, region),
-        }
+        let all = || self.fleet.serving(&wish.plan.service, region).collect();
+        self.near(wish, region).unwrap_or_else(all)
     }
 
-    /// Servers that hold the longest part of the prompt, as far as this box knows, and those next to its key.
-    fn near(&self, wish: &Wish<'_>, region: &Region) -> Vec<&Backend> {
+    /// Servers that hold the longest part of the prompt, as far as this box knows, and those next to its key;
+    /// none in a region where all may be looked at.
+    fn near(&self, wish: &Wish<'_>, region: &Region) -> Option<Vec<&Backend>> {
         let service = &wish.plan.service;
+        if self.fleet.count(service, region) <= ALL {
+            return None;
+        }
         let long = wish.job.prompt.as_ref().and_then(Prompt::longest);
         let long = long.filter(|part| part.tokens >= cache::LONG);
         let few = match (long, &wish.job.prompt) {
@@ -108,6 +107,6 @@
                 near.push(holder);
             }
         }
-        near
+        Some(near)
     }
 }
