Share what the tests and stand-ins of the start say of servers and lists

Both property tests of changes draw them by one function, lists are made and told by one, a box fetches what it missed by one; the two stand-ins that make backend servers begin with the same. No assertion, bound or drawn input changed: lists of 600 engines, 840 questions at most, sixteen a box, six of thirty as before.

--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -8,7 +8,7 @@
 };
 
 use petreldrum::{
-    config::{Config, Draft},
+    config::{Backend, Config, Draft},
     id::{self, Incarnation},
     policy::Balanced,
     reducer::{
@@ -41,6 +41,26 @@
     }
 }
 
+/// A backend server of a region that serves `s`.
+pub(crate) fn backend(name: &str, region: &str) -> Backend {
+    Backend {
+        name: name.parse().expect("a name"),
+        address: address(1),
+        region: region.parse().expect("a name"),
+        domain: "a".parse().expect("a name"),
+        serves: vec!["s".parse().expect("a name")],
+        labels: Default::default(),
+        slots: 12,
+        price: 0.0,
+        leaving: false,
+        refusal_header: None,
+        limit_header: None,
+        cold: Millis(0),
+        incarnation: None,
+        release: None,
+    }
+}
+
 /// The name of a box.
 pub fn name(number: usize) -> String {
     format!("box-{number}")
--- a/standin/src/measure/start.rs
+++ b/standin/src/measure/start.rs
@@ -14,7 +14,7 @@
     unit::Millis,
 };
 
-use crate::crowd::{Crowd, OVERHEAD, TICK, address};
+use crate::crowd::{Crowd, OVERHEAD, TICK, backend};
 
 const SIZES: [usize; 4] = [30, 100, 300, 1000];
 /// Servers for each box.
@@ -48,22 +48,7 @@
 }
 
 fn server(number: usize, region: &str) -> Backend {
-    Backend {
-        name: format!("i-{number:010x}").parse().expect("a name"),
-        address: address(1),
-        region: region.parse().expect("a name"),
-        domain: "a".parse().expect("a name"),
-        serves: vec!["s".parse().expect("a name")],
-        labels: Default::default(),
-        slots: 12,
-        price: 0.0,
-        leaving: false,
-        refusal_header: None,
-        limit_header: None,
-        cold: Millis(0),
-        incarnation: None,
-        release: None,
-    }
+    backend(&format!("i-{number:010x}"), region)
 }
 
 impl Fleet {
--- a/standin/src/releases/servers.rs
+++ b/standin/src/releases/servers.rs
@@ -8,7 +8,7 @@
     unit::Millis,
 };
 
-use crate::crowd::address;
+use crate::crowd::backend;
 
 /// Slots of a server.
 pub(super) const SLOTS: u32 = 12;
@@ -73,20 +73,10 @@
 ) -> Server {
     Server {
         backend: Backend {
-            name: name.parse().expect("a name"),
-            address: address(1),
-            region: region.parse().expect("a name"),
-            domain: "a".parse().expect("a name"),
-            serves: vec!["s".parse().expect("a name")],
-            labels: Default::default(),
             slots: SLOTS,
-            price: 0.0,
-            leaving: false,
-            refusal_header: None,
-            limit_header: None,
             cold,
-            incarnation: None,
             release: Some(release.parse().expect("a name")),
+            ..backend(&name, region)
         },
         up: true,
         speed,
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -3,7 +3,7 @@
 
 mod harness;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, ops::Range, sync::Arc, time::Duration};
 
 use bolero::check;
 use harness::{
@@ -27,6 +27,7 @@
 const CONFIG: &str = r#"{"version":1,"routes":[],
     "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639}}]}"#;
 const BOXES: usize = 60;
+const ENGINES: usize = 600;
 
 fn engine(number: usize, region: &str) -> Backend {
     let entry = br#"{"service":"s","address":"10.0.0.1:1","zone":"atl-a","slots":12,
@@ -54,15 +55,8 @@
 #[test]
 fn engines_are_asked_about_once_whoever_starts() {
     let mut crowd = crowd();
-    let backends: Vec<Backend> = (0..600).map(|n| engine(n, "perth")).collect();
-    let revision = Revision(1);
     for number in 0..BOXES {
-        let change = Change::List {
-            backends: backends.clone(),
-            doubt: Millis(0),
-        };
-        crowd.step(number, Event::Fleet { change, revision });
-        crowd.step(number, Event::Synced(revision));
+        tell(&mut crowd, number, whole(0..ENGINES), 1);
     }
     let mut asked: BTreeMap<String, usize> = BTreeMap::new();
     for _ in 0..60 {
@@ -75,13 +69,9 @@
     }
     let questions: usize = asked.values().sum();
     // Four of each box go out before it knows the others.
-    let most = backends.len() + 4 * BOXES;
+    let most = ENGINES + 4 * BOXES;
     assert!(questions <= most, "{questions} questions, {most} at most");
-    assert!(
-        asked.len() * 10 >= backends.len() * 9,
-        "{} engines",
-        asked.len()
-    );
+    assert!(asked.len() * 10 >= ENGINES * 9, "{} engines", asked.len());
 }
 
 /// 984 boxes that start together know few of the 328 of their region by their third second, so that ranks among
@@ -92,14 +82,8 @@
     let mut crowd = crowd();
     let pairs = (0..BOXES).flat_map(|one| (0..BOXES).map(move |other| (one, other)));
     crowd.cut = pairs.collect();
-    let revision = Revision(1);
     for number in 0..BOXES {
-        let change = Change::List {
-            backends: (0..600).map(|n| engine(n, "perth")).collect(),
-            doubt: Millis(0),
-        };
-        crowd.step(number, Event::Fleet { change, revision });
-        crowd.step(number, Event::Synced(revision));
+        tell(&mut crowd, number, whole(0..ENGINES), 1);
     }
     let mut asked = vec![0; BOXES];
     for _ in 0..60 {
@@ -118,14 +102,8 @@
 #[test]
 fn boxes_that_start_ask_different_boxes_for_the_list() {
     let mut crowd = crowd();
-    let revision = Revision(5);
     for number in 0..BOXES / 2 {
-        let change = Change::List {
-            backends: vec![engine(1, "perth")],
-            doubt: Millis(0),
-        };
-        crowd.step(number, Event::Fleet { change, revision });
-        crowd.step(number, Event::Synced(revision));
+        tell(&mut crowd, number, whole(1..2), 5);
     }
     let mut asked: BTreeMap<_, usize> = BTreeMap::new();
     let mut first: BTreeMap<usize, _> = BTreeMap::new();
@@ -208,9 +186,7 @@
 fn changes_pass_through_boxes() {
     let mut crowd = Crowd::on_platform(3, crowd_config());
     for number in 0..3 {
-        let backends = (0..4).map(|n| engine(n, "perth")).collect();
-        let doubt = Millis(0);
-        tell(&mut crowd, number, Change::List { backends, doubt }, 1);
+        tell(&mut crowd, number, whole(0..4), 1);
     }
     for revision in 2..20 {
         let change = Change::Put(engine(revision as usize, "perth"));
@@ -229,6 +205,30 @@
     assert_eq!(list(&crowd, 0), list(&crowd, 2));
 }
 
+/// A list of these engines.
+fn whole(numbers: Range<usize>) -> Change {
+    Change::List {
+        backends: numbers.map(|n| engine(n, "perth")).collect(),
+        doubt: Millis(0),
+    }
+}
+
+/// Any change of one of eight engines, or a list that ends with the last of them.
+fn change(what: u8, which: u8) -> Change {
+    let which = usize::from(which % 8);
+    match what % 4 {
+        0 => Change::Gone {
+            name: engine(which, "perth").name,
+            doubt: Millis(0),
+        },
+        1 => whole(which..8),
+        _ => Change::Put(Backend {
+            slots: u32::from(what),
+            ..engine(which, "perth")
+        }),
+    }
+}
+
 fn tell(crowd: &mut Crowd, number: usize, change: Change, revision: u64) {
     let revision = Revision(revision);
     crowd.step(number, Event::Fleet { change, revision });
@@ -240,30 +240,15 @@
 fn what_passed_through_boxes_leads_to_the_same_list() {
     check!().with_type::<Vec<(u8, u8, u8)>>().for_each(|told| {
         let mut crowd = Crowd::on_platform(3, crowd_config());
-        let whole = |from: usize| Change::List {
-            backends: (from..8).map(|n| engine(n, "perth")).collect(),
-            doubt: Millis(0),
-        };
         for number in 0..3 {
-            tell(&mut crowd, number, whole(4), 1);
+            tell(&mut crowd, number, whole(4..8), 1);
         }
         let mut revision = 1;
         // How far the third box has followed the store by itself.
         let mut followed = true;
         for (what, which, fetch) in told {
             revision += 1;
-            let which = usize::from(*which % 8);
-            let change = match what % 4 {
-                0 => Change::Gone {
-                    name: engine(which, "perth").name,
-                    doubt: Millis(0),
-                },
-                1 => whole(which),
-                _ => Change::Put(Backend {
-                    slots: u32::from(*what),
-                    ..engine(which, "perth")
-                }),
-            };
+            let change = change(*what, *which);
             tell(&mut crowd, 0, change.clone(), revision);
             followed &= fetch & 4 != 0;
             if followed {
@@ -290,34 +275,13 @@
 fn what_was_missed_leads_to_the_same_list() {
     check!().with_type::<Vec<Told>>().for_each(|told| {
         let mut crowd = Crowd::on_platform(2, crowd_config());
-        let mut revision = Revision(1);
         for number in 0..2 {
-            let change = Change::List {
-                backends: (0..4).map(|n| engine(n, "perth")).collect(),
-                doubt: Millis(0),
-            };
-            crowd.step(number, Event::Fleet { change, revision });
-            crowd.step(number, Event::Synced(revision));
+            tell(&mut crowd, number, whole(0..4), 1);
         }
+        let mut revision = 1;
         for (what, which, fetch) in told {
-            revision.0 += 1;
-            let which = usize::from(*which % 8);
-            let change = match what % 4 {
-                0 => Change::Gone {
-                    name: engine(which, "perth").name,
-                    doubt: Millis(0),
-                },
-                1 => Change::List {
-                    backends: (which..8).map(|n| engine(n, "perth")).collect(),
-                    doubt: Millis(0),
-                },
-                _ => Change::Put(Backend {
-                    slots: u32::from(*what),
-                    ..engine(which, "perth")
-                }),
-            };
-            crowd.step(0, Event::Fleet { change, revision });
-            crowd.step(0, Event::Synced(revision));
+            revision += 1;
+            tell(&mut crowd, 0, change(*what, *which), revision);
             if *fetch {
                 fetch_remembered(&mut crowd);
             }
@@ -329,19 +293,19 @@
 
 /// The second box fetches what it missed from the first.
 fn fetch_remembered(crowd: &mut Crowd) {
-    let (now, since) = (crowd.now, crowd.boxes[1].as_ref().map(|b| b.revision()));
-    let teller = crowd.boxes[0].as_ref().expect("it runs");
-    let roster = teller.roster(now, since).expect("it knows a list");
-    assert_eq!(roster.since, since, "it remembers all");
-    crowd.step(1, Event::Roster(roster));
+    let (since, told) = fetch_missed(crowd, 0, 1);
+    assert_eq!(told, since, "it remembers all");
 }
 
-/// A box fetches what it missed from another one; where that does not remember it, all.
-fn fetch_missed(crowd: &mut Crowd, from: usize, to: usize) {
+/// A box fetches what it missed from another one; where that does not remember it, all. From where on it asked,
+/// and from where on it was told.
+fn fetch_missed(crowd: &mut Crowd, from: usize, to: usize) -> (Option<Revision>, Option<Revision>) {
     let (now, since) = (crowd.now, crowd.boxes[to].as_ref().map(|b| b.revision()));
     let teller = crowd.boxes[from].as_ref().expect("it runs");
     let roster = teller.roster(now, since).expect("it knows a list");
+    let told = roster.since;
     crowd.step(to, Event::Roster(roster));
+    (since, told)
 }
 
 fn list(crowd: &Crowd, number: usize) -> Vec<(String, u32)> {
