Log and count backend servers that say in answers that they leave

Cause: nothing showed whether a box was told by an answer that its server leaves. The header is now read (own interface: leaving_header of a backend section), a line is written once for each life of a server, and a gauge counts the servers. No choice of a place changes.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,11 +3,12 @@
 //! It lives in the platform's store as an [`Envelope`], and every box holds the newest one it has
 //! accepted. The text is INI; [`Config::parse`] checks it whole.
 
+mod headers;
 mod label;
 mod parse;
 mod route;
 
-use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr};
+use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -20,6 +21,7 @@
     wire::Short,
 };
 
+pub use headers::Headers;
 pub use label::{Labels, Matcher};
 pub use route::{Ask, Plan, Refusal};
 
@@ -292,10 +294,8 @@
     pub price: f64,
     /// Whether it is leaving: it gets no new work.
     pub leaving: bool,
-    /// An answer with this header means that the request did not run there.
-    pub refusal_header: Option<String>,
-    /// The header of its answers that says how many requests a second it takes from all boxes.
-    pub limit_header: Option<String>,
+    /// The headers of its answers that speak of itself.
+    pub headers: Arc<Headers>,
     /// How long it stays cold after it became known.
     pub cold: Millis,
     /// Its life, where it tells: one that starts again under its name has a greater number.
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -1,12 +1,12 @@
 //! Checks a configuration's text whole: every fault names its section and key.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, sync::Arc};
 
 use crate::{
     allotment::{Allotment, Unit},
     config::{
-        Backend, Config, Customer, Draft, Envelope, Kind, LOWEST_PRIORITY, Model, RegionEntry,
-        Route, Selector, Share, Stream, Weights,
+        Backend, Config, Customer, Draft, Envelope, Headers, Kind, LOWEST_PRIORITY, Model,
+        RegionEntry, Route, Selector, Share, Stream, Weights,
     },
     id::{self, Region, Service},
     ini::{Faults, Reader, Section},
@@ -251,8 +251,11 @@
     }
     let price = section.or("price", 1.0);
     let leaving = section.or("leaving", false);
-    let refusal_header = section.optional("refusal_header");
-    let limit_header = section.optional("limit_header");
+    let headers = Headers {
+        refusal: section.optional("refusal_header"),
+        limit: section.optional("limit_header"),
+        leaving: section.optional("leaving_header"),
+    };
     let release = section.optional("release");
     Some(Backend {
         name: name?,
@@ -264,8 +267,7 @@
         slots,
         price,
         leaving,
-        refusal_header,
-        limit_header,
+        headers: Arc::new(headers),
         release,
         cold: Millis(0),
         incarnation: None,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,6 +6,7 @@
 //! itself and the server may register again.
 
 mod changes;
+mod departures;
 mod index;
 
 use std::{
@@ -17,7 +18,7 @@
 
 use crate::{
     config::Backend,
-    id::{self, Domain, Region, Service},
+    id::{self, Domain, Incarnation, Region, Service},
     rollout,
     unit::{Millis, Time},
     wire::Short,
@@ -25,6 +26,7 @@
 
 pub use changes::Changes;
 
+use departures::Departures;
 use index::Index;
 
 /// How long a registration that vanished around an outage of the store is still believed. Servers
@@ -129,9 +131,20 @@
     missing: HashSet<id::Backend>,
     /// Those that started again under their name, since somebody asked.
     reborn: Vec<id::Backend>,
+    departures: Departures,
 }
 
 impl Fleet {
+    /// Notes that a backend server said that this life of it leaves; true where that is news.
+    pub fn depart(
+        &mut self,
+        name: &id::Backend,
+        incarnation: Option<Incarnation>,
+        now: Time,
+    ) -> bool {
+        self.departures.note(name, incarnation, now)
+    }
+
     /// Takes over the backend servers that a new configuration names.
     pub fn configure(&mut self, backends: &HashMap<id::Backend, Backend>) {
         let configured = self.members.iter().filter(|(_, m)| !m.registered);
@@ -229,6 +242,9 @@
         for name in &over {
             self.remove(name);
         }
+        let members = &self.members;
+        self.departures
+            .sweep(|name| members.contains_key(name), now);
         !over.is_empty()
     }
 
@@ -258,6 +274,12 @@
         self.cold_left(name, now) > Millis(0)
     }
 
+    /// How many backend servers said that they leave.
+    pub fn departing(&self) -> usize {
+        let said = |m: &&Member| self.departures.contains(&m.backend);
+        self.members.values().filter(said).count()
+    }
+
     /// How long `name` is still cold at `now`.
     pub fn cold_left(&self, name: &id::Backend, now: Time) -> Millis {
         let until = self.members.get(name).map(|m| m.cold_until);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,6 +31,9 @@
     verdict::Verdict,
 };
 
+/// Values by which a header says that its backend server is leaving; any other says nothing.
+const LEAVING: [&[u8]; 2] = [b"1", b"true"];
+
 /// A request that was read whole and may be sent more than once.
 pub(crate) struct Prepared {
     pub(crate) method: Method,
@@ -119,7 +122,7 @@
     span.note("http.response.status_code", response.status().as_u16());
     let refused = refusal(shell, prepared, &send.target, &response);
     let ran = refused.is_none() && response.status().is_success();
-    hear_limit(shell, prepared, send, &response, now, ran);
+    hear_server(shell, prepared, send, &response, now, ran);
     let found = Found {
         response,
         lease,
@@ -145,10 +148,9 @@
     }
 }
 
-/// Tells what an answer of a backend server says of its limit. One that answers another request, or for
-/// another server, says nothing of this one; one that names nothing says so only where the request `ran` to
-/// a success: refusals and errors may be made before whoever names the limit has seen it.
-fn hear_limit(
+/// Tells what an answer of a backend server says of the server itself. One that answers another request, or
+/// for another server, says nothing of this one.
+fn hear_server(
     shell: &Shell,
     prepared: &Prepared,
     send: &Send,
@@ -156,19 +158,53 @@
     sent: Time,
     ran: bool,
 ) {
+    let headers = response.headers();
+    let platform = shell.settings.interface == Interface::Platform;
+    if platform && !platform::head::is_answer(&prepared.headers, response.status(), headers) {
+        return;
+    }
+    hear_limit(shell, send, headers, sent, ran);
+    hear_departure(shell, send, headers);
+}
+
+/// The fields of a header that the configuration or the platform may name.
+fn fields<'a>(headers: &'a HeaderMap, name: Option<&String>) -> impl Iterator<Item = &'a [u8]> {
+    let fields = name.into_iter().flat_map(|name| headers.get_all(name));
+    fields.map(HeaderValue::as_bytes)
+}
+
+/// Tells whether a backend server says that it is leaving.
+fn hear_departure(shell: &Shell, send: &Send, headers: &HeaderMap) {
     let Target::Backend {
-        name, limit_header, ..
+        name,
+        headers: names,
+        incarnation,
+        ..
     } = &send.target
     else {
         return;
     };
-    let headers = response.headers();
-    let platform = shell.settings.interface == Interface::Platform;
-    if platform && !platform::head::is_answer(&prepared.headers, response.status(), headers) {
-        return;
+    let yes = |field: &[u8]| LEAVING.contains(&field.trim_ascii());
+    if fields(headers, names.leaving.as_ref()).any(yes) {
+        shell.core.tell(Event::Departing {
+            backend: name.clone(),
+            incarnation: *incarnation,
+        });
     }
-    let fields = limit_header.iter().flat_map(|name| headers.get_all(name));
-    let word = Word::read(fields.map(HeaderValue::as_bytes));
+}
+
+/// Tells what a backend server says of its limit. An answer that names none says so only where the request
+/// `ran` to a success: refusals and errors may be made before whoever names the limit has seen it.
+fn hear_limit(shell: &Shell, send: &Send, headers: &HeaderMap, sent: Time, ran: bool) {
+    let Target::Backend {
+        name,
+        headers: names,
+        ..
+    } = &send.target
+    else {
+        return;
+    };
+    let word = Word::read(fields(headers, names.limit.as_ref()));
     let limited = send.basis.limit.is_some();
     if word.rate().is_some() || ran && (limited || word == Word::Unreadable) {
         let backend = name.clone();
@@ -206,8 +242,8 @@
         Target::Backend { .. } if shell.settings.interface == Interface::Platform => {
             judge(prepared, response)
         }
-        Target::Backend { refusal_header, .. } => {
-            let header = refusal_header.as_ref()?;
+        Target::Backend { headers: names, .. } => {
+            let header = names.refusal.as_ref()?;
             headers
                 .contains_key(header)
                 .then_some((Verdict::NotRun, Cause::Refused))
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -342,6 +342,7 @@
         metrics.in_hand.set(self.state.busy() as i64);
         metrics.waiting.set(self.state.waiting() as i64);
         metrics.limited.set(self.state.limited() as i64);
+        metrics.departing.set(self.state.departing() as i64);
         metrics.keys.set(self.state.keys() as i64);
         metrics.version.set(self.state.version().0 as i64);
         let now = self.parts.clock.now();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,6 +34,8 @@
     pub rollouts: IntGaugeVec,
     /// Backend servers of the region that name a limit, as far as this box knows.
     pub limited: IntGauge,
+    /// Backend servers that said in an answer that they leave, as far as this box knows.
+    pub departing: IntGauge,
     /// Requests that were refused because of such limits.
     pub limit_refusals: IntCounter,
     /// Kept answers given again.
@@ -192,6 +194,10 @@
                 "limited_backends",
                 "Backend servers that say how many requests a second they take.",
             )?,
+            departing: gauge(
+                "departing_backends",
+                "Backend servers that said in an answer that they leave.",
+            )?,
             limit_refusals: counter(
                 "limit_refusals_total",
                 "Requests refused because backend servers say how many they take.",
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -175,8 +175,8 @@
                 let target = Target::Backend {
                     name: name.clone(),
                     address: backend.address,
-                    refusal_header: backend.refusal_header.clone(),
-                    limit_header: backend.limit_header.clone(),
+                    headers: backend.headers.clone(),
+                    incarnation: backend.incarnation,
                 };
                 Some((target, None))
             }
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -2,10 +2,10 @@
 
 mod note;
 
-use std::{fmt, net::SocketAddr};
+use std::{fmt, net::SocketAddr, sync::Arc};
 
 use crate::{
-    config::Version,
+    config::{Headers, Version},
     content::Fingerprint,
     fleet::Revision,
     id::{self, Incarnation, Region, Service},
@@ -27,10 +27,10 @@
         name: id::Backend,
         /// Its listener.
         address: SocketAddr,
-        /// The header that marks a trusted refusal.
-        refusal_header: Option<String>,
-        /// The header that names its limit.
-        limit_header: Option<String>,
+        /// The headers of its answers that speak of itself.
+        headers: Arc<Headers>,
+        /// Its life, where it tells.
+        incarnation: Option<Incarnation>,
     },
     /// A box of another region, which must not send it on.
     Relay {
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -60,6 +60,13 @@
         /// The box that told it; none where the server itself did.
         teller: Option<id::BoxName>,
     },
+    /// A backend server says that it is leaving.
+    Departing {
+        /// The backend server.
+        backend: id::Backend,
+        /// The box that told it; none where the server itself did.
+        teller: Option<id::BoxName>,
+    },
     /// What a backend server says of its limit cannot be read.
     Unreadable(id::Backend),
     /// This box hears neither the store nor another box: servers count as cold until it does.
@@ -88,10 +95,11 @@
                     Some(rate) => write!(f, "{rate}")?,
                     None => f.write_str("none")?,
                 }
-                match teller {
-                    Some(teller) => write!(f, " told-by={teller}"),
-                    None => f.write_str(" told-by=itself"),
-                }
+                write_teller(f, teller.as_ref())
+            }
+            Self::Departing { backend, teller } => {
+                write!(f, "backend={backend} state=leaving")?;
+                write_teller(f, teller.as_ref())
             }
             Self::Unreadable(name) => write!(f, "backend={name} limit=unreadable"),
             Self::Alone => f.write_str("all state=silent store=silent cold=assumed"),
@@ -100,6 +108,14 @@
     }
 }
 
+/// Who told what a backend server says of itself.
+fn write_teller(f: &mut fmt::Formatter<'_>, teller: Option<&id::BoxName>) -> fmt::Result {
+    match teller {
+        Some(teller) => write!(f, " told-by={teller}"),
+        None => f.write_str(" told-by=itself"),
+    }
+}
+
 /// What became of a roll-out, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -6,7 +6,7 @@
     config::{Config, KeyHash, Version},
     content::{Content, Fingerprint},
     fleet::{self, Revision, Rollouts},
-    id::{self, Domain, Region, Service},
+    id::{self, Domain, Incarnation, Region, Service},
     limit, pin,
     prompt::{Part, Prompt},
     retry,
@@ -171,6 +171,13 @@
         /// When the request was sent that it answered.
         sent: Time,
     },
+    /// A backend server said in an answer that it is leaving.
+    Departing {
+        /// The backend server.
+        backend: id::Backend,
+        /// The life that the request was sent to, where it was known.
+        incarnation: Option<Incarnation>,
+    },
     /// An answer begins to reach the caller.
     Begun {
         /// The request.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -11,6 +11,7 @@
 //! | `subset` | the few of thousands of backend servers that are looked at first |
 //! | `cold` | the rate of cold backend servers, and this box's share of it |
 //! | `limit` | what backend servers say that they take |
+//! | `departure` | backend servers that say that they leave |
 //! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
 //! | `tally` | how the region uses its backend servers, told through hubs |
@@ -33,6 +34,7 @@
 mod ask;
 mod cold;
 mod control;
+mod departure;
 mod detect;
 mod digest;
 mod dispatch;
@@ -213,6 +215,10 @@
                 word,
                 sent,
             } => self.hear_limit(now, &backend, word, sent, &mut out),
+            Event::Departing {
+                backend,
+                incarnation,
+            } => self.hear_departure(now, &backend, incarnation, &mut out),
             Event::Begun { request, attempt } => self.begun(now, request, attempt, &mut out),
             Event::Ended {
                 request,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -63,8 +63,8 @@
     connections: Arc<AtomicUsize>,
     /// When requests came.
     arrivals: Arc<Mutex<Vec<Instant>>>,
-    /// What its answers say that it takes a second.
-    limit: Arc<Mutex<Option<String>>>,
+    /// What its answers say of itself: headers and their values.
+    said: Arc<Mutex<BTreeMap<&'static str, String>>>,
     /// How it answers whatever a request asks for.
     always: Arc<Mutex<Option<String>>>,
     /// How far the end of the process has come.
@@ -82,7 +82,7 @@
             left: Arc::default(),
             connections: Arc::default(),
             arrivals: Arc::default(),
-            limit: Arc::default(),
+            said: Arc::default(),
             always: Arc::default(),
             end: watch::Sender::new(End::None),
         };
@@ -131,8 +131,16 @@
 
     /// Its answers say from now on that it takes so many requests a second, or nothing.
     pub fn name_limit(&self, limit: Option<&str>) {
-        let mut named = self.limit.lock().expect("the lock is never poisoned");
-        *named = limit.map(str::to_owned);
+        self.say("Server-Limit", limit);
+    }
+
+    /// Its answers bear this header from now on, or no longer.
+    pub fn say(&self, header: &'static str, value: Option<&str>) {
+        let mut said = self.said.lock().expect("the lock is never poisoned");
+        match value {
+            Some(value) => said.insert(header, value.to_owned()),
+            None => said.remove(header),
+        };
     }
 
     /// It answers in `mode` from now on, whatever a request asks for.
@@ -141,10 +149,12 @@
         *always = Some(mode.to_owned());
     }
 
-    fn limit_line(&self) -> String {
-        let named = self.limit.lock().expect("the lock is never poisoned");
-        let line = |limit: &String| format!("Server-Limit: {limit}\r\n");
-        named.as_ref().map(line).unwrap_or_default()
+    fn said_lines(&self) -> String {
+        let said = self.said.lock().expect("the lock is never poisoned");
+        let lines = said
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"));
+        lines.collect()
     }
 
     /// Whether a request has ended it: nothing listens any more, and all its connections are closed.
@@ -216,9 +226,9 @@
         mode: &str,
         last: u32,
     ) -> std::io::Result<bool> {
-        let limit = self.limit_line();
+        let said = self.said_lines();
         let head = |status: &str, more: &str| {
-            format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{limit}{more}")
+            format!("HTTP/1.1 {status}\r\nRequest-Id: {id}\r\n{said}{more}")
         };
         let signed = "Response-Signature: signed\r\n";
         let body = format!("{}:{id}", self.name);
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, time::Duration};
 
+use futures_util::future::join_all;
 use hyper::Method;
 use nix::sys::signal::Signal;
 use petreldrum_standin::{
@@ -11,11 +12,16 @@
 };
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use tokio::process::{Child, Command};
+use tokio::{
+    process::{Child, Command},
+    time::sleep,
+};
 
 use super::{Log, SECRET, TOKEN, eventually, signal, spawn_logged};
 
 pub const HOST: &str = "a.example";
+/// Time between two requests of [`CloudBox::press`].
+pub const STEP: Duration = Duration::from_millis(83);
 
 /// A box process that runs on the platform.
 pub struct CloudBox {
@@ -59,6 +65,17 @@
         self.begin(path, id, mode).await.finish().await
     }
 
+    /// Sends requests for a while, one each [`STEP`], each of which runs for 400 ms; every answer.
+    pub async fn press(&self, mark: &str, span: Duration) -> Vec<Answer> {
+        let count = (span.as_millis() / STEP.as_millis()) as u32;
+        let answers = (0..count).map(|number| async move {
+            sleep(STEP * number).await;
+            let id = format!("{mark}-{number}");
+            self.send("/safe/x", &id, "slow").await
+        });
+        join_all(answers).await
+    }
+
     pub async fn begin(&self, path: &str, id: &str, mode: &str) -> Begun {
         self.begin_with(path, id, mode, id.to_owned()).await
     }
@@ -122,6 +139,17 @@
         cloud
     }
 
+    /// Sends requests to all boxes at once.
+    pub async fn press_all(&self, mark: &str, span: Duration) -> Vec<Answer> {
+        let entries = self.boxes.iter().enumerate();
+        let presses = entries.map(|(number, entry)| async move {
+            let mark = format!("{mark}-{number}");
+            entry.press(&mark, span).await
+        });
+        let answers = join_all(presses).await;
+        answers.into_iter().flatten().collect()
+    }
+
     /// Later boxes reach the store by another way, which may fail by itself.
     pub async fn another_store(&mut self) -> Registry {
         let beside = self.registry.beside();
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -9,17 +9,12 @@
 
 use std::time::{Duration, Instant};
 
-use harness::{
-    cloud::{Cloud, CloudBox},
-    eventually,
-};
-use petreldrum_standin::{http::Answer, worker::Worker};
+use harness::{cloud::Cloud, eventually};
+use petreldrum_standin::worker::Worker;
 use tokio::time::sleep;
 
 /// Boxes of one region.
 const BOXES: usize = 3;
-/// Time between two requests at a box.
-const STEP: Duration = Duration::from_millis(83);
 /// From when on all boxes must keep to a limit, after it was named first.
 const FORCE: Duration = Duration::from_secs(5);
 /// The span over which a server's requests are counted.
@@ -41,28 +36,6 @@
     cloud
 }
 
-/// Sends requests to one box for a while, each of which runs for 400 ms; every answer.
-async fn press(entry: &CloudBox, mark: &str, span: Duration) -> Vec<Answer> {
-    let count = (span.as_millis() / STEP.as_millis()) as u32;
-    let answers = (0..count).map(|number| async move {
-        sleep(STEP * number).await;
-        let id = format!("{mark}-{number}");
-        entry.send("/safe/x", &id, "slow").await
-    });
-    futures_util::future::join_all(answers).await
-}
-
-/// Sends requests to all boxes at once.
-async fn press_all(cloud: &Cloud, mark: &str, span: Duration) -> Vec<Answer> {
-    let marks: Vec<String> = (0..BOXES)
-        .map(|number| format!("{mark}-{number}"))
-        .collect();
-    let presses = cloud.boxes.iter().zip(&marks);
-    let presses = presses.map(|(entry, mark)| press(entry, mark, span));
-    let answers = futures_util::future::join_all(presses).await;
-    answers.into_iter().flatten().collect()
-}
-
 /// The most requests that came in one window from `since` on.
 fn worst(worker: &Worker, since: Instant) -> usize {
     let mut arrivals = worker.arrivals();
@@ -84,7 +57,7 @@
         cloud.workers[name].name_limit(Some(&limit.to_string()));
     }
     let named = Instant::now();
-    let answers = press_all(&cloud, "a", FORCE + WINDOW + WINDOW).await;
+    let answers = cloud.press_all("a", FORCE + WINDOW + WINDOW).await;
     for (name, limit) in limits {
         let worker = &cloud.workers[name];
         let worst = worst(worker, named + FORCE);
@@ -111,7 +84,7 @@
         worker.name_limit(Some("3"));
     }
     let named = Instant::now();
-    let answers = press_all(&cloud, "b", FORCE + WINDOW).await;
+    let answers = cloud.press_all("b", FORCE + WINDOW).await;
     let (served, refused): (Vec<_>, Vec<_>) = answers
         .iter()
         .partition(|answer| answer.status.is_success());
@@ -132,7 +105,7 @@
         worker.name_limit(None);
     }
     eventually("the end is heard", async || {
-        let answers = press_all(&cloud, "c", Duration::from_millis(500)).await;
+        let answers = cloud.press_all("c", Duration::from_millis(500)).await;
         answers.iter().all(|answer| answer.status.is_success())
     })
     .await;
