Keep requests from servers that said in an answer that they leave

Callers saw: nothing yet, but a server that leaves ends under the requests that it still gets. Cause: only the registration in the platform's store said who leaves. While the store is away that says for seconds that the server takes work, and the server's own word in its answers was read by nobody.

Change: the word outranks the registration of the same life, whatever is registered later or comes back with an old list; another life ends it, and an answer of an earlier life says nothing of a later one. The box that reads it tells its region at once, and each heartbeat repeats it as long as the registration does not say it. A server that the configuration names has no life, so its word holds for a minute.

Every send passes State::excluded, which reads the mark, so repeats, streams that move and the line are held as well.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -105,8 +105,11 @@
 
 #[derive(Clone, Debug)]
 struct Member {
+    /// It is leaving where its registration says so, or it said so itself.
     backend: Backend,
     registered: bool,
+    /// Whether its registration or the configuration says that it is leaving.
+    registered_leaving: bool,
     cold_until: Time,
     /// When it is taken out unless it comes back.
     missing_until: Option<Time>,
@@ -122,6 +125,15 @@
     }
 }
 
+/// How long the word of `name` that it leaves is kept; none where it holds for the server's life.
+fn departure_kept(members: &HashMap<id::Backend, Member>, name: &id::Backend) -> Option<Millis> {
+    match members.get(name) {
+        Some(member) if member.registered => None,
+        Some(_) => Some(departures::ASK_AGAIN),
+        None => Some(departures::KEPT),
+    }
+}
+
 /// All backend servers that a box knows.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -135,14 +147,38 @@
 }
 
 impl Fleet {
-    /// Notes that a backend server said that this life of it leaves; true where that is news.
+    /// Notes that a backend server said at `at` that this life of it leaves; true where that is news.
     pub fn depart(
         &mut self,
         name: &id::Backend,
         incarnation: Option<Incarnation>,
+        at: Time,
         now: Time,
     ) -> bool {
-        self.departures.note(name, incarnation, now)
+        let kept = departure_kept(&self.members, name);
+        if kept.is_some_and(|kept| now.since(at) >= kept) {
+            return false;
+        }
+        let news = self.departures.note(name, incarnation, at);
+        if let Some(member) = self.members.get_mut(name) {
+            member.backend.leaving |= self.departures.contains(&member.backend);
+        }
+        news
+    }
+
+    /// The backend servers that said that they leave where their registration does not say so yet, and when
+    /// they said it last.
+    pub fn departing(&self) -> impl Iterator<Item = (&Backend, Time)> {
+        let words = self.departures.iter();
+        let known = words.filter_map(|(name, at)| Some((self.members.get(name)?, at)));
+        let ahead = known.filter(|(m, _)| m.backend.leaving && !m.registered_leaving);
+        ahead.map(|(member, at)| (&member.backend, at))
+    }
+
+    /// Whether `name` is leaving by its own word, and not by its registration.
+    pub fn is_departing(&self, name: &id::Backend) -> bool {
+        let member = self.members.get(name);
+        member.is_some_and(|m| m.backend.leaving && !m.registered_leaving)
     }
 
     /// Takes over the backend servers that a new configuration names.
@@ -203,9 +239,13 @@
         self.index.add(&backend);
         let member = Member {
             registered,
+            registered_leaving: backend.leaving,
             cold_until,
             missing_until: None,
-            backend,
+            backend: Backend {
+                leaving: backend.leaving || self.departures.contains(&backend),
+                ..backend
+            },
         };
         self.members.insert(member.backend.name.clone(), member);
     }
@@ -242,12 +282,20 @@
         for name in &over {
             self.remove(name);
         }
-        let members = &self.members;
-        self.departures
-            .sweep(|name| members.contains_key(name), now);
+        self.sweep_departures(now);
         !over.is_empty()
     }
 
+    /// Forgets what servers said that they leave, where it may not be so any more.
+    fn sweep_departures(&mut self, now: Time) {
+        let kept = |name: &id::Backend| departure_kept(&self.members, name);
+        for name in self.departures.expire(kept, now) {
+            if let Some(member) = self.members.get_mut(&name) {
+                member.backend.leaving = member.registered_leaving;
+            }
+        }
+    }
+
     /// The backend servers that started again under their name since the last call: what was known of
     /// them speaks of a life that is over.
     pub fn take_reborn(&mut self) -> Vec<id::Backend> {
@@ -274,12 +322,6 @@
         self.cold_left(name, now) > Millis(0)
     }
 
-    /// How many backend servers said that they leave.
-    pub fn departing(&self) -> usize {
-        let said = |m: &&Member| self.departures.contains(&m.backend);
-        self.members.values().filter(said).count()
-    }
-
     /// How long `name` is still cold at `now`.
     pub fn cold_left(&self, name: &id::Backend, now: Time) -> Millis {
         let until = self.members.get(name).map(|m| m.cold_until);
@@ -331,12 +373,12 @@
         let same = |name: &id::Backend, backend: &Backend| {
             let known = self.members.get(name).map(|m| &m.backend);
             known.is_some_and(|known| {
-                let cold = known.cold;
-                *known
-                    == Backend {
-                        cold,
-                        ..backend.clone()
-                    }
+                let listed = Backend {
+                    cold: known.cold,
+                    leaving: backend.leaving || self.departures.contains(backend),
+                    ..backend.clone()
+                };
+                *known == listed
             })
         };
         let registered = self.members.iter().filter(|(_, m)| m.registered);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -34,7 +34,8 @@
     pub rollouts: IntGaugeVec,
     /// Backend servers of the region that name a limit, as far as this box knows.
     pub limited: IntGauge,
-    /// Backend servers that said in an answer that they leave, as far as this box knows.
+    /// Backend servers that said in an answer that they leave before their registration does, as far as this
+    /// box knows.
     pub departing: IntGauge,
     /// Requests that were refused because of such limits.
     pub limit_refusals: IntCounter,
@@ -196,7 +197,7 @@
             )?,
             departing: gauge(
                 "departing_backends",
-                "Backend servers that said in an answer that they leave.",
+                "Backend servers that said in an answer that they leave, before their registration does.",
             )?,
             limit_refusals: counter(
                 "limit_refusals_total",
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -54,6 +54,8 @@
     pub(super) idle: bool,
     pub(super) idle_region: bool,
     pub(super) last_word: Option<Time>,
+    /// Whether the region is to hear of servers that said that they leave.
+    pub(super) departures_untold: bool,
     /// How the store is followed.
     pub(super) follow: Follow,
     /// What the store told since news was passed on.
@@ -158,6 +160,7 @@
         self.tell_cleared(now, out);
         self.split_limits(now);
         self.tell_limits(now, out);
+        self.tell_departures(now, out);
         self.note_alone(now, out);
         self.chase_roster(now, out);
         self.ask_caches(now, out);
@@ -266,6 +269,7 @@
                 self.control.heard = true;
                 self.hear_held(now, &beat.held, out);
                 self.hear_limits(now, &frame.from, &beat.limits, beat.contact.gossip, out);
+                self.learn_departures(now, &frame.from, &beat.departures, out);
                 let to = beat.contact.gossip;
                 let fresh = self.table.heartbeat(frame.incarnation, beat.clone(), now);
                 if fresh {
@@ -291,6 +295,9 @@
             Body::Limits(limits) => {
                 self.learn_limits(now, &frame.from, limits, out);
             }
+            Body::Departures(departures) => {
+                self.learn_departures(now, &frame.from, departures, out);
+            }
             Body::News(news) => self.hear_news(now, &frame.from, news, out),
             Body::Digest(_) => {}
         }
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -141,6 +141,7 @@
             loads: loads.collect(),
             held: self.quarantine.told(now),
             limits: self.known_limits(now),
+            departures: self.known_departures(now),
             listed: self.listed.iter().copied().collect(),
             uses: match self.table.has_hubs() {
                 true => Vec::new(),
--- a/src/reducer/limit.rs
+++ b/src/reducer/limit.rs
@@ -73,7 +73,7 @@
     ) -> Vec<wire::Limit> {
         let mut old = Vec::new();
         for told in limits.iter().take(MAX_TOLD) {
-            let Some(backend) = self.named_here(told).cloned() else {
+            let Some(backend) = self.named_here(told.backend, told.life).cloned() else {
                 continue;
             };
             let awake = self.control.is_awake(now);
@@ -92,11 +92,15 @@
         old
     }
 
-    /// The backend server of this region that `told` speaks of, in this life of it.
-    fn named_here(&self, told: &wire::Limit) -> Option<&Backend> {
-        let backend = self.fleet.get(self.fleet.long(told.backend)?)?;
-        let here = backend.region == self.table.me.region;
-        (here && backend.life() == told.life).then_some(backend)
+    /// The backend server of this region that another box speaks of, in this life of it.
+    pub(super) fn named_here(&self, backend: Short, life: Short) -> Option<&Backend> {
+        let backend = self.fleet.get(self.fleet.long(backend)?)?;
+        (self.is_here(backend) && backend.life() == life).then_some(backend)
+    }
+
+    /// Whether `backend` stands in this region.
+    pub(super) fn is_here(&self, backend: &Backend) -> bool {
+        backend.region == self.table.me.region
     }
 
     /// What the others are told of limits with each heartbeat: a box that started, woke or was cut off
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -47,6 +47,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Exclusion {
     Configured,
+    /// It said in an answer that it leaves.
+    Departing,
     Listed,
     Evacuated,
     /// A roll-out keeps requests off its release.
@@ -309,7 +311,10 @@
     /// Why `backend` gets no new work at `now`, where that is so.
     pub(super) fn excluded(&self, now: Time, backend: &Backend) -> Option<Exclusion> {
         if backend.leaving {
-            return Some(Exclusion::Configured);
+            return Some(match self.fleet.is_departing(&backend.name) {
+                true => Exclusion::Departing,
+                false => Exclusion::Configured,
+            });
         }
         if self.evacuated.contains(&backend.domain) {
             return Some(Exclusion::Evacuated);
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -209,6 +209,7 @@
     match exclusion {
         None => "in use",
         Some(Exclusion::Configured) => "leaving, by the configuration",
+        Some(Exclusion::Departing) => "leaving, by its own word",
         Some(Exclusion::Listed) => "leaving, by the platform's list",
         Some(Exclusion::Evacuated) => "its failure domain is evacuated",
         Some(Exclusion::Release) => "a roll-out keeps requests off its release",
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -222,6 +222,8 @@
     pub held: Vec<Held>,
     /// What backend servers of its region say that they take.
     pub limits: Vec<Limit>,
+    /// Those of them that said that they leave.
+    pub departures: Vec<Departure>,
 }
 
 /// A box of another region that takes relayed requests.
@@ -342,6 +344,17 @@
     pub age: Millis,
 }
 
+/// A backend server said that it is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// The backend server.
+    pub backend: Short,
+    /// Its life.
+    pub life: Short,
+    /// How long ago it said so last.
+    pub age: Millis,
+}
+
 /// A message's content.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Body {
@@ -368,6 +381,8 @@
     Marks(Marks),
     /// Within a region: what backend servers say that they take, where that changed.
     Limits(Vec<Limit>),
+    /// Within a region: which backend servers said that they leave, where that changed.
+    Departures(Vec<Departure>),
 }
 
 impl Body {
@@ -385,6 +400,7 @@
             Self::News(_) => "news",
             Self::Marks(_) => "marks",
             Self::Limits(_) => "limits",
+            Self::Departures(_) => "departures",
         }
     }
 }
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -147,6 +147,7 @@
         seq,
         Body::Heartbeat(Heartbeat {
             limits: Vec::new(),
+            departures: Vec::new(),
             held: vec![],
             contact: contact(size, number),
             uptime: Time(seq * 1000),
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -14,7 +14,9 @@
         effect::{Effect, Send, Target},
         event::{Arrival, Credential, Event, Hop, Key, Source},
     },
+    settings::Seed,
     unit::{Millis, Time},
+    wire::{Body, Frame},
 };
 
 use super::solo::{contact, news, places, sends};
@@ -132,6 +134,24 @@
         sends(&self.step(Event::Arrived(arrival)))
     }
 
+    /// The first heartbeat that the box would send to a seed.
+    pub fn first_heartbeat(&mut self) -> Frame {
+        let seeds = vec![Seed {
+            gossip: contact("seed", "atl", 90).gossip,
+            region: None,
+        }];
+        let retry = Default::default();
+        self.step(Event::Reloaded { seeds, retry });
+        self.now = self.now + Millis(100);
+        let effects = self.step(Event::Tick);
+        let frames = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Gossip { frame, .. } => Some(frame),
+            _ => None,
+        });
+        let mut beats = frames.filter(|frame| matches!(frame.body, Body::Heartbeat(_)));
+        beats.next().expect("it greets its seed")
+    }
+
     pub fn pass(&mut self, millis: u64) {
         for _ in 0..millis / 100 {
             self.now = self.now + Millis(100);
