Log and count backend servers that ask a box to stay away

Cause: nothing showed whether a box read how long a server that turns it away wants nothing from it. Retry-After of a 503, or of a trusted refusal on the own interface, is now read: a line where such a time begins, one where it cannot be read, and a gauge. No choice of a place changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Request, Response, Uri,
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::Incoming,
-    header::{AUTHORIZATION, HOST, HeaderName, HeaderValue},
+    header::{AUTHORIZATION, HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -22,6 +22,7 @@
     },
     limit::Word,
     platform::{self, head::Outcome},
+    pushback,
     reducer::{
         effect::{Send, Target},
         event::{Cause, Event},
@@ -165,6 +166,7 @@
     }
     hear_limit(shell, send, headers, sent, ran);
     hear_departure(shell, send, headers);
+    hear_pushback(shell, send, response);
 }
 
 /// The fields of a header that the configuration or the platform may name.
@@ -193,6 +195,34 @@
     }
 }
 
+/// Tells how long a backend server that turned a request away wants nothing from this box.
+fn hear_pushback(shell: &Shell, send: &Send, response: &Response<Incoming>) {
+    let Target::Backend {
+        name,
+        headers: names,
+        incarnation,
+        ..
+    } = &send.target
+    else {
+        return;
+    };
+    let headers = response.headers();
+    let refused = names.refusal.as_ref();
+    let refused = refused.is_some_and(|name| headers.contains_key(name));
+    if !refused && response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    let fields = headers.get_all(RETRY_AFTER).iter();
+    let word = pushback::Word::read(fields.map(HeaderValue::as_bytes));
+    if word != pushback::Word::Silent {
+        shell.core.tell(Event::PushedBack {
+            backend: name.clone(),
+            incarnation: *incarnation,
+            word,
+        });
+    }
+}
+
 /// Tells what a backend server says of its limit. An answer that names none says so only where the request
 /// `ran` to a success: refusals and errors may be made before whoever names the limit has seen it.
 fn hear_limit(shell: &Shell, send: &Send, headers: &HeaderMap, sent: Time, ran: bool) {
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -330,22 +330,23 @@
     }
 
     fn gauge(&mut self) {
-        let boxes = self.state.fleet_size(self.parts.clock.now());
+        let now = self.parts.clock.now();
+        let boxes = self.state.fleet_size(now);
         self.parts.boxes.send_if_modified(|known| {
             let changed = *known != boxes;
             *known = boxes;
             changed
         });
         let metrics = &self.parts.metrics;
-        let ready = self.state.phase(self.parts.clock.now()) == Phase::Ready;
+        let ready = self.state.phase(now) == Phase::Ready;
         metrics.ready.set(i64::from(ready));
         metrics.in_hand.set(self.state.busy() as i64);
         metrics.waiting.set(self.state.waiting() as i64);
         metrics.limited.set(self.state.limited() as i64);
+        metrics.pushed_back.set(self.state.pushed_back(now) as i64);
         metrics.departing.set(self.state.departing() as i64);
         metrics.keys.set(self.state.keys() as i64);
         metrics.version.set(self.state.version().0 as i64);
-        let now = self.parts.clock.now();
         if now.since(self.allotments_told) >= TELL_ALLOTMENTS {
             self.allotments_told = now;
             metrics.tell_allotments(&self.state.allotments(now));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -37,6 +37,8 @@
     /// Backend servers that said in an answer that they leave before their registration does, as far as this
     /// box knows.
     pub departing: IntGauge,
+    /// Backend servers that asked this box to send them nothing for a while.
+    pub pushed_back: IntGauge,
     /// Requests that were refused because of such limits.
     pub limit_refusals: IntCounter,
     /// Kept answers given again.
@@ -199,6 +201,10 @@
                 "departing_backends",
                 "Backend servers that said in an answer that they leave, before their registration does.",
             )?,
+            pushed_back: gauge(
+                "pushed_back_backends",
+                "Backend servers that asked this box to send them nothing for a while.",
+            )?,
             limit_refusals: counter(
                 "limit_refusals_total",
                 "Requests refused because backend servers say how many they take.",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`pushback`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
 //! | another release of backend servers, watched | [`rollout`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
@@ -39,6 +39,7 @@
 pub mod platform;
 pub mod policy;
 pub mod prompt;
+pub mod pushback;
 pub mod quarantine;
 pub mod queue;
 pub mod reducer;
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -69,6 +69,13 @@
     },
     /// What a backend server says of its limit cannot be read.
     Unreadable(id::Backend),
+    /// A backend server asks this box to send it nothing for so long; none where that cannot be read.
+    PushedBack {
+        /// The backend server.
+        backend: id::Backend,
+        /// How long.
+        span: Option<Millis>,
+    },
     /// This box hears neither the store nor another box: servers count as cold until it does.
     Alone,
     /// It hears one of them again.
@@ -102,6 +109,10 @@
                 write_teller(f, teller.as_ref())
             }
             Self::Unreadable(name) => write!(f, "backend={name} limit=unreadable"),
+            Self::PushedBack { backend, span } => match span {
+                Some(span) => write!(f, "backend={backend} pushback={span}"),
+                None => write!(f, "backend={backend} pushback=unreadable"),
+            },
             Self::Alone => f.write_str("all state=silent store=silent cold=assumed"),
             Self::Accompanied => f.write_str("all state=heard"),
         }
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -9,7 +9,7 @@
     id::{self, Domain, Incarnation, Region, Service},
     limit, pin,
     prompt::{Part, Prompt},
-    retry,
+    pushback, retry,
     settings::Seed,
     unit::{Millis, Time},
     verdict::Verdict,
@@ -178,6 +178,15 @@
         /// The life that the request was sent to, where it was known.
         incarnation: Option<Incarnation>,
     },
+    /// A backend server turned a request away, and said how long it wants nothing from this box.
+    PushedBack {
+        /// The backend server.
+        backend: id::Backend,
+        /// The life that the request was sent to, where it was known.
+        incarnation: Option<Incarnation>,
+        /// What it said.
+        word: pushback::Word,
+    },
     /// An answer begins to reach the caller.
     Begun {
         /// The request.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -12,6 +12,7 @@
 //! | `cold` | the rate of cold backend servers, and this box's share of it |
 //! | `limit` | what backend servers say that they take |
 //! | `departure` | backend servers that say that they leave |
+//! | `pushback` | backend servers that ask this box to stay away for a while |
 //! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
 //! | `tally` | how the region uses its backend servers, told through hubs |
@@ -51,6 +52,7 @@
 mod news;
 mod outcome;
 mod place;
+mod pushback;
 mod reading;
 mod rollout;
 mod roster;
@@ -219,6 +221,11 @@
                 backend,
                 incarnation,
             } => self.hear_departure(now, &backend, incarnation, &mut out),
+            Event::PushedBack {
+                backend,
+                incarnation,
+                word,
+            } => self.hear_pushback(now, &backend, incarnation, word, &mut out),
             Event::Begun { request, attempt } => self.begun(now, request, attempt, &mut out),
             Event::Ended {
                 request,
--- /dev/null
+++ b/src/reducer/pushback.rs
@@ -0,0 +1,45 @@
+//! Backend servers that turn this box away and say for how long.
+
+use crate::{
+    id::{self, Incarnation},
+    policy::Policy,
+    pushback::Word,
+    reducer::{
+        State,
+        effect::{Effect, Note},
+    },
+    unit::Time,
+};
+
+impl<P: Policy> State<P> {
+    /// Takes from a backend server's refusal how long it wants nothing from this box.
+    pub(super) fn hear_pushback(
+        &mut self,
+        now: Time,
+        name: &id::Backend,
+        incarnation: Option<Incarnation>,
+        word: Word,
+        out: &mut Vec<Effect>,
+    ) {
+        let known = self.fleet.get(name);
+        if known.is_none_or(|backend| backend.incarnation != incarnation) {
+            return;
+        }
+        let server = self.servers.entry(name.clone()).or_default();
+        let span = match word {
+            Word::Silent => return,
+            Word::Span(span) if !server.push_back(span, now) => return,
+            Word::Span(span) => Some(span),
+            Word::Unreadable if !server.push_back_oddly() => return,
+            Word::Unreadable => None,
+        };
+        let backend = name.clone();
+        out.push(Effect::Noted(Note::PushedBack { backend, span }));
+    }
+
+    /// Backend servers that want nothing from this box at `now`.
+    pub fn pushed_back(&self, now: Time) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|server| server.is_pushed_back(now)).count()
+    }
+}
--- a/src/server.rs
+++ b/src/server.rs
@@ -96,6 +96,10 @@
     detector: Detector,
     /// What it says that it takes from all boxes.
     pub limit: Limit,
+    /// Until when it asked this box to send it nothing.
+    pushed_back: Option<Time>,
+    /// Whether the last time that it named could not be read.
+    odd_pushback: bool,
 }
 
 impl Default for Server {
@@ -121,6 +125,8 @@
             reckoned: Time(0),
             detector: Detector::default(),
             limit: Limit::default(),
+            pushed_back: None,
+            odd_pushback: false,
         }
     }
 }
@@ -349,6 +355,25 @@
         (usage.busy + usage.answered + usage.unreachable > 0).then_some(usage)
     }
 
+    /// Notes that it wants nothing from this box for `span`; true where it did not ask for that already. A
+    /// shorter time takes nothing off a longer one that was asked for before.
+    pub fn push_back(&mut self, span: Millis, now: Time) -> bool {
+        let news = span > Millis(0) && !self.is_pushed_back(now);
+        self.pushed_back = self.pushed_back.max(Some(now + span));
+        self.odd_pushback = false;
+        news
+    }
+
+    /// Notes that it named a time that cannot be read; true for the first in a row.
+    pub fn push_back_oddly(&mut self) -> bool {
+        !std::mem::replace(&mut self.odd_pushback, true)
+    }
+
+    /// Whether it wants nothing from this box at `now`.
+    pub fn is_pushed_back(&self, now: Time) -> bool {
+        self.pushed_back.is_some_and(|until| now < until)
+    }
+
     /// Notes that the server has no slot: others sent there too.
     pub fn fill(&mut self, now: Time) {
         self.cool_until = Some(now + FULL);
