Read the time beside any trusted refusal, whatever its status

On the platform only a 503 was read for Retry-After; a 429 that says that the request did not run may name the same time. Whether an answer may speak of its server at all is asked once for its three words.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -123,7 +123,16 @@
     span.note("http.response.status_code", response.status().as_u16());
     let refused = refusal(shell, prepared, &send.target, &response);
     let ran = refused.is_none() && response.status().is_success();
-    hear_server(shell, prepared, send, &response, now, ran);
+    let not_run = refused.is_some_and(|(verdict, _)| verdict.is_not_run());
+    let turned_away = not_run || response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    if is_answer(shell, prepared, &response) {
+        let headers = response.headers();
+        hear_limit(shell, send, headers, now, ran);
+        hear_departure(shell, send, headers);
+        if turned_away {
+            hear_pushback(shell, send, headers);
+        }
+    }
     let found = Found {
         response,
         lease,
@@ -149,24 +158,14 @@
     }
 }
 
-/// Tells what an answer of a backend server says of the server itself. One that answers another request, or
-/// for another server, says nothing of this one.
-fn hear_server(
-    shell: &Shell,
-    prepared: &Prepared,
-    send: &Send,
-    response: &Response<Incoming>,
-    sent: Time,
-    ran: bool,
-) {
-    let headers = response.headers();
-    let platform = shell.settings.interface == Interface::Platform;
-    if platform && !platform::head::is_answer(&prepared.headers, response.status(), headers) {
-        return;
+/// Whether an answer may speak of the backend server itself: one to another request, or for another server, says
+/// nothing of this one.
+fn is_answer(shell: &Shell, prepared: &Prepared, response: &Response<Incoming>) -> bool {
+    let (status, headers) = (response.status(), response.headers());
+    match shell.settings.interface {
+        Interface::Platform => platform::head::is_answer(&prepared.headers, status, headers),
+        Interface::Own => true,
     }
-    hear_limit(shell, send, headers, sent, ran);
-    hear_departure(shell, send, headers);
-    hear_pushback(shell, send, response);
 }
 
 /// The fields of a header that the configuration or the platform may name.
@@ -196,22 +195,13 @@
 }
 
 /// Tells how long a backend server that turned a request away wants nothing from this box.
-fn hear_pushback(shell: &Shell, send: &Send, response: &Response<Incoming>) {
+fn hear_pushback(shell: &Shell, send: &Send, headers: &HeaderMap) {
     let Target::Backend {
-        name,
-        headers: names,
-        incarnation,
-        ..
+        name, incarnation, ..
     } = &send.target
     else {
         return;
     };
-    let headers = response.headers();
-    let refused = names.refusal.as_ref();
-    let refused = refused.is_some_and(|name| headers.contains_key(name));
-    if !refused && response.status() != StatusCode::SERVICE_UNAVAILABLE {
-        return;
-    }
     let fields = headers.get_all(RETRY_AFTER).iter();
     let word = pushback::Word::read(fields.map(HeaderValue::as_bytes));
     if word != pushback::Word::Silent {
