--- a/tests/departure_news.rs
+++ b/tests/departure_news.rs
@@ -11,6 +11,7 @@
     fleet::Change,
     id::Incarnation,
     reducer::{effect::Effect, event::Event},
+    settings::Secret,
     unit::Millis,
     wire::{Body, Departure, Frame, Short},
 };
@@ -136,3 +137,26 @@
     solo.step(told(sa, 1, 60_000));
     assert!(!sends(&solo.arrive("a", None)).is_empty());
 }
+
+/// What is told stays small: 13 bytes a server, and 0.6 KB at most.
+#[test]
+fn departures_cost_few_bytes() {
+    let secret: Secret = "0123456789abcdef".parse().expect("a secret");
+    let size = |count: u32| {
+        let departure = |number: u32| Departure {
+            backend: Short(u32::MAX - number),
+            life: Short(u32::MAX - number),
+            age: Millis(600_000),
+        };
+        let frame = Frame {
+            from: "other".parse().expect("a name"),
+            incarnation: Incarnation(9),
+            seq: 1,
+            body: Body::Departures((0..count).map(departure).collect()),
+        };
+        frame.encode(&secret).len()
+    };
+    let one = size(2) - size(1);
+    assert!(one <= 13, "{one} bytes a server");
+    assert!(size(48) <= 700, "{} bytes a message", size(48));
+}
