Log what the store tells that a box drops as older than it knows

Cause: news of the store that bear a lower revision than a box knows were dropped without a word, beside log lines of the follower that look as if they were taken. Each is told now, with both revisions, and a whole reading tells its own.

In a run of our own (two boxes, three servers, a store that comes back from a copy ten changes old) the boxes drop the reading at r4 and the word that a server leaves at r5, since they know r14. No decision changes.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -208,7 +208,7 @@
         self.tell_rollouts(revision);
         let doubt = self.doubt();
         log::info!(
-            "store: read everything: {} backend servers, {} evacuations.",
+            "store: read everything: {} backend servers, {} evacuations, at {revision}.",
             backends.len(),
             self.evacuated.len()
         );
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     config::Version,
+    fleet::Revision,
     id::{self, Region, Service},
     rollout::{Finding, Order, Standing},
     unit::{Millis, Rate},
@@ -76,6 +77,13 @@
         /// How long.
         span: Option<Millis>,
     },
+    /// The platform's store told something by an older number than is known; it is dropped.
+    OldNews {
+        /// The number.
+        revision: Revision,
+        /// What is known.
+        known: Revision,
+    },
     /// This box hears neither the store nor another box: servers count as cold until it does.
     Alone,
     /// It hears one of them again.
@@ -113,6 +121,9 @@
                 Some(span) => write!(f, "backend={backend} pushback={span}"),
                 None => write!(f, "backend={backend} pushback=unreadable"),
             },
+            Self::OldNews { revision, known } => {
+                write!(f, "store news={revision} known={known} dropped=older")
+            }
             Self::Alone => f.write_str("all state=silent store=silent cold=assumed"),
             Self::Accompanied => f.write_str("all state=heard"),
         }
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -251,7 +251,10 @@
             Event::Fleet { revision, .. }
             | Event::Evacuated { revision, .. }
             | Event::Rollouts { revision, .. }
-                if self.is_old(revision) => {}
+                if self.is_old(revision) =>
+            {
+                self.drop_old(revision, &mut out);
+            }
             Event::Fleet { change, revision } => {
                 self.gather(&change);
                 self.supplied(now, change, revision, &mut out);
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -12,7 +12,11 @@
     fleet::{self, Change, Revision, Roster},
     member::weight,
     policy::Policy,
-    reducer::{State, control::Control, effect::Effect},
+    reducer::{
+        State,
+        control::Control,
+        effect::{Effect, Note},
+    },
     unit::{Millis, Time},
 };
 
@@ -77,6 +81,14 @@
         self.supplied && revision < self.revision
     }
 
+    /// Drops what the store tells by an older number.
+    pub(super) fn drop_old(&self, revision: Revision, out: &mut Vec<Effect>) {
+        out.push(Effect::Noted(Note::OldNews {
+            revision,
+            known: self.revision,
+        }));
+    }
+
     /// Whether the platform's store, where this box follows it, was heard lately.
     pub(super) fn hears_store(&self, now: Time) -> bool {
         let lately = |at: Time| now.since(at) <= STORE_SILENT;
