--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -7,7 +7,10 @@
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
-use hyper::{Response, StatusCode};
+use hyper::{
+    Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
 use serde_json::{Value, json};
 use tokio::{sync::watch, time::timeout};
 
@@ -31,6 +34,8 @@
     Uneven,
 }
 
+/// On all answers: how often the store has come back from a copy, plus one.
+const ERA: HeaderName = HeaderName::from_static("store-era");
 /// Changes that are remembered; older ones are gone.
 const HISTORY: usize = 1000;
 /// Items of one page.
@@ -50,9 +55,18 @@
     /// Changes up to this revision are not known any more.
     forgotten: u64,
     revision: u64,
+    /// How often the store has come back from a copy, plus one.
+    era: u64,
     calls: BTreeMap<&'static str, u64>,
 }
 
+/// What the store held at some moment.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    items: BTreeMap<String, (String, u64)>,
+    revision: u64,
+}
+
 /// The store; clones share one content and one fault.
 #[derive(Clone, Debug)]
 pub struct Registry {
@@ -64,7 +78,10 @@
 impl Default for Registry {
     fn default() -> Self {
         Self {
-            inner: Arc::default(),
+            inner: Arc::new(Mutex::new(Inner {
+                era: 1,
+                ..Inner::default()
+            })),
             fault: Arc::default(),
             changed: Arc::new(watch::Sender::new(0)),
         }
@@ -135,6 +152,26 @@
         self.changed.send_replace(0);
     }
 
+    /// What it holds now.
+    pub fn copy(&self) -> Copy {
+        let inner = self.lock();
+        Copy {
+            items: inner.items.clone(),
+            revision: inner.revision,
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: &Copy) {
+        let mut inner = self.lock();
+        inner.items = copy.items.clone();
+        inner.revision = copy.revision;
+        inner.history.retain(|c| c.revision <= copy.revision);
+        inner.era += 1;
+        drop(inner);
+        self.changed.send_replace(0);
+    }
+
     /// Forgets what changed so far.
     pub fn forget(&self) {
         let mut inner = self.lock();
@@ -227,7 +264,7 @@
     /// What changed after a revision; an error where that is not known any more.
     fn changes(&self, prefix: &str, after: u64) -> Result<Value, StatusCode> {
         let inner = self.lock();
-        if after < inner.forgotten {
+        if after < inner.forgotten || after > inner.revision {
             return Err(StatusCode::GONE);
         }
         let later = inner.history.iter().filter(|c| c.revision > after);
@@ -292,6 +329,15 @@
 
 impl Service for Registry {
     async fn answer(&self, request: Whole) -> Option<Response<Body>> {
+        let mut answer = self.call(request).await?;
+        let era = HeaderValue::from(self.lock().era);
+        answer.headers_mut().insert(ERA, era);
+        Some(answer)
+    }
+}
+
+impl Registry {
+    async fn call(&self, request: Whole) -> Option<Response<Body>> {
         let query = query(&request);
         match request.uri().path() {
             "/v1/kv-range" => match self.count("range") {
