Tell the store's eras apart wherever its revisions are compared

Callers saw: requests on servers that had said for over 3 s that they leave. Cause: a store that comes back from a copy gives its revisions out again, and every box compared them as if they only rose: news with lower numbers than it knew were dropped as old, all of them, until the numbers had caught up.

Evidence: a box logs that a server leaves at r5, and that it drops r5 since it knows r14; 17 requests followed in 2 s.

Change: a revision is an era and a number, and those of a later era are newer.

Before: 17 requests later than 3 s after the server's word (test a_server_that_leaves_in_a_new_era_gets_no_more, red). After: none; none either where the store knows the watched number by another change.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,11 +8,9 @@
 mod changes;
 mod departures;
 mod index;
+mod revision;
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
-    fmt,
-};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +23,7 @@
 };
 
 pub use changes::Changes;
+pub use revision::{Era, Revision};
 
 use departures::Departures;
 use index::Index;
@@ -46,18 +45,6 @@
     Millis(GATHER.0.0.saturating_mul(more)).min(GATHER.1)
 }
 
-/// The platform's store's count of all its changes: how far what a box knows of it goes.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Revision(pub u64);
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "r{}", self.0)
-    }
-}
-
 /// The roll-outs of services that the platform's store tells of.
 pub type Rollouts = BTreeMap<Service, rollout::Entry>;
 
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -356,7 +356,9 @@
             self.traffic_told = now;
             log::info!("peers: bytes {}", metrics.traffic());
         }
-        metrics.store_revision.set(self.state.revision().0 as i64);
+        let revision = self.state.revision();
+        metrics.store_era.set(revision.era.0 as i64);
+        metrics.store_revision.set(revision.number as i64);
     }
 
     fn carry_out(&mut self, effect: Effect) {
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -54,14 +54,14 @@
 
 /// The path to the list of servers, or to what changed of it after `since`.
 pub fn roster_path(since: Option<Revision>) -> String {
-    let query = since.map(|revision| format!("?{SINCE}={}", revision.0));
+    let query = since.map(|revision| format!("?{SINCE}={revision}"));
     ROSTER_PATH.to_owned() + &query.unwrap_or_default()
 }
 
 /// How far the asker for the list knows it.
 pub fn roster_since(query: Option<&str>) -> Option<Revision> {
     let since = platform::door::value(query, SINCE)?;
-    since.parse().ok().map(Revision)
+    since.parse().ok()
 }
 
 const OWN: &str = "petreldrum-";
--- a/src/gateway/keep.rs
+++ b/src/gateway/keep.rs
@@ -70,7 +70,9 @@
 ) -> Result<bool, Error> {
     let key = rollout::status_key(service);
     let item = client.read(&key).await?;
-    let revision = item.as_ref().map_or(Revision(0), |item| item.revision);
+    let revision = item
+        .as_ref()
+        .map_or(Revision::default(), |item| item.revision);
     let written = item.and_then(|item| rollout::written(&item.value, item.revision).ok());
     let value = rollout::status(&order, standing);
     let expected = [
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -63,8 +63,10 @@
     pub keys: IntGauge,
     /// Failed calls to the store since the last one that was answered.
     pub store_failures: IntGauge,
-    /// How far the store is known.
+    /// How far the store is known, within its era.
     pub store_revision: IntGauge,
+    /// How often the store has come back from a copy, as far as this box knows.
+    pub store_era: IntGauge,
     /// Connections open at the listeners.
     pub connections: IntGauge,
     /// Attempts beyond a request's first.
@@ -238,6 +240,10 @@
                 "store_revision",
                 "The last change of the store that this box has heard of.",
             )?,
+            store_era: gauge(
+                "store_era",
+                "How often the store has come back from a copy, as far as this box knows.",
+            )?,
             connections: gauge("connections", "Connections open at the listeners.")?,
             repeats: counter("repeats_total", "Attempts beyond a request's first.")?,
             dropped_lines: counter(
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -118,8 +118,8 @@
         };
         match step {
             Ok(()) => self.recovered(),
-            Err(Error::HistoryLost) => {
-                log::warn!("store: its history is lost; reading everything again.");
+            Err(error @ (Error::HistoryLost | Error::Restored)) => {
+                log::warn!("store: {error}; reading everything again.");
                 self.revision = None;
                 // A stale read may be older than the history.
                 *freshness = Freshness::Linearizable;
@@ -175,6 +175,7 @@
             Err(Error::Silent) => "silent",
             Err(Error::Refused(_)) => "refused",
             Err(Error::HistoryLost) => "history-lost",
+            Err(Error::Restored) => "restored",
             Err(Error::Unreadable(_)) => "unreadable",
         };
         self.metrics.store.with_label_values(&[call, outcome]).inc();
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -100,7 +100,8 @@
         if news.until <= self.revision {
             return;
         }
-        let complete = news.since.is_some_and(|since| since <= self.revision);
+        let same = news.until.era == self.revision.era;
+        let complete = same && news.since.is_some_and(|since| since <= self.revision);
         if !self.supplied || !complete {
             return self.ask_for_all(now, from, out);
         }
--- a/src/reducer/rollout.rs
+++ b/src/reducer/rollout.rs
@@ -114,7 +114,10 @@
         watches.retain(|service, _| told.contains_key(service));
         let name = self.table.me.name.as_str().as_bytes();
         for (service, entry) in told {
-            let order = entry.order.as_ref().map_or(0, |order| order.revision.0);
+            let order = entry
+                .order
+                .as_ref()
+                .map_or(0, |order| order.revision.number);
             let draw = xxhash_rust::xxh3::xxh3_64_with_seed(name, order);
             take_entry(watches, service, entry, draw, now, out);
         }
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -50,7 +50,8 @@
         if !(self.registry && self.supplied) {
             return None;
         }
-        let known = since.filter(|since| *since <= self.revision);
+        let same = |since: &Revision| since.era == self.revision.era;
+        let known = since.filter(|since| same(since) && *since <= self.revision);
         let changed = known.and_then(|since| Some((since, self.changes.since(since)?)));
         let (since, (backends, gone)) = match changed {
             Some((since, names)) => (Some(since), self.fleet.sort_out(names, now)),
--- a/standin/src/measure/start.rs
+++ b/standin/src/measure/start.rs
@@ -62,7 +62,7 @@
             whole: pack::pack(&servers).map_or(0, |packed| packed.len()),
             crowd,
             follows: vec![Follow::Alone; boxes],
-            revision: Revision(servers.len() as u64),
+            revision: Revision::first(servers.len() as u64),
             servers,
             questions: 0,
             fetched: (0, 0),
@@ -109,8 +109,8 @@
 
     /// A server changes, and the store tells its followers.
     fn change(&mut self) {
-        self.revision.0 += 1;
-        let at = self.revision.0 as usize % self.servers.len();
+        self.revision.number += 1;
+        let at = self.revision.number as usize % self.servers.len();
         self.servers[at].slots ^= 1;
         let changed = self.servers[at].clone();
         self.tell(&[changed]);
--- a/standin/src/releases.rs
+++ b/standin/src/releases.rs
@@ -123,7 +123,7 @@
                 let server = server(name, region, release, cold, speed);
                 self.tell(Event::Fleet {
                     change: Change::Put(server.backend.clone()),
-                    revision: Revision(0),
+                    revision: Revision::first(0),
                 });
                 self.servers.push(server);
             }
@@ -141,7 +141,7 @@
     /// The operator's order alone.
     pub fn give_order(&mut self, release: &str, within: Millis) {
         self.ordered = self.crowd.now;
-        self.store.revision.0 += 1;
+        self.store.revision.number += 1;
         self.store.entry.order = Some(Order {
             release: release.parse().expect("a name"),
             within,
@@ -172,13 +172,13 @@
         let rollouts = self.rollouts();
         self.tell(Event::Rollouts {
             rollouts,
-            revision: Revision(0),
+            revision: Revision::first(0),
         });
     }
 
     /// The store tells its followers of a change.
     fn tell(&mut self, event: Event) {
-        self.store.revision.0 += 1;
+        self.store.revision.number += 1;
         let revision = self.store.revision;
         let event = match event {
             Event::Fleet { change, .. } => Event::Fleet { change, revision },
@@ -240,7 +240,7 @@
         self.crash(server);
         let doubt = Millis(0);
         let change = Change::Gone { name, doubt };
-        let revision = Revision(0);
+        let revision = Revision::first(0);
         self.tell(Event::Fleet { change, revision });
     }
 
--- a/standin/src/releases/play.rs
+++ b/standin/src/releases/play.rs
@@ -154,7 +154,7 @@
         if self.store.down || !same || over || self.store.entry.standing() == Some(standing) {
             return;
         }
-        self.store.revision.0 += 1;
+        self.store.revision.number += 1;
         self.store.entry.written = Some(Written {
             standing,
             release: order.release.clone(),
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -194,7 +194,7 @@
     /// The store tells a box of the server.
     fn hear_store(&mut self, number: usize) {
         self.crowd.step(number, news(cold_list(self.cold)));
-        self.crowd.step(number, Event::Synced(Revision(1)));
+        self.crowd.step(number, Event::Synced(Revision::first(1)));
     }
 
     /// Requests a second of the next three seconds; box 0 hears the store where `stored` says so.
@@ -202,7 +202,7 @@
         let before = self.sent.len();
         for _ in 0..3 {
             if stored {
-                self.crowd.step(0, Event::Synced(Revision(1)));
+                self.crowd.step(0, Event::Synced(Revision::first(1)));
             }
             self.pass(1000);
         }
@@ -349,7 +349,7 @@
         for _ in 0..10 {
             region.pass(1000);
             for other in 1..size {
-                region.crowd.step(other, Event::Synced(Revision(1)));
+                region.crowd.step(other, Event::Synced(Revision::first(1)));
             }
         }
         region.keeps_the_rate();
@@ -364,7 +364,7 @@
     region.crowd.boxes[2] = None;
     for _ in 0..10 {
         region.pass(1000);
-        region.crowd.step(0, Event::Synced(Revision(1)));
+        region.crowd.step(0, Event::Synced(Revision::first(1)));
     }
     region.sent.clear();
     region.pass(3000);
--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -198,9 +198,13 @@
     // The second box takes all at once; the third knows half of it.
     fetch_missed(&mut crowd, 0, 1);
     let teller = crowd.boxes[1].as_ref().expect("it runs");
-    let roster = teller.roster(crowd.now, Some(Revision(10)));
+    let roster = teller.roster(crowd.now, Some(Revision::first(10)));
     let roster = roster.expect("it knows a list");
-    assert_eq!(roster.since, Some(Revision(10)), "it tells what changed");
+    assert_eq!(
+        roster.since,
+        Some(Revision::first(10)),
+        "it tells what changed"
+    );
     crowd.step(2, Event::Roster(roster));
     assert_eq!(list(&crowd, 0), list(&crowd, 2));
 }
@@ -230,7 +234,7 @@
 }
 
 fn tell(crowd: &mut Crowd, number: usize, change: Change, revision: u64) {
-    let revision = Revision(revision);
+    let revision = Revision::first(revision);
     crowd.step(number, Event::Fleet { change, revision });
     crowd.step(number, Event::Synced(revision));
 }
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -7,7 +7,7 @@
 use nix::sys::signal::Signal;
 use petreldrum_standin::{
     http::{Answer, Begun, begin, call, start},
-    registry::Registry,
+    registry::{Copy, Fault, Registry},
     worker::{MODE, Worker},
 };
 use serde_json::{Value, json};
@@ -150,6 +150,14 @@
         answers.into_iter().flatten().collect()
     }
 
+    /// The store falls silent for a moment and comes back from a copy.
+    pub async fn restore_store(&self, copy: &Copy) {
+        self.registry.set_fault(Fault::Silent);
+        sleep(Duration::from_millis(500)).await;
+        self.registry.restore(copy);
+        self.registry.set_fault(Fault::None);
+    }
+
     /// Later boxes reach the store by another way, which may fail by itself.
     pub async fn another_store(&mut self) -> Registry {
         let beside = self.registry.beside();
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -49,13 +49,13 @@
 
 /// The store tells of backend servers.
 pub fn news(change: Change) -> Event {
-    let revision = Revision(1);
+    let revision = Revision::first(1);
     Event::Fleet { change, revision }
 }
 
 /// The store tells which failure domains are evacuated.
 pub fn evacuated(domains: BTreeSet<Domain>) -> Event {
-    let revision = Revision(1);
+    let revision = Revision::first(1);
     Event::Evacuated { domains, revision }
 }
 
@@ -176,7 +176,7 @@
             stopping: names.is_empty(),
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
-            revision: Revision(0),
+            revision: Revision::first(0),
             doors: names.iter().enumerate().map(door).collect(),
             services: vec![capacity],
             uses: vec![],
--- a/tests/platform_records.rs
+++ b/tests/platform_records.rs
@@ -129,11 +129,11 @@
 #[test]
 fn orders_and_what_is_written_of_them() {
     let entry = br#"{"service":"app","targetVersion":"v2","durationS":12.5}"#;
-    let order = rollout::order(entry, Revision(7)).expect("it reads");
+    let order = rollout::order(entry, Revision::first(7)).expect("it reads");
     assert_eq!(order.release.as_str(), "v2");
     assert_eq!(
         (order.within, order.revision),
-        (Millis(12_500), Revision(7))
+        (Millis(12_500), Revision::first(7))
     );
     for (standing, word) in [
         (Standing::Active, "active"),
@@ -146,7 +146,7 @@
             text,
             format!(r#"{{"state":"{word}","targetVersion":"v2"}}"#)
         );
-        let written = rollout::written(&bytes, Revision(8)).expect("it reads");
+        let written = rollout::written(&bytes, Revision::first(8)).expect("it reads");
         assert_eq!(
             (written.standing, &written.release),
             (standing, &order.release)
@@ -158,7 +158,7 @@
 fn orders_of_odd_durations_leave_no_time_or_much() {
     let order = |duration: &str| {
         let entry = format!(r#"{{"targetVersion":"v2","durationS":{duration}}}"#);
-        rollout::order(entry.as_bytes(), Revision(1)).map(|order| order.within)
+        rollout::order(entry.as_bytes(), Revision::first(1)).map(|order| order.within)
     };
     assert_eq!(order("-3").expect("it reads"), Millis(0));
     assert_eq!(order("0").expect("it reads"), Millis(0));
@@ -170,10 +170,10 @@
 #[test]
 fn rollout_entries_of_any_bytes_read_or_do_not() {
     check!().with_type::<Vec<u8>>().for_each(|bytes| {
-        if let Ok(order) = rollout::order(bytes, Revision(1)) {
+        if let Ok(order) = rollout::order(bytes, Revision::first(1)) {
             let bytes = rollout::status(&order, Standing::Active);
-            assert!(rollout::written(&bytes, Revision(2)).is_ok());
+            assert!(rollout::written(&bytes, Revision::first(2)).is_ok());
         }
-        let _ = rollout::written(bytes, Revision(1));
+        let _ = rollout::written(bytes, Revision::first(1));
     });
 }
--- a/tests/rollout_verdicts.rs
+++ b/tests/rollout_verdicts.rs
@@ -15,7 +15,7 @@
 fn trial(route: u32, old: Count, new: Count, seen: u64, failing: u64) -> Trial {
     Trial {
         service: Short(1),
-        order: Revision(5),
+        order: Revision::first(5),
         route: Short(route),
         age: Millis(1000),
         old,
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -4,15 +4,24 @@
 
 use std::time::{Duration, Instant};
 
-use harness::{cloud::Cloud, eventually};
-use petreldrum_standin::registry::Fault;
+use harness::{
+    cloud::Cloud,
+    engines::{World, life},
+    eventually,
+};
+use petreldrum::{
+    config::Backend,
+    fleet::{Change, DOUBT, Era, Revision},
+    reducer::event::Event,
+};
+use petreldrum_standin::registry::Copy;
 use tokio::time::sleep;
 
 /// By when news of the store must be in force.
 const FORCE: Duration = Duration::from_secs(3);
 
-/// Two boxes and three servers. The store comes back from a copy that lacks the last changes.
-async fn cloud() -> Cloud {
+/// Two boxes and three servers, which know ten changes more than the copy has.
+async fn cloud() -> (Cloud, Copy) {
     let mut cloud = Cloud::serving(&["w-1", "w-2", "w-3"]).await;
     cloud.add_box("atl").await;
     cloud.settled().await;
@@ -26,17 +35,16 @@
         })
         .await;
     }
-    cloud.registry.set_fault(Fault::Silent);
-    sleep(Duration::from_millis(500)).await;
-    cloud.registry.restore(&copy);
-    cloud.registry.set_fault(Fault::None);
+    (cloud, copy)
+}
+
+async fn read_again(cloud: &Cloud) {
     for entry in &cloud.boxes {
         eventually("everything is read again", async || {
             entry.log.text().matches("read everything").count() > 1
         })
         .await;
     }
-    cloud
 }
 
 fn arrivals(cloud: &Cloud, name: &str, since: Instant) -> usize {
@@ -44,16 +52,112 @@
     arrivals.iter().filter(|at| **at > since).count()
 }
 
+async fn nothing_goes_to(cloud: &Cloud, name: &str) {
+    let since = Instant::now();
+    let answers = cloud.press_all("a", Duration::from_secs(2)).await;
+    let late = arrivals(cloud, name, since);
+    assert_eq!(late, 0, "requests came to a server that leaves");
+    assert!(answers.iter().all(|answer| answer.status.is_success()));
+}
+
 // The number of the news is lower than those that the boxes knew before.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_server_that_leaves_in_a_new_era_gets_no_more() {
-    let cloud = cloud().await;
+    let (cloud, copy) = cloud().await;
+    cloud.restore_store(&copy).await;
+    read_again(&cloud).await;
     let address = cloud.workers["w-1"].address;
     cloud.register("w-1", address, "atl", "draining");
     sleep(FORCE).await;
-    let since = Instant::now();
-    let answers = cloud.press_all("a", Duration::from_secs(2)).await;
-    let late = arrivals(&cloud, "w-1", since);
-    assert_eq!(late, 0, "requests came to a server that leaves");
-    assert!(answers.iter().all(|answer| answer.status.is_success()));
+    nothing_goes_to(&cloud, "w-1").await;
+}
+
+// The store knows the number that a watch goes on from, and means another change by it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_watch_from_a_number_given_out_again_misses_nothing() {
+    let (cloud, copy) = cloud().await;
+    let address = cloud.workers["w-1"].address;
+    cloud.restore_store(&copy).await;
+    cloud.register("w-1", address, "atl", "draining");
+    for version in 2..20 {
+        cloud.configure(version);
+    }
+    read_again(&cloud).await;
+    let log = cloud.boxes[0].log.text();
+    assert!(log.contains("it came back from a copy; reading everything again"));
+    nothing_goes_to(&cloud, "w-1").await;
+}
+
+#[test]
+fn revisions_are_read_as_they_are_written() {
+    let revision = Revision {
+        era: Era(2),
+        number: 17,
+    };
+    assert_eq!(revision.to_string(), "e2r17");
+    assert_eq!("e2r17".parse(), Ok(revision));
+    assert!(Revision::first(100) < revision);
+    for odd in ["", "17", "e2", "er", "e2r", "r17", "e2r-1", "e2r1x"] {
+        assert!(odd.parse::<Revision>().is_err(), "{odd}");
+    }
+}
+
+fn at(era: u64, number: u64) -> Revision {
+    let era = Era(era);
+    Revision { era, number }
+}
+
+fn list(backends: &[Backend], revision: Revision) -> Event {
+    let change = Change::List {
+        backends: backends.to_vec(),
+        doubt: DOUBT,
+    };
+    Event::Fleet { change, revision }
+}
+
+fn put(backend: &Backend, revision: Revision) -> Event {
+    let change = Change::Put(backend.clone());
+    Event::Fleet { change, revision }
+}
+
+/// A box that knows these servers up to number 20 of the first era.
+fn world(backends: &[Backend]) -> World {
+    let mut world = World::new(backends.to_vec());
+    world.step(list(backends, at(1, 20)));
+    world.step(Event::Synced(at(1, 20)));
+    world.pass(5000);
+    world
+}
+
+/// Whether requests may go to the one server.
+fn is_served(world: &World) -> bool {
+    let status = world.state.status(world.now);
+    status.backends.iter().any(|backend| backend.used)
+}
+
+// Boxes learn of a new era one after the other.
+#[test]
+fn lists_of_an_earlier_era_are_old() {
+    let one = life("one", "ready", 0, 5);
+    let leaving = life("one", "draining", 0, 5);
+    let mut late = world(std::slice::from_ref(&one));
+    let mut early = world(std::slice::from_ref(&one));
+    late.step(Event::Synced(at(1, 30)));
+    early.step(list(std::slice::from_ref(&one), at(2, 17)));
+    early.step(put(&leaving, at(2, 18)));
+    early.step(Event::Synced(at(2, 18)));
+    // The late box knows a higher number, of an earlier era: it is sent the whole list.
+    let roster = early.state.roster(early.now, Some(late.state.revision()));
+    let roster = roster.expect("a list");
+    assert_eq!(roster.since, None);
+    late.step(Event::Roster(roster));
+    assert_eq!(late.state.revision(), at(2, 18));
+    assert!(!is_served(&late));
+    // What the earlier era still tells is dropped.
+    late.step(put(&one, at(1, 31)));
+    assert!(!is_served(&late));
+    let old = world(std::slice::from_ref(&one));
+    let old = old.state.roster(old.now, None).expect("a list");
+    late.step(Event::Roster(old));
+    assert_eq!(late.state.revision(), at(2, 18));
 }
--- a/tests/store_news.rs
+++ b/tests/store_news.rs
@@ -94,7 +94,7 @@
     }
 
     fn until(&self) -> Revision {
-        Revision(self.store.changes.len() as u64)
+        Revision::first(self.store.changes.len() as u64)
     }
 
     /// The store tells everything.
@@ -132,7 +132,7 @@
         }
         let new = self.store.changes[self.told[number]..].to_vec();
         for (at, change) in new.into_iter().enumerate() {
-            let revision = Revision((self.told[number] + at + 1) as u64);
+            let revision = Revision::first((self.told[number] + at + 1) as u64);
             self.step(number, Event::Fleet { change, revision });
         }
         self.told[number] = self.store.changes.len();
@@ -189,7 +189,7 @@
 
     fn revision(&self, number: usize) -> Revision {
         let state = self.crowd.boxes[number].as_ref();
-        state.map_or(Revision(0), |state| state.revision())
+        state.map_or(Revision::first(0), |state| state.revision())
     }
 
     fn hubs(&self) -> Vec<usize> {
@@ -370,7 +370,7 @@
     let others: Vec<usize> = (0..BOXES).filter(|n| alive(&region, n)).collect();
     for number in &others {
         let change = Change::Put(backend(1, false));
-        let revision = Revision(1);
+        let revision = Revision::first(1);
         let event = Event::Fleet { change, revision };
         drop(region.crowd.step(*number, event));
     }
@@ -385,7 +385,7 @@
         fresh = effects.iter().find_map(hub);
     }
     let hub = fresh.expect("a box takes over");
-    let effects = region.crowd.step(hub, Event::Synced(Revision(1)));
+    let effects = region.crowd.step(hub, Event::Synced(Revision::first(1)));
     let news = effects.iter().find_map(|effect| match effect {
         Effect::Gossip { frame, .. } => match &frame.body {
             Body::News(news) => Some(news.clone()),
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -118,7 +118,7 @@
             doubt: Millis(0),
         };
         pair.step(number, news(list));
-        pair.step(number, Event::Synced(Revision(1)));
+        pair.step(number, Event::Synced(Revision::first(1)));
     }
     pair.pass(3000);
     pair
@@ -142,12 +142,12 @@
 fn a_store_that_tells_both_is_not_passed_by() {
     let mut pair = pair();
     for revision in 2..20 {
-        pair.step(0, Event::Synced(Revision(revision)));
+        pair.step(0, Event::Synced(Revision::first(revision)));
         assert_eq!(asked(&mut pair, 200), 0, "the store has some time");
-        pair.step(1, Event::Synced(Revision(revision)));
+        pair.step(1, Event::Synced(Revision::first(revision)));
         assert_eq!(asked(&mut pair, 800), 0, "it has told");
     }
-    pair.step(0, Event::Synced(Revision(20)));
+    pair.step(0, Event::Synced(Revision::first(20)));
     let often = asked(&mut pair, 3000);
     assert!((4..=6).contains(&often), "{often} times in 3 s");
 }
@@ -157,7 +157,7 @@
     let mut pair = pair();
     let roster = |revision| {
         Event::Roster(Roster {
-            revision: Revision(revision),
+            revision: Revision::first(revision),
             evacuated: ["a".parse().expect("a name")].into(),
             ..Roster::default()
         })
@@ -168,15 +168,19 @@
         (known.evacuated.len(), known.revision)
     };
     pair.step(1, roster(12));
-    assert_eq!(evacuated(&pair), (1, Revision(12)));
+    assert_eq!(evacuated(&pair), (1, Revision::first(12)));
     // The store's watch goes on from what it told last, and passes through older states.
     for (revision, expected) in [(2, 1), (11, 1), (13, 0)] {
         let domains = [].into();
-        let revision = Revision(revision);
+        let revision = Revision::first(revision);
         pair.step(1, Event::Evacuated { domains, revision });
         assert_eq!(evacuated(&pair).0, expected, "at {revision}");
     }
-    pair.step(1, Event::Synced(Revision(13)));
+    pair.step(1, Event::Synced(Revision::first(13)));
     pair.step(1, roster(12));
-    assert_eq!(evacuated(&pair), (0, Revision(13)), "an old list is none");
+    assert_eq!(
+        evacuated(&pair),
+        (0, Revision::first(13)),
+        "an old list is none"
+    );
 }
