Hold what a box knew against a store that came back from a copy

Cause: the copy is some seconds old. Until the operator and the servers have written again, it tells that servers take work which had said that they leave or were gone, lacks evacuations, and lacks what the boxes had written. A box took all of that for the newest word.

Change: with the first revision of a new era a box keeps, of the same lives, servers that were leaving as leaving, and tells the others so; servers whose registration was gone stay out until they write again, or are still told after 5 s, when the entry of an ended one would have lapsed; evacuations hold for 5 s unless told again. What the copy lacks of servers is in doubt as after an outage, also where another box tells the list.

Before (these tests on the commit before): a_server_that_was_leaving_stays_so, a_server_that_was_gone_is_out_until_it_writes_again, an_evacuation_that_the_copy_lacks_holds_until_it_is_told_again and what_the_copy_still_tells_after_a_while_is_believed failed. After: passed. The configuration needs nothing: versions only grow.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -32,6 +32,13 @@
 /// that live are back about two seconds after the store; the rest covers the way of the news.
 pub const DOUBT: Millis = Millis(2300);
 
+/// How long after the store came back from a copy what it lacks may still be written again: servers that live are
+/// back within two seconds, and the entry of one that ended lapses after three heartbeats.
+pub const RESTORED: Millis = Millis(5000);
+
+/// How long it is remembered that a server is gone, which a store that comes back from a copy may tell of again.
+const REMEMBERED: Millis = Millis(60_000);
+
 /// How long changes are gathered after some came, for each box of the fleet beyond [`FEW`], and the
 /// most: all boxes together ask the store about 100 times a second at most. News are due within
 /// seconds, and a change that comes alone is not held up.
@@ -131,6 +138,11 @@
     /// Those that started again under their name, since somebody asked.
     reborn: Vec<id::Backend>,
     departures: Departures,
+    /// Lives of servers whose registration is gone, and since when.
+    ended: HashMap<id::Backend, (Option<Incarnation>, Time)>,
+    /// Until when a list may be an old copy, and what it told of servers whose registration was gone.
+    copied_until: Option<Time>,
+    withheld: HashMap<id::Backend, Backend>,
 }
 
 impl Fleet {
@@ -203,12 +215,35 @@
         for name in missing {
             removed |= self.miss(&name, doubt, now);
         }
+        self.withheld.clear();
         for backend in backends {
-            self.put(backend, true, now);
+            if self.is_copied(&backend, now) {
+                self.withheld.insert(backend.name.clone(), backend);
+            } else {
+                self.put(backend, true, now);
+            }
         }
         removed
     }
 
+    /// Notes that the store came back from a copy: what was known of servers that left outranks it.
+    pub fn enter_era(&mut self, now: Time) {
+        self.copied_until = Some(now + RESTORED);
+        let leaving = self.members.values();
+        let leaving = leaving.filter(|m| m.registered && m.registered_leaving);
+        for Member { backend, .. } in leaving {
+            self.departures
+                .note(&backend.name, backend.incarnation, now);
+        }
+    }
+
+    /// Whether a list may name `backend` only because it is an old copy.
+    fn is_copied(&self, backend: &Backend, now: Time) -> bool {
+        let ended = self.ended.get(&backend.name);
+        self.copied_until.is_some_and(|until| now < until)
+            && ended.is_some_and(|(life, _)| *life == backend.incarnation)
+    }
+
     fn put(&mut self, backend: Backend, registered: bool, now: Time) {
         let known = self.members.get(&backend.name);
         let before = known.and_then(|m| m.backend.incarnation);
@@ -216,6 +251,8 @@
             // A life that is over wrote this late.
             return;
         }
+        self.ended.remove(&backend.name);
+        self.withheld.remove(&backend.name);
         if before.is_some() && before < backend.incarnation {
             self.reborn.push(backend.name.clone());
         }
@@ -246,10 +283,20 @@
         removed.is_some()
     }
 
+    /// Takes one out whose registration is gone.
+    fn end(&mut self, name: &id::Backend, now: Time) -> bool {
+        if let Some(member) = self.members.get(name).filter(|m| m.registered) {
+            let life = member.backend.incarnation;
+            self.ended.insert(name.clone(), (life, now));
+        }
+        self.remove(name)
+    }
+
     /// Takes one out, or believes it for as long as its absence is in doubt; true for the first.
     fn miss(&mut self, name: &id::Backend, doubt: Millis, now: Time) -> bool {
+        self.withheld.remove(name);
         if doubt == Millis(0) {
-            return self.remove(name);
+            return self.end(name, now);
         }
         if let Some(member) = self.members.get_mut(name) {
             member.missing_until.get_or_insert(now + doubt);
@@ -267,12 +314,25 @@
         };
         let over: Vec<id::Backend> = self.missing.iter().filter(over).cloned().collect();
         for name in &over {
-            self.remove(name);
+            self.end(name, now);
         }
         self.sweep_departures(now);
+        self.sweep_copy(now);
         !over.is_empty()
     }
 
+    /// Takes in what an old copy told and what is still told now.
+    fn sweep_copy(&mut self, now: Time) {
+        if self.copied_until.is_some_and(|until| now >= until) {
+            self.copied_until = None;
+            for backend in std::mem::take(&mut self.withheld).into_values() {
+                self.put(backend, true, now);
+            }
+        }
+        self.ended
+            .retain(|_, (_, since)| now.since(*since) < REMEMBERED);
+    }
+
     /// Forgets what servers said that they leave, where it may not be so any more.
     fn sweep_departures(&mut self, now: Time) {
         let kept = |name: &id::Backend| departure_kept(&self.members, name);
@@ -334,7 +394,8 @@
     /// The backend servers that registered themselves, as of `now`.
     pub fn registered(&self, now: Time) -> Vec<Backend> {
         let registered = self.members.values().filter(|m| m.registered);
-        registered.map(|m| m.told(now)).collect()
+        let withheld = self.withheld.values().cloned();
+        registered.map(|m| m.told(now)).chain(withheld).collect()
     }
 
     /// Those of `names` that registered themselves, as of `now`, and those that are gone.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     config::Backend,
-    fleet::{self, Change as FleetChange, Revision, Rollouts},
+    fleet::{self, Change as FleetChange, Era, Revision, Rollouts},
     gateway::{clock::Moment, core::Handle, dial::Pool, follow, metrics::Metrics},
     id::{Domain, Service},
     platform::{
@@ -54,6 +54,8 @@
     revision: Option<Revision>,
     evacuated: BTreeSet<Domain>,
     rollouts: Rollouts,
+    /// The era of the last reading.
+    era: Option<Era>,
     /// When the store last failed, or came back: what vanishes soon after is in doubt.
     disturbed: Option<Moment>,
     failures: u32,
@@ -87,6 +89,7 @@
         revision: None,
         evacuated: BTreeSet::new(),
         rollouts: Rollouts::new(),
+        era: None,
         disturbed: None,
         failures: 0,
         duty,
@@ -135,6 +138,10 @@
         let (items, revision) = read?;
         let took = asked.elapsed().as_secs_f64();
         self.metrics.store_seconds.observe(took);
+        let before = self.era.replace(revision.era);
+        if before.is_some_and(|before| before != revision.era) {
+            self.disturbed = Some(Moment::now());
+        }
         self.take_all(items, revision);
         self.reached(revision);
         Ok(())
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -9,13 +9,14 @@
 
 use crate::{
     config::{Config, Version},
-    fleet::{Change, Revision},
+    fleet::{Change, Era, Revision},
     id::{Backend, BoxName, Domain, Region, Service},
     member::HEARTBEAT,
     policy::Policy,
     reducer::{
         FREEZE, JOIN_GRACE, State, WAKE_GRACE,
         effect::{Alarm, Effect, Follow, Note},
+        era::Evacuations,
         event::Source,
         heartbeat::GREET_AGAIN,
         news::Gathered,
@@ -56,6 +57,9 @@
     pub(super) last_word: Option<Time>,
     /// Whether the region is to hear of servers that said that they leave.
     pub(super) departures_untold: bool,
+    /// The era of the store, as far as this box knows.
+    pub(super) era: Era,
+    pub(super) evacuations: Evacuations,
     /// How the store is followed.
     pub(super) follow: Follow,
     /// What the store told since news was passed on.
@@ -127,6 +131,7 @@
 
     pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.expire(now, out);
+        self.expire_evacuations(now, out);
         if self.fleet.sweep(now) {
             self.forget_servers();
         }
@@ -406,14 +411,21 @@
         self.cache.retain(|short| self.fleet.long(short).is_some());
     }
 
-    /// Takes over which failure domains are evacuated; those that return may come back cold.
+    /// Takes over which failure domains the store tells to be evacuated.
     pub(super) fn evacuate(&mut self, now: Time, domains: BTreeSet<Domain>, out: &mut Vec<Effect>) {
+        self.control.evacuations.tell(domains);
+        self.apply_evacuations(now, out);
+    }
+
+    /// Acts on which failure domains are believed to be evacuated; those that return may come back cold.
+    pub(super) fn apply_evacuations(&mut self, now: Time, out: &mut Vec<Effect>) {
         let config = self.config.clone();
         let profiles = config.as_ref().map(|c| &c.profiles);
         let span = |service: &Service| {
             let profile = profiles.and_then(|p| p.get(service));
             profile.map_or(Millis(0), |p| p.cold_lag)
         };
+        let domains = self.control.evacuations.believed(now);
         for domain in self.evacuated.difference(&domains) {
             self.fleet.chill(domain, span, now);
         }
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     config::Version,
-    fleet::Revision,
+    fleet::{Era, Revision},
     id::{self, Region, Service},
     rollout::{Finding, Order, Standing},
     unit::{Millis, Rate},
@@ -77,6 +77,8 @@
         /// How long.
         span: Option<Millis>,
     },
+    /// The platform's store came back from a copy.
+    Era(Era),
     /// The platform's store told something by an older number than is known; it is dropped.
     OldNews {
         /// The number.
@@ -121,6 +123,7 @@
                 Some(span) => write!(f, "backend={backend} pushback={span}"),
                 None => write!(f, "backend={backend} pushback=unreadable"),
             },
+            Self::Era(era) => write!(f, "store era={era} restored=copy"),
             Self::OldNews { revision, known } => {
                 write!(f, "store news={revision} known={known} dropped=older")
             }
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -25,6 +25,7 @@
 //! | `rollout`, `watch` | another release of a service's backend servers: who gets it, and how that ends |
 //! | `judge` | what answers say of the release of their server |
 //! | `news` | who follows the platform's store, and how its news reaches the others |
+//! | `era` | a store that came back from a copy |
 //! | `roster` | backend servers that peers tell of while the store is away |
 //! | `heartbeat`, `digest` | what boxes of a region, and regions, tell each other |
 //! | `control` | ticks, messages, the configuration, freezes |
@@ -40,6 +41,7 @@
 mod digest;
 mod dispatch;
 pub mod effect;
+mod era;
 mod estimate;
 pub mod event;
 mod heartbeat;
@@ -256,6 +258,7 @@
                 self.drop_old(revision, &mut out);
             }
             Event::Fleet { change, revision } => {
+                self.notice_era(now, revision.era, &mut out);
                 self.gather(&change);
                 self.supplied(now, change, revision, &mut out);
             }
@@ -266,8 +269,14 @@
             Event::Cached { backend, parts } => {
                 self.learn_cached(now, &backend, &parts, &mut out);
             }
-            Event::Evacuated { domains, .. } => self.evacuate(now, domains, &mut out),
-            Event::Rollouts { rollouts, .. } => self.take_rollouts(now, &rollouts, &mut out),
+            Event::Evacuated { domains, revision } => {
+                self.notice_era(now, revision.era, &mut out);
+                self.evacuate(now, domains, &mut out);
+            }
+            Event::Rollouts { rollouts, revision } => {
+                self.notice_era(now, revision.era, &mut out);
+                self.take_rollouts(now, &rollouts, &mut out);
+            }
             Event::Resolve {
                 request,
                 region,
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -82,7 +82,7 @@
             since: (!gathered.whole).then_some(self.revision),
             until,
             changes: gathered.changes,
-            evacuated: self.evacuated.clone(),
+            evacuated: self.control.evacuations.told.clone(),
             rollouts: self.rollouts.tell(now),
         };
         let targets = self.table.neighbours(now);
@@ -105,7 +105,7 @@
         if !self.supplied || !complete {
             return self.ask_for_all(now, from, out);
         }
-        if news.evacuated != self.evacuated {
+        if news.evacuated != self.control.evacuations.told {
             self.evacuate(now, news.evacuated.clone(), out);
         }
         // An order comes before the servers that were started for it.
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -63,7 +63,7 @@
             gone,
             gaps: since.map_or_else(Vec::new, |since| self.changes.gaps_after(since)),
             doubted: self.fleet.doubted(now),
-            evacuated: self.evacuated.clone(),
+            evacuated: self.control.evacuations.told.clone(),
             rollouts: self.rollouts.tell(now),
             revision: self.revision,
         })
@@ -179,6 +179,12 @@
             return;
         }
         let revision = roster.revision;
+        // What another era's list lacks may be written again.
+        let doubt = match self.supplied && revision.era > self.revision.era {
+            true => fleet::DOUBT,
+            false => Millis(0),
+        };
+        self.notice_era(now, revision.era, out);
         match roster.since {
             None if self.supplied => self.changes.skip(self.revision, revision),
             None => {}
@@ -192,7 +198,6 @@
         self.revision = revision;
         self.evacuate(now, roster.evacuated, out);
         self.take_rollouts(now, &roster.rollouts, out);
-        let doubt = Millis(0);
         let changes: Vec<Change> = match roster.since {
             None => vec![Change::List {
                 backends: roster.backends,
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -2,7 +2,10 @@
 
 mod harness;
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use harness::{
     cloud::Cloud,
@@ -11,8 +14,9 @@
 };
 use petreldrum::{
     config::Backend,
-    fleet::{Change, DOUBT, Era, Revision},
+    fleet::{Change, DOUBT, Era, RESTORED, Revision},
     reducer::event::Event,
+    unit::Millis,
 };
 use petreldrum_standin::registry::Copy;
 use tokio::time::sleep;
@@ -120,6 +124,22 @@
     Event::Fleet { change, revision }
 }
 
+fn gone(backend: &Backend, revision: Revision) -> Event {
+    let change = Change::Gone {
+        name: backend.name.clone(),
+        doubt: Millis(0),
+    };
+    Event::Fleet { change, revision }
+}
+
+fn evacuated(domains: &[&str], revision: Revision) -> Event {
+    let domains = domains.iter().map(|d| d.parse().expect("a name"));
+    Event::Evacuated {
+        domains: domains.collect::<BTreeSet<_>>(),
+        revision,
+    }
+}
+
 /// A box that knows these servers up to number 20 of the first era.
 fn world(backends: &[Backend]) -> World {
     let mut world = World::new(backends.to_vec());
@@ -135,6 +155,90 @@
     status.backends.iter().any(|backend| backend.used)
 }
 
+// The copy is older than the server's word, and the server has not written again yet.
+#[test]
+fn a_server_that_was_leaving_stays_so() {
+    let one = life("one", "ready", 0, 5);
+    let mut world = world(std::slice::from_ref(&one));
+    world.step(put(&life("one", "draining", 0, 5), at(1, 21)));
+    world.step(list(std::slice::from_ref(&one), at(2, 17)));
+    assert!(!is_served(&world), "the copy says that it takes work");
+    world.pass(20_000);
+    assert!(!is_served(&world));
+    assert_eq!(world.state.departing(), 1, "others are told");
+    world.step(put(&life("one", "ready", 0, 6), at(2, 18)));
+    assert!(is_served(&world), "another life");
+}
+
+#[test]
+fn a_server_that_was_gone_is_out_until_it_writes_again() {
+    let one = life("one", "ready", 0, 5);
+    let mut world = world(std::slice::from_ref(&one));
+    world.step(gone(&one, at(1, 21)));
+    world.step(list(std::slice::from_ref(&one), at(2, 17)));
+    assert!(!is_served(&world));
+    // A second reading, and a second copy, say no more than the first.
+    world.step(list(std::slice::from_ref(&one), at(2, 17)));
+    world.step(list(std::slice::from_ref(&one), at(3, 16)));
+    assert!(!is_served(&world));
+    world.step(put(&one, at(3, 18)));
+    assert!(is_served(&world));
+}
+
+#[test]
+fn what_the_copy_still_tells_after_a_while_is_believed() {
+    let one = life("one", "ready", 0, 5);
+    let mut world = world(std::slice::from_ref(&one));
+    world.step(gone(&one, at(1, 21)));
+    world.step(list(std::slice::from_ref(&one), at(2, 17)));
+    let roster = world.state.roster(world.now, None).expect("a list");
+    assert_eq!(roster.backends.len(), 1, "others hear what the store tells");
+    world.pass(RESTORED.0 - 200);
+    assert!(!is_served(&world));
+    world.pass(300);
+    assert!(is_served(&world));
+}
+
+#[test]
+fn a_server_that_the_copy_lacks_is_believed_until_it_writes_again() {
+    let (one, two) = (life("one", "ready", 0, 5), life("two", "ready", 0, 5));
+    let mut world = world(&[one.clone(), two.clone()]);
+    world.step(list(std::slice::from_ref(&one), at(2, 17)));
+    assert_eq!(world.state.roster(world.now, None).map(known), Some(2));
+    world.step(put(&two, at(2, 18)));
+    world.pass(DOUBT.0 + 100);
+    assert_eq!(world.state.roster(world.now, None).map(known), Some(2));
+}
+
+fn known(roster: petreldrum::fleet::Roster) -> usize {
+    roster.backends.len()
+}
+
+#[test]
+fn an_evacuation_that_the_copy_lacks_holds_until_it_is_told_again() {
+    let one = life("one", "ready", 0, 5);
+    let mut world = world(std::slice::from_ref(&one));
+    world.step(evacuated(&["atl-a"], at(1, 21)));
+    world.step(evacuated(&[], at(2, 17)));
+    world.step(list(std::slice::from_ref(&one), at(2, 17)));
+    assert!(!is_served(&world), "the copy is older than the order");
+    world.step(evacuated(&["atl-a"], at(2, 18)));
+    world.pass(RESTORED.0 + 1000);
+    assert!(!is_served(&world), "it was told again");
+    world.step(evacuated(&[], at(2, 19)));
+    assert!(is_served(&world));
+}
+
+#[test]
+fn an_evacuation_that_is_not_told_again_ends() {
+    let one = life("one", "ready", 0, 5);
+    let mut world = world(std::slice::from_ref(&one));
+    world.step(evacuated(&["atl-a"], at(1, 21)));
+    world.step(evacuated(&[], at(2, 17)));
+    world.pass(RESTORED.0 + 100);
+    assert!(is_served(&world));
+}
+
 // Boxes learn of a new era one after the other.
 #[test]
 fn lists_of_an_earlier_era_are_old() {
