Take the store's era from its refusals too

A fault of the commit that tells eras apart: a write of how a roll-out stands reads the status first, which is absent for a new order. The era of that 404 was dropped, so the order's number counted as one of another era, and no roll-out was ever written: tests/rollout_run never saw "active". All answers tell the era now.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -180,7 +180,7 @@
         let outcome = match result {
             Ok(_) => "ok",
             Err(Error::Silent) => "silent",
-            Err(Error::Refused(_)) => "refused",
+            Err(Error::Refused { .. }) => "refused",
             Err(Error::HistoryLost) => "history-lost",
             Err(Error::Restored) => "restored",
             Err(Error::Unreadable(_)) => "unreadable",
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -101,6 +101,33 @@
     assert_eq!(replace_ended(&mut cloud, &mut life).await, 0);
 }
 
+// A store that comes back from a copy lacks what the boxes wrote since.
+#[tokio::test]
+async fn it_stays_held_back_though_the_store_lost_it() {
+    let mut cloud = Cloud::serving(&["w-1", "w-2", "w-3", "w-4"]).await;
+    let copy = cloud.registry.copy();
+    let mut life = 4;
+    let (ended, _) = repeat_often(&mut cloud, &mut life, 4, "crash").await;
+    assert_eq!(ended, PROOF);
+    eventually("it is written down", async || {
+        cloud.registry.calls("write") > 0
+    })
+    .await;
+    let written = cloud.registry.calls("write");
+    cloud.restore_store(&copy).await;
+    eventually("it is written again", async || {
+        cloud.registry.calls("write") > written
+    })
+    .await;
+    cloud.boxes[0].signal(Signal::SIGKILL);
+    cloud.boxes[0].wait().await;
+    cloud.boxes.clear();
+    cloud.add_box("atl").await;
+    cloud.settled().await;
+    let answer = repeat(&cloud, 9, "crash").await;
+    assert_eq!(answer.status.as_u16(), 503);
+}
+
 /// A process that ends closes its connections and its port one after the other. Under load a box knocked
 /// 50 us after its connection broke and found the port still open: the end did not count, and a fourth server
 /// ended (`broken at=w-2`, then `knock: backend=w-2 closed=false`, in 3 of 10 runs beside ten busy processes).
