Go on with a roll-out whose order the store numbers anew

Cause: an order is known by its revision. A store that came back from a copy tells the same order by another one, and may lack how it ended: the boxes began the roll-out anew and exposed a release that had been rolled back.

Change: the same order (release and time) under a number of a later era is the one that is known; what was seen of it goes on, and an end that the copy lacks stays in force and is written again.

--- a/src/reducer/rollout.rs
+++ b/src/reducer/rollout.rs
@@ -273,7 +273,7 @@
             status::Rollout {
                 service: service.clone(),
                 release: watch.entry.release().cloned(),
-                standing: watch.entry.standing(),
+                standing: watch.standing(),
                 within: watch.order().map(|order| order.within),
                 age: now.since(watch.since),
                 moved: watch.moved.is_some(),
--- a/src/reducer/watch.rs
+++ b/src/reducer/watch.rs
@@ -69,6 +69,8 @@
     pub(super) unproven: BTreeSet<Release>,
     /// What decided, for operators.
     pub(super) finding: Option<Finding>,
+    /// How it ended, where the store came back from a copy that lacks the end.
+    lost: Option<Standing>,
 }
 
 impl Watch {
@@ -95,15 +97,36 @@
 
     /// Whether its end is not written yet.
     pub(super) fn is_open(&self) -> bool {
-        let over = matches!(
-            self.entry.standing(),
-            Some(Standing::Completed | Standing::RolledBack)
-        );
-        self.order().is_some() && !over
+        self.order().is_some() && !self.entry.standing().is_some_and(Standing::is_end)
+    }
+
+    /// How far it has come, whether or not the store still holds that.
+    pub(super) fn standing(&self) -> Option<Standing> {
+        let written = self.entry.standing();
+        written.filter(|w| w.is_end()).or(self.lost).or(written)
+    }
+
+    /// Whether `told` is the order that is known, under another number of a later era of the store.
+    fn is_renumbered(&self, told: &Entry) -> bool {
+        let (Some(known), Some(told)) = (self.order(), &told.order) else {
+            return false;
+        };
+        let same = known.release == told.release && known.within == told.within;
+        same && known.revision.era < told.revision.era
+    }
+
+    /// Goes on with the order under its new number.
+    fn renumber(&mut self, told: &Entry) {
+        self.lost = self.standing().filter(|standing| standing.is_end());
+        self.entry = told.clone();
+        if let Some(order) = &told.order {
+            let trials = self.trials.values_mut();
+            trials.for_each(|trial| trial.order = order.revision);
+        }
     }
 
     pub(super) fn lane(&self, now: Time) -> Option<Lane> {
-        match (self.order(), self.entry.standing()) {
+        match (self.order(), self.standing()) {
             (_, Some(Standing::Completed)) => {
                 let lately = self.ended.is_some_and(|at| now.since(at) < SETTLE);
                 lately.then_some(Lane::Done)
@@ -159,6 +182,9 @@
         let age = now.since(self.since);
         let overdue = age >= Millis(order.within.0.saturating_mul(PATIENCE));
         let moved = self.moved.is_some_and(|at| now.since(at) >= MOVING);
+        if let Some(end) = self.lost {
+            return end;
+        }
         let due = age + part(order, FINISH) >= order.within;
         match verdict {
             _ if order.within == Millis(0) => Standing::RolledBack,
@@ -204,7 +230,9 @@
     let watch = watches.entry(service.clone()).or_default();
     let before = watch.entry.order.as_ref().map(|order| order.revision);
     let after = told.order.as_ref().map(|order| order.revision);
-    if before != after {
+    if watch.is_renumbered(told) {
+        watch.renumber(told);
+    } else if before != after {
         let mut unproven = std::mem::take(&mut watch.unproven);
         // What was under way is not shown to be good.
         let open = watch.is_open();
--- a/src/rollout.rs
+++ b/src/rollout.rs
@@ -76,6 +76,11 @@
 }
 
 impl Standing {
+    /// Whether nothing follows.
+    pub fn is_end(self) -> bool {
+        matches!(self, Self::Completed | Self::RolledBack)
+    }
+
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/tests/rollout_run.rs
+++ b/tests/rollout_run.rs
@@ -138,6 +138,33 @@
     eventually("it is written", || async { state(&cloud) == "rolled_back" }).await;
 }
 
+// The copy is older than the end, and the operator writes the order again under another number.
+#[tokio::test]
+async fn an_end_that_the_store_lost_is_written_again() {
+    let mut cloud = cloud().await;
+    ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    order(&mut cloud, 60.0, Some("error")).await;
+    eventually("it is under way", || async { state(&cloud) == "active" }).await;
+    let order = cloud.registry.content(ORDER).expect("it is ordered");
+    let copy = cloud.registry.copy();
+    ask_until(&cloud, Duration::from_secs(30), |c| {
+        state(c) == "rolled_back"
+    })
+    .await;
+    ask_until(&cloud, Duration::from_secs(1), |_| false).await;
+    let since = Instant::now();
+    cloud.restore_store(&copy).await;
+    assert_eq!(state(&cloud), "active", "the end is lost");
+    cloud.registry.put(ORDER, &order);
+    ask_until(&cloud, Duration::from_secs(12), |c| {
+        state(c) == "rolled_back"
+    })
+    .await;
+    assert_eq!(state(&cloud), "rolled_back");
+    let failed = ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    assert_eq!((failed, arrivals(&cloud, "new", since)), (0, 0));
+}
+
 #[tokio::test]
 async fn odd_orders_and_statuses_harm_nobody() {
     let cloud = cloud().await;
