Hold a roll-out whose order a restored store lacks

Cause: the copy may be older than an order. Its lack was taken for a withdrawal, and a release that had been rolled back got requests like any other until the operator wrote the order again; an older order in the copy replaced a later one.

Change: for 5 s after the store came back from a copy, an order that it lacks or tells an older one for holds, and the same order under another number is the one that is known. What the store still tells after that is believed. A new order of these 5 s takes effect at their end.

--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -59,6 +59,8 @@
     pub(super) departures_untold: bool,
     /// The era of the store, as far as this box knows.
     pub(super) era: Era,
+    /// When the store came back from a copy last.
+    pub(super) restored: Option<Time>,
     pub(super) evacuations: Evacuations,
     /// How the store is followed.
     pub(super) follow: Follow,
@@ -132,6 +134,7 @@
     pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.expire(now, out);
         self.expire_evacuations(now, out);
+        self.take_copied_rollouts(now, out);
         if self.fleet.sweep(now) {
             self.forget_servers();
         }
--- a/src/reducer/era.rs
+++ b/src/reducer/era.rs
@@ -63,6 +63,7 @@
             return;
         }
         out.push(Effect::Noted(Note::Era(era)));
+        self.control.restored = Some(now);
         self.fleet.enter_era(now);
         let until = now + RESTORED;
         let evacuated = self.evacuated.iter().cloned();
@@ -71,6 +72,12 @@
         self.keep_again(now, out);
     }
 
+    /// Whether what the store tells may still be an old copy.
+    pub(super) fn is_restored(&self, now: Time) -> bool {
+        let entered = self.control.restored;
+        entered.is_some_and(|at| now.since(at) < RESTORED)
+    }
+
     /// Writes again which contents are held back: the copy may lack them.
     fn keep_again(&self, now: Time, out: &mut Vec<Effect>) {
         if self.registry && self.table.leads(DUTY, now) {
--- a/src/reducer/rollout.rs
+++ b/src/reducer/rollout.rs
@@ -43,6 +43,8 @@
     /// Attempts that broke at servers which are knocked at: their services and routes.
     pub(super) broken: HashMap<id::Backend, Vec<(Service, Service)>>,
     last_look: Option<Time>,
+    /// What the store told last since it came back from a copy, while that may be too old.
+    copied: Option<fleet::Rollouts>,
 }
 
 impl Rollouts {
@@ -53,6 +55,7 @@
             typical: HashMap::new(),
             broken: HashMap::new(),
             last_look: None,
+            copied: None,
         }
     }
 
@@ -110,20 +113,34 @@
         told: &fleet::Rollouts,
         out: &mut Vec<Effect>,
     ) {
+        let restored = self.is_restored(now);
+        self.rollouts.copied = restored.then(|| told.clone());
         let watches = &mut self.rollouts.watches;
-        watches.retain(|service, _| told.contains_key(service));
+        watches.retain(|service, _| restored || told.contains_key(service));
         let name = self.table.me.name.as_str().as_bytes();
         for (service, entry) in told {
+            if restored && watches.get(service).is_some_and(|w| w.outlasts(entry)) {
+                continue;
+            }
             let order = entry
                 .order
                 .as_ref()
                 .map_or(0, |order| order.revision.number);
             let draw = xxhash_rust::xxh3::xxh3_64_with_seed(name, order);
-            take_entry(watches, service, entry, draw, now, out);
+            take_entry(watches, service, entry, draw, restored, now, out);
         }
         self.survey();
     }
 
+    /// Believes what an old copy of the store told of roll-outs and was not written again since.
+    pub(super) fn take_copied_rollouts(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.is_restored(now)
+            && let Some(told) = self.rollouts.copied.take()
+        {
+            self.take_rollouts(now, &told, out);
+        }
+    }
+
     fn survey(&mut self) {
         for (service, watch) in &mut self.rollouts.watches {
             let serving = self.fleet.iter().filter(|b| b.serves.contains(service));
--- a/src/reducer/watch.rs
+++ b/src/reducer/watch.rs
@@ -106,13 +106,23 @@
         written.filter(|w| w.is_end()).or(self.lost).or(written)
     }
 
-    /// Whether `told` is the order that is known, under another number of a later era of the store.
-    fn is_renumbered(&self, told: &Entry) -> bool {
+    /// Whether `told` is the order that is known, under another number of a later era of the store, or one that
+    /// was given out while lost orders are written again.
+    fn is_renumbered(&self, told: &Entry, restored: bool) -> bool {
         let (Some(known), Some(told)) = (self.order(), &told.order) else {
             return false;
         };
-        let same = known.release == told.release && known.within == told.within;
-        same && known.revision.era < told.revision.era
+        let later = match restored {
+            true => known.revision < told.revision,
+            false => known.revision.era < told.revision.era,
+        };
+        later && known.release == told.release && known.within == told.within
+    }
+
+    /// Whether `told` may be an old copy of what stood before the order that is known.
+    pub(super) fn outlasts(&self, told: &Entry) -> bool {
+        let same = self.entry.order == told.order;
+        self.order().is_some() && !same && !self.is_renumbered(told, true)
     }
 
     /// Goes on with the order under its new number.
@@ -224,13 +234,14 @@
     service: &Service,
     told: &Entry,
     draw: u64,
+    restored: bool,
     now: Time,
     out: &mut Vec<Effect>,
 ) {
     let watch = watches.entry(service.clone()).or_default();
     let before = watch.entry.order.as_ref().map(|order| order.revision);
     let after = told.order.as_ref().map(|order| order.revision);
-    if watch.is_renumbered(told) {
+    if watch.is_renumbered(told, restored) {
         watch.renumber(told);
     } else if before != after {
         let mut unproven = std::mem::take(&mut watch.unproven);
--- a/tests/rollout_run.rs
+++ b/tests/rollout_run.rs
@@ -165,6 +165,36 @@
     assert_eq!((failed, arrivals(&cloud, "new", since)), (0, 0));
 }
 
+// The copy is older than the order.
+#[tokio::test]
+async fn an_order_that_the_store_lost_holds_until_it_is_written_again() {
+    let mut cloud = cloud().await;
+    ask_until(&cloud, Duration::from_secs(2), |_| false).await;
+    let copy = cloud.registry.copy();
+    order(&mut cloud, 60.0, Some("error")).await;
+    ask_until(&cloud, Duration::from_secs(30), |c| {
+        state(c) == "rolled_back"
+    })
+    .await;
+    let order = cloud.registry.content(ORDER).expect("it is ordered");
+    ask_until(&cloud, Duration::from_secs(1), |_| false).await;
+    let since = Instant::now();
+    cloud.restore_store(&copy).await;
+    for (name, region) in [("new-1", "atl"), ("new-2", "atl"), ("new-3", "mcn")] {
+        let address = cloud.workers[name].address;
+        cloud.register_release(name, address, region, "ready", "v2");
+    }
+    ask_until(&cloud, Duration::from_secs(3), |_| false).await;
+    cloud.registry.put(ORDER, &order);
+    ask_until(&cloud, Duration::from_secs(12), |c| {
+        state(c) == "rolled_back"
+    })
+    .await;
+    assert_eq!(state(&cloud), "rolled_back");
+    let failed = ask_until(&cloud, Duration::from_secs(4), |_| false).await;
+    assert_eq!((failed, arrivals(&cloud, "new", since)), (0, 0));
+}
+
 #[tokio::test]
 async fn odd_orders_and_statuses_harm_nobody() {
     let cloud = cloud().await;
