--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -81,6 +81,15 @@
     .await;
 }
 
+/// The one box is killed, and another one starts in its place.
+async fn replace_box(cloud: &mut Cloud) {
+    cloud.boxes[0].signal(Signal::SIGKILL);
+    cloud.boxes[0].wait().await;
+    cloud.boxes.clear();
+    cloud.add_box("atl").await;
+    cloud.settled().await;
+}
+
 #[tokio::test]
 async fn it_stays_held_back_when_all_boxes_are_gone() {
     let mut cloud = Cloud::serving(&["w-1", "w-2", "w-3", "w-4"]).await;
@@ -91,11 +100,7 @@
         cloud.registry.calls("write") > 0
     })
     .await;
-    cloud.boxes[0].signal(Signal::SIGKILL);
-    cloud.boxes[0].wait().await;
-    cloud.boxes.clear();
-    cloud.add_box("atl").await;
-    cloud.settled().await;
+    replace_box(&mut cloud).await;
     let answer = repeat(&cloud, 9, "crash").await;
     assert_eq!(answer.status.as_u16(), 503);
     assert_eq!(replace_ended(&mut cloud, &mut life).await, 0);
@@ -119,11 +124,7 @@
         cloud.registry.calls("write") > written
     })
     .await;
-    cloud.boxes[0].signal(Signal::SIGKILL);
-    cloud.boxes[0].wait().await;
-    cloud.boxes.clear();
-    cloud.add_box("atl").await;
-    cloud.settled().await;
+    replace_box(&mut cloud).await;
     let answer = repeat(&cloud, 9, "crash").await;
     assert_eq!(answer.status.as_u16(), 503);
 }
