Tell the end of a doubt with the changes of a list

A box that read a list in which a registration stood that it had in doubt believed it again, but noted no change, since the server was the same. A box that asked it for what had changed was not told, and took the server out when its own doubt ended; it stayed out.

Change: such a registration counts as changed, and one that is withheld after the store came back from a copy is told as the store tells it, not as gone.

The first fault is older than eras: a doubt needs an outage of the store only.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -409,18 +409,23 @@
             match self.members.get(name) {
                 Some(member) if member.registered => found.push(member.told(now)),
                 Some(_) => {}
-                None => gone.push(name.clone()),
+                None => match self.withheld.get(name) {
+                    Some(backend) => found.push(backend.clone()),
+                    None => gone.push(name.clone()),
+                },
             }
         }
         (found, gone)
     }
 
-    /// The names in which a list differs from what is known.
+    /// The names in which a list differs from what is known. A registration that was in doubt and is listed
+    /// differs: others may still doubt it.
     pub fn differences(&self, list: &[Backend]) -> Vec<id::Backend> {
         let listed: HashMap<&id::Backend, &Backend> = list.iter().map(|b| (&b.name, b)).collect();
         let same = |name: &id::Backend, backend: &Backend| {
-            let known = self.members.get(name).map(|m| &m.backend);
-            known.is_some_and(|known| {
+            let known = self.members.get(name);
+            let known = known.filter(|m| m.missing_until.is_none());
+            known.map(|m| &m.backend).is_some_and(|known| {
                 let listed = Backend {
                     cold: known.cold,
                     leaving: backend.leaving || self.departures.contains(backend),
--- a/tests/store_news.rs
+++ b/tests/store_news.rs
@@ -11,7 +11,7 @@
 use harness::crowd::{Crowd, TICK, address};
 use petreldrum::{
     config::{Backend, Draft, Labels},
-    fleet::{Change, Revision},
+    fleet::{Change, DOUBT, Era, RESTORED, Revision},
     reducer::{
         effect::{Effect, Follow},
         event::Event,
@@ -33,6 +33,8 @@
     changes: Vec<Change>,
     /// Boxes that it turns away.
     away: BTreeSet<usize>,
+    /// How often it has come back from a copy.
+    era: Era,
 }
 
 /// A region of boxes and its store.
@@ -42,6 +44,8 @@
     follow: Vec<Follow>,
     /// How far each box was told by the store itself.
     told: Vec<usize>,
+    /// The era in which it was.
+    told_era: Vec<Era>,
     /// Times that a box asked another for all.
     fetched: usize,
     ticks: u64,
@@ -65,13 +69,6 @@
     }
 }
 
-fn list() -> Change {
-    Change::List {
-        backends: vec![],
-        doubt: Millis(0),
-    }
-}
-
 impl Region {
     fn new() -> Self {
         Self::of(BOXES)
@@ -83,6 +80,7 @@
             store: Store::default(),
             follow: vec![Follow::Alone; boxes],
             told: vec![0; boxes],
+            told_era: vec![Era::default(); boxes],
             fetched: 0,
             ticks: 0,
         };
@@ -94,7 +92,19 @@
     }
 
     fn until(&self) -> Revision {
-        Revision::first(self.store.changes.len() as u64)
+        self.at(self.store.changes.len())
+    }
+
+    fn at(&self, number: usize) -> Revision {
+        let (era, number) = (self.store.era, number as u64);
+        Revision { era, number }
+    }
+
+    /// The store comes back from a copy that lacks its last changes.
+    fn restore(&mut self, lacks: usize) {
+        let left = self.store.changes.len().saturating_sub(lacks);
+        self.store.changes.truncate(left);
+        self.store.era.0 += 1;
     }
 
     /// The store tells everything.
@@ -112,17 +122,16 @@
             }
         }
         let backends: Vec<Backend> = backends.into_values().collect();
-        let change = match backends.is_empty() {
-            true => list(),
-            false => Change::List {
-                backends,
-                doubt: Millis(0),
-            },
+        let doubt = match self.told_era[number] == self.store.era {
+            true => Millis(0),
+            false => DOUBT,
         };
+        let change = Change::List { backends, doubt };
         let revision = self.until();
         self.step(number, Event::Fleet { change, revision });
         self.step(number, Event::Synced(revision));
         self.told[number] = self.store.changes.len();
+        self.told_era[number] = self.store.era;
     }
 
     /// The store tells what is new to a box that follows it.
@@ -130,9 +139,12 @@
         if self.follow[number] == Follow::Rest || self.store.away.contains(&number) {
             return;
         }
+        if self.told_era[number] != self.store.era {
+            return self.read_all(number);
+        }
         let new = self.store.changes[self.told[number]..].to_vec();
         for (at, change) in new.into_iter().enumerate() {
-            let revision = Revision::first((self.told[number] + at + 1) as u64);
+            let revision = self.at(self.told[number] + at + 1);
             self.step(number, Event::Fleet { change, revision });
         }
         self.told[number] = self.store.changes.len();
@@ -210,6 +222,42 @@
         (0..self.told.len()).filter(behind).collect()
     }
 
+    /// A change of the store, or one of the troubles that keep boxes from hearing of it.
+    fn trouble(&mut self, kind: u8, leaving: bool, which: u8) {
+        let number = usize::from(which) % FEW_BOXES;
+        match kind {
+            0 => self.change(u64::from(which % 8), leaving),
+            1 => {
+                let name = backend(u64::from(which % 8), false).name;
+                let doubt = Millis(0);
+                self.store.changes.push(Change::Gone { name, doubt });
+            }
+            2 => self.store.away.extend(self.hubs()),
+            3 => self.store.away.clear(),
+            4 => self.crowd.frozen.push(number),
+            5 => self.crowd.frozen.clear(),
+            _ => {
+                let hubs = self.hubs();
+                self.crowd.cut = hubs.iter().map(|hub| (*hub, number)).collect();
+            }
+        }
+        self.pass(u64::from(which % 16) * TICK);
+    }
+
+    /// Once all trouble is over all boxes know the same.
+    fn settle(&mut self) {
+        self.store.away.clear();
+        self.crowd.frozen.clear();
+        self.crowd.cut.clear();
+        self.pass(5000);
+        assert!(self.behind().is_empty(), "{:?}", self.behind());
+        let leaving = |n: usize| (0..8).map(move |s| (n, s));
+        for (number, server) in (0..FEW_BOXES).flat_map(leaving) {
+            let told = self.knows_leaving(number, server);
+            assert_eq!(told, self.knows_leaving(0, server), "box {number}");
+        }
+    }
+
     fn knows_leaving(&self, number: usize, server: u64) -> bool {
         let state = self.crowd.boxes[number].as_ref().expect("it lives");
         let roster = state.roster(self.crowd.now, None).expect("it knows a list");
@@ -325,35 +373,26 @@
     check!().with_type::<Vec<(u8, u8)>>().for_each(|moves| {
         let mut region = Region::of(FEW_BOXES);
         for (kind, which) in moves.iter().take(16) {
-            let number = usize::from(*which) % FEW_BOXES;
-            match kind % 7 {
-                0 => region.change(u64::from(*which % 8), kind % 2 == 0),
-                1 => {
-                    let name = backend(u64::from(*which % 8), false).name;
-                    let doubt = Millis(0);
-                    region.store.changes.push(Change::Gone { name, doubt });
-                }
-                2 => region.store.away.extend(region.hubs()),
-                3 => region.store.away.clear(),
-                4 => region.crowd.frozen.push(number),
-                5 => region.crowd.frozen.clear(),
-                _ => {
-                    let hubs = region.hubs();
-                    region.crowd.cut = hubs.iter().map(|hub| (*hub, number)).collect();
-                }
-            }
-            region.pass(u64::from(*which % 16) * TICK);
+            region.trouble(kind % 7, kind % 2 == 0, *which);
         }
-        region.store.away.clear();
-        region.crowd.frozen.clear();
-        region.crowd.cut.clear();
-        region.pass(5000);
-        assert!(region.behind().is_empty(), "{:?}", region.behind());
-        let leaving = |n: usize| (0..8).map(move |s| (n, s));
-        for (number, server) in (0..FEW_BOXES).flat_map(leaving) {
-            let told = region.knows_leaving(number, server);
-            assert_eq!(told, region.knows_leaving(0, server), "box {number}");
+        region.settle();
+    });
+}
+
+/// The same with a store that comes back from copies.
+#[test]
+fn news_settle_though_the_store_comes_back_from_copies() {
+    check!().with_type::<Vec<(u8, u8)>>().for_each(|moves| {
+        let mut region = Region::of(FEW_BOXES);
+        for (kind, which) in moves.iter().take(16) {
+            match kind % 9 {
+                7 | 8 => region.restore(usize::from(*which % 4)),
+                kind => region.trouble(kind, kind % 2 == 0, *which),
+            }
         }
+        // What the copies lacked is not doubted any more.
+        region.pass(RESTORED.0);
+        region.settle();
     });
 }
 
