Take a pushback of zero for none

Retry-After: 0 made a box send one request at a time to the server until one was answered. It asks for nothing now (test a_time_of_zero_asks_for_nothing, red before).

--- a/src/server.rs
+++ b/src/server.rs
@@ -366,9 +366,12 @@
     /// Notes that it wants nothing from this box for `span`; true where it did not ask for that already. A
     /// shorter time takes nothing off a longer one that was asked for before.
     pub fn push_back(&mut self, span: Millis, now: Time) -> bool {
-        let news = span > Millis(0) && !self.is_pushed_back(now);
-        self.pushed_back = self.pushed_back.max(Some(now + span));
         self.odd_pushback = false;
+        if span == Millis(0) {
+            return false;
+        }
+        let news = !self.is_pushed_back(now);
+        self.pushed_back = self.pushed_back.max(Some(now + span));
         news
     }
 
--- a/tests/server_pushback.rs
+++ b/tests/server_pushback.rs
@@ -200,6 +200,16 @@
     assert!(world.prompt(&[]).is_empty());
 }
 
+#[test]
+fn a_time_of_zero_asks_for_nothing() {
+    let one = engine("one", "ready", 0);
+    let mut world = World::new(vec![one.clone()]);
+    world.pass(5000);
+    world.step(pushed_back(&one, 0));
+    assert_eq!(world.prompt(&[]).len(), 1);
+    assert_eq!(world.prompt(&[]).len(), 1, "nobody has to go first");
+}
+
 #[test]
 fn a_new_life_asked_for_nothing() {
     let (first, second) = (life("one", "ready", 0, 5), life("one", "ready", 0, 6));
