--- a/tests/fleet_start.rs
+++ b/tests/fleet_start.rs
@@ -148,7 +148,7 @@
     };
     // The configuration is the first of the store's changes.
     let whole = ask("/petreldrum/roster").await;
-    let missed = ask("/petreldrum/roster?since=1001").await;
+    let missed = ask("/petreldrum/roster?since=e1r1001").await;
     assert!(
         missed * 4 < whole,
         "{missed} bytes for two changes, {whole} for all"
