Tell in digests which other regions stop by plan

Cause: a region says once, when its last box stops, that it stops by plan. A box that starts after that never heard of the region and named whatever it knew to its callers.

Evidence: the box that named its own region to callers of tokyo started 0.8 s after tokyo's last box had stopped.

Change: digests say which other regions stopped by plan in the last 24 s, and how long ago. Test a_box_that_just_started_leads_nobody_astray failed before.

--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -1,5 +1,7 @@
 //! Which boxes a caller should use.
 
+use std::collections::BTreeSet;
+
 use crate::{
     config::{Refusal, Route},
     id,
@@ -14,7 +16,7 @@
     },
     unit::{Millis, Time},
     verdict::Verdict,
-    wire::Phase,
+    wire::{Absence, Phase},
 };
 
 /// How long a box that started does not send callers away from their region: by then it has heard
@@ -121,15 +123,48 @@
     /// Whether the boxes of `region`, of which none takes work, stopped by plan a short while ago.
     fn stops_by_plan(&self, now: Time, region: &id::Region) -> bool {
         if *region != self.table.me.region {
-            let remote = self.table.region(region);
-            return remote
-                .is_some_and(|remote| remote.digest.stopping && now.since(remote.heard) < RESTART);
+            let absent = self.absent_since(region);
+            return absent.is_some_and(|since| now.since(since) < RESTART);
         }
         let stopping =
             |peer: &Peer| peer.last.phase == Phase::Leaving && now.since(peer.heard) < RESTART;
         self.phase(now) == Phase::Leaving || self.table.peers().any(stopping)
     }
 
+    /// When the last box of another region said that it stops, where the region was not heard of since: to this
+    /// box, or to others before it started.
+    fn absent_since(&self, region: &id::Region) -> Option<Time> {
+        match self.table.region(region) {
+            Some(remote) if remote.digest.stopping => Some(remote.heard),
+            Some(_) => None,
+            None => self.control.absences.get(region).copied(),
+        }
+    }
+
+    /// The other regions whose boxes stopped by plan a short while ago.
+    pub(super) fn absences(&self, now: Time) -> Vec<Absence> {
+        let heard = self.table.regions().map(|(region, _)| region);
+        let told = self.control.absences.keys();
+        let regions: BTreeSet<&id::Region> = heard.chain(told).collect();
+        let absence = |region: &id::Region| {
+            let age = now.since(self.absent_since(region)?);
+            let region = region.clone();
+            (age < RESTART).then_some(Absence { region, age })
+        };
+        regions.into_iter().filter_map(absence).collect()
+    }
+
+    /// Takes from another region which others stopped by plan: this box may have started after that.
+    pub(super) fn hear_absences(&mut self, now: Time, told: &[Absence]) {
+        let absences = &mut self.control.absences;
+        absences.retain(|_, since| now.since(*since) < RESTART);
+        let recent = told.iter().filter(|absence| absence.age < RESTART);
+        for Absence { region, age } in recent {
+            let since = absences.entry(region.clone()).or_default();
+            *since = (*since).max(now - *age);
+        }
+    }
+
     pub(super) fn entries(&self, now: Time, home: Option<&id::Region>) -> Vec<Entry> {
         let me = (self.phase(now) == Phase::Ready).then(|| Entry {
             contact: self.table.me.clone(),
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -62,6 +62,8 @@
     /// When the store came back from a copy last.
     pub(super) restored: Option<Time>,
     pub(super) evacuations: Evacuations,
+    /// When the last box of other regions said that it stops by plan, as other boxes tell.
+    pub(super) absences: HashMap<Region, Time>,
     /// How the store is followed.
     pub(super) follow: Follow,
     /// What the store told since news was passed on.
@@ -287,6 +289,7 @@
             Body::Digest(digest) if digest.region != self.table.me.region => {
                 self.control.heard = true;
                 self.table.digest(digest.clone(), now);
+                self.hear_absences(now, &digest.absences);
                 self.hear_held(now, &digest.held, out);
                 if digest.spread {
                     self.spread(now, &frame, digest, out);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -252,6 +252,15 @@
     pub whole: Millis,
 }
 
+/// The boxes of a region all stopped by plan.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Absence {
+    /// The region.
+    pub region: Region,
+    /// How long ago its last box said so.
+    pub age: Millis,
+}
+
 /// What one region tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -267,6 +276,8 @@
     pub boxes: u32,
     /// Whether its boxes are stopping by plan, and none takes work.
     pub stopping: bool,
+    /// The other regions whose boxes stopped by plan a short while ago, as far as its boxes know.
+    pub absences: Vec<Absence>,
     /// What it can take.
     pub services: Vec<Capacity>,
     /// Its customers' use, in the order of the customers.
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -15,7 +15,7 @@
     },
     unit::{Millis, Time},
     verdict::Verdict,
-    wire::{Body, Capacity, Digest, Door, Frame, Short},
+    wire::{Absence, Body, Capacity, Digest, Door, Frame, Short},
 };
 
 pub use petreldrum_standin::crowd::contact;
@@ -157,6 +157,20 @@
     }
 
     fn digest_by(&mut self, slots: u32, busy: u32, names: &[&str]) {
+        self.digest_with(slots, busy, names, vec![]);
+    }
+
+    /// A digest of Bunbury, which knows that the boxes of these regions stopped by plan.
+    pub fn digest_without(&mut self, regions: &[&str], age: u64) {
+        let absence = |region: &&str| Absence {
+            region: region.parse().expect("a name"),
+            age: Millis(age),
+        };
+        let absences = regions.iter().map(absence).collect();
+        self.digest_with(4, 0, &["far"], absences);
+    }
+
+    fn digest_with(&mut self, slots: u32, busy: u32, names: &[&str], absences: Vec<Absence>) {
         self.seq += 1;
         let door = |(index, name): (usize, &&str)| Door {
             contact: contact(name, "bunbury", 20 + 10 * index as u16),
@@ -174,6 +188,7 @@
             held: vec![],
             boxes: 1,
             stopping: names.is_empty(),
+            absences,
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
             revision: Revision::first(0),
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -137,6 +137,25 @@
     assert_eq!(later, ["box"], "a region that does not come back is gone");
 }
 
+// A box that started after another region's boxes had stopped was never told so by them.
+#[test]
+fn a_box_that_just_started_leads_nobody_astray() {
+    let route = "[region geraldton]\n[route home]\nprefix=/home\nkind=application\n\
+                 repeatable=true\nhost=h\nregions=geraldton\n";
+    let mut solo = Solo::new(&text(route));
+    solo.pass(1000);
+    solo.digest_without(&["geraldton"], 4000);
+    assert!(resolved(&mut solo, "geraldton", "h").is_empty());
+    assert_eq!(resolved(&mut solo, "geraldton", "other").len(), 2);
+    solo.pass(21_000);
+    solo.digest(4, 0);
+    let later = resolved(&mut solo, "geraldton", "h");
+    assert_eq!(later.len(), 2, "a region that does not come back is gone");
+    // Boxes that tell each other do not keep it absent.
+    solo.digest_without(&["geraldton"], 24_000);
+    assert_eq!(resolved(&mut solo, "geraldton", "h").len(), 2);
+}
+
 #[test]
 fn the_last_box_to_stop_names_no_region_that_is_no_home() {
     let route = "[route home]\nprefix=/home\nkind=application\nrepeatable=true\nhost=h\n\
