--- a/src/reducer/admit.rs
+++ b/src/reducer/admit.rs
@@ -93,7 +93,7 @@
             let prompt = arrival.prompt.as_ref();
             booking = self.charge(now, plan.customer, prompt, ask.draw)?;
             self.budgets.earn(&plan.service, now);
-            *self.demand.entry(plan.route.name.clone()).or_default() += 1;
+            self.demand.note(&plan.route.name, now);
         }
         let left = arrival.left.unwrap_or(plan.route.deadline).min(MAX_LEFT);
         let left = plan.route.hold.map_or(left, |hold| left.min(hold));
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -114,7 +114,7 @@
     }
 
     fn weigh<'a>(&self, routes: impl Iterator<Item = &'a Route>) -> (u64, usize) {
-        let seen = |route: &Route| self.demand.get(&route.name).copied().unwrap_or(0);
+        let seen = |route: &Route| self.demand.seen(route);
         routes.fold((0, 0), |(requests, routes), route| {
             (requests + seen(route), routes + 1)
         })
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -290,6 +290,7 @@
                 self.control.heard = true;
                 self.table.digest(digest.clone(), now);
                 self.hear_absences(now, &digest.absences);
+                self.demand.hear(&digest.used, now);
                 self.hear_held(now, &digest.held, out);
                 if digest.spread {
                     self.spread(now, &frame, digest, out);
@@ -350,7 +351,7 @@
         self.control.told = None;
         self.fleet.configure(&config.backends);
         self.demand
-            .retain(|name, _| config.routes.iter().any(|r| r.name == *name));
+            .retain(|name| config.routes.iter().any(|r| r.name == *name));
         self.config = Some(config);
         self.forget_servers();
         out.push(Effect::Adopted(version));
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -105,6 +105,7 @@
             version: near.max().unwrap_or_default().max(self.version()),
             revision: self.table.revision(now).max(self.revision),
             absences: self.absences(now),
+            used: self.used_routes(now),
             stopping: doors.is_empty() && self.phase(now) == Phase::Leaving,
             doors: doors.into_iter().map(|(_, d)| d).take(DOORS).collect(),
             services: self.capacities(now),
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -21,7 +21,7 @@
 //! | `detect` | backend servers that failed without a word |
 //! | `suspect` | content that ends backend servers, and what the boxes tell each other of it |
 //! | `outcome` | what comes of an attempt, and the final answer |
-//! | `ask` | which boxes a caller should use |
+//! | `ask`, `demand` | which boxes a caller should use, by the routes that callers use |
 //! | `rollout`, `watch` | another release of a service's backend servers: who gets it, and how that ends |
 //! | `judge` | what answers say of the release of their server |
 //! | `news` | who follows the platform's store, and how its news reaches the others |
@@ -36,6 +36,7 @@
 mod ask;
 mod cold;
 mod control;
+mod demand;
 mod departure;
 mod detect;
 mod digest;
@@ -145,8 +146,7 @@
     budgets: Budgets,
     quarantine: Quarantine,
     suspects: suspect::Suspects,
-    /// Requests that came from callers, by route.
-    demand: HashMap<id::Service, u64>,
+    demand: demand::Demand,
     listed: BTreeSet<SocketAddr>,
     evacuated: BTreeSet<Domain>,
     rollouts: rollout::Rollouts,
@@ -187,7 +187,7 @@
             budgets: Budgets::new(identity.retry),
             quarantine: Quarantine::default(),
             suspects: suspect::Suspects::default(),
-            demand: HashMap::new(),
+            demand: demand::Demand::default(),
             listed: BTreeSet::new(),
             evacuated: BTreeSet::new(),
             rollouts: rollout::Rollouts::new(identity.exposure),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -261,6 +261,15 @@
     pub age: Millis,
 }
 
+/// Callers use a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Used {
+    /// The route.
+    pub route: Short,
+    /// How long ago its last request came.
+    pub age: Millis,
+}
+
 /// What one region tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
@@ -278,6 +287,8 @@
     pub stopping: bool,
     /// The other regions whose boxes stopped by plan a short while ago, as far as its boxes know.
     pub absences: Vec<Absence>,
+    /// Routes that callers use, of hosts that bind some of their requests to regions.
+    pub used: Vec<Used>,
     /// What it can take.
     pub services: Vec<Capacity>,
     /// Its customers' use, in the order of the customers.
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -182,6 +182,7 @@
     let body = Body::Digest(Digest {
         held: vec![],
         absences: Vec::new(),
+        used: Vec::new(),
         stopping: false,
         boxes: 1,
         region: name(format!("region-{region}")),
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -15,7 +15,7 @@
     },
     unit::{Millis, Time},
     verdict::Verdict,
-    wire::{Absence, Body, Capacity, Digest, Door, Frame, Short},
+    wire::{Absence, Body, Capacity, Digest, Door, Frame, Short, Used},
 };
 
 pub use petreldrum_standin::crowd::contact;
@@ -157,7 +157,7 @@
     }
 
     fn digest_by(&mut self, slots: u32, busy: u32, names: &[&str]) {
-        self.digest_with(slots, busy, names, vec![]);
+        self.digest_with(slots, busy, names, vec![], vec![]);
     }
 
     /// A digest of Bunbury, which knows that the boxes of these regions stopped by plan.
@@ -167,10 +167,32 @@
             age: Millis(age),
         };
         let absences = regions.iter().map(absence).collect();
-        self.digest_with(4, 0, &["far"], absences);
+        self.digest_with(4, 0, &["far"], absences, vec![]);
     }
 
-    fn digest_with(&mut self, slots: u32, busy: u32, names: &[&str], absences: Vec<Absence>) {
+    /// The same, where callers use these routes.
+    pub fn digest_used(&mut self, regions: &[&str], routes: &[&str]) {
+        let absence = |region: &&str| Absence {
+            region: region.parse().expect("a name"),
+            age: Millis(500),
+        };
+        let used = |route: &&str| Used {
+            route: Short::of(route),
+            age: Millis(300),
+        };
+        let absences = regions.iter().map(absence).collect();
+        let used = routes.iter().map(used).collect();
+        self.digest_with(4, 0, &["far"], absences, used);
+    }
+
+    fn digest_with(
+        &mut self,
+        slots: u32,
+        busy: u32,
+        names: &[&str],
+        absences: Vec<Absence>,
+        used: Vec<Used>,
+    ) {
         self.seq += 1;
         let door = |(index, name): (usize, &&str)| Door {
             contact: contact(name, "bunbury", 20 + 10 * index as u16),
@@ -189,6 +211,7 @@
             boxes: 1,
             stopping: names.is_empty(),
             absences,
+            used,
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
             revision: Revision::first(0),
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -186,3 +186,26 @@
     solo.step(Event::Stop);
     assert_eq!(resolved(&mut solo, "perth", "h"), ["far"], "a home");
 }
+
+// A box that just started took a host for the one kind of its requests that it had seen, and led those that are
+// bound to a home astray.
+#[test]
+fn a_box_that_saw_few_requests_goes_by_what_others_saw() {
+    let route = "[region geraldton]\n[route home]\nprefix=/home\nkind=application\nrepeatable=true\nhost=h\n\
+                 regions=geraldton\n[route any]\nprefix=/any\nkind=application\nrepeatable=true\nhost=h\n";
+    let mut solo = Solo::new(&text(route));
+    solo.pass(3000);
+    let mut event = relayed(970);
+    if let Event::Arrived(arrival) = &mut event {
+        arrival.hop = Hop::Direct;
+        arrival.host = Some("h".to_owned());
+        arrival.path = "/any/x".to_owned();
+    }
+    solo.step(event);
+    solo.digest_used(&["geraldton"], &["home", "any"]);
+    assert!(resolved(&mut solo, "geraldton", "h").is_empty());
+    // A route that was not used for long keeps nobody away.
+    solo.pass(61_000);
+    solo.digest_used(&["geraldton"], &["any"]);
+    assert_eq!(resolved(&mut solo, "geraldton", "h").len(), 2);
+}
