Go by the routes that others saw used, and keep planned absences

Causes: (1) a box that just started took a host for the few kinds of requests that it had seen; (2) boxes that start again tell, before they take work, that their region does not stop, and others forgot that it had stopped by plan.

Change: look-ups go by the routes that any region tells as used; an absence ends when a box of the region takes work again. Look-ups without a box of the caller's region log host, used routes and whether the stop was planned.

--- a/src/config/route.rs
+++ b/src/config/route.rs
@@ -188,7 +188,7 @@
     /// The routes of `host` whose requests may run in `region`.
     pub fn permitted(&self, host: Option<&str>, region: &Region) -> impl Iterator<Item = &Route> {
         let routes = self.of_host(host);
-        routes.filter(|r| r.regions.is_empty() || r.regions.contains(region))
+        routes.filter(|r| r.permits(region))
     }
 
     /// The route of `host` with the longest prefix of `path`, at a segment's border.
@@ -203,6 +203,11 @@
 }
 
 impl Route {
+    /// Whether its requests may run in `region`, as far as the route says.
+    pub fn permits(&self, region: &Region) -> bool {
+        self.regions.is_empty() || self.regions.contains(region)
+    }
+
     /// The service that a request with this `draw` goes to.
     fn service(&self, draw: u64) -> Service {
         let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -176,13 +176,17 @@
             Effect::Boxes {
                 request,
                 boxes,
-                without: Some(region),
+                detour: Some(detour),
             } => {
                 let named: Vec<&str> = boxes.iter().map(|b| b.contact.name.as_str()).collect();
                 self.log_request(
                     *request,
                     format_args!(
-                        "look-up region={region} none-ready named={}",
+                        "look-up region={} host={} none-ready planned={} used={} named={}",
+                        detour.region,
+                        detour.host.as_deref().unwrap_or("-"),
+                        detour.planned,
+                        detour.used,
                         named.join(",")
                     ),
                 );
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -10,7 +10,7 @@
     reducer::{
         State,
         admit::refusal,
-        effect::{Effect, Entry, Reply},
+        effect::{Detour, Effect, Entry, Reply},
         event::Credential,
         job::SOON,
     },
@@ -53,7 +53,7 @@
         out.push(Effect::Boxes {
             request,
             boxes,
-            without: None,
+            detour: None,
         });
     }
 
@@ -79,45 +79,52 @@
             // It may not have heard of the better ones yet; another box can say more.
             boxes.clear();
         } else {
-            let fit = |e: &Entry| self.fitness(host, &e.contact.region);
+            if self.stops_by_plan(now, region) {
+                boxes.retain(|e| self.is_whole(now, host, &e.contact.region));
+            }
+            let fit = |e: &Entry| self.fitness(now, host, &e.contact.region);
             let best = boxes.iter().map(fit).max();
             boxes.retain(|e| Some(fit(e)) == best);
-            if best.is_some_and(|best| !self.is_whole(host, best))
-                && self.stops_by_plan(now, region)
-            {
-                boxes.clear();
-            }
         }
         out.push(Effect::Boxes {
             request,
             boxes,
-            without: (!any_near).then(|| region.clone()),
+            detour: (!any_near).then(|| self.detour(now, region, host)),
         });
     }
 
-    /// How many requests of `host` that this box has seen may run in `region`, and how many of its
-    /// routes: the more the better.
-    fn fitness(&self, host: Option<&str>, region: &id::Region) -> (u64, usize) {
+    fn detour(&self, now: Time, region: &id::Region, host: Option<&str>) -> Detour {
         let config = self.config.as_ref();
-        self.weigh(config.into_iter().flat_map(|c| c.permitted(host, region)))
+        let routes = config.into_iter().flat_map(|c| c.of_host(host));
+        Detour {
+            region: region.clone(),
+            host: host.map(str::to_owned),
+            planned: self.stops_by_plan(now, region),
+            used: routes.filter(|r| self.demand.uses(r, now)).count(),
+        }
     }
 
-    /// Whether a region of this fitness may run every request of `host` that this box has seen, or,
-    /// before it saw any, those of all its routes.
-    fn is_whole(&self, host: Option<&str>, fitness: (u64, usize)) -> bool {
+    /// How many requests of `host` that this box has seen may run in `region`, how many of its used routes,
+    /// and how many of all: the more the better.
+    fn fitness(&self, now: Time, host: Option<&str>, region: &id::Region) -> (u64, usize, usize) {
         let config = self.config.as_ref();
-        let whole = self.weigh(config.into_iter().flat_map(|c| c.of_host(host)));
-        match whole {
-            (0, routes) => fitness.1 == routes,
-            (requests, _) => fitness.0 == requests,
-        }
+        let routes = config.into_iter().flat_map(|c| c.permitted(host, region));
+        routes.fold((0, 0, 0), |(seen, used, routes), route| {
+            let uses = usize::from(self.demand.uses(route, now));
+            (seen + self.demand.seen(route), used + uses, routes + 1)
+        })
     }
 
-    fn weigh<'a>(&self, routes: impl Iterator<Item = &'a Route>) -> (u64, usize) {
-        let seen = |route: &Route| self.demand.seen(route);
-        routes.fold((0, 0), |(requests, routes), route| {
-            (requests + seen(route), routes + 1)
-        })
+    /// Whether `region` may run the requests of all routes of `host` that callers use, or, where none is known to
+    /// be used, those of all its routes.
+    fn is_whole(&self, now: Time, host: Option<&str>, region: &id::Region) -> bool {
+        let Some(config) = &self.config else {
+            return false;
+        };
+        let used = |route: &&Route| self.demand.uses(route, now);
+        let any = config.of_host(host).any(|route| used(&route));
+        let mut relevant = config.of_host(host).filter(|route| !any || used(route));
+        relevant.all(|route| route.permits(region))
     }
 
     /// Whether the boxes of `region`, of which none takes work, stopped by plan a short while ago.
@@ -131,13 +138,27 @@
         self.phase(now) == Phase::Leaving || self.table.peers().any(stopping)
     }
 
-    /// When the last box of another region said that it stops, where the region was not heard of since: to this
+    /// When the last box of another region said that it stops, where no box there has taken work since: to this
     /// box, or to others before it started.
     fn absent_since(&self, region: &id::Region) -> Option<Time> {
-        match self.table.region(region) {
-            Some(remote) if remote.digest.stopping => Some(remote.heard),
-            Some(_) => None,
-            None => self.control.absences.get(region).copied(),
+        let told = self.control.absences.get(region).copied();
+        let Some(remote) = self.table.region(region) else {
+            return told;
+        };
+        if remote.digest.stopping {
+            return Some(remote.heard);
+        }
+        // Boxes that start again speak for their region before they take work.
+        let back = !remote.digest.doors.is_empty();
+        told.filter(|since| !back || *since > remote.heard)
+    }
+
+    /// Remembers that a region had stopped by plan, whose boxes that start again now speak for it.
+    pub(super) fn keep_absence(&mut self, region: &id::Region) {
+        let stopped = self.table.region(region).filter(|r| r.digest.stopping);
+        if let Some(remote) = stopped {
+            let since = remote.heard;
+            self.control.absences.insert(region.clone(), since);
         }
     }
 
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -288,6 +288,7 @@
             }
             Body::Digest(digest) if digest.region != self.table.me.region => {
                 self.control.heard = true;
+                self.keep_absence(&digest.region);
                 self.table.digest(digest.clone(), now);
                 self.hear_absences(now, &digest.absences);
                 self.demand.hear(&digest.used, now);
--- a/src/reducer/demand.rs
+++ b/src/reducer/demand.rs
@@ -41,7 +41,6 @@
     }
 
     /// Whether callers use `route`, as far as this box knows.
-    #[expect(dead_code)]
     pub(super) fn uses(&self, route: &Route, now: Time) -> bool {
         let last = self.used.get(&Short::of(route.name.as_str()));
         last.is_some_and(|at| now.since(*at) < LIFE)
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -168,6 +168,19 @@
     pub busy: Option<u32>,
 }
 
+/// A look-up for which no box of the caller's region could be named.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Detour {
+    /// The caller's region.
+    pub region: Region,
+    /// The host that was looked up.
+    pub host: Option<String>,
+    /// Whether the boxes of that region stopped by plan a short while ago.
+    pub planned: bool,
+    /// Routes of the host that callers use, as far as the box knows.
+    pub used: usize,
+}
+
 /// How a box follows the platform's store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Follow {
@@ -293,8 +306,8 @@
         request: id::Request,
         /// The boxes, best first.
         boxes: Vec<Entry>,
-        /// The caller's region, where none of its boxes could be named.
-        without: Option<Region>,
+        /// What a caller was told of whose region no box could be named.
+        detour: Option<Detour>,
     },
     /// Send a message to another box.
     Gossip {
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -185,6 +185,32 @@
         self.digest_with(4, 0, &["far"], absences, used);
     }
 
+    /// A digest of `region`, which knows that the boxes of `absent` stopped by plan.
+    pub fn absence_told(&mut self, region: &str, absent: &str, age: u64) {
+        self.seq += 1;
+        let absence = Absence {
+            region: absent.parse().expect("a name"),
+            age: Millis(age),
+        };
+        let digest = Digest {
+            region: region.parse().expect("a name"),
+            absences: vec![absence],
+            stopping: false,
+            ..self.bunbury(4, 0, &[])
+        };
+        self.hear(Body::Digest(digest));
+    }
+
+    /// A digest of Bunbury whose boxes start and take no work yet.
+    pub fn digest_unready(&mut self) {
+        self.seq += 1;
+        let digest = Digest {
+            stopping: false,
+            ..self.bunbury(4, 0, &[])
+        };
+        self.hear(Body::Digest(digest));
+    }
+
     fn digest_with(
         &mut self,
         slots: u32,
@@ -194,6 +220,15 @@
         used: Vec<Used>,
     ) {
         self.seq += 1;
+        let digest = Digest {
+            absences,
+            used,
+            ..self.bunbury(slots, busy, names)
+        };
+        self.hear(Body::Digest(digest));
+    }
+
+    fn bunbury(&self, slots: u32, busy: u32, names: &[&str]) -> Digest {
         let door = |(index, name): (usize, &&str)| Door {
             contact: contact(name, "bunbury", 20 + 10 * index as u16),
             incarnation: Incarnation(1),
@@ -206,12 +241,12 @@
             first: Millis(10),
             whole: Millis(100),
         };
-        let body = Body::Digest(Digest {
+        Digest {
             held: vec![],
             boxes: 1,
             stopping: names.is_empty(),
-            absences,
-            used,
+            absences: vec![],
+            used: vec![],
             region: "bunbury".parse().expect("a name"),
             version: Version(self.version),
             revision: Revision::first(0),
@@ -221,7 +256,10 @@
             trials: Vec::new(),
             cover: 1.0,
             spread: false,
-        });
+        }
+    }
+
+    fn hear(&mut self, body: Body) {
         let frame = Frame {
             from: "far".parse().expect("a name"),
             incarnation: Incarnation(1),
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -209,3 +209,30 @@
     solo.digest_used(&["geraldton"], &["any"]);
     assert_eq!(resolved(&mut solo, "geraldton", "h").len(), 2);
 }
+
+// A box that started again spoke for its region before it took work, and others forgot that the region stopped by plan.
+#[test]
+fn a_region_that_starts_again_is_not_back_before_it_takes_work() {
+    let route = "[route home]\nprefix=/home\nkind=application\nrepeatable=true\nhost=h\n\
+                 regions=bunbury\n";
+    let mut solo = Solo::new(&text(route));
+    solo.pass(1000);
+    solo.doors(4, &[]);
+    solo.pass(1000);
+    solo.digest_unready();
+    assert!(resolved(&mut solo, "bunbury", "h").is_empty());
+    solo.digest(4, 0);
+    assert_eq!(resolved(&mut solo, "bunbury", "h"), ["far"]);
+}
+
+// The same region, where the box that is asked started after the stop and knows of it by others.
+#[test]
+fn a_region_that_starts_again_is_not_back_for_a_new_box() {
+    let route = "[region geraldton]\n[route home]\nprefix=/home\nkind=application\nrepeatable=true\nhost=h\n\
+                 regions=bunbury\n";
+    let mut solo = Solo::new(&text(route));
+    solo.pass(3000);
+    solo.digest_unready();
+    solo.absence_told("geraldton", "bunbury", 2000);
+    assert!(resolved(&mut solo, "bunbury", "h").is_empty());
+}
