Gather what engines keep of prompts in a module of its own

Prompts, beliefs about caches and what the configuration says of an engine's memory (bytes of a token, links, moves, backups) are one matter that several parts will build on. Behaviour unchanged; the new fields are read and not used.

--- a/src/allotment.rs
+++ b/src/allotment.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     id::Customer,
-    prompt::Prompt,
+    memory::prompt::Prompt,
     unit::{Millis, Rate, Time},
     wire::{Short, Use},
 };
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -17,6 +17,7 @@
 use crate::{
     allotment::Allotment,
     id::{self, Domain, Incarnation, Region, Service},
+    memory::Engine,
     unit::{Millis, Rate},
     wire::Short,
 };
@@ -258,8 +259,8 @@
     pub cold_rate: Option<Rate>,
     /// How long a backend server may be cold before its entry says so.
     pub cold_lag: Millis,
-    /// Tokens that fit into the memory of a model engine; none for an application.
-    pub memory_tokens: Option<u64>,
+    /// What its model engines can do with their memory; none for an application.
+    pub engine: Option<Engine>,
 }
 
 /// A model.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,8 @@
 //! | one box's settings, INI reading | [`settings`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
-//! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`pushback`], [`detector`], [`prompt`], [`cache`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
+//! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`pushback`], [`detector`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
+//! | what engines keep of prompts | [`memory`] |
 //! | another release of backend servers, watched | [`rollout`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
@@ -22,7 +23,6 @@
 
 pub mod allotment;
 pub mod bucket;
-pub mod cache;
 pub mod cmd;
 pub mod config;
 pub mod content;
@@ -34,11 +34,11 @@
 pub mod ledger;
 pub mod limit;
 pub mod member;
+pub mod memory;
 pub mod pin;
 #[path = "../platform/mod.rs"]
 pub mod platform;
 pub mod policy;
-pub mod prompt;
 pub mod pushback;
 pub mod quarantine;
 pub mod queue;
--- a/src/cache.rs
+++ b/src/memory/cache.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::{
-    prompt::{Part, Prompt},
+    memory::prompt::{Part, Prompt},
     unit::{Millis, Time},
     wire::{Holding, Short},
 };
--- a/src/reducer/allot.rs
+++ b/src/reducer/allot.rs
@@ -17,8 +17,8 @@
     allotment::{Knowledge, Sum},
     config::Customer,
     id::{self, Region},
+    memory::prompt::Prompt,
     policy::Policy,
-    prompt::Prompt,
     reducer::{
         JOIN_GRACE, State,
         control::Control,
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -1,11 +1,10 @@
 //! What reading a prompt takes at a place, and what it costs those that run there.
 
 use crate::{
-    cache,
     config::Backend,
     id::{Region, Service},
+    memory::{Engine, cache, prompt::Prompt},
     policy::Policy,
-    prompt::Prompt,
     reducer::{State, place::Wish},
     server::Server,
     unit::{Millis, Time},
@@ -95,8 +94,13 @@
 impl<P: Policy> State<P> {
     /// Tokens that fit into the memory of one engine of `service`.
     pub(super) fn memory(&self, service: &Service) -> Option<u64> {
+        self.engine(service).map(|engine| engine.tokens)
+    }
+
+    /// What the engines of `service` can do with their memory.
+    pub(super) fn engine(&self, service: &Service) -> Option<Engine> {
         let profile = self.config.as_ref()?.profiles.get(service)?;
-        profile.memory_tokens
+        profile.engine
     }
 
     /// Expected time to the first token of a short prompt in `region`, the way there included.
--- a/src/reducer/inventory.rs
+++ b/src/reducer/inventory.rs
@@ -6,12 +6,12 @@
 use std::net::SocketAddr;
 
 use crate::{
-    cache,
     config::Backend,
     id,
     member::weight,
+    memory::cache,
+    memory::prompt::Part,
     policy::Policy,
-    prompt::Part,
     reducer::{State, effect::Effect},
     unit::{Millis, Time},
     wire::{Body, Holding, Short},
@@ -45,10 +45,7 @@
         let Some(config) = self.config.clone() else {
             return;
         };
-        let engines = config
-            .profiles
-            .iter()
-            .filter(|(_, p)| p.memory_tokens.is_some());
+        let engines = config.profiles.iter().filter(|(_, p)| p.engine.is_some());
         for (service, _) in engines {
             let backends = self.fleet.serving(service, &self.table.me.region);
             let unknown = backends.filter(|b| self.is_unknown(now, b));
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -74,12 +74,12 @@
 
 use crate::{
     allotment::{Accounts, Tolerance},
-    cache::Cache,
     config::{Config, Version},
     fleet::{Changes, Fleet, Revision},
     id::{self, Domain, Incarnation},
     ledger::Ledger,
     member::Table,
+    memory::cache::Cache,
     policy::Policy,
     quarantine::Quarantine,
     queue::Queue,
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use crate::{
-    cache,
     config::{Backend, Config, Plan, Refusal},
     id::Region,
     member::Remote,
+    memory::cache,
+    memory::prompt::Prompt,
     policy::{Candidate, Choice, Place, Policy, View},
-    prompt::Prompt,
     reducer::{
         State,
         effect::Basis,
--- a/src/reducer/reading.rs
+++ b/src/reducer/reading.rs
@@ -6,10 +6,10 @@
 use std::net::SocketAddr;
 
 use crate::{
-    cache,
     id::BoxName,
+    memory::cache,
+    memory::prompt::Part,
     policy::{Place, Policy},
-    prompt::Part,
     reducer::{State, effect::Effect, job::Job},
     unit::Time,
     wire::{Body, Frame, Holding, Reading, Short},
--- a/src/reducer/subset.rs
+++ b/src/reducer/subset.rs
@@ -7,12 +7,12 @@
 //! busy or failing is made up for in the same decision.
 
 use crate::{
-    cache,
     config::Backend,
     id::Region,
     member::weight,
+    memory::cache,
+    memory::prompt::Prompt,
     policy::{Choice, Place, Policy},
-    prompt::Prompt,
     reducer::{
         State,
         place::{Decision, Wish},
--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -19,7 +19,7 @@
 };
 use petreldrum::{
     config::{Config, Envelope, Version},
-    prompt::Prompt,
+    memory::prompt::Prompt,
     reducer::{
         effect::{Effect, Send},
         event::{Event, Source},
--- a/tests/engine_caches.rs
+++ b/tests/engine_caches.rs
@@ -9,8 +9,8 @@
 use petreldrum::{
     fleet::Change,
     id::Incarnation,
+    memory::prompt::Part,
     policy::Balanced,
-    prompt::Part,
     reducer::{Identity, State, effect::Effect, event::Event},
     wire::Body,
 };
--- a/tests/few_servers.rs
+++ b/tests/few_servers.rs
@@ -11,7 +11,7 @@
 use petreldrum::{
     config::Backend,
     fleet::Change,
-    prompt::Part,
+    memory::prompt::Part,
     reducer::{
         effect::Send,
         event::{Cause, Event},
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -6,9 +6,9 @@
     config::Backend,
     fleet::Change,
     id::{self, Incarnation},
+    memory::prompt::{Part, Prompt},
     platform::record,
     policy::Balanced,
-    prompt::{Part, Prompt},
     reducer::{
         Identity, State,
         effect::{Effect, Send, Target},
--- a/tests/long_prompts.rs
+++ b/tests/long_prompts.rs
@@ -6,7 +6,7 @@
     engines::{World, engine, target},
     solo::news,
 };
-use petreldrum::{fleet::Change, prompt::Part};
+use petreldrum::{fleet::Change, memory::prompt::Part};
 
 fn part(id: u64, tokens: u32) -> Part {
     Part { id, tokens }
--- a/tests/prompt_cache.rs
+++ b/tests/prompt_cache.rs
@@ -1,8 +1,8 @@
 //! What a box believes of the parts of prompts that engines hold.
 
 use petreldrum::{
-    cache::{Cache, LONG},
-    prompt::{Part, Prompt},
+    memory::cache::{Cache, LONG},
+    memory::prompt::{Part, Prompt},
     unit::Time,
     wire::Short,
 };
--- a/tests/server_lives.rs
+++ b/tests/server_lives.rs
@@ -13,7 +13,7 @@
     engines::{SHARED, World, life, target},
     solo::{news, places},
 };
-use petreldrum::{fleet::Change, platform::record, prompt::Part};
+use petreldrum::{fleet::Change, memory::prompt::Part, platform::record};
 use serde_json::json;
 use tokio::time::sleep;
 
