Let engines take parts of prompts over from each other

Callers saw: long prompts late or refused at the peak while a sixth of all that engines read were shared parts that another engine of the region held. Cause: an engine's memory served that engine alone.

Change: where the configuration says that memory moves, a box names an engine that holds the missing parts with the request, if that is sooner than reading. Short shared parts, which nobody follows, prefer an engine that all boxes choose alike.

Replayed peak: fetched_parts::a_peak_reads_shared_parts_less_often. Why it holds: the price and the time of a transfer are a fifth to a twentieth of a reading's; a wrong belief costs a reading, as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -299,6 +299,9 @@
             if platform {
                 let customer = (!send.anonymous).then_some(&send.customer);
                 platform::head::address(&mut headers, name, customer, send.priority, left);
+                if let Some(source) = send.fetch {
+                    platform::head::fetch(&mut headers, source);
+                }
             }
             (*address, "send to backend server")
         }
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -35,7 +35,7 @@
         write!(
             f,
             " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
-             target={} prompt={} unread={} cold={} limit={} store={} store_age={}",
+             target={} prompt={} shared={} unread={} fetched={} cold={} limit={} store={} store_age={}",
             basis.version,
             basis.places,
             basis.wait,
@@ -47,7 +47,9 @@
             basis.waited,
             basis.target,
             basis.prompt,
+            basis.shared,
             basis.unread,
+            basis.fetched,
             basis.cold,
             basis
                 .limit
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -108,9 +108,10 @@
         };
         let service = job.service.clone();
         let anonymous = self.is_anonymous(&job.ask.customer);
-        let reading = self.reading(now, job, &place);
-        let work = reading.map_or(0, |r| r.tokens);
-        let expected = self.count_send(now, &service, &place, work);
+        let supply = self.supply(now, job, &place).unwrap_or_default();
+        let reading = self.reading(job, &place, &supply);
+        let work = supply.read;
+        let expected = self.count_send(now, &service, &place, work) + supply.span;
         if let (Place::Backend(name), Some(reading)) = (&place, &reading) {
             let server = self.servers.entry(name.clone()).or_default();
             server.add_prompt(reading.prompt, now);
@@ -149,6 +150,7 @@
                 false => job.runs,
             },
             record: job.owns_key,
+            fetch: supply.source.map(|(_, address)| address),
             not_after: job.deadline,
             basis,
         }));
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -71,6 +71,8 @@
     pub runs: u32,
     /// Whether the answer is kept for re-sends of the key.
     pub record: bool,
+    /// An engine that the backend server takes parts of the prompt over from, before it reads the rest.
+    pub fetch: Option<SocketAddr>,
     /// The moment after which the order is void.
     pub not_after: Time,
     /// What decided for the place.
@@ -104,8 +106,12 @@
     pub target: Millis,
     /// Length of its prompt in tokens; zero where it tells of none.
     pub prompt: u32,
+    /// Tokens of it that others may share.
+    pub shared: u32,
     /// Tokens of it that the place has to read.
     pub unread: u32,
+    /// Tokens of it that the place takes over from another engine.
+    pub fetched: u32,
     /// How long the place is still cold, as far as the box knows; zero where it is warm.
     pub cold: Millis,
     /// What the place says that it takes from all boxes, where it says so.
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -5,7 +5,7 @@
     id::{Region, Service},
     memory::{Engine, cache, prompt::Prompt},
     policy::Policy,
-    reducer::{State, place::Wish},
+    reducer::{State, place::Wish, supply::Supply},
     server::Server,
     unit::{Millis, Time},
     wire::{Capacity, Short},
@@ -26,6 +26,10 @@
 const LEAST_PROMPT: f64 = 1000.0;
 /// Weight of the time to read shared parts once more, besides the wait for it.
 const READ_AGAIN: f64 = 2.0;
+/// Weight of the time for which parts are fetched, besides the wait for it.
+const KEPT_TWICE: f64 = 6.0;
+/// Fewest shared tokens for which a prompt prefers the engine that all boxes choose for it.
+pub(super) const OWNED: u32 = 256;
 /// What it counts to read a part elsewhere than at its preferred engine: about the wait for one
 /// other long prompt.
 const MISPLACED: Millis = Millis(100);
@@ -81,14 +85,31 @@
     Millis((again * READ_AGAIN + held_up) as u64)
 }
 
+/// What it costs others that parts of a prompt come from another engine: the links are busy for that long, and
+/// what is kept twice leaves no room for other parts.
+pub(super) fn moved(supply: &Supply) -> Millis {
+    Millis((supply.span.0 as f64 * KEPT_TWICE) as u64)
+}
+
 /// A small preference for the place that all boxes choose for a shared part without asking each
 /// other: after a restart of all of them the part is still held there.
-pub(super) fn misplaced(prompt: &Prompt, unread: u32, owner: bool) -> Millis {
+pub(super) fn misplaced(prompt: &Prompt, unread: u32, owner: bool, engine: &Server) -> Millis {
     let longest = prompt.longest().map_or(0, |part| part.tokens);
-    if owner || longest < cache::LONG || unread < longest {
+    if owner {
         return Millis(0);
     }
-    MISPLACED
+    if longest >= cache::LONG {
+        return if unread < longest {
+            Millis(0)
+        } else {
+            MISPLACED
+        };
+    }
+    // Nobody follows short parts; their owner likely keeps them.
+    match prompt.shared() {
+        shared if shared >= OWNED => Millis((engine.reading(shared) * READ_AGAIN) as u64),
+        _ => Millis(0),
+    }
 }
 
 impl<P: Policy> State<P> {
@@ -131,14 +152,20 @@
         let memory = self.memory(&plan.service);
         let busy = capacity.busy / (usable.len() as u32).max(1);
         let fresh = Server::default();
+        let region = usable.first().map(|b| &b.region);
+        let sources = region.and_then(|region| self.sources(now, &plan.service, region, job));
         let cost = |b: &&Backend| {
             let engine = self.servers.get(&b.name).unwrap_or(&fresh);
             let short = Short::of(b.name.as_str());
             let unread = self.cache.unread(prompt, short, memory, now);
             let batch = Batch::at(engine, busy, plan.gap(), now);
-            let burden = burden(prompt, unread, engine, batch);
-            let reading = engine.pending(now) + engine.reading(unread);
-            (Millis(reading as u64), burden)
+            let supply = match &sources {
+                Some(sources) => sources.supply(b, unread, engine),
+                None => Supply::reading(unread),
+            };
+            let burden = burden(prompt, supply.read, engine, batch) + moved(&supply);
+            let reading = engine.pending(now) + engine.reading(supply.read);
+            (Millis(reading as u64) + supply.span, burden)
         };
         let costs = usable.iter().map(cost);
         let best = costs.min_by_key(|(reading, burden)| *reading + *burden);
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -173,6 +173,7 @@
             priority: job.priority,
             runs: job.runs,
             record: false,
+            fetch: None,
             not_after: job.deadline,
             basis: Basis::default(),
         }));
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -16,6 +16,7 @@
 //! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
 //! | `tally` | how the region uses its backend servers, told through hubs |
+//! | `supply` | engines that others take parts of a prompt over from |
 //! | `reading` | long prompts, and what the boxes tell each other of them |
 //! | `stall` | attempts that stay silent for too long |
 //! | `detect` | backend servers that failed without a word |
@@ -62,6 +63,7 @@
 mod stall;
 pub mod status;
 mod subset;
+mod supply;
 mod suspect;
 mod tally;
 mod watch;
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     config::{Backend, Config, Plan, Refusal},
-    id::Region,
+    id::{self, Region},
     member::Remote,
     memory::cache,
     memory::prompt::Prompt,
@@ -15,6 +15,7 @@
         estimate::{self, Batch},
         event::Hop,
         job::Job,
+        supply::Supply,
     },
     server::{Bar, Server},
     unit::{Millis, Time},
@@ -70,6 +71,8 @@
     pub(super) fn basis(&self, now: Time, job: &Job, place: &Place, among: &[Candidate]) -> Basis {
         let chosen = among.iter().find(|c| c.place == *place);
         let ages = self.table.live(now).map(|peer| now.since(peer.heard));
+        let supply = self.supply(now, job, place);
+        let supply = supply.as_ref();
         Basis {
             version: self.version(),
             number: job.attempts + 1,
@@ -83,7 +86,9 @@
             waited: now.since(job.came),
             target: job.target.unwrap_or_default(),
             prompt: job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
-            unread: self.reading(now, job, place).map_or(0, |r| r.tokens),
+            shared: job.prompt.as_ref().map_or(0, Prompt::shared),
+            unread: supply.map_or(0, |supply| supply.read),
+            fetched: supply.map_or(0, |supply| supply.fetched),
             cold: match place {
                 Place::Backend(name) => self.fleet.cold_left(name, now),
                 Place::Region(_) => Millis(0),
@@ -169,7 +174,7 @@
             .filter(|b| !self.is_shunned(now, b, job.ask.draw))
             .collect();
         let usable = self.lane(now, &plan.service, job, usable);
-        let shared = job.prompt.as_ref().and_then(Prompt::longest);
+        let shared = job.prompt.as_ref().and_then(Prompt::key);
         let prefix = shared.map_or(job.prefix, |part| part.id);
         let affinity = |b: &&&Backend| {
             xxhash_rust::xxh3::xxh3_64_with_seed(b.name.as_str().as_bytes(), prefix)
@@ -186,6 +191,7 @@
         let turns = ahead as f64 / usable.len().max(1) as f64;
         let fresh = Server::default();
         let memory = self.memory(&plan.service);
+        let sources = self.sources(now, &plan.service, mine, job);
         for backend in &usable {
             let server = self.servers.get(&backend.name).unwrap_or(&fresh);
             let slots = server.slots(backend.slots, now);
@@ -210,10 +216,18 @@
                 Some(prompt) => {
                     let short = Short::of(backend.name.as_str());
                     let unread = self.cache.unread(prompt, short, memory, now);
-                    let first = server.first_token(unread, now);
+                    let supply = match &sources {
+                        Some(sources) => sources.supply(backend, unread, server),
+                        None => Supply::reading(unread),
+                    };
+                    let first = server.first_token(supply.read, now) + supply.span;
                     let batch = Batch::at(server, busy, plan.gap(), now);
-                    let burden = estimate::burden(prompt, unread, server, batch);
-                    (first, burden + estimate::misplaced(prompt, unread, owner))
+                    let burden = estimate::burden(prompt, supply.read, server, batch);
+                    let burden = burden + estimate::moved(&supply);
+                    (
+                        first,
+                        burden + estimate::misplaced(prompt, supply.read, owner, server),
+                    )
                 }
                 None => (server.first(), Millis(0)),
             };
@@ -233,7 +247,7 @@
                 burden,
             });
         }
-        self.draw(now, job, found);
+        self.draw(now, job, warm.as_ref(), found);
     }
 
     fn remote(&self, wish: &Wish<'_>, region: &Region, remote: &Remote) -> Option<Candidate> {
@@ -283,14 +297,19 @@
 
     /// Draws a few of the servers of `found` with free slots for this request, and gives the others a
     /// handicap: the boxes of a region hear the same of the servers at the same moment, and would all
-    /// choose the one that was least busy then.
-    fn draw(&self, now: Time, job: &Job, found: &mut [Candidate]) {
+    /// choose the one that was least busy then. The `owner` of the prompt's shared parts differs between prompts and
+    /// needs none.
+    fn draw(&self, now: Time, job: &Job, owner: Option<&id::Backend>, found: &mut [Candidate]) {
         let long = job.prompt.as_ref().and_then(Prompt::longest);
         // Who reads long prompts is told at once, and what is cached decides where they go.
         if !self.table.knows_usages(now) || long.is_some_and(|part| part.tokens >= cache::LONG) {
             return;
         }
-        let mut open: Vec<&mut Candidate> = found.iter_mut().filter(|c| c.free > 0).collect();
+        let shared = job.prompt.as_ref().map_or(0, Prompt::shared);
+        let owner = owner.filter(|_| shared >= estimate::OWNED);
+        let is_owner = |place: &Place| matches!(place, Place::Backend(name) if Some(name) == owner);
+        let open = found.iter_mut().filter(|c| c.free > 0);
+        let mut open: Vec<&mut Candidate> = open.filter(|c| !is_owner(&c.place)).collect();
         open.sort_by_key(|c| drawn(job.ask.draw, &c.place));
         for candidate in open.into_iter().skip(DRAWN) {
             candidate.risk = Millis(candidate.step.0 * HANDICAP);
--- a/src/reducer/reading.rs
+++ b/src/reducer/reading.rs
@@ -10,7 +10,7 @@
     memory::cache,
     memory::prompt::Part,
     policy::{Place, Policy},
-    reducer::{State, effect::Effect, job::Job},
+    reducer::{State, effect::Effect, job::Job, supply::Supply},
     unit::Time,
     wire::{Body, Frame, Holding, Reading, Short},
 };
@@ -19,18 +19,17 @@
 const MAX_HOLDINGS: usize = 512;
 
 impl<P: Policy> State<P> {
-    /// What `place` has to read for `job`, as far as this box knows; none for another region.
-    pub(super) fn reading(&self, now: Time, job: &Job, place: &Place) -> Option<Reading> {
+    /// What the boxes are told of `supply` at `place`; none for a request without a prompt.
+    pub(super) fn reading(&self, job: &Job, place: &Place, supply: &Supply) -> Option<Reading> {
         let (Some(prompt), Place::Backend(name)) = (&job.prompt, place) else {
             return None;
         };
-        let backend = Short::of(name.as_str());
-        let memory = self.memory(&job.service);
         let part = prompt.longest().filter(|part| part.tokens >= cache::LONG);
         Some(Reading {
-            backend,
+            backend: Short::of(name.as_str()),
             prompt: prompt.tokens,
-            tokens: self.cache.unread(prompt, backend, memory, now),
+            tokens: supply.read,
+            fetched: supply.fetched,
             part: part.map(|p| p.id),
             shared: part.map_or(0, |p| p.tokens),
             spread: false,
@@ -82,7 +81,8 @@
             id,
             tokens: reading.shared,
         });
-        self.cache.note(reading.backend, part, reading.tokens, now);
+        let tokens = reading.tokens + reading.fetched;
+        self.cache.note(reading.backend, part, tokens, now);
     }
 
     /// Tells a box that just appeared which engines hold which parts, as one box's duty.
--- /dev/null
+++ b/src/reducer/supply.rs
@@ -0,0 +1,143 @@
+//! Where an engine gets the parts of a prompt that it lacks: from another engine that holds them, where that is
+//! sooner than reading them.
+//!
+//! The box that has the request decides, by what it knows of the engines' caches. Nothing is kept of a fetch: where
+//! its source has dropped the part by then, or is gone, the engine reads the prompt itself.
+
+use std::net::SocketAddr;
+
+use crate::{
+    config::Backend,
+    id::{self, Region, Service},
+    memory::{Engine, cache},
+    policy::{Place, Policy},
+    reducer::{State, job::Job},
+    server::Server,
+    unit::{Millis, Time},
+    wire::Short,
+};
+
+/// Fewest tokens that are worth a fetch: the two engines' agreement takes as long as reading them.
+const LEAST: u32 = 512;
+
+/// What an engine does to have a prompt in its memory.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Supply {
+    /// Tokens that it reads.
+    pub(super) read: u32,
+    /// Tokens that it takes over from `source`.
+    pub(super) fetched: u32,
+    /// How long that takes.
+    pub(super) span: Millis,
+    /// The engine that holds them.
+    pub(super) source: Option<(id::Backend, SocketAddr)>,
+}
+
+/// The engines of a region that hold a prompt's longest shared part.
+pub(super) struct Sources<'a> {
+    engine: Engine,
+    /// Each with the tokens of the prompt that it lacks, and a number that differs between requests.
+    holders: Vec<(&'a Backend, u32, u64)>,
+}
+
+impl Supply {
+    /// It reads all that it lacks.
+    pub(super) fn reading(unread: u32) -> Self {
+        Self {
+            read: unread,
+            ..Self::default()
+        }
+    }
+}
+
+impl Sources<'_> {
+    /// What `backend` has to do for a prompt of which it lacks `unread` tokens.
+    pub(super) fn supply(&self, backend: &Backend, unread: u32, server: &Server) -> Supply {
+        let alone = Supply::reading(unread);
+        let others = self.holders.iter();
+        // Memory of other weights is of no use.
+        let others =
+            others.filter(|(b, ..)| b.name != backend.name && b.release == backend.release);
+        // Links between failure domains are slower. The draw spreads requests for one part over its holders.
+        let best =
+            others.min_by_key(|(b, lacks, draw)| (*lacks, b.domain != backend.domain, *draw));
+        let Some((holder, lacks, _)) = best else {
+            return alone;
+        };
+        let fetched = unread.saturating_sub(*lacks);
+        let span = self.engine.transfer(fetched);
+        let Some(span) = span.filter(|span| (span.0 as f64) < server.reading(fetched)) else {
+            return alone;
+        };
+        if fetched < LEAST {
+            return alone;
+        }
+        Supply {
+            read: unread - fetched,
+            fetched,
+            span,
+            source: Some((holder.name.clone(), holder.address)),
+        }
+    }
+}
+
+impl<P: Policy> State<P> {
+    /// The engines of `region` that `prompt` may be fetched from; none where memory does not move.
+    pub(super) fn sources(
+        &self,
+        now: Time,
+        service: &Service,
+        region: &Region,
+        job: &Job,
+    ) -> Option<Sources<'_>> {
+        let engine = self
+            .engine(service)
+            .filter(|engine| engine.link.is_some())?;
+        let prompt = job.prompt.as_ref()?;
+        let part = prompt.longest().filter(|p| p.tokens >= cache::LONG)?;
+        let holder = |short: Short| {
+            let backend = self.fleet.get(self.fleet.long(short)?)?;
+            let serves = backend.region == *region && backend.serves.contains(service);
+            if !serves || !self.may_supply(now, backend) {
+                return None;
+            }
+            let lacks = self.cache.unread(prompt, short, Some(engine.tokens), now);
+            let draw = u64::from(short.0).wrapping_mul(job.ask.draw | 1);
+            (lacks < prompt.tokens).then_some((backend, lacks, draw))
+        };
+        let holders = self.cache.holders(part.id).filter_map(holder);
+        Some(Sources {
+            engine,
+            holders: holders.collect(),
+        })
+    }
+
+    /// Whether an engine is well enough to be asked for what it holds.
+    fn may_supply(&self, now: Time, backend: &Backend) -> bool {
+        let failed = |server: &Server| server.failed_at().is_some();
+        self.excluded(now, backend).is_none()
+            && !self.table.is_down(Short::of(backend.name.as_str()), now)
+            && !self.fleet.is_cold(&backend.name, now)
+            && !self.servers.get(&backend.name).is_some_and(failed)
+    }
+
+    /// What `place` has to do for `job`, as far as this box knows; none for another region.
+    pub(super) fn supply(&self, now: Time, job: &Job, place: &Place) -> Option<Supply> {
+        let (Some(prompt), Place::Backend(name)) = (&job.prompt, place) else {
+            return None;
+        };
+        let memory = self.memory(&job.service);
+        let short = Short::of(name.as_str());
+        let unread = self.cache.unread(prompt, short, memory, now);
+        let region = &self.table.me.region;
+        let (Some(backend), Some(sources)) = (
+            self.fleet.get(name),
+            self.sources(now, &job.service, region, job),
+        ) else {
+            return Some(Supply::reading(unread));
+        };
+        let fresh = Server::default();
+        let server = self.servers.get(name).unwrap_or(&fresh);
+        Some(sources.supply(backend, unread, server))
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -312,6 +312,8 @@
     pub prompt: u32,
     /// Tokens that it has to read.
     pub tokens: u32,
+    /// Tokens that it takes over from another engine.
+    pub fetched: u32,
     /// The longest part that the prompt shares with others.
     pub part: Option<u64>,
     /// That part's length in tokens.
--- /dev/null
+++ b/tests/fetched_parts.rs
@@ -0,0 +1,212 @@
+//! An engine takes over parts of a prompt that another one holds, where that is sooner than reading them.
+
+mod harness;
+
+use std::collections::BTreeSet;
+
+use harness::{
+    engines::{SHARED, World, engine, life, target},
+    solo::{evacuated, news},
+};
+use petreldrum::{
+    config::Backend,
+    fleet::Change,
+    memory::prompt::Part,
+    reducer::{
+        effect::{Send, Target},
+        event::Event,
+    },
+};
+
+fn own(id: u64) -> Part {
+    Part { id, tokens: 500 }
+}
+
+/// An engine with an address of its own.
+fn at(name: &str, port: u16) -> Backend {
+    Backend {
+        address: ([10, 0, 0, 1], port).into(),
+        ..engine(name, "ready", 0)
+    }
+}
+
+fn few() -> Vec<Backend> {
+    vec![at("a", 1), at("b", 2), at("c", 3)]
+}
+
+/// Makes `name` read for seconds, so that other prompts go elsewhere.
+fn occupy(world: &mut World, name: &str) {
+    let others: Vec<Backend> = few()
+        .into_iter()
+        .filter(|b| b.name.as_str() != name)
+        .collect();
+    for other in &others {
+        let leaving = Backend {
+            leaving: true,
+            ..other.clone()
+        };
+        world.step(news(Change::Put(leaving)));
+    }
+    let long = Part {
+        id: 99,
+        tokens: 100_000,
+    };
+    assert_eq!(target(&world.prompt(&[long])[0]), name);
+    for other in others {
+        world.step(news(Change::Put(other)));
+    }
+}
+
+/// A world in which `a` holds the shared part and reads something else.
+fn busy_holder(mut world: World) -> World {
+    world.asked(500);
+    world.told("a", vec![SHARED]);
+    occupy(&mut world, "a");
+    world
+}
+
+fn address(send: &Send) -> std::net::SocketAddr {
+    match &send.target {
+        Target::Backend { address, .. } => *address,
+        other => panic!("not an engine: {other:?}"),
+    }
+}
+
+#[test]
+fn a_busy_holder_supplies_another_engine() {
+    let mut world = busy_holder(World::moving(few()));
+    let send = world.prompt(&[SHARED, own(1)]).remove(0);
+    assert_ne!(target(&send), "a");
+    assert_eq!(send.fetch, Some(at("a", 1).address));
+    assert_eq!(
+        (send.basis.unread, send.basis.fetched),
+        (500, SHARED.tokens)
+    );
+}
+
+#[test]
+fn nothing_is_fetched_where_memory_does_not_move() {
+    let mut world = busy_holder(World::new(few()));
+    let send = world.prompt(&[SHARED, own(1)]).remove(0);
+    assert_eq!(send.fetch, None);
+}
+
+#[test]
+fn the_holder_itself_fetches_nothing() {
+    let mut world = World::moving(few());
+    world.asked(500);
+    world.told("b", vec![SHARED]);
+    let send = world.prompt(&[SHARED, own(1)]).remove(0);
+    assert_eq!((target(&send), send.fetch), ("b", None));
+}
+
+// A source that leaves, is cold, under evacuation or of another release has nothing that may be used.
+#[test]
+fn a_holder_that_may_not_serve_supplies_nobody() {
+    let changes = [
+        Change::Put(Backend {
+            leaving: true,
+            ..at("a", 1)
+        }),
+        Change::Put(Backend {
+            release: Some("v2".parse().expect("a release")),
+            ..at("a", 1)
+        }),
+        Change::Put(engine("a", "ready", 60_000)),
+    ];
+    for change in changes {
+        let mut world = busy_holder(World::moving(few()));
+        world.step(news(change.clone()));
+        let send = world.prompt(&[SHARED, own(1)]).remove(0);
+        assert_eq!(send.fetch, None, "{change:?}");
+    }
+}
+
+// An engine that started again under its name or address holds nothing of its former life.
+#[test]
+fn a_new_life_supplies_nobody() {
+    let mut world = busy_holder(World::moving(few()));
+    let again = Backend {
+        address: at("a", 1).address,
+        ..life("a", "ready", 0, 7)
+    };
+    world.step(news(Change::Put(again)));
+    let send = world.prompt(&[SHARED, own(1)]).remove(0);
+    assert_eq!(send.fetch, None);
+}
+
+#[test]
+fn engines_under_evacuation_supply_nobody() {
+    let mut world = busy_holder(World::moving(few()));
+    let elsewhere = Backend {
+        domain: "mcn-a".parse().expect("a name"),
+        ..at("b", 2)
+    };
+    world.step(news(Change::Put(elsewhere)));
+    let domain = "atl-a".parse().expect("a name");
+    world.step(evacuated([domain].into()));
+    let sent = world.prompt(&[SHARED, own(1)]);
+    assert!(sent.iter().all(|send| send.fetch.is_none()));
+}
+
+// All requests for one part would wait behind each other at one engine's link.
+#[test]
+fn requests_for_one_part_are_spread_over_its_holders() {
+    let engines: Vec<Backend> = (0..6).map(|n| at(&format!("e{n}"), 10 + n)).collect();
+    let mut world = World::moving(engines.clone());
+    world.asked(500);
+    for holder in &engines[..3] {
+        world.told(holder.name.as_str(), vec![SHARED]);
+    }
+    let mut sources = BTreeSet::new();
+    for draw in 0..300_u64 {
+        let draw = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        for send in world.drawn(&[SHARED, own(draw)], draw) {
+            assert_ne!(send.fetch, Some(address(&send)), "never from itself");
+            sources.extend(send.fetch);
+        }
+    }
+    assert!(sources.len() >= 3, "{sources:?}");
+}
+
+/// Sends prompts of 8 shared parts, 12 at a moment, to three engines; returns the shared tokens that are read.
+fn peak(mut world: World) -> u64 {
+    let mut read = 0;
+    let mut running = Vec::new();
+    for number in 0..300_u64 {
+        let draw = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let part = Part {
+            id: 100 + (draw >> 32) % 8,
+            tokens: 12_000,
+        };
+        let own = Part {
+            id: 1000 + number,
+            tokens: 6000,
+        };
+        for send in world.drawn(&[part, own], draw) {
+            read += u64::from(send.basis.unread.saturating_sub(own.tokens));
+            let (request, attempt) = (send.request, send.attempt);
+            running.push(Event::Begun { request, attempt });
+            running.push(Event::Ended {
+                request,
+                attempt,
+                whole: true,
+                timing: Default::default(),
+            });
+        }
+        if number % 12 == 11 {
+            world.pass(1000);
+            for event in running.drain(..) {
+                world.step(event);
+            }
+        }
+    }
+    read
+}
+
+#[test]
+fn a_peak_reads_shared_parts_less_often() {
+    let (with, without) = (peak(World::moving(few())), peak(World::new(few())));
+    println!("shared tokens read: {with} with fetches, {without} without");
+    assert!(with * 2 <= without, "{with} with, {without} without");
+}
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -56,8 +56,19 @@
         Self::at("box", engines)
     }
 
+    /// A box before engines whose memory moves between them.
+    pub fn moving(engines: Vec<Backend>) -> Self {
+        let moving = r#""kvTokens":335639,"kvBytes":163840,"linkMbps":550000"#;
+        let config = CONFIG.replace(r#""kvTokens":335639"#, moving);
+        Self::configured("box", &config, engines)
+    }
+
     /// The box of this name.
     pub fn at(name: &str, engines: Vec<Backend>) -> Self {
+        Self::configured(name, CONFIG, engines)
+    }
+
+    fn configured(name: &str, config: &str, engines: Vec<Backend>) -> Self {
         let identity = Identity {
             contact: contact(name, "atl", 10),
             incarnation: Incarnation(1),
@@ -73,7 +84,7 @@
             now: Time(0),
             requests: 0,
         };
-        let envelope = record::envelope(CONFIG.into()).expect("it reads");
+        let envelope = record::envelope(config.into()).expect("it reads");
         let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
         let source = Source::Store;
         world.step(Event::Offered { config, source });
@@ -110,6 +121,11 @@
 
     /// Sends a request whose prompt has these parts; the last one is its own.
     pub fn prompt(&mut self, parts: &[Part]) -> Vec<Send> {
+        self.drawn(parts, 0)
+    }
+
+    /// The same, of a request with this draw.
+    pub fn drawn(&mut self, parts: &[Part], draw: u64) -> Vec<Send> {
         self.requests += 1;
         let arrival = Arrival {
             content: Default::default(),
@@ -125,7 +141,7 @@
                 output: 100,
                 parts: parts.to_vec(),
             }),
-            draw: 0,
+            draw,
             runs: None,
             key: Key::Absent,
             left: None,
