Follow engines that tell what they keep of prompts

Boxes believed that an engine holds what was sent there, for a minute or until it had read so much else; after a start each engine was asked once. Engines that give parts up, or were used by boxes that are gone, were believed wrongly.

Engines that offer nothing are asked at the start as before.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,8 +15,8 @@
     config::{Ask, Config, Envelope, Version},
     fleet::{Revision, Roster},
     gateway::{
-        clock::Clock, dial::Pool, gossip::Links, keep::Write, lines::Quota, metrics::Metrics,
-        replay::Replay,
+        clock::Clock, dial::Pool, engine_news::Followers, gossip::Links, keep::Write, lines::Quota,
+        metrics::Metrics, replay::Replay,
     },
     id, policy,
     reducer::{
@@ -88,6 +88,8 @@
     pub(super) parts: Parts,
     pub(super) orders: HashMap<id::Request, Open>,
     pub(super) quota: Quota,
+    /// The tasks that hear engines.
+    pub(super) followers: Followers,
     offered: Option<Current>,
     /// When the metrics were last told of allotments.
     allotments_told: Time,
@@ -153,6 +155,7 @@
             parts,
             orders: HashMap::new(),
             quota: Quota::default(),
+            followers: Followers::new(),
             offered: None,
             allotments_told: Time(0),
             traffic_told: Time(0),
@@ -344,6 +347,10 @@
         metrics.waiting.set(self.state.waiting() as i64);
         metrics.limited.set(self.state.limited() as i64);
         metrics.pushed_back.set(self.state.pushed_back(now) as i64);
+        metrics.tell_engines(
+            self.state.followed_engines(),
+            self.state.engine_news_age(now),
+        );
         metrics.departing.set(self.state.departing() as i64);
         metrics.keys.set(self.state.keys() as i64);
         metrics.version.set(self.state.version().0 as i64);
@@ -389,6 +396,12 @@
             Effect::Fetch { peer, version } => self.fetch(peer, version),
             Effect::FetchRoster { peer, since } => self.fetch_roster(peer, since),
             Effect::Inventory { backend, address } => self.ask_cached(backend, address),
+            Effect::FollowEngine {
+                backend,
+                address,
+                incarnation,
+            } => self.follow_engine(backend, address, incarnation),
+            Effect::UnfollowEngine(backend) => self.unfollow_engine(&backend),
             Effect::Follow(follow) => {
                 log::info!("store: followed={follow}");
                 self.parts.follow.send_replace(follow);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,9 @@
 //! What the box counts, for prometheus; docs/operate.md says when to worry.
 
-use crate::reducer::status::{Allotted, Rollout};
+use crate::{
+    reducer::status::{Allotted, Rollout},
+    unit::Millis,
+};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder, core::Collector as _,
@@ -41,6 +44,14 @@
     pub pushed_back: IntGauge,
     /// Requests that were refused because of such limits.
     pub limit_refusals: IntCounter,
+    /// What engines told of the parts of prompts that they keep, by kind.
+    pub engine_news: IntCounterVec,
+    /// Prompts sent to engines, by whether the engine's own word of what it keeps was known.
+    pub beliefs: IntCounterVec,
+    /// Engines that this box follows.
+    pub followed: IntGauge,
+    /// Milliseconds since the one of them was heard that was heard longest ago.
+    pub engine_age: IntGauge,
     /// Kept answers given again.
     pub replays: IntCounter,
     /// Alarms.
@@ -91,6 +102,12 @@
 const SERVICES: usize = 64;
 
 impl Metrics {
+    /// Takes over how many engines are followed, and how old what they told is.
+    pub(crate) fn tell_engines(&self, followed: usize, age: Millis) {
+        self.followed.set(followed as i64);
+        self.engine_age.set(age.0 as i64);
+    }
+
     /// Takes over what the releases answered that are rolled out.
     pub(crate) fn tell_rollouts(&self, rows: &[Rollout]) {
         self.rollouts.reset();
@@ -211,6 +228,21 @@
                 "limit_refusals_total",
                 "Requests refused because backend servers say how many they take.",
             )?,
+            engine_news: counters(
+                "engine_news_total",
+                "What followed engines told of their memory: list, changes, gap; or failed.",
+                &["kind"],
+            )?,
+            beliefs: counters(
+                "prompt_beliefs_total",
+                "Sent prompts, by what the belief in the parts held there rested on.",
+                &["basis"],
+            )?,
+            followed: gauge("followed_engines", "Engines whose news this box hears.")?,
+            engine_age: gauge(
+                "engine_news_age_ms",
+                "Time since the followed engine was heard that was heard longest ago.",
+            )?,
             replays: counter("replays_total", "Kept answers given again.")?,
             alarms: counter("alarms_total", "Alarms; each is in the log.")?,
             gossip: counters(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod core;
 pub(crate) mod dial;
 mod directory;
+pub mod engine_news;
 mod errand;
 mod exchange;
 mod follow;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -35,7 +35,7 @@
         write!(
             f,
             " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
-             target={} prompt={} unread={} cold={} limit={} store={} store_age={}",
+             target={} prompt={} unread={} told={} cold={} limit={} store={} store_age={}",
             basis.version,
             basis.places,
             basis.wait,
@@ -48,6 +48,7 @@
             basis.target,
             basis.prompt,
             basis.unread,
+            basis.told,
             basis.cold,
             basis
                 .limit
@@ -86,6 +87,10 @@
             }
             _ => return,
         };
+        if send.basis.prompt > 0 && matches!(send.target, Target::Backend { .. }) {
+            let basis = if send.basis.told { "told" } else { "guessed" };
+            metrics.beliefs.with_label_values(&[basis]).inc();
+        }
         if send.basis.number > 1 {
             return metrics.repeats.inc();
         }
--- a/src/memory/cache.rs
+++ b/src/memory/cache.rs
@@ -39,6 +39,8 @@
     read: HashMap<Short, u64>,
     /// Engines that another box told of, or that told of themselves.
     learned: HashSet<Short>,
+    /// Engines whose own word of what they keep reaches this box, and until when it is taken for that.
+    told: HashMap<Short, Time>,
 }
 
 impl Cache {
@@ -81,6 +83,9 @@
         let Some(copy) = copies.iter().find(|c| c.backend == backend) else {
             return false;
         };
+        if self.is_told(backend, now) {
+            return true;
+        }
         let read = self.read.get(&backend).copied().unwrap_or_default();
         let room = memory.map_or(u64::MAX, |tokens| (tokens as f64 * USABLE) as u64);
         now.since(copy.at) < LIFE && read - copy.read < room
@@ -141,6 +146,7 @@
     pub fn forget(&mut self, backend: Short) {
         self.read.remove(&backend);
         self.learned.remove(&backend);
+        self.told.remove(&backend);
         for copies in self.parts.values_mut() {
             copies.retain(|c| c.backend != backend);
         }
@@ -151,9 +157,58 @@
     pub fn retain(&mut self, known: impl Fn(Short) -> bool) {
         self.read.retain(|backend, _| known(*backend));
         self.learned.retain(|backend| known(*backend));
+        self.told.retain(|backend, _| known(*backend));
         for copies in self.parts.values_mut() {
             copies.retain(|c| known(c.backend));
         }
         self.parts.retain(|_, copies| !copies.is_empty());
     }
+
+    /// Notes that the own word of `backend` reaches this box, at least until `until`.
+    pub fn trust(&mut self, backend: Short, until: Time) {
+        let known = self.told.entry(backend).or_insert(until);
+        *known = until.max(*known);
+    }
+
+    /// Notes that changes in what `backend` keeps were missed.
+    pub fn distrust(&mut self, backend: Short) {
+        self.told.remove(&backend);
+    }
+
+    /// Whether what is known of `backend` is its own word, and not a guess by what was sent there.
+    pub fn is_told(&self, backend: Short, now: Time) -> bool {
+        self.told.get(&backend).is_some_and(|until| now < *until)
+    }
+
+    /// Whether `backend` was sent `part`, or told that it keeps it, and nobody told otherwise since.
+    pub fn names(&self, backend: Short, part: u64) -> bool {
+        self.holders(part).any(|holder| holder == backend)
+    }
+
+    /// Takes over that `backend` keeps a part, by its own word.
+    pub fn confirm(&mut self, holding: Holding, now: Time) {
+        self.learn(holding, now);
+        if self.parts.len() > MAX_PARTS {
+            self.shrink();
+        }
+    }
+
+    /// Takes over that `backend` did not keep `part` at `made`; what was sent there later stays.
+    pub fn drop_part(&mut self, backend: Short, part: u64, made: Time) {
+        let Some(copies) = self.parts.get_mut(&part) else {
+            return;
+        };
+        copies.retain(|copy| copy.backend != backend || copy.at > made);
+        if copies.is_empty() {
+            self.parts.remove(&part);
+        }
+    }
+
+    /// All parts, the engines that they are believed to be at, and when they were last used.
+    pub fn copies(&self) -> impl Iterator<Item = (u64, Short, Time)> {
+        self.parts.iter().flat_map(|(part, copies)| {
+            let copies = copies.iter();
+            copies.map(move |copy| (*part, copy.backend, copy.at))
+        })
+    }
 }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -4,8 +4,10 @@
 //! |---|---|
 //! | [`prompt`] | what a caller tells of its prompt |
 //! | [`cache`] | which engines hold which parts of prompts |
+//! | [`news`] | what engines tell of that |
 
 pub mod cache;
+pub mod news;
 pub mod prompt;
 
 use std::{fmt, str::FromStr};
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -174,6 +174,7 @@
         self.note_alone(now, out);
         self.chase_roster(now, out);
         self.ask_caches(now, out);
+        self.follow_engines(now, out);
         self.detect_failed(now, out);
         self.move_stalled(now, out);
         self.drain_all(now, out);
@@ -311,6 +312,7 @@
             Body::Departures(departures) => {
                 self.learn_departures(now, &frame.from, departures, out);
             }
+            Body::Kept(told) => self.hear_kept(now, told),
             Body::News(news) => self.hear_news(now, &frame.from, news, out),
             Body::Digest(_) => {}
         }
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -106,6 +106,8 @@
     pub prompt: u32,
     /// Tokens of it that the place has to read.
     pub unread: u32,
+    /// Whether that is the place's own word, and no guess by what was sent there.
+    pub told: bool,
     /// How long the place is still cold, as far as the box knows; zero where it is warm.
     pub cold: Millis,
     /// What the place says that it takes from all boxes, where it says so.
@@ -231,6 +233,17 @@
         /// Its address.
         address: SocketAddr,
     },
+    /// Hear what a model engine keeps of prompts, from now on.
+    FollowEngine {
+        /// The engine.
+        backend: id::Backend,
+        /// Its address.
+        address: SocketAddr,
+        /// Its life, where it tells.
+        incarnation: Option<Incarnation>,
+    },
+    /// Hear that no longer.
+    UnfollowEngine(id::Backend),
     /// Give an attempt up, so that it is cancelled at its place.
     Abort {
         /// The request.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -8,6 +8,7 @@
     fleet::{self, Revision, Rollouts},
     id::{self, Domain, Incarnation, Region, Service},
     limit,
+    memory::news::News,
     memory::prompt::{Part, Prompt},
     pin, pushback, retry,
     settings::Seed,
@@ -252,6 +253,15 @@
         /// The parts.
         parts: Vec<Part>,
     },
+    /// A model engine told what it keeps of prompts, to this box that follows it.
+    EngineNews {
+        /// The engine.
+        backend: id::Backend,
+        /// The life that was followed.
+        incarnation: Option<Incarnation>,
+        /// What it told.
+        news: News,
+    },
     /// The platform's store answered, and all its changes up to this one are told.
     Synced(Revision),
     /// The platform's store told to which failure domains nothing new may go.
--- a/src/reducer/inventory.rs
+++ b/src/reducer/inventory.rs
@@ -1,6 +1,7 @@
 //! What engines had cached before the boxes knew: after a restart of all boxes nobody can tell them.
 //!
-//! A box that starts asks its region's engines once, each engine by one box, and tells the others.
+//! A box that starts asks its region's engines once, each engine by one box, and tells the others; those that
+//! tell of changes are followed instead.
 //! Long shared parts then are not read again by engines that lack them.
 
 use std::net::SocketAddr;
@@ -19,17 +20,17 @@
 
 /// How long a new box waits for others to tell it what engines have cached: a greeting and its
 /// answer inside a region.
-const LISTEN: Millis = Millis(100);
+pub(super) const LISTEN: Millis = Millis(100);
 /// For how long after its start a box asks engines that it newly hears of: later ones are new.
 const ASK: Millis = Millis(4000);
 /// By when after its start a box knows the boxes of its region.
-const MET: Millis = Millis(3000);
+pub(super) const MET: Millis = Millis(3000);
 /// Engines that a box asks before it knows the boxes of its region, and how many it looks at for that: by then
 /// each box takes itself for the first in rank. 60 boxes asked 600 engines 36,000 times, and 840 at most with it.
-const EARLY: usize = 4;
+pub(super) const EARLY: usize = 4;
 /// Engines that a box asks in all: in a large region it may not know the others by then, and would ask most of
 /// their share as well.
-const MOST: usize = 16;
+pub(super) const MOST: usize = 16;
 
 impl<P: Policy> State<P> {
     /// Asks the engines of this region that nobody has told anything of.
@@ -45,7 +46,10 @@
         let Some(config) = self.config.clone() else {
             return;
         };
-        let engines = config.profiles.iter().filter(|(_, p)| p.engine.is_some());
+        let engines = config
+            .profiles
+            .iter()
+            .filter(|(_, p)| p.engine.is_some_and(|e| e.watchers == 0));
         for (service, _) in engines {
             let backends = self.fleet.serving(service, &self.table.me.region);
             let unknown = backends.filter(|b| self.is_unknown(now, b));
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -13,6 +13,7 @@
 //! | `limit` | what backend servers say that they take |
 //! | `departure` | backend servers that say that they leave |
 //! | `pushback` | backend servers that ask this box to stay away for a while |
+//! | `engine_news` | what engines tell of the parts of prompts that they keep |
 //! | `inventory` | what engines had cached before the boxes knew |
 //! | `line` | who waits, and who goes first |
 //! | `tally` | how the region uses its backend servers, told through hubs |
@@ -42,6 +43,7 @@
 mod digest;
 mod dispatch;
 pub mod effect;
+mod engine_news;
 mod era;
 mod estimate;
 pub mod event;
@@ -160,6 +162,7 @@
     registry: bool,
     /// Engines that were looked at for whether this box is to ask what they have cached.
     asked: BTreeSet<id::Backend>,
+    engine_news: engine_news::Desk,
     attempts: u64,
     control: control::Control,
 }
@@ -196,6 +199,7 @@
             store_heard: None,
             registry: identity.registry,
             asked: BTreeSet::new(),
+            engine_news: engine_news::Desk::default(),
             attempts: 0,
             control: control::Control::default(),
         }
@@ -269,6 +273,11 @@
             Event::Cached { backend, parts } => {
                 self.learn_cached(now, &backend, &parts, &mut out);
             }
+            Event::EngineNews {
+                backend,
+                incarnation,
+                news,
+            } => self.take_engine_news(now, &backend, incarnation, &news),
             Event::Evacuated { domains, revision } => {
                 self.notice_era(now, revision.era, &mut out);
                 self.evacuate(now, domains, &mut out);
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -84,6 +84,10 @@
             target: job.target.unwrap_or_default(),
             prompt: job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
             unread: self.reading(now, job, place).map_or(0, |r| r.tokens),
+            told: match place {
+                Place::Backend(name) => self.cache.is_told(Short::of(name.as_str()), now),
+                Place::Region(_) => false,
+            },
             cold: match place {
                 Place::Backend(name) => self.fleet.cold_left(name, now),
                 Place::Region(_) => Millis(0),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -9,6 +9,7 @@
     content::Fingerprint,
     fleet::{Change, Revision, Rollouts},
     id::{BoxName, Domain, Incarnation, Region},
+    memory::news::Told,
     quarantine::{Held, Strike},
     rollout::Count,
     settings::Secret,
@@ -405,6 +406,8 @@
     Limits(Vec<Limit>),
     /// Within a region: which backend servers said that they leave, where that changed.
     Departures(Vec<Departure>),
+    /// Within a region: what engines say that they keep, where that is not what the boxes were told.
+    Kept(Told),
 }
 
 impl Body {
@@ -423,6 +426,7 @@
             Self::Marks(_) => "marks",
             Self::Limits(_) => "limits",
             Self::Departures(_) => "departures",
+            Self::Kept(_) => "kept",
         }
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`registry`] | the users' platform's store |
 //! | [`worker`] | a backend server of the users' platform that gets things wrong |
 //! | [`engine`] | a model engine (OpenAI-style, SSE) |
+//! | [`memory`] | what a model engine tells of the prompts that it keeps |
 //! | [`app`] | an application service that counts what it ran |
 //! | [`collector`] | a trace collector that counts the spans it was sent |
 //! | [`link`] | a link between regions: slow, or cut |
@@ -26,6 +27,7 @@
 pub mod http;
 pub mod link;
 pub mod measure;
+pub mod memory;
 pub mod platform;
 pub mod registry;
 pub mod releases;
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -26,6 +26,12 @@
     "maxAttempts":1,"resumable":false,"gapAimMs":400,"homeRegions":[]}],
     "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639}}]}"#;
 
+/// The same, where engines tell what they keep.
+pub const TELLING: &str = r#"{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/",
+    "kind":"streaming","timeoutMs":8000,"targetLatencyMs":1000,"priority":1,"service":"s",
+    "maxAttempts":1,"resumable":false,"gapAimMs":400,"homeRegions":[]}],
+    "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639,"most":12}}]}"#;
+
 pub const SHARED: Part = Part {
     id: 0xab,
     tokens: 13_000,
@@ -58,6 +64,11 @@
 
     /// The box of this name.
     pub fn at(name: &str, engines: Vec<Backend>) -> Self {
+        Self::with(name, CONFIG, engines)
+    }
+
+    /// The same under another configuration.
+    pub fn with(name: &str, config: &str, engines: Vec<Backend>) -> Self {
         let identity = Identity {
             contact: contact(name, "atl", 10),
             incarnation: Incarnation(1),
@@ -73,7 +84,7 @@
             now: Time(0),
             requests: 0,
         };
-        let envelope = record::envelope(CONFIG.into()).expect("it reads");
+        let envelope = record::envelope(config.into()).expect("it reads");
         let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
         let source = Source::Store;
         world.step(Event::Offered { config, source });
@@ -112,8 +123,17 @@
     pub fn prompt(&mut self, parts: &[Part]) -> Vec<Send> {
         self.requests += 1;
         let arrival = Arrival {
-            content: Default::default(),
             request: id::Request(self.requests),
+            ..Self::arrival(parts)
+        };
+        sends(&self.step(Event::Arrived(arrival)))
+    }
+
+    /// A request whose prompt has these parts.
+    pub fn arrival(parts: &[Part]) -> Arrival {
+        Arrival {
+            content: Default::default(),
+            request: id::Request(1),
             tag: None,
             credential: Credential::Missing,
             host: Some("h.example".to_owned()),
@@ -130,8 +150,7 @@
             key: Key::Absent,
             left: None,
             hop: Hop::Direct,
-        };
-        sends(&self.step(Event::Arrived(arrival)))
+        }
     }
 
     /// The first heartbeat that the box would send to a seed.
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -259,6 +259,8 @@
             | Effect::CloseIdle(_)
             | Effect::Queued { .. }
             | Effect::Inventory { .. }
+            | Effect::FollowEngine { .. }
+            | Effect::UnfollowEngine(_)
             | Effect::FetchRoster { .. }
             | Effect::Follow(_)
             | Effect::Noted(_)
