--- a/src/reducer/engine_news.rs
+++ b/src/reducer/engine_news.rs
@@ -87,6 +87,8 @@
     /// Engines that are still to be looked at in this round.
     left: Vec<id::Backend>,
     corrections: BTreeMap<(Short, u64), Correction>,
+    /// The correction that was told last.
+    turn: Option<(Short, u64)>,
     last_look: Option<Time>,
     last_sweep: Option<Time>,
     last_told: Option<Time>,
@@ -113,6 +115,17 @@
         self.allowance
     }
 
+    /// Takes the correction whose turn it is: where the bytes do not suffice, no engine is left out for good.
+    fn next_correction(&mut self) -> Option<((Short, u64), Correction)> {
+        let later = self
+            .turn
+            .and_then(|turn| self.corrections.range(turn..).next());
+        let (key, _) = later.or_else(|| self.corrections.first_key_value())?;
+        let key = *key;
+        self.turn = Some(key);
+        self.corrections.remove_entry(&key)
+    }
+
     /// The words for the engines heard lately, with up to `rows` corrections.
     fn words(&mut self, rows: usize, now: Time) -> Vec<Word> {
         let fresh = |f: &Followed| f.heard.is_some_and(|at| now.since(at) < SILENT);
@@ -128,7 +141,7 @@
             words.insert(backend, word);
         }
         for _ in 0..rows {
-            let Some(((backend, part), correction)) = self.corrections.pop_first() else {
+            let Some(((backend, part), correction)) = self.next_correction() else {
                 break;
             };
             let Some(word) = words.get_mut(&backend) else {
