--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -35,7 +35,8 @@
         write!(
             f,
             " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
-             target={} prompt={} shared={} unread={} fetched={} cold={} limit={} store={} store_age={}",
+             target={} prompt={} shared={} unread={} fetched={} told={} cold={} limit={} store={} \
+             store_age={}",
             basis.version,
             basis.places,
             basis.wait,
@@ -50,6 +51,7 @@
             basis.shared,
             basis.unread,
             basis.fetched,
+            basis.told,
             basis.cold,
             basis
                 .limit
@@ -88,6 +90,10 @@
             }
             _ => return,
         };
+        if send.basis.prompt > 0 && matches!(send.target, Target::Backend { .. }) {
+            let basis = if send.basis.told { "told" } else { "guessed" };
+            metrics.beliefs.with_label_values(&[basis]).inc();
+        }
         if send.basis.number > 1 {
             return metrics.repeats.inc();
         }
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -89,6 +89,10 @@
             shared: job.prompt.as_ref().map_or(0, Prompt::shared),
             unread: supply.map_or(0, |supply| supply.read),
             fetched: supply.map_or(0, |supply| supply.fetched),
+            told: match place {
+                Place::Backend(name) => self.cache.is_told(Short::of(name.as_str()), now),
+                Place::Region(_) => false,
+            },
             cold: match place {
                 Place::Backend(name) => self.fleet.cold_left(name, now),
                 Place::Region(_) => Millis(0),
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -26,6 +26,12 @@
     "maxAttempts":1,"resumable":false,"gapAimMs":400,"homeRegions":[]}],
     "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639}}]}"#;
 
+/// The same, where engines tell what they keep.
+pub const TELLING: &str = r#"{"version":1,"routes":[{"name":"r","host":"h.example","pathPrefix":"/p/",
+    "kind":"streaming","timeoutMs":8000,"targetLatencyMs":1000,"priority":1,"service":"s",
+    "maxAttempts":1,"resumable":false,"gapAimMs":400,"homeRegions":[]}],
+    "services":[{"name":"s","coldPerS":9.7,"engine":{"kvTokens":335639,"most":12}}]}"#;
+
 pub const SHARED: Part = Part {
     id: 0xab,
     tokens: 13_000,
@@ -60,15 +66,16 @@
     pub fn moving(engines: Vec<Backend>) -> Self {
         let moving = r#""kvTokens":335639,"kvBytes":163840,"linkMbps":550000"#;
         let config = CONFIG.replace(r#""kvTokens":335639"#, moving);
-        Self::configured("box", &config, engines)
+        Self::with("box", &config, engines)
     }
 
     /// The box of this name.
     pub fn at(name: &str, engines: Vec<Backend>) -> Self {
-        Self::configured(name, CONFIG, engines)
+        Self::with(name, CONFIG, engines)
     }
 
-    fn configured(name: &str, config: &str, engines: Vec<Backend>) -> Self {
+    /// The same under another configuration.
+    pub fn with(name: &str, config: &str, engines: Vec<Backend>) -> Self {
         let identity = Identity {
             contact: contact(name, "atl", 10),
             incarnation: Incarnation(1),
@@ -128,8 +135,18 @@
     pub fn drawn(&mut self, parts: &[Part], draw: u64) -> Vec<Send> {
         self.requests += 1;
         let arrival = Arrival {
-            content: Default::default(),
             request: id::Request(self.requests),
+            draw,
+            ..Self::arrival(parts)
+        };
+        sends(&self.step(Event::Arrived(arrival)))
+    }
+
+    /// A request whose prompt has these parts.
+    pub fn arrival(parts: &[Part]) -> Arrival {
+        Arrival {
+            content: Default::default(),
+            request: id::Request(1),
             tag: None,
             credential: Credential::Missing,
             host: Some("h.example".to_owned()),
@@ -141,13 +158,12 @@
                 output: 100,
                 parts: parts.to_vec(),
             }),
-            draw,
+            draw: 0,
             runs: None,
             key: Key::Absent,
             left: None,
             hop: Hop::Direct,
-        };
-        sends(&self.step(Event::Arrived(arrival)))
+        }
     }
 
     /// The first heartbeat that the box would send to a seed.
