Take orders for roll-outs on our own interface

Operators of our own interface could name a server's release and see roll-outs, but an order could come by the users' platform only, and new servers got requests as soon as the configuration named them.

`petreldrum rollout start`, `stop` and `show`: orders and what the boxes write of them stand beside the configuration in the store, under its version, so every box follows them as it follows the configuration, and no message is new. Each write is a compare-and-swap from the administration listener of any box; the box that judges writes the end the same way. `config put` goes by the version of the last change of the text, so a roll-out that goes on does not refuse it. `await_order` keeps requests off a server until an order names its release. An order that could not succeed is refused with its reason. Old servers get nothing after the end for as long as it stands: nobody stops them here.

Why it holds: what the reducer is told has the form and the order of the platform's news, and numbers that only grow.

--- a/src/cmd/rollout.rs
+++ b/src/cmd/rollout.rs
@@ -1,41 +1,145 @@
-//! `petreldrum rollout`: how the roll-outs of releases stand, as one box sees them.
+//! `petreldrum rollout`: orders for roll-outs of releases, and how they stand, as one box sees them.
 
 use std::process::ExitCode;
 
+use bytes::Bytes;
+use clap::Subcommand;
 use eyre::WrapErr;
 use hyper::Method;
 
 use crate::{
     cmd::call::Admin,
-    id::Service,
-    reducer::status::{Rollout, Status},
+    gateway::{
+        admin::{AUTHOR, ROLLOUT_PATH},
+        order::Outcome,
+    },
+    id::{Release, Service},
+    reducer::{
+        order::Ask,
+        status::{Rollout, Status},
+    },
     rollout::Standing,
+    unit::Millis,
 };
 
-/// Show the roll-outs: how far each has come, what the releases answered, and what speaks against the new one.
+/// Give an order for a roll-out, take it back, or show how roll-outs stand.
 #[derive(Debug, clap::Args)]
 pub(super) struct Args {
-    #[command(flatten)]
-    admin: Admin,
-    /// Only that of this service; without it the command ends with 1.
-    service: Option<Service>,
-    /// Print JSON.
-    #[arg(long)]
-    json: bool,
+    #[command(subcommand)]
+    task: Task,
+}
+
+#[derive(Debug, Subcommand)]
+enum Task {
+    /// Order that a service's traffic move to a release. Exits 1 if that is refused, 3 if the outcome is unknown.
+    Start {
+        #[command(flatten)]
+        admin: Admin,
+        /// The service.
+        service: Service,
+        /// The release that is to serve.
+        release: Release,
+        /// The time after which it should; the release is watched meanwhile.
+        #[arg(long, value_name = "TIME")]
+        within: Millis,
+        /// Who gives the order.
+        #[arg(long, env = "USER")]
+        author: String,
+    },
+    /// Take an order back: its release gets nothing while others serve.
+    Stop {
+        #[command(flatten)]
+        admin: Admin,
+        /// The service.
+        service: Service,
+        /// Who takes it back.
+        #[arg(long, env = "USER")]
+        author: String,
+    },
+    /// Show how far each has come, what the releases answered, and what speaks against the new one.
+    Show {
+        #[command(flatten)]
+        admin: Admin,
+        /// Only that of this service; without it the command ends with 1.
+        service: Option<Service>,
+        /// Print JSON.
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 pub(super) fn run(args: Args) -> eyre::Result<ExitCode> {
-    let body = args.admin.call(Method::GET, "/status", &[], "")?.good()?;
+    match args.task {
+        Task::Start {
+            admin,
+            service,
+            release,
+            within,
+            author,
+        } => {
+            let ask = Ask {
+                service,
+                release,
+                within,
+            };
+            order(&admin, Method::POST, author, serde_json::to_vec(&ask)?)
+        }
+        Task::Stop {
+            admin,
+            service,
+            author,
+        } => order(&admin, Method::DELETE, author, service.to_string()),
+        Task::Show {
+            admin,
+            service,
+            json,
+        } => show(&admin, service, json),
+    }
+}
+
+fn order(
+    admin: &Admin,
+    method: Method,
+    author: String,
+    body: impl Into<Bytes>,
+) -> eyre::Result<ExitCode> {
+    let answer = admin.call(method, ROLLOUT_PATH, &[(AUTHOR, author)], body)?;
+    let Ok(outcome) = serde_json::from_slice(&answer.body) else {
+        answer.good()?;
+        eyre::bail!("the box's answer does not read");
+    };
+    Ok(ExitCode::from(match outcome {
+        Outcome::Accepted { version } => {
+            println!("accepted as {version}");
+            0
+        }
+        Outcome::Refused { reason } => {
+            eprintln!("refused: {reason}");
+            super::REFUSED
+        }
+        Outcome::Unknown => {
+            eprintln!("unknown: the store did not say whether it was written; show will tell");
+            super::UNKNOWN
+        }
+        Outcome::Unavailable { reason } => {
+            eprintln!("not written: {reason}");
+            super::REFUSED
+        }
+    }))
+}
+
+fn show(admin: &Admin, service: Option<Service>, json: bool) -> eyre::Result<ExitCode> {
+    let body = admin.call(Method::GET, "/status", &[], "")?.good()?;
     let status: Status =
         serde_json::from_slice(&body).wrap_err("the box's answer does not read")?;
-    let asked = |row: &Rollout| args.service.as_ref().is_none_or(|s| *s == row.service);
+    let asked = |row: &Rollout| service.as_ref().is_none_or(|s| *s == row.service);
     let rows: Vec<Rollout> = status.rollouts.into_iter().filter(asked).collect();
-    if args.json {
+    if json {
         println!("{}", serde_json::to_string(&rows)?);
     } else {
         rows.iter().for_each(print);
     }
-    let missing = args.service.is_some() && rows.is_empty();
+    let missing = service.is_some() && rows.is_empty();
     Ok(ExitCode::from(u8::from(missing) * super::REFUSED))
 }
 
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,14 +1,21 @@
 //! The operators' configuration: what stands where, and who may go where.
 //!
-//! It lives in the platform's store as an [`Envelope`], and every box holds the newest one it has
+//! It lives in the platform's store in a [`Record`], and every box holds the newest one it has
 //! accepted. The text is INI; [`Config::parse`] checks it whole.
 
 mod headers;
 mod label;
 mod parse;
+mod record;
 mod route;
 
-use std::{collections::HashMap, fmt, net::SocketAddr, str::FromStr, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    net::SocketAddr,
+    str::FromStr,
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -24,6 +31,7 @@
 
 pub use headers::Headers;
 pub use label::{Labels, Matcher};
+pub use record::{Envelope, Parcel, Record};
 pub use route::{Ask, Plan, Refusal};
 
 /// The number of an accepted configuration; it only grows.
@@ -45,19 +53,6 @@
     }
 }
 
-/// A configuration as it stands in the store and as boxes pass it on (JSON).
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Envelope {
-    /// The number of this configuration.
-    pub version: Version,
-    /// A random mark of the write, by which a writer knows its own.
-    pub write: String,
-    /// Who changed it.
-    pub author: String,
-    /// The INI text.
-    pub text: String,
-}
-
 /// The SHA-256 of an API key; the key itself is never kept.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 pub struct KeyHash([u8; 32]);
@@ -359,6 +354,8 @@
     pub profiles: HashMap<Service, Profile>,
     /// The customer that requests without an API key count as on routes that need none.
     pub anonymous: Option<id::Customer>,
+    /// The backend servers that get nothing before an order names their release.
+    pub awaiting: HashSet<id::Backend>,
     keys: HashMap<KeyHash, id::Customer>,
     index: route::Index,
 }
@@ -388,6 +385,8 @@
     pub profiles: HashMap<Service, Profile>,
     /// The customer that requests without an API key count as.
     pub anonymous: Option<id::Customer>,
+    /// The backend servers that wait for an order.
+    pub awaiting: HashSet<id::Backend>,
 }
 
 impl Draft {
@@ -413,6 +412,7 @@
             selectors: self.selectors,
             profiles: self.profiles,
             anonymous: self.anonymous,
+            awaiting: self.awaiting,
         }
     }
 }
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -92,7 +92,12 @@
             }
         }
         "backend" => {
+            let awaits = section.or("await_order", false);
             if let Some(backend) = read_backend(&mut section, name) {
+                if awaits && backend.release.is_none() {
+                    section.fault("await_order", "needs a release that an order can name");
+                }
+                draft.awaiting.extend(awaits.then(|| backend.name.clone()));
                 draft.backends.insert(backend.name.clone(), backend);
             }
         }
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -8,23 +8,29 @@
 use tokio::time::sleep;
 
 use crate::{
-    config::{Ask, Config, Envelope, Version},
+    config::{Ask, Config, Envelope, Record, Version},
     gateway::{
         Shell,
         body::Body,
         directory::{METRICS_PATH, METRICS_TYPE},
         follow, head,
+        order::{Desk, mark, newest},
         store::{Stored, Swap},
     },
     id::{self, Service},
     ini::Faults,
-    reducer::event::{Event, Source},
+    reducer::{
+        event::{Event, Source},
+        order,
+    },
 };
 
 /// Names who changes the configuration.
 pub const AUTHOR: &str = "x-author";
 /// Names the version that a change is based on.
 pub const IF_MATCH: &str = "if-match";
+/// Where orders for roll-outs are given, and taken back.
+pub const ROLLOUT_PATH: &str = "/rollout";
 /// Largest configuration, in bytes of text: the store holds values up to a megabyte.
 pub const MAX_TEXT: usize = 900 << 10;
 /// How often and how far apart an unsettled write is looked for.
@@ -121,6 +127,8 @@
         (&Method::GET, "/config") => read(&shell).await,
         (&Method::PUT, "/config") => change(&shell, &parts.headers, &body).await,
         (&Method::POST, "/explain") => explain(&shell, &body).await,
+        (&Method::POST, ROLLOUT_PATH) => start_rollout(&shell, &parts.headers, &body).await,
+        (&Method::DELETE, ROLLOUT_PATH) => stop_rollout(&shell, &parts.headers, &body).await,
         (&Method::POST, "/pardon") => pardon(&shell, &body),
         (&Method::POST, "/drain") => {
             shell.stop();
@@ -133,6 +141,36 @@
     }
 }
 
+/// Gives an order for a roll-out.
+async fn start_rollout(shell: &Shell, headers: &HeaderMap, body: &[u8]) -> Response<Body> {
+    let ask: order::Ask = match serde_json::from_slice(body) {
+        Ok(ask) => ask,
+        Err(error) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let Some(author) = text(headers, AUTHOR) else {
+        return plain(StatusCode::BAD_REQUEST, "an order needs X-Author");
+    };
+    let outcome = Desk::of(shell).start(author, &ask).await;
+    head::json_answer(outcome.status(), &outcome)
+}
+
+/// Takes an order for a roll-out back; the body names the service.
+async fn stop_rollout(shell: &Shell, headers: &HeaderMap, body: &[u8]) -> Response<Body> {
+    let service: Service = match str::from_utf8(body).unwrap_or_default().trim().parse() {
+        Ok(service) => service,
+        Err(error) => return plain(StatusCode::BAD_REQUEST, &format!("service: {error}")),
+    };
+    let Some(author) = text(headers, AUTHOR) else {
+        return plain(StatusCode::BAD_REQUEST, "an order needs X-Author");
+    };
+    let outcome = Desk::of(shell).stop(author, &service).await;
+    head::json_answer(outcome.status(), &outcome)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
 /// Lets a content run again, here and at every box that hears of it.
 fn pardon(shell: &Shell, body: &[u8]) -> Response<Body> {
     let text = str::from_utf8(body).unwrap_or_default();
@@ -151,13 +189,13 @@
     match (shell.store.read().await, current) {
         (
             Ok(Stored {
-                envelope: Some(envelope),
+                record: Some(record),
                 ..
             }),
             _,
-        ) => head::json_answer(StatusCode::OK, &envelope),
+        ) => head::json_answer(StatusCode::OK, &record),
         (Ok(_), None) => plain(StatusCode::NOT_FOUND, "there is no configuration yet"),
-        (Ok(_) | Err(_), Some(current)) => head::json_answer(StatusCode::OK, &*current.envelope),
+        (Ok(_) | Err(_), Some(current)) => head::json_answer(StatusCode::OK, &*current.record),
         (Err(error), None) => plain(
             StatusCode::SERVICE_UNAVAILABLE,
             &format!("the store does not answer: {error:#}"),
@@ -185,9 +223,8 @@
 }
 
 async fn change(shell: &Shell, headers: &HeaderMap, body: &[u8]) -> Response<Body> {
-    let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
-    let base: Option<Version> = text(IF_MATCH).and_then(|v| v.parse().ok());
-    let (Some(base), Some(author)) = (base, text(AUTHOR)) else {
+    let base: Option<Version> = text(headers, IF_MATCH).and_then(|v| v.parse().ok());
+    let (Some(base), Some(author)) = (base, text(headers, AUTHOR)) else {
         let need = "a change needs If-Match (the version it is based on) and X-Author";
         return plain(StatusCode::BAD_REQUEST, need);
     };
@@ -199,11 +236,11 @@
     head::json_answer(change.status(), &change)
 }
 
-/// Writes a configuration that is based on `base`, by compare-and-swap.
+/// Writes a configuration that is based on `base`, by compare-and-swap; the roll-outs stay as they are.
 async fn put(shell: &Shell, base: Version, author: &str, text: &str) -> Change {
     let mut envelope = Envelope {
         version: Version(0),
-        write: format!("{:016x}", rand::random::<u64>()),
+        write: mark(),
         author: author.to_owned(),
         text: text.to_owned(),
     };
@@ -218,42 +255,41 @@
             return Change::Unavailable { reason };
         }
     };
-    let in_force = shell.current.borrow().clone().map(|c| c.envelope);
-    let newest = newest(stored.envelope.as_ref(), in_force.as_deref());
-    let standing = newest.map_or(Version(0), |e| e.version);
-    if standing != base {
+    let in_force = shell.current.borrow().clone().map(|c| c.record);
+    let newest = newest(stored.record.as_ref(), in_force.as_deref());
+    let known = newest.map_or(base == Version(0), |record| record.is_known(base));
+    if !known {
         return conflict(newest);
     }
+    let standing = newest.map_or(Version(0), |record| record.envelope.version);
     envelope.version = Version(standing.0 + 1);
-    match shell.store.swap(stored.revision, &envelope).await {
-        Ok(Swap::Done) => accepted(shell, envelope),
+    let rollouts = newest.map(|record| record.rollouts.clone());
+    let record = Record {
+        rollouts: rollouts.unwrap_or_default(),
+        ..envelope.into()
+    };
+    match shell.store.swap(stored.revision, &record).await {
+        Ok(Swap::Done) => accepted(shell, record),
         Ok(Swap::Lost) => match shell.store.read().await {
-            Ok(winner) => conflict(winner.envelope.as_ref()),
+            Ok(winner) => conflict(winner.record.as_ref()),
             Err(_) => conflict(newest),
         },
         Err(error) => {
             log::warn!("admin: a write's reply was lost: {error:#}.");
-            settle(shell, stored, envelope).await
+            settle(shell, stored, record).await
         }
     }
 }
 
 /// The box that made a change has it at once.
-fn accepted(shell: &Shell, envelope: Envelope) -> Change {
-    let version = envelope.version;
-    follow::offer(&shell.core, &shell.settings, envelope, Source::Store);
+fn accepted(shell: &Shell, record: Record) -> Change {
+    let version = record.envelope.version;
+    follow::offer(&shell.core, &shell.settings, record, Source::Store);
     Change::Accepted { version }
 }
 
-/// The newer of what the store holds and what is in force: a store may have gone back.
-fn newest<'a>(
-    stored: Option<&'a Envelope>,
-    in_force: Option<&'a Envelope>,
-) -> Option<&'a Envelope> {
-    stored.into_iter().chain(in_force).max_by_key(|e| e.version)
-}
-
-fn conflict(winner: Option<&Envelope>) -> Change {
+fn conflict(winner: Option<&Record>) -> Change {
+    let winner = winner.map(|record| &record.envelope);
     Change::Conflict {
         version: winner.map_or(Version(0), |e| e.version),
         author: winner.map_or(String::new(), |e| e.author.clone()),
@@ -261,20 +297,20 @@
 }
 
 /// Reads until the fate of a write shows; `before` is what stood before it.
-async fn settle(shell: &Shell, before: Stored, envelope: Envelope) -> Change {
+async fn settle(shell: &Shell, before: Stored, record: Record) -> Change {
     let (tries, pause) = SETTLE;
     for _ in 0..tries {
         sleep(pause).await;
         let Ok(now) = shell.store.read().await else {
             continue;
         };
-        let Some(found) = &now.envelope else {
+        let Some(found) = &now.record else {
             continue;
         };
-        if found.write == envelope.write {
-            return accepted(shell, envelope);
+        if found.envelope.write == record.envelope.write {
+            return accepted(shell, record);
         }
-        if found.version == envelope.version {
+        if found.envelope.version == record.envelope.version {
             // Another write took this number, so this one lost and cannot take effect any more.
             return conflict(Some(found));
         }
@@ -283,6 +319,6 @@
             break;
         }
     }
-    let write = envelope.write;
+    let write = record.envelope.write;
     Change::Unknown { write }
 }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -12,11 +12,11 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
-    config::{Ask, Config, Envelope, Version},
+    config::{Ask, Config, Record, Version},
     fleet::{Revision, Roster},
     gateway::{
         clock::Clock, dial::Pool, gossip::Links, keep::Write, lines::Quota, metrics::Metrics,
-        replay::Replay,
+        order, replay::Replay, store::Store,
     },
     id, policy,
     reducer::{
@@ -25,7 +25,7 @@
         event::{Event, Source},
         status::{Explanation, Status},
     },
-    settings::Settings,
+    settings::{Interface, Settings},
     unit::{Millis, Time},
     wire::Phase,
 };
@@ -56,7 +56,7 @@
 #[derive(Clone, Debug)]
 pub struct Current {
     /// As it was accepted.
-    pub envelope: Arc<Envelope>,
+    pub record: Arc<Record>,
     /// Checked.
     pub config: Arc<Config>,
     /// As it goes to other boxes.
@@ -71,6 +71,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) replay: Arc<Replay>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) store: Store,
     pub(crate) duty: watch::Sender<bool>,
     /// Boxes of the fleet.
     pub(crate) boxes: watch::Sender<usize>,
@@ -143,7 +144,7 @@
 
 /// A way to the actor; cheap to clone.
 #[derive(Clone, Debug)]
-pub struct Handle(ActorRef<Core>);
+pub struct Handle(pub(super) ActorRef<Core>);
 
 impl Handle {
     /// Starts the actor.
@@ -269,12 +270,17 @@
     type Reply = ();
     async fn handle(&mut self, offer: Offer, _: &mut Context<Self, ()>) {
         let config = offer.current.config.clone();
+        let record = offer.current.record.clone();
+        let before = self.state.config().map(|config| config.version);
         self.offered = Some(offer.current);
         self.step(Event::Offered {
             config,
             source: offer.source,
         });
         self.offered = None;
+        if self.parts.settings.interface == Interface::Own && before < Some(self.state.version()) {
+            self.step(order::ordered(&record));
+        }
     }
 }
 
--- a/src/gateway/errand.rs
+++ b/src/gateway/errand.rs
@@ -3,17 +3,19 @@
 use std::net::SocketAddr;
 
 use crate::{
-    config::Version,
+    config::{Parcel, Version},
     fleet::{Revision, Roster},
     gateway::{
         core::Core,
         dial, follow, head,
         keep::{self, Write},
+        order::Desk,
     },
     id,
     platform::engine,
     reducer::event::{Event, Source},
     rollout::{Order, Standing},
+    settings::Interface,
 };
 
 impl Core {
@@ -53,8 +55,21 @@
         tokio::spawn(keep::write(*store, self.parts.pool.clone(), write));
     }
 
-    /// Writes to the platform's store how a roll-out stands, where there is one.
+    /// Writes to the store how a roll-out stands: beside our own configuration, or as the platform has it.
     pub(super) fn settle(&self, service: id::Service, order: Order, standing: Standing) {
+        if self.parts.settings.interface == Interface::Own {
+            let Some(core) = self.handle.clone() else {
+                return;
+            };
+            let desk = Desk {
+                store: self.parts.store.clone(),
+                settings: self.parts.settings.clone(),
+                current: self.parts.current.subscribe(),
+                core,
+            };
+            tokio::spawn(async move { desk.settle(service, order, standing).await });
+            return;
+        }
         let Some(store) = self.parts.settings.stores.first() else {
             return;
         };
@@ -99,8 +114,8 @@
         let (pool, settings) = (self.parts.pool.clone(), self.parts.settings.clone());
         tokio::spawn(async move {
             let secret = &settings.cluster_secret;
-            match follow::fetch(&pool, peer, head::CONFIG_PATH, secret).await {
-                Ok(envelope) => follow::offer(&handle, &settings, envelope, Source::Peer),
+            match follow::fetch::<Parcel>(&pool, peer, head::CONFIG_PATH, secret).await {
+                Ok(parcel) => follow::offer(&handle, &settings, parcel, Source::Peer),
                 Err(error) => log::warn!("config: {version}: {error:#}"),
             }
         });
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    config::{Config, Envelope},
+    config::{Config, Parcel, Record},
     gateway::{
         core::{Current, Handle},
         dial::{Distance, Pool},
@@ -32,10 +32,11 @@
 /// Largest packed content taken from another box, in bytes.
 const MAX_FETCHED: usize = 2 << 20;
 
-/// Checks `envelope` and tells `core`.
-pub(crate) fn offer(core: &Handle, settings: &Settings, envelope: Envelope, source: Source) {
-    let version = envelope.version;
-    match checked(settings, envelope) {
+/// Checks what `record` holds and tells `core`.
+pub(crate) fn offer(core: &Handle, settings: &Settings, record: impl Into<Record>, source: Source) {
+    let record = record.into();
+    let version = record.envelope.version;
+    match checked(settings, record) {
         Ok(current) => core.offer(current, source),
         Err(error) => {
             log::error!("config: {version} does not check:\n{error:#}");
@@ -44,14 +45,15 @@
     }
 }
 
-fn checked(settings: &Settings, envelope: Envelope) -> eyre::Result<Current> {
+fn checked(settings: &Settings, record: Record) -> eyre::Result<Current> {
+    let envelope = &record.envelope;
     let config = match settings.interface {
-        Interface::Own => Config::parse(&format!("configuration {}", envelope.version), &envelope)?,
-        Interface::Platform => platform::record::config(&envelope, &settings.places)?,
+        Interface::Own => Config::parse(&format!("configuration {}", envelope.version), envelope)?,
+        Interface::Platform => platform::record::config(envelope, &settings.places)?,
     };
     Ok(Current {
-        packed: pack::pack(&envelope)?,
-        envelope: Arc::new(envelope),
+        packed: pack::pack(&Parcel::from(record.clone()))?,
+        record: Arc::new(record),
         config: Arc::new(config),
     })
 }
@@ -86,8 +88,8 @@
             Ok(stored) => stored,
             Err(error) => return error,
         };
-        if let Some(envelope) = stored.envelope {
-            offer(core, settings, envelope, Source::Store);
+        if let Some(record) = stored.record {
+            offer(core, settings, record, Source::Store);
         }
         let mut watch = match store.watch(stored.revision).await {
             Ok(watch) => watch,
@@ -98,8 +100,8 @@
                 Err(_) => break,
                 Ok(Err(error)) => return error,
                 Ok(Ok(stored)) => {
-                    if let Some(envelope) = stored.envelope {
-                        offer(core, settings, envelope, Source::Store);
+                    if let Some(record) = stored.record {
+                        offer(core, settings, record, Source::Store);
                     }
                 }
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 //! | `store`, `follow`, `list` | the platform, by our own interface |
 //! | [`sync`], `directory` | the users' platform |
 //! | `signs` | what streams tell of backend servers |
-//! | [`admin`] | the operators' interface |
+//! | [`admin`], [`order`] | the operators' interface, and their orders for roll-outs |
 //! | `report`, [`lines`] | what the log and the metrics tell, and the log's way out |
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
 
@@ -32,6 +32,7 @@
 pub mod lines;
 mod list;
 mod metrics;
+pub mod order;
 pub mod pack;
 mod read;
 mod replay;
@@ -209,6 +210,12 @@
         let (follow, follow_seen) = watch::channel(Follow::default());
         let (current, current_seen) = watch::channel(None);
         let secret = settings.cluster_secret.clone();
+        let store = Store::new(
+            settings.stores.clone(),
+            &settings.store_key,
+            pool.clone(),
+            metrics.clone(),
+        );
         let core = Handle::start(Parts {
             clock,
             links: gossip::Links::new(secret.clone(), metrics.clone()),
@@ -216,6 +223,7 @@
             settings: settings.clone(),
             replay: replay.clone(),
             metrics: metrics.clone(),
+            store: store.clone(),
             duty,
             boxes,
             follow,
@@ -225,12 +233,6 @@
         })
         .await;
         gossip::listen(gossip, secret, core.clone(), metrics.clone());
-        let store = Store::new(
-            settings.stores.clone(),
-            &settings.store_key,
-            pool.clone(),
-            metrics.clone(),
-        );
         match settings.interface {
             Interface::Own => follow_own(&settings, &store, &core, &duty_seen),
             Interface::Platform => {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -12,7 +12,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    config::Envelope,
+    config::Record,
     gateway::{
         dial::{Distance, Lease, Pool},
         metrics::Metrics,
@@ -33,7 +33,7 @@
     /// When the key was last changed.
     pub revision: Revision,
     /// What it holds.
-    pub envelope: Option<Envelope>,
+    pub record: Option<Record>,
 }
 
 /// How a compare-and-swap ended.
@@ -85,7 +85,7 @@
     let Some(kv) = kv else {
         return Ok(Stored {
             revision: Revision(0),
-            envelope: None,
+            record: None,
         });
     };
     let revision = kv
@@ -95,10 +95,10 @@
     let bytes = BASE64
         .decode(&kv.value)
         .wrap_err("the store's value is not base64")?;
-    let envelope = serde_json::from_slice(&bytes).wrap_err("the store's value does not read")?;
+    let record = serde_json::from_slice(&bytes).wrap_err("the store's value does not read")?;
     Ok(Stored {
         revision: Revision(revision),
-        envelope: Some(envelope),
+        record: Some(record),
     })
 }
 
@@ -144,15 +144,15 @@
         Err(last)
     }
 
-    /// Writes `envelope` if the value still has revision `expected`.
+    /// Writes `record` if the value still has revision `expected`.
     ///
     /// An error leaves open whether it was written; the call goes to one address only.
-    pub async fn swap(&self, expected: Revision, envelope: &Envelope) -> eyre::Result<Swap> {
+    pub async fn swap(&self, expected: Revision, record: &Record) -> eyre::Result<Swap> {
         let address = *self
             .addresses
             .first()
             .ok_or_else(|| eyre!("no store address"))?;
-        let value = serde_json::to_vec(envelope).wrap_err("cannot write the configuration")?;
+        let value = serde_json::to_vec(record).wrap_err("cannot write the configuration")?;
         let body = json!({
             "compare": [{
                 "key": self.key,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -23,6 +23,7 @@
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask`, `demand` | which boxes a caller should use, by the routes that callers use |
 //! | `rollout`, `watch` | another release of a service's backend servers: who gets it, and how that ends |
+//! | [`order`] | whether an operator's order for a roll-out can be taken |
 //! | `judge` | what answers say of the release of their server |
 //! | `news` | who follows the platform's store, and how its news reaches the others |
 //! | `era` | a store that came back from a copy |
@@ -53,6 +54,7 @@
 mod limit;
 mod line;
 mod news;
+pub mod order;
 mod outcome;
 mod place;
 mod pushback;
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -322,7 +322,7 @@
         if self.is_listed(&backend.address) {
             return Some(Exclusion::Listed);
         }
-        if self.rollouts.bars(backend, now) {
+        if self.rollouts.bars(backend, now) || self.awaits_order(backend) {
             return Some(Exclusion::Release);
         }
         let bar = self.servers.get(&backend.name)?.bar(now)?;
--- a/src/reducer/rollout.rs
+++ b/src/reducer/rollout.rs
@@ -106,6 +106,17 @@
 }
 
 impl<P: Policy> State<P> {
+    /// Whether `backend` gets nothing before an order names its release.
+    pub(super) fn awaits_order(&self, backend: &Backend) -> bool {
+        let config = self.config.as_ref();
+        if !config.is_some_and(|config| config.awaiting.contains(&backend.name)) {
+            return false;
+        }
+        let watches = backend.serves.iter();
+        let mut watches = watches.filter_map(|service| self.rollouts.watches.get(service));
+        !watches.any(|watch| watch.is_new(backend))
+    }
+
     /// Takes what the store, or another box, tells of roll-outs.
     pub(super) fn take_rollouts(
         &mut self,
@@ -128,6 +139,9 @@
                 .map_or(0, |order| order.revision.number);
             let draw = xxhash_rust::xxh3::xxh3_64_with_seed(name, order);
             take_entry(watches, service, entry, draw, restored, now, out);
+            if let Some(watch) = watches.get_mut(service) {
+                watch.lasting = !self.registry;
+            }
         }
         self.survey();
     }
@@ -142,9 +156,13 @@
     }
 
     fn survey(&mut self) {
+        let config = self.config.as_deref();
+        let awaits = |b: &Backend| config.is_some_and(|c| c.awaiting.contains(&b.name));
         for (service, watch) in &mut self.rollouts.watches {
             let serving = self.fleet.iter().filter(|b| b.serves.contains(service));
-            watch.survey(serving.filter(|b| !b.leaving));
+            let release = watch.entry.release().cloned();
+            let in_use = |b: &&Backend| !awaits(b) || b.release == release;
+            watch.survey(serving.filter(|b| !b.leaving).filter(in_use));
         }
     }
 
--- a/src/reducer/watch.rs
+++ b/src/reducer/watch.rs
@@ -67,6 +67,8 @@
     pub(super) covering: bool,
     /// Releases that were ordered before and not shown to be good.
     pub(super) unproven: BTreeSet<Release>,
+    /// Whether nobody stops the old servers at the end: they then get nothing for as long as it stands.
+    pub(super) lasting: bool,
     /// What decided, for operators.
     pub(super) finding: Option<Finding>,
     /// How it ended, where the store came back from a copy that lacks the end.
@@ -138,7 +140,7 @@
     pub(super) fn lane(&self, now: Time) -> Option<Lane> {
         match (self.order(), self.standing()) {
             (_, Some(Standing::Completed)) => {
-                let lately = self.ended.is_some_and(|at| now.since(at) < SETTLE);
+                let lately = self.lasting || self.ended.is_some_and(|at| now.since(at) < SETTLE);
                 lately.then_some(Lane::Done)
             }
             (_, Some(Standing::RolledBack)) | (None, Some(Standing::Active)) => Some(Lane::Held),
