Tell operators which customers a box serves worst

Each box counts, by customer and for the last minute, requests of its own callers that ended, were refused, came late (or broke, or got no answer), and were over the customer's allotment, which does not count against the box. The worst tenth, 16 rows at most, stands in `petreldrum status` and in `worst_customer_requests`; once a minute the log names five. 512 customers are counted at once; where there are more, who is served well gives way to who is not. The gauges moved from `core` to `report`, which tells the metrics.

Why it holds: the table has a bound, and nothing decides by it.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -97,6 +97,17 @@
             customer.refused
         );
     }
+    for row in &status.worst {
+        let tally = row.tally;
+        println!(
+            "  served worst {:7} {} refused and {} late of {} here in the last minute, {} more over its allotment",
+            row.customer.to_string(),
+            tally.refused,
+            tally.late,
+            tally.ended,
+            tally.over
+        );
+    }
     for held in &status.held {
         println!("  held back {} for {}", held.content, held.left);
     }
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -15,8 +15,16 @@
     config::{Ask, Config, Record, Version},
     fleet::{Revision, Roster},
     gateway::{
-        clock::Clock, dial::Pool, gossip::Links, keep::Write, lines::Quota, metrics::Metrics,
-        order, replay::Replay, store::Store,
+        clock::Clock,
+        dial::Pool,
+        gossip::Links,
+        keep::Write,
+        lines::Quota,
+        metrics::Metrics,
+        order,
+        replay::Replay,
+        store::Store,
+        worst::{Ended, Guest},
     },
     id, policy,
     reducer::{
@@ -26,15 +34,10 @@
         status::{Explanation, Status},
     },
     settings::{Interface, Settings},
-    unit::{Millis, Time},
+    unit::Time,
     wire::Phase,
 };
 
-/// Time between two looks at allotments for the metrics.
-const TELL_ALLOTMENTS: Millis = Millis(1000);
-/// Time between two lines on the bytes between boxes.
-const TELL_TRAFFIC: Millis = Millis(10_000);
-
 /// What a request's task is told by the reducer.
 #[derive(Debug)]
 pub(crate) enum Order {
@@ -90,10 +93,12 @@
     pub(super) orders: HashMap<id::Request, Open>,
     pub(super) quota: Quota,
     offered: Option<Current>,
+    /// How customers' requests ended here.
+    pub(super) ended: Ended,
     /// When the metrics were last told of allotments.
-    allotments_told: Time,
+    pub(super) allotments_told: Time,
     /// When the log was last told of the bytes between boxes.
-    traffic_told: Time,
+    pub(super) traffic_told: Time,
     pub(super) handle: Option<Handle>,
 }
 
@@ -102,6 +107,8 @@
     orders: mpsc::UnboundedSender<Order>,
     /// The caller's own name for it.
     pub(super) tag: Option<String>,
+    /// Whose it is, where its caller sent it here.
+    pub(super) guest: Option<Guest>,
 }
 
 /// An event, with the way back for a request that it opens.
@@ -155,6 +162,7 @@
             orders: HashMap::new(),
             quota: Quota::default(),
             offered: None,
+            ended: Ended::default(),
             allotments_told: Time(0),
             traffic_told: Time(0),
             handle: None,
@@ -249,18 +257,22 @@
             _ => None,
         };
         if let Some((request, orders)) = opened.zip(input.orders) {
-            let tag = match &input.event {
-                Event::Arrived(arrival) => arrival.tag.clone(),
-                _ => None,
+            let (tag, guest) = match &input.event {
+                Event::Arrived(arrival) => (arrival.tag.clone(), self.guest(arrival)),
+                _ => (None, None),
             };
-            self.orders.insert(request, Open { orders, tag });
+            self.orders.insert(request, Open { orders, tag, guest });
         }
         let closed = match &input.event {
             Event::Gone(request) | Event::Ended { request, .. } => Some(*request),
             _ => None,
         };
+        let ending = self.ending(&input.event);
         self.step(input.event);
         if let Some(request) = closed.filter(|r| !self.state.holds(*r)) {
+            if let Some((_, outcome)) = ending {
+                self.count_ending(request, outcome);
+            }
             self.orders.remove(&request);
         }
     }
@@ -294,7 +306,11 @@
 impl Message<StatusQuery> for Core {
     type Reply = StatusAnswer;
     async fn handle(&mut self, _: StatusQuery, _: &mut Context<Self, Self::Reply>) -> StatusAnswer {
-        StatusAnswer(self.state.status(self.parts.clock.now()))
+        let now = self.parts.clock.now();
+        StatusAnswer(Status {
+            worst: self.ended.service.worst(now),
+            ..self.state.status(now)
+        })
     }
 }
 
@@ -332,41 +348,10 @@
         }
         if ticked {
             self.gauge();
+            self.tell_worst();
         }
     }
 
-    fn gauge(&mut self) {
-        let now = self.parts.clock.now();
-        let boxes = self.state.fleet_size(now);
-        self.parts.boxes.send_if_modified(|known| {
-            let changed = *known != boxes;
-            *known = boxes;
-            changed
-        });
-        let metrics = &self.parts.metrics;
-        let ready = self.state.phase(now) == Phase::Ready;
-        metrics.ready.set(i64::from(ready));
-        metrics.in_hand.set(self.state.busy() as i64);
-        metrics.waiting.set(self.state.waiting() as i64);
-        metrics.limited.set(self.state.limited() as i64);
-        metrics.pushed_back.set(self.state.pushed_back(now) as i64);
-        metrics.departing.set(self.state.departing() as i64);
-        metrics.keys.set(self.state.keys() as i64);
-        metrics.version.set(self.state.version().0 as i64);
-        if now.since(self.allotments_told) >= TELL_ALLOTMENTS {
-            self.allotments_told = now;
-            metrics.tell_allotments(&self.state.allotments(now));
-            metrics.tell_rollouts(&self.state.rollouts(now));
-        }
-        if now.since(self.traffic_told) >= TELL_TRAFFIC {
-            self.traffic_told = now;
-            log::info!("peers: bytes {}", metrics.traffic());
-        }
-        let revision = self.state.revision();
-        metrics.store_era.set(revision.era.0 as i64);
-        metrics.store_revision.set(revision.number as i64);
-    }
-
     fn carry_out(&mut self, effect: Effect) {
         self.log_effect(&effect);
         self.measure_effect(&effect);
@@ -386,7 +371,10 @@
             Effect::Quarantine(step) if step.is_decision() => log::warn!("quarantine: {step}"),
             Effect::Quarantine(step) => log::debug!("quarantine: {step}"),
             Effect::CloseIdle(address) => self.parts.pool.close_idle(address),
-            Effect::Reply { request, reply } => self.last_order(request, Order::Reply(reply)),
+            Effect::Reply { request, reply } => {
+                self.count_reply(request, &reply);
+                self.last_order(request, Order::Reply(reply));
+            }
             Effect::Replay { request, answer } => self.last_order(request, Order::Replay(answer)),
             Effect::Boxes { request, boxes, .. } => self.last_order(request, Order::Boxes(boxes)),
             Effect::Queued { .. } | Effect::Broken { .. } => {}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,9 @@
 //! What the box counts, for prometheus; docs/operate.md says when to worry.
 
-use crate::reducer::status::{Allotted, Rollout};
+use crate::{
+    reducer::status::{Allotted, Rollout},
+    service,
+};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder, core::Collector as _,
@@ -26,6 +29,8 @@
     pub customers: IntCounterVec,
     /// How allotments are used over all boxes, by customer.
     pub allotments: IntGaugeVec,
+    /// Requests in the last minute of the customers whom this box served worst.
+    pub worst: IntGaugeVec,
     /// Attempts whose connection to a backend server broke, by whether the answer had begun.
     pub broken: IntCounterVec,
     /// Contents that were struck, held back or cleared.
@@ -108,6 +113,23 @@
         }
     }
 
+    /// Takes over which customers this box serves worst.
+    pub(crate) fn tell_worst(&self, rows: &[service::Row]) {
+        self.worst.reset();
+        for row in rows {
+            let counts = [
+                ("ended", row.tally.ended),
+                ("refused", row.tally.refused),
+                ("late", row.tally.late),
+                ("over", row.tally.over),
+            ];
+            for (what, value) in counts {
+                let labels = [row.customer.as_str(), what];
+                self.worst.with_label_values(&labels).set(value.into());
+            }
+        }
+    }
+
     /// Takes over how allotments are used: those of the first [`CUSTOMERS`].
     pub(crate) fn tell_allotments(&self, allotted: &[Allotted]) {
         self.allotments.reset();
@@ -180,6 +202,11 @@
                 "How allotments are used over all boxes.",
                 &["customer", "what"],
             )?,
+            worst: gauges(
+                "worst_customer_requests",
+                "Requests in the last minute of the customers whom this box served worst.",
+                &["customer", "what"],
+            )?,
             rollouts: gauges(
                 "rollout_answers",
                 "Answers since the order of each roll-out, over all boxes.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //! | [`sync`], `directory` | the users' platform |
 //! | `signs` | what streams tell of backend servers |
 //! | [`admin`], [`order`] | the operators' interface, and their orders for roll-outs |
+//! | `worst` | which customers are served worst here |
 //! | `report`, [`lines`] | what the log and the metrics tell, and the log's way out |
 //! | `metrics`, `trace`, `clock`, `replay`, [`pack`] | what these need |
 
@@ -44,6 +45,7 @@
 mod store;
 pub mod sync;
 mod trace;
+mod worst;
 
 use std::{
     fmt,
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -7,8 +7,15 @@
         effect::{Effect, Reply, Send as SendOrder, Target},
         event::{Event, Timing},
     },
+    unit::Millis,
+    wire::Phase,
 };
 
+/// Time between two looks at allotments for the metrics.
+const TELL_ALLOTMENTS: Millis = Millis(1000);
+/// Time between two lines on the bytes between boxes.
+const TELL_TRAFFIC: Millis = Millis(10_000);
+
 /// Where an attempt goes and what decided it, as the log tells it.
 struct SendLine<'a>(&'a SendOrder);
 
@@ -59,6 +66,39 @@
 }
 
 impl Core {
+    /// Brings the gauges up to date.
+    pub(super) fn gauge(&mut self) {
+        let now = self.parts.clock.now();
+        let boxes = self.state.fleet_size(now);
+        self.parts.boxes.send_if_modified(|known| {
+            let changed = *known != boxes;
+            *known = boxes;
+            changed
+        });
+        let metrics = &self.parts.metrics;
+        let ready = self.state.phase(now) == Phase::Ready;
+        metrics.ready.set(i64::from(ready));
+        metrics.in_hand.set(self.state.busy() as i64);
+        metrics.waiting.set(self.state.waiting() as i64);
+        metrics.limited.set(self.state.limited() as i64);
+        metrics.pushed_back.set(self.state.pushed_back(now) as i64);
+        metrics.departing.set(self.state.departing() as i64);
+        metrics.keys.set(self.state.keys() as i64);
+        metrics.version.set(self.state.version().0 as i64);
+        if now.since(self.allotments_told) >= TELL_ALLOTMENTS {
+            self.allotments_told = now;
+            metrics.tell_allotments(&self.state.allotments(now));
+            metrics.tell_rollouts(&self.state.rollouts(now));
+        }
+        if now.since(self.traffic_told) >= TELL_TRAFFIC {
+            self.traffic_told = now;
+            log::info!("peers: bytes {}", metrics.traffic());
+        }
+        let revision = self.state.revision();
+        metrics.store_era.set(revision.era.0 as i64);
+        metrics.store_revision.set(revision.number as i64);
+    }
+
     pub(super) fn measure_event(&self, event: &Event) {
         if let Event::Ended {
             whole: true,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 //! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`pushback`], [`detector`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
 //! | what engines keep of prompts | [`memory`] |
 //! | another release of backend servers, watched | [`rollout`] |
+//! | how customers are served | [`service`] |
 //! | at most once | [`pin`], [`ledger`] |
 //! | other boxes and regions | [`member`], [`wire`] |
 //! | the users' platform: its names, formats and calls | [`platform`] |
@@ -46,6 +47,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod server;
+pub mod service;
 pub mod settings;
 mod sign;
 pub mod story;
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -10,6 +10,7 @@
     reducer::{State, job::Job, place::Exclusion},
     rollout::{Count, Finding, Standing},
     server::Bar,
+    service,
     unit::{Millis, Rate, Time},
     wire::{Phase, Short},
 };
@@ -45,7 +46,10 @@
     /// Contents that are held back because backend servers ended under them.
     #[serde(default)]
     pub held: Vec<HeldBack>,
-    /// The roll-outs that the platform's store tells of.
+    /// The customers whom this box served worst in the last minute.
+    #[serde(default)]
+    pub worst: Vec<service::Row>,
+    /// The roll-outs that the store tells of.
     #[serde(default)]
     pub rollouts: Vec<Rollout>,
 }
@@ -264,6 +268,7 @@
             backends: self.backend_status(now),
             customers: self.allotments(now),
             held: self.held_back(now),
+            worst: Vec::new(),
             rollouts: self.rollouts(now),
         }
     }
