Let boxes that start presume some use at the others

A customer that sends eight times its allotment while all boxes start at once got up to 1.06 of what the platform lets pass: for some tenths of a second each box had heard of nobody's use and let all in.

In the first second after its start a box takes the other boxes of its region to use half as much as it does itself, where what it hears is less.

Why it holds: what is presumed counts only beyond what is heard, and for a second.

--- a/src/allotment.rs
+++ b/src/allotment.rs
@@ -158,6 +158,14 @@
         self.offered += f64::from(told.offered);
     }
 
+    /// The greater of both.
+    pub fn max(self, other: Sum) -> Self {
+        Self {
+            used: self.used.max(other.used),
+            offered: self.offered.max(other.offered),
+        }
+    }
+
     /// The rest without what a part of it told.
     pub fn without(self, part: Sum) -> Self {
         Self {
--- a/src/reducer/allot.rs
+++ b/src/reducer/allot.rs
@@ -33,6 +33,11 @@
 
 /// Part of a region's share that follows the customer's use; the rest follows the backend servers.
 const BY_USE: f64 = 0.5;
+/// The part of its own use that a box which just started presumes at each other one of its region: all of it
+/// would refuse calm customers after a long prompt.
+const PRESUMED: f64 = 0.5;
+/// For how long it does: the boxes of its region tell it of theirs within that time.
+const UNHEARD: Millis = Millis(1000);
 /// Time between two looks at where customers' use is.
 const SPLIT_PERIOD: Millis = Millis(1000);
 /// Weight of the last look: a region's hours change within some seconds at the fastest.
@@ -138,10 +143,24 @@
             let told = Use::find(&remote.digest.uses, short);
             told.into_iter().for_each(|told| others.add(told));
         }
+        if now < Time(0) + UNHEARD {
+            others = others.max(self.presumed(now, customer));
+        }
         let part = if young { 1.0 } else { self.part(customer) };
         Knowledge::Heard { others, part }
     }
 
+    /// What the other boxes of the region use by what comes here, for as long as this box has not heard all:
+    /// where all boxes start at once, each would let in what the others let in as well.
+    fn presumed(&self, now: Time, customer: &id::Customer) -> Sum {
+        let own = self.accounts.sum(customer, now);
+        let others = PRESUMED * self.table.peers().count() as f64;
+        Sum {
+            used: own.used * others,
+            offered: own.offered * others,
+        }
+    }
+
     /// The part of a customer's allotment that the boxes may spend which this one hears of.
     fn part(&self, customer: &id::Customer) -> f64 {
         let gaps = self.splits.gaps.iter();
