--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -12,11 +12,20 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
-    config::{Ask, Config, Envelope, Version},
+    config::{Ask, Config, Record, Version},
     fleet::{Revision, Roster},
     gateway::{
-        clock::Clock, dial::Pool, engine_news::Followers, gossip::Links, keep::Write, lines::Quota,
-        metrics::Metrics, replay::Replay,
+        clock::Clock,
+        dial::Pool,
+        engine_news::Followers,
+        gossip::Links,
+        keep::Write,
+        lines::Quota,
+        metrics::Metrics,
+        order,
+        replay::Replay,
+        store::Store,
+        worst::{Ended, Guest},
     },
     id, policy,
     reducer::{
@@ -25,16 +34,11 @@
         event::{Event, Source},
         status::{Explanation, Status},
     },
-    settings::Settings,
-    unit::{Millis, Time},
+    settings::{Interface, Settings},
+    unit::Time,
     wire::Phase,
 };
 
-/// Time between two looks at allotments for the metrics.
-const TELL_ALLOTMENTS: Millis = Millis(1000);
-/// Time between two lines on the bytes between boxes.
-const TELL_TRAFFIC: Millis = Millis(10_000);
-
 /// What a request's task is told by the reducer.
 #[derive(Debug)]
 pub(crate) enum Order {
@@ -56,7 +60,7 @@
 #[derive(Clone, Debug)]
 pub struct Current {
     /// As it was accepted.
-    pub envelope: Arc<Envelope>,
+    pub record: Arc<Record>,
     /// Checked.
     pub config: Arc<Config>,
     /// As it goes to other boxes.
@@ -71,6 +75,7 @@
     pub(crate) settings: Arc<Settings>,
     pub(crate) replay: Arc<Replay>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) store: Store,
     pub(crate) duty: watch::Sender<bool>,
     /// Boxes of the fleet.
     pub(crate) boxes: watch::Sender<usize>,
@@ -91,10 +96,12 @@
     /// The tasks that hear engines.
     pub(super) followers: Followers,
     offered: Option<Current>,
+    /// How customers' requests ended here.
+    pub(super) ended: Ended,
     /// When the metrics were last told of allotments.
-    allotments_told: Time,
+    pub(super) allotments_told: Time,
     /// When the log was last told of the bytes between boxes.
-    traffic_told: Time,
+    pub(super) traffic_told: Time,
     pub(super) handle: Option<Handle>,
 }
 
@@ -103,6 +110,8 @@
     orders: mpsc::UnboundedSender<Order>,
     /// The caller's own name for it.
     pub(super) tag: Option<String>,
+    /// Whose it is, where its caller sent it here.
+    pub(super) guest: Option<Guest>,
 }
 
 /// An event, with the way back for a request that it opens.
@@ -145,7 +154,7 @@
 
 /// A way to the actor; cheap to clone.
 #[derive(Clone, Debug)]
-pub struct Handle(ActorRef<Core>);
+pub struct Handle(pub(super) ActorRef<Core>);
 
 impl Handle {
     /// Starts the actor.
@@ -157,6 +166,7 @@
             quota: Quota::default(),
             followers: Followers::new(),
             offered: None,
+            ended: Ended::default(),
             allotments_told: Time(0),
             traffic_told: Time(0),
             handle: None,
@@ -251,18 +261,22 @@
             _ => None,
         };
         if let Some((request, orders)) = opened.zip(input.orders) {
-            let tag = match &input.event {
-                Event::Arrived(arrival) => arrival.tag.clone(),
-                _ => None,
+            let (tag, guest) = match &input.event {
+                Event::Arrived(arrival) => (arrival.tag.clone(), self.guest(arrival)),
+                _ => (None, None),
             };
-            self.orders.insert(request, Open { orders, tag });
+            self.orders.insert(request, Open { orders, tag, guest });
         }
         let closed = match &input.event {
             Event::Gone(request) | Event::Ended { request, .. } => Some(*request),
             _ => None,
         };
+        let ending = self.ending(&input.event);
         self.step(input.event);
         if let Some(request) = closed.filter(|r| !self.state.holds(*r)) {
+            if let Some((_, outcome)) = ending {
+                self.count_ending(request, outcome);
+            }
             self.orders.remove(&request);
         }
     }
@@ -272,12 +286,17 @@
     type Reply = ();
     async fn handle(&mut self, offer: Offer, _: &mut Context<Self, ()>) {
         let config = offer.current.config.clone();
+        let record = offer.current.record.clone();
+        let before = self.state.config().map(|config| config.version);
         self.offered = Some(offer.current);
         self.step(Event::Offered {
             config,
             source: offer.source,
         });
         self.offered = None;
+        if self.parts.settings.interface == Interface::Own && before < Some(self.state.version()) {
+            self.step(order::ordered(&record));
+        }
     }
 }
 
@@ -291,7 +310,11 @@
 impl Message<StatusQuery> for Core {
     type Reply = StatusAnswer;
     async fn handle(&mut self, _: StatusQuery, _: &mut Context<Self, Self::Reply>) -> StatusAnswer {
-        StatusAnswer(self.state.status(self.parts.clock.now()))
+        let now = self.parts.clock.now();
+        StatusAnswer(Status {
+            worst: self.ended.service.worst(now),
+            ..self.state.status(now)
+        })
     }
 }
 
@@ -329,45 +352,10 @@
         }
         if ticked {
             self.gauge();
+            self.tell_worst();
         }
     }
 
-    fn gauge(&mut self) {
-        let now = self.parts.clock.now();
-        let boxes = self.state.fleet_size(now);
-        self.parts.boxes.send_if_modified(|known| {
-            let changed = *known != boxes;
-            *known = boxes;
-            changed
-        });
-        let metrics = &self.parts.metrics;
-        let ready = self.state.phase(now) == Phase::Ready;
-        metrics.ready.set(i64::from(ready));
-        metrics.in_hand.set(self.state.busy() as i64);
-        metrics.waiting.set(self.state.waiting() as i64);
-        metrics.limited.set(self.state.limited() as i64);
-        metrics.pushed_back.set(self.state.pushed_back(now) as i64);
-        metrics.tell_engines(
-            self.state.followed_engines(),
-            self.state.engine_news_age(now),
-        );
-        metrics.departing.set(self.state.departing() as i64);
-        metrics.keys.set(self.state.keys() as i64);
-        metrics.version.set(self.state.version().0 as i64);
-        if now.since(self.allotments_told) >= TELL_ALLOTMENTS {
-            self.allotments_told = now;
-            metrics.tell_allotments(&self.state.allotments(now));
-            metrics.tell_rollouts(&self.state.rollouts(now));
-        }
-        if now.since(self.traffic_told) >= TELL_TRAFFIC {
-            self.traffic_told = now;
-            log::info!("peers: bytes {}", metrics.traffic());
-        }
-        let revision = self.state.revision();
-        metrics.store_era.set(revision.era.0 as i64);
-        metrics.store_revision.set(revision.number as i64);
-    }
-
     fn carry_out(&mut self, effect: Effect) {
         self.log_effect(&effect);
         self.measure_effect(&effect);
@@ -387,7 +375,10 @@
             Effect::Quarantine(step) if step.is_decision() => log::warn!("quarantine: {step}"),
             Effect::Quarantine(step) => log::debug!("quarantine: {step}"),
             Effect::CloseIdle(address) => self.parts.pool.close_idle(address),
-            Effect::Reply { request, reply } => self.last_order(request, Order::Reply(reply)),
+            Effect::Reply { request, reply } => {
+                self.count_reply(request, &reply);
+                self.last_order(request, Order::Reply(reply));
+            }
             Effect::Replay { request, answer } => self.last_order(request, Order::Replay(answer)),
             Effect::Boxes { request, boxes, .. } => self.last_order(request, Order::Boxes(boxes)),
             Effect::Queued { .. } | Effect::Broken { .. } => {}
