Tell other regions what cold servers bear, not all their slots

Cause: digests counted the slots of servers that had just come back cold.

Change: a cold server counts as its rate times the time of an answer, as a limited one does. Test other_regions_are_told_what_cold_servers_bear.

Why it holds: the rate binds all boxes, so free slots beyond it are nobody's.

--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -84,6 +84,22 @@
         rate.0 > 0.0 && server.is_none_or(|s| s.admits_cold(rate, now))
     }
 
+    /// Slots that stand for what a cold server bears where answers take `whole`; none where it is warm.
+    pub(super) fn cold_slots(
+        &self,
+        now: Time,
+        service: &Service,
+        backend: &Backend,
+        whole: Millis,
+    ) -> Option<u32> {
+        if !self.fleet.is_cold(&backend.name, now) {
+            return None;
+        }
+        let profile = self.config.as_ref()?.profiles.get(service)?;
+        let running = profile.cold_rate?.0 * whole.0 as f64 / 1000.0;
+        Some(running as u32)
+    }
+
     /// Counts a request to `name` against its rate while it is cold.
     pub(super) fn charge_cold(&mut self, now: Time, service: &Service, name: &id::Backend) {
         if !self.counts_as_cold(now, name) {
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -138,8 +138,10 @@
                 let server = self.servers.get(&backend.name).cloned().unwrap_or_default();
                 let slots = server.slots(backend.slots, now);
                 let busy = server.busy + self.table.busy(Short::of(backend.name.as_str()), now);
-                // Free slots of a limited server are none that others may use.
+                // Free slots of a limited or a cold server are none that others may use.
                 let limited = server.limit.slots(slots, server.whole());
+                let cold = self.cold_slots(now, service, backend, server.whole());
+                let limited = cold.map_or(limited, |cold| cold.min(limited));
                 total.slots += limited;
                 total.busy += match limited < slots {
                     true => busy.min(limited),
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -18,6 +18,7 @@
         event::{Event, Source},
     },
     unit::{Millis, Rate, Time},
+    wire::{Body, Short},
 };
 
 const RATE: f64 = 8.0;
@@ -116,6 +117,41 @@
     );
 }
 
+/// The slots of the service that other regions are told of.
+fn told_slots(solo: &mut Solo) -> u32 {
+    solo.digest(4, 0);
+    let effects = solo.pass(2000);
+    let digests = effects.iter().filter_map(|effect| match effect {
+        Effect::Gossip { frame, .. } => match &frame.body {
+            Body::Digest(digest) => Some(digest),
+            _ => None,
+        },
+        _ => None,
+    });
+    let digest = digests.last().expect("another region is told");
+    let capacity = digest
+        .services
+        .iter()
+        .find(|c| c.service == Short::of("read"));
+    capacity.map_or(0, |c| c.slots)
+}
+
+// Other regions sent what they could not serve to a region whose servers had all just come back cold, and it waited
+// there until its time was over.
+#[test]
+fn other_regions_are_told_what_cold_servers_bear() {
+    let mut cold = solo();
+    cold.step(news(cold_list(Millis(60_000))));
+    let bears = told_slots(&mut cold);
+    assert!(
+        f64::from(bears) <= RATE,
+        "{bears} slots at {RATE} a second and half a second each"
+    );
+    let mut warm = solo();
+    warm.pass(10_000);
+    assert_eq!(told_slots(&mut warm), 64);
+}
+
 /// A server that is cold and names a limit gets the lesser of the two.
 #[test]
 fn the_lesser_of_cold_rate_and_limit_holds() {
