Send relayed requests back that find no slot within 150 ms

Callers saw: what their region had sent elsewhere waited there for seconds and was refused in the end, while their own region had room again. Cause: a relayed request waited in the line of the other region as long as one of its own callers.

Test relays_go_back_while_they_can_still_be_served_elsewhere.

--- a/src/reducer/line.rs
+++ b/src/reducer/line.rs
@@ -21,6 +21,9 @@
 /// The part of its time after which a request that is late already is given up while it waits: its
 /// caller can then still come again.
 const GIVE_UP: f64 = 0.4;
+/// How long a request of another region waits here: about the way back. Its own region may have room again, and it
+/// waits there among those that it is as old as.
+const RELAYED_WAIT: Millis = Millis(150);
 /// How long a request that was passed here, and has no place in this region, waits for a send of its
 /// key by the caller itself, which may go to another region: sends that set out together come within
 /// some 100 ms of each other on a busy machine.
@@ -69,6 +72,11 @@
         self.hop == Hop::Pass && now < self.came + DIRECT_WAIT
     }
 
+    /// Whether it is sent back to the region that it came from.
+    fn is_returned(&self, now: Time) -> bool {
+        matches!(self.hop, Hop::Relay(_)) && now >= self.came + RELAYED_WAIT && !self.moved
+    }
+
     /// When it is given up while it waits.
     fn given_up_at(&self) -> Time {
         let whole = self.deadline.since(self.came).0 as f64;
@@ -145,6 +153,11 @@
             let Some(job) = self.jobs.get_mut(&request) else {
                 continue;
             };
+            if job.is_returned(now) {
+                let reply = Reply::new(503, job.verdict(), "no slot was free in this region");
+                self.finish(request, reply, out);
+                continue;
+            }
             if job.is_late(now) {
                 let spot = job.spot();
                 self.late.push(&spot, request);
--- a/tests/waiting_line.rs
+++ b/tests/waiting_line.rs
@@ -2,9 +2,12 @@
 
 mod harness;
 
-use harness::solo::{Solo, caller, replies, sends, server};
+use harness::solo::{Solo, arrival, caller, replies, sends, server};
 use petreldrum::{
-    reducer::effect::{Effect, Send},
+    reducer::{
+        effect::{Effect, Send},
+        event::{Credential, Event, Hop},
+    },
     unit::Millis,
     verdict::Verdict,
 };
@@ -74,3 +77,20 @@
             .all(|w| (Millis(280)..=Millis(1950)).contains(w))
     );
 }
+
+// What another region sent waited here until its time was over, while its own region had room again.
+#[test]
+fn relays_go_back_while_they_can_still_be_served_elsewhere() {
+    let mut solo = one_slot();
+    solo.arrive("a", None);
+    let mut relay = arrival(77, "a", Some(Millis(4000)));
+    if let Event::Arrived(arrival) = &mut relay {
+        arrival.credential = Credential::Vouched("a".parse().expect("a name"));
+        arrival.hop = Hop::Relay("bunbury".parse().expect("a name"));
+    }
+    assert!(waits(&solo.step(relay)));
+    assert!(replies(&solo.pass(100)).is_empty(), "a slot may get free");
+    let returned = replies(&solo.pass(200));
+    assert_eq!(returned.len(), 1);
+    assert_eq!(returned[0].verdict, Verdict::NotRun);
+}
