Read a box's own size from its settings

No box knew what it has of its machine. [limits] takes core_share, core_speed, memory and link; each may be absent or zero, and is then not told, so a settings file of before reads as before. Request bodies get half of the memory at most: the smallest boxes have 120 MB, of which 64 MiB for bodies left too little beside.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,7 @@
 //! | names, sizes, times | [`id`], [`mod@unit`] |
 //! | what a request asks for | [`content`] |
 //! | whether a request may have run | [`verdict`] |
-//! | one box's settings, INI reading | [`settings`], [`ini`] |
+//! | one box's settings, its size, INI reading | [`settings`], [`size`], [`ini`] |
 //! | the operators' configuration and who may go where | [`config`] |
 //! | the reducer: events in, effects out | [`reducer`] |
 //! | where a request goes | [`policy`], [`fleet`], [`server`], [`limit`], [`pushback`], [`detector`], [`queue`], [`allotment`], [`retry`], [`bucket`], [`quarantine`] |
@@ -48,6 +48,7 @@
 pub mod server;
 pub mod settings;
 mod sign;
+pub mod size;
 pub mod story;
 pub mod unit;
 pub mod verdict;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,6 +11,7 @@
     platform::Places,
     policy, retry,
     rollout::Exposure,
+    size::{Core, Size},
     unit::{Bytes, Millis},
 };
 
@@ -122,6 +123,9 @@
     }
 }
 
+/// Part of a box's memory that request bodies may take: the rest holds what stands beside them.
+const BODY_PART: u64 = 2;
+
 /// Everything one box is told at start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -171,7 +175,9 @@
     pub max_head: Bytes,
     /// Largest request body.
     pub max_body: Bytes,
-    /// Memory for all request bodies held at once.
+    /// What the box has of its machine.
+    pub size: Size,
+    /// Memory for all request bodies held at once: half of the box's at most.
     pub body_memory: Bytes,
     /// How long a planned stop keeps the listener open.
     pub linger: Millis,
@@ -270,7 +276,15 @@
     let mut section = reader.section("limits");
     let max_head = section.or("max_head", Bytes(16 << 10));
     let max_body = section.or("max_body", Bytes(1 << 20));
-    let body_memory = section.or("body_memory", Bytes(64 << 20));
+    let share: Option<Core> = section.optional("core_share");
+    let speed = section.or("core_speed", Core(1.0));
+    let core = share.map(|share| Core(share.0 * speed.0));
+    let size = Size::new(core, section.optional("memory"), section.optional("link"));
+    let mut body_memory = section.or("body_memory", Bytes(64 << 20));
+    if let Some(memory) = size.memory {
+        let part = Bytes(memory.bytes().0 / BODY_PART);
+        body_memory = body_memory.min(part.max(max_body));
+    }
     if body_memory < max_body {
         section.fault("body_memory", "is under max_body");
     }
@@ -329,6 +343,7 @@
         log,
         max_head,
         max_body,
+        size,
         body_memory,
         linger,
         retry,
