Tell weights with heartbeats, and have duties follow them

Hubs, monitors, senders of digests and lists and those who follow the store were found by the hash of names alone, so a box of 0.09 of a core bore as much as one of 0.5. Each heartbeat now ends with its sender's weight and whether it is full (it has twice the region's mean in hand for its weight); a change is told at once. Ranks are weighted rendezvous hashes, but only where every box of the region that stays tells a weight: an older one chooses by names, and all must agree. Shares that must add up (Table::standing: cold rates, limits) still go by names and count.

The weight stands last and reads as not told where the message ends before it, so older boxes' heartbeats read on, and theirs of ours. Monitors moved to a file of their own.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -55,6 +55,9 @@
         "requests {} in hand, {} waiting; {} keys remembered",
         status.requests, status.waiting, status.keys
     );
+    if let Some(weight) = status.weight {
+        println!("weight {weight}{}", full(status.full));
+    }
     for peer in &status.boxes {
         let lag = if peer.version < status.version {
             "  LAGS"
@@ -62,11 +65,14 @@
             ""
         };
         println!(
-            "  box {:16} {:12} {:10} {:?}, heard {} ago{lag}",
+            "  box {:16} {:12} {:10} {:?}, weight {}, {} in hand{}, heard {} ago{lag}",
             peer.name.to_string(),
             peer.domain.to_string(),
             peer.version.to_string(),
             peer.phase,
+            peer.weight.map_or("-".to_owned(), |w| w.to_string()),
+            peer.busy,
+            full(peer.full),
             peer.silent
         );
     }
@@ -128,3 +134,7 @@
     print!("{}", String::from_utf8_lossy(&body));
     Ok(ExitCode::SUCCESS)
 }
+
+fn full(full: bool) -> &'static str {
+    if full { ", full" } else { "" }
+}
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -26,6 +26,7 @@
         status::{Explanation, Status},
     },
     settings::Settings,
+    size::Weight,
     unit::{Millis, Time},
     wire::Phase,
 };
@@ -342,6 +343,9 @@
         metrics.ready.set(i64::from(ready));
         metrics.in_hand.set(self.state.busy() as i64);
         metrics.waiting.set(self.state.waiting() as i64);
+        let weight = self.state.weight().map_or(0, Weight::number);
+        metrics.weight.set(i64::from(weight));
+        metrics.full.set(i64::from(self.state.is_full()));
         metrics.limited.set(self.state.limited() as i64);
         metrics.pushed_back.set(self.state.pushed_back(now) as i64);
         metrics.departing.set(self.state.departing() as i64);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -57,6 +57,10 @@
     pub ready: IntGauge,
     /// Requests in hand.
     pub in_hand: IntGauge,
+    /// What this box can carry beside the others of its region; zero where its settings don't tell.
+    pub weight: IntGauge,
+    /// One while this box has so much in hand for its weight that callers are sent elsewhere.
+    pub full: IntGauge,
     /// Requests that wait for a slot.
     pub waiting: IntGauge,
     /// Keys remembered.
@@ -230,6 +234,8 @@
             version: gauge("config_version", "The configuration in force.")?,
             ready: gauge("ready", "One while the box takes work.")?,
             in_hand: gauge("requests_in_hand", "Requests in hand.")?,
+            weight: gauge("box_weight", "What this box can carry; zero if not told.")?,
+            full: gauge("box_full", "One while callers are sent elsewhere.")?,
             waiting: gauge("requests_waiting", "Requests that wait for a slot.")?,
             keys: gauge("keys_remembered", "Idempotency keys remembered.")?,
             store_failures: gauge(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -152,9 +152,16 @@
         if settings == self.current {
             return log::info!("settings: read again, unchanged.");
         }
-        let Settings { seeds, retry, .. } = settings.clone();
+        let Settings {
+            seeds, retry, size, ..
+        } = settings.clone();
         self.current.seeds.clone_from(&seeds);
         self.current.retry = retry;
+        if size != self.current.size {
+            log::info!("settings: size {size}, before {}.", self.current.size);
+            self.core.tell(Event::Sized(size.weight()));
+        }
+        self.current.size = size;
         log::info!(
             "settings: read again, seeds={} retry={retry:?}.",
             seeds.len()
@@ -224,6 +231,8 @@
             policy: settings.policy,
         })
         .await;
+        log::info!("settings: size {}.", settings.size);
+        core.tell(Event::Sized(settings.size.weight()));
         gossip::listen(gossip, secret, core.clone(), metrics.clone());
         let store = Store::new(
             settings.stores.clone(),
--- a/src/member/hubs.rs
+++ b/src/member/hubs.rs
@@ -7,7 +7,11 @@
 
 use crate::{
     id::{BoxName, Domain},
-    member::{HEARTBEAT, Table, weight},
+    member::{
+        HEARTBEAT, Table,
+        rank::{Rank, Scale},
+    },
+    size::Room,
     unit::Time,
     wire::{Contact, Report, Share, Short},
 };
@@ -47,10 +51,10 @@
     ///
     /// This box may be one where it is `ready`.
     pub fn hubs(&self, ready: bool, now: Time) -> Hubs {
-        let mine = Some(&self.me).filter(|_| ready);
-        let here = self.ready(now).map(|p| &p.last.contact);
-        let here = here.filter(|c| c.domain == self.me.domain);
-        let hubs = top_hubs(here.chain(mine));
+        let mine = Some((&self.me, self.room)).filter(|_| ready);
+        let here = self.ready(now).map(|p| (&p.last.contact, p.last.room));
+        let here = here.filter(|(c, _)| c.domain == self.me.domain);
+        let hubs = top_hubs(here.chain(mine), self.scale(now));
         let (own, others): (Vec<_>, Vec<_>) =
             hubs.into_iter().partition(|c| c.name == self.me.name);
         Hubs {
@@ -61,14 +65,18 @@
 
     /// The listeners of the hubs of the other failure domains of this region.
     pub fn other_hubs(&self, now: Time) -> Vec<SocketAddr> {
-        let mut domains: BTreeMap<&Domain, Vec<&Contact>> = BTreeMap::new();
+        let mut domains: BTreeMap<&Domain, Vec<(&Contact, Room)>> = BTreeMap::new();
         for peer in self.ready(now) {
             let contact = &peer.last.contact;
             if contact.domain != self.me.domain {
-                domains.entry(&contact.domain).or_default().push(contact);
+                let boxes = domains.entry(&contact.domain).or_default();
+                boxes.push((contact, peer.last.room));
             }
         }
-        let hubs = domains.into_values().flat_map(top_hubs);
+        let scale = self.scale(now);
+        let hubs = domains
+            .into_values()
+            .flat_map(|boxes| top_hubs(boxes, scale));
         hubs.map(|contact| contact.gossip).collect()
     }
 
@@ -112,9 +120,14 @@
 }
 
 /// Those of `boxes` that rank first as hubs.
-fn top_hubs<'a>(boxes: impl IntoIterator<Item = &'a Contact>) -> Vec<&'a Contact> {
-    let mut ranked: Vec<&Contact> = boxes.into_iter().collect();
-    ranked.sort_by_key(|contact| std::cmp::Reverse(weight(&contact.name, HUB_DUTY)));
+fn top_hubs<'a>(
+    boxes: impl IntoIterator<Item = (&'a Contact, Room)>,
+    scale: Scale,
+) -> Vec<&'a Contact> {
+    let mut ranked: Vec<_> = boxes.into_iter().collect();
+    ranked.sort_by_cached_key(|(contact, room)| {
+        std::cmp::Reverse(Rank::of(&contact.name, *room, HUB_DUTY, scale))
+    });
     ranked.truncate(HUBS);
-    ranked
+    ranked.into_iter().map(|(contact, _)| contact).collect()
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -3,13 +3,15 @@
 //! What stands here is a hint: it steers routing and never carries a promise.
 
 mod hubs;
+mod monitors;
 mod peer;
 mod rank;
+mod room;
 mod tally;
 mod uses;
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet, hash_map::Entry},
+    collections::{BTreeMap, HashMap, hash_map::Entry},
     hash::Hash,
     net::SocketAddr,
 };
@@ -18,6 +20,7 @@
     config::Version,
     fleet::Revision,
     id::{BoxName, Incarnation, Region},
+    size::Room,
     unit::{Millis, Time},
     wire::{Contact, Digest, Door, Frame, Heartbeat, Phase, Short},
 };
@@ -25,20 +28,14 @@
 pub use hubs::Hubs;
 pub use peer::{Peer, Remote, Stage, Suspicion};
 pub use rank::weight;
+pub use room::load;
 
 use peer::MISSED;
+use rank::Rank;
 use tally::Tally;
 
 /// Shortest time between two heartbeats.
 pub const HEARTBEAT: Millis = Millis(500);
-/// Boxes that hear each box at the shortest time: they tell the others of its end. Three, so that
-/// one is left where a box dies together with two of them.
-const MONITORS: usize = 3;
-/// How long a box may stay unheard by one that just became its monitor before it is asked: by then
-/// it has noticed that itself.
-const PROBE_AFTER: Millis = Millis(500);
-/// The same, before the others are told: time for its answer.
-const SUSPECT_AFTER: Millis = Millis(1500);
 /// Time between heartbeats for each other box of the region: the bytes stay bounded as it grows.
 const HEARTBEAT_EACH: u64 = 150;
 /// Shortest time between two digests to one region.
@@ -64,6 +61,8 @@
     pub me: Contact,
     /// This box's life.
     pub incarnation: Incarnation,
+    /// This box's room.
+    pub room: Room,
     peers: BTreeMap<BoxName, Peer>,
     regions: BTreeMap<Region, Remote>,
     seen: HashMap<BoxName, Seen>,
@@ -81,6 +80,7 @@
         Self {
             me,
             incarnation,
+            room: Room::default(),
             peers: BTreeMap::new(),
             regions: BTreeMap::new(),
             seen: HashMap::new(),
@@ -180,65 +180,6 @@
         }
     }
 
-    /// Looks after the boxes that should be heard often here: by their own word, or because they
-    /// have no nearer monitor left. The latter are asked before they are suspected.
-    pub fn watch_over(&mut self, now: Time) -> Vec<Suspicion> {
-        let silent = Millis(MISSED * HEARTBEAT.0);
-        let period = self.heartbeat_period();
-        let monitored = self.monitored(now);
-        let mut found = Vec::new();
-        for peer in self.peers.values_mut().filter(|p| !p.suspected) {
-            let quiet = now.since(peer.heard);
-            let pace = peer.last.pace;
-            // Its own word counts: a box that knows fewer others beats more often than this one, and slower
-            // than to its monitors.
-            let broken = pace < period && quiet > Millis(MISSED * pace.0);
-            let mine = monitored.contains(&peer.last.contact.name) && quiet > silent;
-            if !(broken || mine) {
-                peer.doubted = None;
-                continue;
-            }
-            let doubted = now.since(*peer.doubted.get_or_insert(now));
-            let stage = match doubted {
-                _ if broken => Stage::Suspected,
-                age if age >= SUSPECT_AFTER => Stage::Suspected,
-                age if age >= PROBE_AFTER => Stage::Probed,
-                _ => continue,
-            };
-            peer.suspected = stage == Stage::Suspected;
-            found.push(Suspicion {
-                name: peer.last.contact.name.clone(),
-                incarnation: peer.incarnation,
-                gossip: peer.last.contact.gossip,
-                silent: quiet,
-                stage,
-            });
-        }
-        found
-    }
-
-    /// The live boxes of which this one is a monitor, as far as it knows.
-    fn monitored(&self, now: Time) -> HashSet<BoxName> {
-        let live: Vec<&BoxName> = self.live(now).map(|p| &p.last.contact.name).collect();
-        let is_mine = |name: &&&BoxName| {
-            let mine = weight(&self.me.name, name.as_str());
-            let others = live.iter().filter(|other| other != name);
-            let nearer = others.filter(|other| weight(other, name.as_str()) > mine);
-            nearer.take(MONITORS).count() < MONITORS
-        };
-        let monitored = live.iter().filter(is_mine);
-        monitored.map(|name| (*name).clone()).collect()
-    }
-
-    /// The boxes that this one is heard by often, so that its end is noticed soon.
-    pub fn monitors(&self, now: Time) -> Vec<&Contact> {
-        let mine = self.me.name.as_str();
-        let mut live: Vec<&Contact> = self.live(now).map(|p| &p.last.contact).collect();
-        live.sort_by_key(|contact| std::cmp::Reverse(weight(&contact.name, mine)));
-        live.truncate(MONITORS);
-        live
-    }
-
     /// Takes a digest of another region.
     pub fn digest(&mut self, digest: Digest, now: Time) {
         let silent = self.region_suspect();
@@ -368,10 +309,11 @@
             let door = r.digest.doors.first()?;
             Some((r.digest.version, &door.contact))
         });
-        let mine = self.me.name.as_str();
+        let (mine, scale) = (self.me.name.as_str(), self.scale(now));
         near.chain(far).max_by_key(|(version, contact)| {
             let here = contact.domain == self.me.domain;
-            (*version, here, weight(&contact.name, mine))
+            let room = self.room_of(contact);
+            (*version, here, Rank::of(&contact.name, room, mine, scale))
         })
     }
 
@@ -385,9 +327,10 @@
     /// domain goes first, then the one that knows most, and of equals each box prefers another.
     pub fn ahead_here(&self, known: Revision, now: Time) -> Option<&Peer> {
         let ahead = self.ready(now).filter(|p| p.last.revision > known);
+        let (mine, scale) = (self.me.name.as_str(), self.scale(now));
         ahead.max_by_key(|p| {
             let contact = &p.last.contact;
-            let preferred = weight(&contact.name, self.me.name.as_str());
+            let preferred = Rank::of(&contact.name, p.last.room, mine, scale);
             (contact.domain == self.me.domain, p.last.revision, preferred)
         })
     }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -41,6 +41,8 @@
     /// The time until the next heartbeat, as the last one told it to the region.
     pub(super) pace_told: Millis,
     last_pulse: Option<Time>,
+    /// When this box last became full, or ceased to be.
+    pub(super) last_room: Option<Time>,
     pub(super) last_denial: Option<Time>,
     pub(super) last_roster: Option<Time>,
     /// Engines that this box asked what they have cached.
@@ -142,6 +144,7 @@
         }
         let forgotten = self.ledger.expire(now).into_iter().map(Effect::Forget);
         out.extend(forgotten);
+        self.watch_room(now, out);
         // Those that were told a shorter time while this box knew fewer others wait for it that long.
         let period = self.table.heartbeat_period().min(self.control.pace_told);
         if Control::due(&mut self.control.last_beat, period, now) {
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -7,6 +7,7 @@
     fleet::{Era, Revision},
     id::{self, Region, Service},
     rollout::{Finding, Order, Standing},
+    size::Weight,
     unit::{Millis, Rate},
 };
 
@@ -86,6 +87,24 @@
         /// What is known.
         known: Revision,
     },
+    /// The settings of this box give it another weight.
+    Resized {
+        /// What it told before.
+        old: Option<Weight>,
+        /// What it tells now.
+        weight: Option<Weight>,
+    },
+    /// This box became full for its weight beside the others, or ceased to be.
+    Filled {
+        /// Whether it is full.
+        full: bool,
+        /// Requests in hand.
+        busy: u32,
+        /// Its weight.
+        weight: Option<Weight>,
+        /// How much more that is for its weight than the region's boxes have together.
+        crowding: f64,
+    },
     /// This box hears neither the store nor another box: servers count as cold until it does.
     Alone,
     /// It hears one of them again.
@@ -99,6 +118,23 @@
             Self::Lost(name) => write!(f, "box={name} state=silent"),
             Self::Reached(region) => write!(f, "region={region} state=heard"),
             Self::Unreached(region) => write!(f, "region={region} state=silent"),
+            Self::Resized { old, weight } => {
+                let (old, weight) = (told(*old), told(*weight));
+                write!(f, "box=self weight={weight} before={old}")
+            }
+            Self::Filled {
+                full,
+                busy,
+                weight,
+                crowding,
+            } => {
+                let state = if *full { "full" } else { "eased" };
+                let weight = told(*weight);
+                write!(
+                    f,
+                    "box=self state={state} busy={busy} weight={weight} crowding={crowding:.1}"
+                )
+            }
             Self::Failed(name) => write!(f, "backend={name} state=silent"),
             Self::Regained(name) => write!(f, "backend={name} state=heard"),
             Self::Reborn(name) => write!(f, "backend={name} state=started-again"),
@@ -203,3 +239,7 @@
         }
     }
 }
+
+fn told(weight: Option<Weight>) -> String {
+    weight.map_or("-".to_owned(), |weight| weight.to_string())
+}
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -11,6 +11,7 @@
     memory::prompt::{Part, Prompt},
     pin, pushback, retry,
     settings::Seed,
+    size::Weight,
     unit::{Millis, Time},
     verdict::Verdict,
     wire::{Frame, Short},
@@ -295,6 +296,8 @@
         /// How many attempts beyond the first requests may have.
         retry: retry::Limits,
     },
+    /// What the settings say that this box can carry; none where they don't.
+    Sized(Option<Weight>),
     /// A planned stop begins.
     Stop,
 }
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -151,6 +151,7 @@
                 true => Vec::new(),
                 false => self.rollouts.told(now),
             },
+            room: self.table.room,
         }
     }
 
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -22,6 +22,7 @@
 //! | `suspect` | content that ends backend servers, and what the boxes tell each other of it |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask`, `demand` | which boxes a caller should use, by the routes that callers use |
+//! | `room` | what this box can carry, and whether it is full |
 //! | `rollout`, `watch` | another release of a service's backend servers: who gets it, and how that ends |
 //! | `judge` | what answers say of the release of their server |
 //! | `news` | who follows the platform's store, and how its news reaches the others |
@@ -58,6 +59,7 @@
 mod pushback;
 mod reading;
 mod rollout;
+mod room;
 mod roster;
 mod stall;
 pub mod status;
@@ -289,6 +291,7 @@
                 self.seeds = seeds;
                 self.budgets.limit(retry);
             }
+            Event::Sized(weight) => self.resize(now, weight, &mut out),
             Event::Stop => self.stop(now, &mut out),
         }
         out
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     fleet::{self, Change, Revision, Roster},
-    member::weight,
     policy::Policy,
     reducer::{
         State,
@@ -121,13 +120,7 @@
         if now < Time(0) + STORE_FIRST {
             return None;
         }
-        let mine = &self.table.me;
-        let near = self.table.ready(now).map(|p| &p.last.contact);
-        // Each box prefers another one, and one whose bytes stay in the failure domain.
-        let near = near.max_by_key(|contact| {
-            let here = contact.domain == mine.domain;
-            (here, weight(&contact.name, mine.name.as_str()))
-        });
+        let near = self.table.sender(now);
         let far = self.table.reachable(now);
         let mut far = far.flat_map(|(_, remote)| &remote.digest.doors);
         let far = || far.next().map(|door| door.contact.peer);
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -10,6 +10,7 @@
     reducer::{State, job::Job, place::Exclusion},
     rollout::{Count, Finding, Standing},
     server::Bar,
+    size::Weight,
     unit::{Millis, Rate, Time},
     wire::{Phase, Short},
 };
@@ -33,6 +34,12 @@
     pub waiting: usize,
     /// Keys remembered.
     pub keys: usize,
+    /// What it can carry beside others; none where its settings don't tell.
+    #[serde(default)]
+    pub weight: Option<u16>,
+    /// Whether it has so much in hand that callers are sent elsewhere.
+    #[serde(default)]
+    pub full: bool,
     /// The boxes of its region.
     pub boxes: Vec<Peer>,
     /// The other regions.
@@ -116,6 +123,15 @@
     pub phase: Phase,
     /// Time since it was last heard.
     pub silent: Millis,
+    /// What it can carry beside others, as far as it told that.
+    #[serde(default)]
+    pub weight: Option<u16>,
+    /// Whether it is full.
+    #[serde(default)]
+    pub full: bool,
+    /// Requests that it had in hand when last heard.
+    #[serde(default)]
+    pub busy: u32,
 }
 
 /// Another region.
@@ -238,6 +254,9 @@
             version: peer.last.version,
             phase: peer.last.phase,
             silent: now.since(peer.heard),
+            weight: peer.last.room.weight.map(Weight::number),
+            full: peer.last.room.full,
+            busy: peer.last.busy,
         });
         let regions = self.table.regions().map(|(name, remote)| Remote {
             name: name.clone(),
@@ -259,6 +278,8 @@
             requests: self.jobs.len(),
             waiting: self.waiting(),
             keys: self.ledger.len(),
+            weight: self.weight().map(Weight::number),
+            full: self.is_full(),
             boxes: peers.collect(),
             regions: regions.collect(),
             backends: self.backend_status(now),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -13,6 +13,7 @@
     rollout::Count,
     settings::Secret,
     sign,
+    size::Room,
     unit::{Millis, Rate, Time},
 };
 
@@ -224,6 +225,8 @@
     pub limits: Vec<Limit>,
     /// Those of them that said that they leave.
     pub departures: Vec<Departure>,
+    /// Its room; always the last field.
+    pub room: Room,
 }
 
 /// A box of another region that takes relayed requests.
@@ -279,7 +282,7 @@
     pub version: Version,
     /// How far its boxes know the platform's store.
     pub revision: Revision,
-    /// Some of its boxes, least busy first.
+    /// Some of its boxes, least busy for their weight first.
     pub doors: Vec<Door>,
     /// Its boxes.
     pub boxes: u32,
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -161,6 +161,7 @@
             listed: vec![],
             uses: vec![],
             trials: Vec::new(),
+            room: Default::default(),
         }),
     )
 }
