Name boxes in look-ups, and doors, by what they can carry

Callers choose at random among the addresses of a look-up, which named each ready box once: a box of 0.09 of a core got as many callers as one of 0.5. An answer now holds 64 addresses, each box as often as its weight bids, the same ones until a weight changes, so that no connection is left for nothing. Full boxes are left out while the others hold half of the region's weight. Digests name as doors the boxes with the least in hand for their weight. Where no box tells a size, or all the same, the names, doors and messages are those of before.

Whether callers count an address twice that is named twice is not said on their page: if not, callers spread as before. Not measured.

--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -5,7 +5,7 @@
 use crate::{
     config::{Refusal, Route},
     id,
-    member::Peer,
+    member::{Peer, load},
     policy::Policy,
     reducer::{
         State,
@@ -75,6 +75,7 @@
         let any_near = boxes.iter().any(near);
         if any_near {
             boxes.retain(near);
+            boxes = self.share_out(now, boxes);
         } else if now < Time(0) + LEARNING {
             // It may not have heard of the better ones yet; another box can say more.
             boxes.clear();
@@ -210,9 +211,12 @@
         });
         let mut boxes: Vec<Entry> = me.into_iter().chain(near).chain(far).collect();
         let mine = &self.table.me.region;
-        boxes.sort_by_key(|e| {
+        let usual = self.table.usual_weight(now);
+        boxes.sort_by_cached_key(|e| {
             let region = &e.contact.region;
-            (Some(region) != home, region != mine, e.busy)
+            let weight = self.table.room_of(&e.contact).weight.unwrap_or(usual);
+            let busy = e.busy.map(|busy| load(busy, weight));
+            (Some(region) != home, region != mine, busy)
         });
         boxes
     }
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -4,9 +4,11 @@
 
 use crate::{
     id::Region,
+    member::load,
     policy::Policy,
     reducer::{State, effect::Effect},
     settings::Seed,
+    size::Room,
     unit::{Millis, Time},
     wire::{Body, Capacity, Contact, Digest, Door, Frame, Phase, Short},
 };
@@ -81,13 +83,15 @@
     }
 
     pub(super) fn summary(&self, now: Time) -> Digest {
+        let usual = self.table.usual_weight(now);
+        let place = |busy: u32, room: Room| (room.full, load(busy, room.weight.unwrap_or(usual)));
         let me = (self.phase(now) == Phase::Ready).then(|| {
             let door = Door {
                 contact: self.table.me.clone(),
                 incarnation: self.table.incarnation,
                 uptime: now,
             };
-            (self.jobs.len() as u32, door)
+            (place(self.jobs.len() as u32, self.table.room), door)
         });
         let others = self.table.ready(now).map(|peer| {
             let door = Door {
@@ -95,9 +99,9 @@
                 incarnation: peer.incarnation,
                 uptime: peer.uptime(now),
             };
-            (peer.last.busy, door)
+            (place(peer.last.busy, peer.last.room), door)
         });
-        let mut doors: Vec<(u32, Door)> = me.into_iter().chain(others).collect();
+        let mut doors: Vec<((bool, u64), Door)> = me.into_iter().chain(others).collect();
         doors.sort_by(|a, b| (a.0, &a.1.contact.name).cmp(&(b.0, &b.1.contact.name)));
         let near = self.table.live(now).map(|p| p.last.version);
         Digest {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -22,6 +22,7 @@
 //! | `suspect` | content that ends backend servers, and what the boxes tell each other of it |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask`, `demand` | which boxes a caller should use, by the routes that callers use |
+//! | `naming` | how often a look-up names each box |
 //! | `room` | what this box can carry, and whether it is full |
 //! | `rollout`, `watch` | another release of a service's backend servers: who gets it, and how that ends |
 //! | `judge` | what answers say of the release of their server |
@@ -53,6 +54,7 @@
 mod key;
 mod limit;
 mod line;
+mod naming;
 mod news;
 mod outcome;
 mod place;
