--- a/tests/unequal_boxes.rs
+++ b/tests/unequal_boxes.rs
@@ -17,8 +17,7 @@
     id::{self, Incarnation},
     member::{HEARTBEAT, Table},
     reducer::{effect::Effect, event::Event},
-    settings::Settings,
-    size::{Core, Link, Room, Size, Weight},
+    size::{Room, Weight},
     unit::{Millis, Time},
     wire::{Body, Digest, Frame, Heartbeat, Phase},
 };
@@ -26,8 +25,8 @@
 /// Boxes of the region: two failure domains of thirteen.
 const BOXES: usize = 26;
 const LARGE: u16 = 200;
-const SMALL: u16 = 36;
 const MIDDLE: u16 = 100;
+const SMALL: u16 = 36;
 
 /// Of each failure domain's boxes 2 are large, 8 small, 3 of middle size.
 fn mixed(number: usize) -> u16 {
@@ -77,8 +76,7 @@
 
 /// Each living box gets callers within a tenth of its weight's part.
 fn follow_weights(crowd: &mut Crowd, weight: impl Fn(usize) -> u16) {
-    let living = (0..BOXES).filter(|n| crowd.boxes[*n].is_some());
-    let living: Vec<usize> = living.collect();
+    let living: Vec<usize> = (0..BOXES).filter(|n| crowd.boxes[*n].is_some()).collect();
     let all: f64 = living.iter().map(|n| f64::from(weight(*n))).sum();
     let parts = parts(crowd);
     for class in [LARGE, SMALL, MIDDLE] {
@@ -171,10 +169,9 @@
     assert!(small.count() >= 10, "callers know others");
     (0..BOXES).step_by(2).for_each(|n| crowd.boxes[n] = None);
     crowd.pass(8000);
-    let parts = parts(&mut crowd);
+    let parts: Vec<f64> = parts(&mut crowd).into_values().collect();
     assert_eq!(parts.len(), 13, "the living: {parts:?}");
-    let even = parts.values().all(|part| (part - 1.0 / 13.0).abs() < 1e-9);
-    assert!(even, "{parts:?}");
+    assert!(parts.iter().all(|part| (part - 1.0 / 13.0).abs() < 1e-9));
 }
 
 #[test]
@@ -182,8 +179,7 @@
     let giant = |n: usize| if n == 0 { 20_000 } else { 4 };
     let mut crowd = crowd(giant);
     for number in 0..BOXES {
-        let named: BTreeSet<String> = crowd.named(number).into_iter().collect();
-        assert_eq!(named.len(), BOXES);
+        assert_eq!(BTreeSet::from_iter(crowd.named(number)).len(), BOXES);
     }
 }
 
@@ -242,9 +238,8 @@
 }
 
 fn room(weight: u16) -> Room {
-    let weight = Weight::new(weight);
     Room {
-        weight,
+        weight: Weight::new(weight),
         full: false,
     }
 }
@@ -319,10 +314,7 @@
     let mut liar = crowd(|n| if n == 3 { 1 } else { mixed(n) });
     let parts = parts(&mut liar);
     let (told, liar) = (parts[&name(4)], parts[&name(3)]);
-    assert!(
-        (liar - told).abs() <= told / 2.0,
-        "as the middle one: {liar}, {told}"
-    );
+    assert!((liar - told).abs() <= told / 2.0, "{liar}, {told}");
 }
 
 #[test]
@@ -337,54 +329,6 @@
     assert_eq!(postcard::from_bytes::<Heartbeat>(&newer), Ok(told));
 }
 
-#[test]
-fn scarcer_part_decides() {
-    let weight = |core: f64, link: f64| {
-        let size = Size::new(Some(Core(core)), None, Some(Link(link)));
-        size.weight().expect("a weight").number()
-    };
-    assert_eq!(weight(0.25, 1000.0), 100, "by its processor");
-    assert_eq!(weight(0.5, 10.0), 40, "by its link");
-    assert!(weight(0.0001, 0.0001) >= 4);
-    assert_eq!(Size::default().weight(), None);
-    assert_eq!(Size::new(Some(Core(0.0)), None, None).weight(), None);
-}
-
-fn settings(limits: &str) -> Result<Settings, String> {
-    let text = format!(
-        "[box]\nname=a\nregion=perth\nfailure_domain=p\n[listen]\npublic=127.0.0.1:1\n\
-         peer=127.0.0.1:2\ngossip=127.0.0.1:3\nadmin=127.0.0.1:4\nadmin_token=0123456789abcdef\n\
-         [peers]\nsecret=0123456789abcdef\n[platform]\nstore=127.0.0.1:5\n[limits]\n{limits}"
-    );
-    Settings::parse("file", &text).map_err(|faults| faults.to_string())
-}
-
-#[test]
-fn settings_tell_sizes() {
-    let told = settings("core_share=0.25\ncore_speed=2\nmemory=120MiB\nlink=10.0Mbps\n");
-    let told = told.expect("it checks");
-    assert_eq!(
-        told.size.to_string(),
-        "core=0.5 memory=120MiB link=10Mbps weight=40"
-    );
-    assert_eq!(told.body_memory.0, 60 << 20, "half of its memory");
-    let silent = settings("").expect("it checks");
-    assert_eq!(
-        (silent.size, silent.body_memory.0),
-        (Size::default(), 64 << 20)
-    );
-    for wrong in [
-        "core_share=-1",
-        "link=10",
-        "memory=some",
-        "core_speed=NaN",
-        "link=infMbps",
-    ] {
-        let key = wrong.split('=').next().expect("a key");
-        assert!(settings(wrong).expect_err("a fault").contains(key));
-    }
-}
-
 /// A small box before large ones that have `busy` requests in hand each.
 fn beside(solo: &mut Solo, seq: u64, busy: u32, full: bool) {
     for number in 1..5 {
@@ -476,7 +420,7 @@
 fn never_all_are_full() {
     let mut solo = small();
     beside(&mut solo, 2, 20, true);
-    let named: BTreeSet<String> = named(&mut solo).into_iter().collect();
+    let named = BTreeSet::from_iter(named(&mut solo));
     assert_eq!(named.len(), 5, "too little would be left: {named:?}");
 }
 
