--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -24,6 +24,8 @@
 //! | `suspect` | content that ends backend servers, and what the boxes tell each other of it |
 //! | `outcome` | what comes of an attempt, and the final answer |
 //! | `ask`, `demand` | which boxes a caller should use, by the routes that callers use |
+//! | `naming` | how often a look-up names each box |
+//! | `room` | what this box can carry, and whether it is full |
 //! | `rollout`, `watch` | another release of a service's backend servers: who gets it, and how that ends |
 //! | [`order`] | whether an operator's order for a roll-out can be taken |
 //! | `judge` | what answers say of the release of their server |
@@ -56,6 +58,7 @@
 mod key;
 mod limit;
 mod line;
+mod naming;
 mod news;
 pub mod order;
 mod outcome;
@@ -63,6 +66,7 @@
 mod pushback;
 mod reading;
 mod rollout;
+mod room;
 mod roster;
 mod stall;
 pub mod status;
@@ -302,6 +306,7 @@
                 self.seeds = seeds;
                 self.budgets.limit(retry);
             }
+            Event::Sized(weight) => self.resize(now, weight, &mut out),
             Event::Stop => self.stop(now, &mut out),
         }
         out
