Keep how long a leaving backend server still runs

A server that is withdrawn at short notice says in its entry how long it still runs; nobody read it. config::Backend.time_left holds it, the fleet keeps the moment that follows from it for one life of the server (the earliest that was told), and other boxes are told what is left of it.

The existing tests that build a Backend name the new field; no check of theirs changes.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -295,6 +295,8 @@
     pub price: f64,
     /// Whether it is leaving: it gets no new work.
     pub leaving: bool,
+    /// How long a leaving one still runs, where it tells: whatever runs there then ends with it.
+    pub time_left: Option<Millis>,
     /// The headers of its answers that speak of itself.
     pub headers: Arc<Headers>,
     /// How long it stays cold after it became known.
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -267,6 +267,7 @@
         slots,
         price,
         leaving,
+        time_left: None,
         headers: Arc::new(headers),
         release,
         cold: Millis(0),
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,6 +7,7 @@
 
 mod changes;
 mod departures;
+mod ending;
 mod index;
 mod revision;
 
@@ -23,9 +24,11 @@
 };
 
 pub use changes::Changes;
+pub use ending::End;
 pub use revision::{Era, Revision};
 
 use departures::Departures;
+use ending::Ending;
 use index::Index;
 
 /// How long a registration that vanished around an outage of the store is still believed. Servers
@@ -111,9 +114,10 @@
 
 impl Member {
     /// The server as others are told of it at `now`.
-    fn told(&self, now: Time) -> Backend {
+    fn told(&self, ending: &Ending, now: Time) -> Backend {
         Backend {
             cold: self.cold_until.since(now),
+            time_left: ending.left(&self.backend.name, now),
             ..self.backend.clone()
         }
     }
@@ -138,6 +142,7 @@
     /// Those that started again under their name, since somebody asked.
     reborn: Vec<id::Backend>,
     departures: Departures,
+    ending: Ending,
     /// Lives of servers whose registration is gone, and since when.
     ended: HashMap<id::Backend, (Option<Incarnation>, Time)>,
     /// Until when a list may be an old copy, and what it told of servers whose registration was gone.
@@ -260,6 +265,7 @@
         let told = now + backend.cold;
         let cold_until = known.map_or(told, |m| m.cold_until.max(told));
         self.remove(&backend.name);
+        self.ending.note(&backend, now);
         self.index.add(&backend);
         let member = Member {
             registered,
@@ -289,6 +295,7 @@
             let life = member.backend.incarnation;
             self.ended.insert(name.clone(), (life, now));
         }
+        self.ending.forget(name);
         self.remove(name)
     }
 
@@ -395,7 +402,10 @@
     pub fn registered(&self, now: Time) -> Vec<Backend> {
         let registered = self.members.values().filter(|m| m.registered);
         let withheld = self.withheld.values().cloned();
-        registered.map(|m| m.told(now)).chain(withheld).collect()
+        registered
+            .map(|m| m.told(&self.ending, now))
+            .chain(withheld)
+            .collect()
     }
 
     /// Those of `names` that registered themselves, as of `now`, and those that are gone.
@@ -407,7 +417,7 @@
         let (mut found, mut gone) = (Vec::new(), Vec::new());
         for name in names {
             match self.members.get(name) {
-                Some(member) if member.registered => found.push(member.told(now)),
+                Some(member) if member.registered => found.push(member.told(&self.ending, now)),
                 Some(_) => {}
                 None => match self.withheld.get(name) {
                     Some(backend) => found.push(backend.clone()),
@@ -428,6 +438,9 @@
             known.map(|m| &m.backend).is_some_and(|known| {
                 let listed = Backend {
                     cold: known.cold,
+                    time_left: backend
+                        .time_left
+                        .map(|left| known.time_left.unwrap_or(left)),
                     leaving: backend.leaving || self.departures.contains(backend),
                     ..backend.clone()
                 };
--- a/standin/src/crowd.rs
+++ b/standin/src/crowd.rs
@@ -53,6 +53,7 @@
         slots: 12,
         price: 0.0,
         leaving: false,
+        time_left: None,
         headers: Default::default(),
         cold: Millis(0),
         incarnation: None,
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -76,6 +76,7 @@
         slots: 64,
         price: 0.0,
         leaving: false,
+        time_left: None,
         headers: Default::default(),
         release: None,
         cold,
--- a/tests/fleet_changes.rs
+++ b/tests/fleet_changes.rs
@@ -21,6 +21,7 @@
         slots: 4,
         price: 0.0,
         leaving: false,
+        time_left: None,
         headers: Default::default(),
         release: None,
         cold: Millis(cold),
--- a/tests/store_news.rs
+++ b/tests/store_news.rs
@@ -62,6 +62,7 @@
         slots: 4,
         price: 0.0,
         leaving,
+        time_left: None,
         headers: Default::default(),
         release: None,
         cold: Millis(0),
