Let runs go on at another engine when theirs leaves

Operators' engines that are withdrawn say how long they still run; what streamed there was lost where its route may not be resumed, and read anew in full where it may.

The box that holds a request now has the run's memory copied to another engine while the run goes on, has the run stopped and the rest copied, and sends the request on with the copy, within the same answer. It is sent nowhere before the engine has said that the run is stopped; a lost answer is asked for once more and then nothing is sent. Refused copies leave the run alone, a stopped run without room elsewhere goes back to the engine that keeps its memory, and copies that serve nobody are freed. A continued run is the same run: no attempt, retry budget or allotment is taken.

Only where the operator's configuration says that engines move runs, and an engine says how long it still runs; elsewhere nothing changes.

The oracle of the reducer fuzz names the new effects and ignores them, as it does others.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -106,6 +106,9 @@
         let headers = request.headers_mut();
         headers.insert(platform::head::LAST_EVENT, head::value(last));
     }
+    if let Some(origin) = &send.continues {
+        platform::head::go_on(request.headers_mut(), origin);
+    }
     let distance = match send.target {
         Target::Backend { .. } => Distance::Near,
         Target::Relay { .. } | Target::Pass { .. } => Distance::Far,
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -119,6 +119,14 @@
     Left,
 }
 
+/// How a stream that left its place goes on.
+enum Onward {
+    Goes,
+    /// It had come to its end.
+    Whole,
+    Nowhere,
+}
+
 /// When the pieces of an answer came.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -167,15 +175,17 @@
     lease: Option<Lease>,
     core: Handle,
     orders: mpsc::UnboundedReceiver<Order>,
-    source: Source,
+    pub(super) source: Source,
     /// Whether the end of the connection is not the end of the answer.
     framed: bool,
+    /// Whether the answer ends with its connection.
+    closes: bool,
     stall: Pin<Box<Sleep>>,
     pace: Pace,
     /// Its word on the backend server that brings it, where this box listens to that.
     pub(crate) pulse: Option<Pulse>,
     /// What it needs to go on at another place, where it may.
-    resume: Option<Box<Resume>>,
+    pub(super) resume: Option<Box<Resume>>,
     /// Whether it is on its way to another place.
     moving: bool,
     done: bool,
@@ -194,6 +204,7 @@
     ) -> Self {
         Self {
             framed,
+            closes: !is_framed(&found.response),
             pulse: None,
             pace: Pace::begin(came),
             incoming: found.response.into_body(),
@@ -226,8 +237,11 @@
 
     /// The next piece; the one who reads it calls [`Stream::end`] at the end.
     pub(crate) fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Piece> {
-        while let Poll::Ready(Some(order)) = self.orders.poll_recv(cx) {
+        while !self.is_leaving()
+            && let Poll::Ready(Some(order)) = self.orders.poll_recv(cx)
+        {
             let crossed = match order {
+                Order::Stopping | Order::Send(_) => self.stop(order),
                 Order::Leave if self.resume.is_some() => return Poll::Ready(Piece::Left),
                 Order::Abort | Order::Leave => self.stay(),
                 _ => false,
@@ -238,6 +252,12 @@
         }
         loop {
             match Pin::new(&mut self.incoming).poll_frame(cx) {
+                Poll::Pending if self.is_leaving() => {
+                    let resume = self.resume.as_mut();
+                    let stop = resume.map(|resume| &mut resume.stop);
+                    ready!(stop.map_or(Poll::Ready(()), |stop| stop.poll_over(cx)));
+                    return Poll::Ready(Piece::Left);
+                }
                 Poll::Pending => {
                     ready!(self.stall.as_mut().poll(cx));
                     return Poll::Ready(Piece::Cut);
@@ -281,25 +301,38 @@
             if self.done {
                 return Poll::Ready(None);
             }
-            if self.moving && !ready!(self.poll_move(cx)) {
-                self.end(false);
-                return Poll::Ready(Some(Err(Cut)));
+            if self.moving {
+                match ready!(self.poll_move(cx)) {
+                    Onward::Goes => {}
+                    Onward::Whole => return Poll::Ready(self.finish().map(Ok)),
+                    Onward::Nowhere => {
+                        self.end(false);
+                        return Poll::Ready(Some(Err(Cut)));
+                    }
+                }
             }
             let next = match ready!(self.poll_piece(cx)) {
                 Piece::Data(bytes) => self.data(bytes).map(Ok),
-                Piece::End => {
-                    self.end(true);
-                    let rest = self.resume.as_mut().map(|r| r.events.rest());
-                    rest.filter(|rest| !rest.is_empty()).map(Ok)
+                Piece::End if self.closes && self.is_stopping() => {
+                    self.leave();
+                    if !self.set_off() {
+                        let Source { request, attempt } = self.source;
+                        self.core.tell(Event::Closed { request, attempt });
+                    }
+                    None
                 }
-                Piece::Cut if self.resume.is_some() => {
+                Piece::End => self.finish().map(Ok),
+                Piece::Cut if self.resume.as_ref().is_some_and(|r| r.outlives_cut()) => {
                     self.leave();
-                    let Source { request, attempt } = self.source;
-                    self.core.tell(Event::Broke { request, attempt });
+                    if !self.set_off() {
+                        let Source { request, attempt } = self.source;
+                        self.core.tell(Event::Broke { request, attempt });
+                    }
                     None
                 }
                 Piece::Left => {
                     self.leave();
+                    self.set_off();
                     None
                 }
                 Piece::Cut | Piece::Stopped => {
@@ -330,15 +363,12 @@
     fn leave(&mut self) {
         self.lease = None;
         self.moving = true;
-        if let Some(resume) = &mut self.resume {
-            resume.events.forget_partial();
-        }
     }
 
-    /// Goes on at another place; false where there is none.
-    fn poll_move(&mut self, cx: &mut Context<'_>) -> Poll<bool> {
+    /// Goes on at another place, or finds out that there is none or no need.
+    fn poll_move(&mut self, cx: &mut Context<'_>) -> Poll<Onward> {
         let Some(resume) = &mut self.resume else {
-            return Poll::Ready(false);
+            return Poll::Ready(Onward::Nowhere);
         };
         let request = self.source.request;
         loop {
@@ -352,13 +382,16 @@
                     resume.abort();
                     continue;
                 }
-                Poll::Ready(_) => return Poll::Ready(false),
+                Poll::Ready(Some(Order::Stopping)) => continue,
+                Poll::Ready(Some(Order::Close)) => return Poll::Ready(Onward::Whole),
+                Poll::Ready(_) => return Poll::Ready(Onward::Nowhere),
                 Poll::Pending => {}
             }
             let attempt = self.source.attempt;
             match ready!(resume.poll(cx)) {
                 Next::Found(found) => {
                     self.core.tell(Event::Begun { request, attempt });
+                    self.closes = !is_framed(&found.response);
                     self.incoming = found.response.into_body();
                     self.lease = Some(found.lease);
                     let now = Moment::now();
@@ -367,7 +400,7 @@
                     }
                     self.stall.as_mut().reset(Instant::now() + STALL);
                     self.moving = false;
-                    return Poll::Ready(true);
+                    return Poll::Ready(Onward::Goes);
                 }
                 Next::Missed(verdict, cause) => self.core.tell(Event::Failed {
                     request,
--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -44,6 +44,10 @@
     Abort,
     /// Let the stream leave its place; where it goes on comes next.
     Leave,
+    /// The run is to be stopped: the stream may end before the rest of it comes elsewhere.
+    Stopping,
+    /// The stream whose connection closed had come to its end.
+    Close,
     /// Answer with this.
     Reply(Reply),
     /// Answer with the kept answer of another request.
@@ -368,6 +372,15 @@
             Effect::Send(send) => self.order(send.request, Order::Send(Box::new(send))),
             Effect::Abort { request, .. } => self.order(request, Order::Abort),
             Effect::Leave { request, .. } => self.order(request, Order::Leave),
+            Effect::Move(order) => {
+                if order.last {
+                    self.order(order.request, Order::Stopping);
+                }
+                self.move_run(order);
+            }
+            Effect::Free(origin) => self.free_copy(origin),
+            Effect::Close { request, .. } => self.order(request, Order::Close),
+            Effect::Carried(_) => {}
             Effect::Knock { backend, address } => self.knock(backend, address),
             Effect::Keep(held) => self.keep(Write::Keep(held)),
             Effect::Discard(content) => self.keep(Write::Discard(content)),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -294,7 +294,7 @@
         };
         let send = match order {
             Order::Send(send) => *send,
-            Order::Abort | Order::Leave => continue,
+            Order::Abort | Order::Leave | Order::Stopping | Order::Close => continue,
             Order::Reply(reply) => {
                 let (send, found) = error.ok_or(reply)?;
                 return Ok(stream(&shell, &prepared, &send, *found, orders));
@@ -377,8 +377,9 @@
     let core = shell.core.clone();
     // On the platform a connection that is closed, and not reset, ends an answer without length.
     let framed = platform || is_framed(&found.response);
-    let resumable = send.resumable && !found.response.headers().contains_key(CONTENT_LENGTH);
-    let resume = resumable.then(|| Resume::new(shell.clone(), prepared.clone()));
+    let goes_on = send.resumable || send.movable;
+    let goes_on = goes_on && !found.response.headers().contains_key(CONTENT_LENGTH);
+    let resume = goes_on.then(|| Resume::new(shell.clone(), prepared.clone(), send.resumable));
     let pulse = shell.signs.pulse(&send.target);
     let came = prepared.came;
     let mut stream = Stream::new(found, core, orders, source, framed, came, resume);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,9 @@
 //! What the box counts, for prometheus; docs/operate.md says when to worry.
 
-use crate::reducer::status::{Allotted, Rollout};
+use crate::reducer::{
+    effect::{Carried, End},
+    status::{Allotted, Rollout},
+};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder, core::Collector as _,
@@ -28,6 +31,12 @@
     pub allotments: IntGaugeVec,
     /// Attempts whose connection to a backend server broke, by whether the answer had begun.
     pub broken: IntCounterVec,
+    /// Runs that were to move to another engine, by how that ended.
+    pub moves: IntCounterVec,
+    /// Tokens of their prompts.
+    pub moved_tokens: IntCounterVec,
+    /// Seconds from the decision to move a run until its stream went on.
+    pub move_seconds: Histogram,
     /// Contents that were struck, held back or cleared.
     pub quarantine: IntCounterVec,
     /// How roll-outs stand that are not over: answers since the order, by service, release and kind.
@@ -190,6 +199,20 @@
                 "Attempts whose connection to a backend server broke.",
                 &["answer"],
             )?,
+            moves: counters(
+                "moves_total",
+                "Runs that were to move to another engine, by how that ended.",
+                &["end"],
+            )?,
+            moved_tokens: counters(
+                "moved_prompt_tokens_total",
+                "Tokens of the prompts of these runs.",
+                &["end"],
+            )?,
+            move_seconds: histogram(
+                "move_seconds",
+                "Seconds from the decision to move a run until its stream went on.",
+            )?,
             quarantine: counters(
                 "quarantine_steps_total",
                 "Contents under which backend servers ended: struck, held back, cleared.",
@@ -274,6 +297,18 @@
         })
     }
 
+    /// Counts a run that was to move.
+    pub(crate) fn count_move(&self, carried: &Carried) {
+        let label = [carried.end.name()];
+        self.moves.with_label_values(&label).inc();
+        let tokens = self.moved_tokens.with_label_values(&label);
+        tokens.inc_by(u64::from(carried.tokens));
+        if matches!(carried.end, End::There | End::Back) {
+            let took = carried.took.duration().as_secs_f64();
+            self.move_seconds.observe(took);
+        }
+    }
+
     /// Counts what goes to another box.
     pub fn count_sent(&self, kind: &str, bytes: usize) {
         self.count_gossip("sent", kind, bytes);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod ask;
 mod attempt;
 mod body;
+mod carry;
 pub mod clock;
 mod core;
 pub(crate) mod dial;
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -4,7 +4,7 @@
     gateway::core::Core,
     id,
     reducer::{
-        effect::{Effect, Reply, Send as SendOrder, Target},
+        effect::{Effect, Move, Reply, Send as SendOrder, Target},
         event::{Event, Timing},
     },
 };
@@ -81,6 +81,7 @@
                 let label = if begun.is_some() { "begun" } else { "waiting" };
                 return metrics.broken.with_label_values(&[label]).inc();
             }
+            Effect::Carried(carried) => return metrics.count_move(carried),
             Effect::Quarantine(step) => {
                 return metrics.quarantine.with_label_values(&[step.name()]).inc();
             }
@@ -191,6 +192,25 @@
                     ),
                 );
             }
+            Effect::Move(order) => {
+                let Move {
+                    attempt,
+                    from,
+                    to,
+                    last,
+                    left,
+                    tokens,
+                    ..
+                } = order;
+                self.log_request(
+                    order.request,
+                    format_args!(
+                        "moves attempt={} from={}@{} to={}@{} last={last} left={left} tokens={tokens}",
+                        attempt.0, from.name, from.address, to.name, to.address
+                    ),
+                );
+            }
+            Effect::Carried(carried) => self.log_request(carried.request, carried),
             Effect::Leave { request, attempt } => {
                 self.log_request(
                     *request,
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -13,6 +13,7 @@
     gateway::{
         Shell,
         attempt::{Found, Miss, Prepared, try_once},
+        carry::Stop,
         signs::Pulse,
     },
     reducer::{effect::Send, event::Cause},
@@ -101,21 +102,33 @@
     shell: Arc<Shell>,
     prepared: Arc<Prepared>,
     pub(crate) events: Events,
+    /// Whether it may go on after a cut; else only where its run is stopped for that.
+    after_cut: bool,
+    pub(crate) stop: Stop,
     attempt: Option<JoinHandle<Result<Found, Miss>>>,
 }
 
 impl Resume {
-    pub(crate) fn new(shell: Arc<Shell>, prepared: Arc<Prepared>) -> Self {
+    pub(crate) fn new(shell: Arc<Shell>, prepared: Arc<Prepared>, after_cut: bool) -> Self {
         Self {
             shell,
             prepared,
             events: Events::default(),
+            after_cut,
+            stop: Stop::default(),
             attempt: None,
         }
     }
 
+    /// Whether the stream may go on after a cut as things stand.
+    pub(crate) fn outlives_cut(&self) -> bool {
+        self.after_cut || self.stop.is_asked()
+    }
+
     /// Tries to go on as ordered; returns the stream's word on the next backend server.
     pub(crate) fn start(&mut self, send: Send) -> Option<Pulse> {
+        self.stop = Stop::default();
+        self.events.forget_partial();
         let pulse = self.shell.signs.pulse(&send.target);
         let (shell, prepared) = (self.shell.clone(), self.prepared.clone());
         let last = self.events.last().map(str::to_owned);
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -4,8 +4,10 @@
 //! |---|---|
 //! | [`prompt`] | what a caller tells of its prompt |
 //! | [`cache`] | which engines hold which parts of prompts |
+//! | [`moved`] | a run's memory at another engine |
 
 pub mod cache;
+pub mod moved;
 pub mod prompt;
 
 use std::{fmt, str::FromStr};
--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -62,7 +62,7 @@
 
     /// Whether `name` is cold, as far as this box can know. One that hears nobody takes all servers for
     /// cold: a cold server got 23 requests in a second from one such box, where 17.5 were allowed.
-    fn counts_as_cold(&self, now: Time, name: &id::Backend) -> bool {
+    pub(super) fn counts_as_cold(&self, now: Time, name: &id::Backend) -> bool {
         self.fleet.is_cold(name, now) || self.hears_nobody(now)
     }
 
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -174,6 +174,8 @@
         self.note_alone(now, out);
         self.chase_roster(now, out);
         self.ask_caches(now, out);
+        self.call_again(now, out);
+        self.move_runs(now, out);
         self.detect_failed(now, out);
         self.move_stalled(now, out);
         self.drain_all(now, out);
@@ -399,6 +401,7 @@
         for name in self.fleet.take_reborn() {
             self.forget_life(&name, out);
         }
+        self.move_runs(now, out);
         self.drain_all(now, out);
     }
 
--- a/src/reducer/detect.rs
+++ b/src/reducer/detect.rs
@@ -80,7 +80,8 @@
             };
             let load = loads.entry(name.clone()).or_default();
             load.attempts.push((*request, *attempt));
-            load.streams += usize::from(begun.is_some() && job.stream);
+            // One that is being stopped is silent for that.
+            load.streams += usize::from(begun.is_some() && job.stream && !job.is_stopping());
         }
         for load in loads.values_mut() {
             load.attempts.sort_unstable();
@@ -105,6 +106,9 @@
             return;
         }
         let job = &self.jobs[&request];
+        if held.has_begun() && job.is_stopping() {
+            return;
+        }
         let may_go = if held.has_begun() {
             job.resumable
         } else {
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -108,7 +108,12 @@
         };
         let service = job.service.clone();
         let anonymous = self.is_anonymous(&job.ask.customer);
-        let reading = self.reading(now, job, &place);
+        let continues = job.origin();
+        let movable = self.is_movable(job, &place);
+        // A run that goes on brings its memory with it.
+        let reading = self
+            .reading(now, job, &place)
+            .filter(|_| continues.is_none());
         let work = reading.map_or(0, |r| r.tokens);
         let expected = self.count_send(now, &service, &place, work);
         if let (Place::Backend(name), Some(reading)) = (&place, &reading) {
@@ -119,7 +124,7 @@
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
-        job.attempts += 1;
+        job.attempts += u32::from(continues.is_none());
         job.judged = false;
         job.tried.push(place.clone());
         job.stage = Stage::Sent {
@@ -130,7 +135,9 @@
             expected,
             begun: None,
         };
-        self.book_run(now, request);
+        if continues.is_none() {
+            self.book_run(now, request);
+        }
         let Some(job) = self.jobs.get(&request) else {
             return;
         };
@@ -143,6 +150,8 @@
             route: job.line.clone(),
             repeatable: job.repeatable,
             resumable: job.resumable,
+            movable,
+            continues,
             priority: job.priority,
             runs: match relayed {
                 true => job.lent(),
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -1,5 +1,6 @@
 //! What the reducer wants done.
 
+mod carry;
 mod note;
 
 use std::{fmt, net::SocketAddr, sync::Arc};
@@ -9,6 +10,7 @@
     content::Fingerprint,
     fleet::Revision,
     id::{self, Incarnation, Region, Service},
+    memory::moved::Origin,
     quarantine::{self, Held},
     rollout::{Order, Standing},
     unit::{Millis, Rate, Time},
@@ -16,6 +18,7 @@
     wire::{Contact, Frame},
 };
 
+pub use carry::{Carried, End, Move, Site};
 pub use note::{Alarm, Note, Step};
 
 /// Where an attempt goes.
@@ -65,6 +68,10 @@
     pub repeatable: bool,
     /// Whether another place may continue its stream after a cut.
     pub resumable: bool,
+    /// Whether another engine may continue its stream with the memory of its run.
+    pub movable: bool,
+    /// Where its run goes on from, where it is not a new one.
+    pub continues: Option<Origin>,
     /// Its rank among the requests of a backend server.
     pub priority: u8,
     /// Backend servers that may still run it, this attempt's included.
@@ -245,6 +252,19 @@
         /// The attempt.
         attempt: id::Attempt,
     },
+    /// Move the memory of a run to another engine.
+    Move(Move),
+    /// Free a copy of a run's memory, at both engines.
+    Free(Origin),
+    /// End an answer whole whose connection closed while its run was to be stopped.
+    Close {
+        /// The request.
+        request: id::Request,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// Write down what became of a run that was to move.
+    Carried(Carried),
     /// Write down that the connection of an attempt to its backend server broke.
     Broken {
         /// The request.
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -8,7 +8,10 @@
     fleet::{self, Revision, Rollouts},
     id::{self, Domain, Incarnation, Region, Service},
     limit,
-    memory::prompt::{Part, Prompt},
+    memory::{
+        moved::Moved,
+        prompt::{Part, Prompt},
+    },
     pin, pushback, retry,
     settings::Seed,
     unit::{Millis, Time},
@@ -212,6 +215,24 @@
         /// The attempt that brought it.
         attempt: id::Attempt,
     },
+    /// The connection of a stream closed while its run was to be stopped; that may be its end.
+    Closed {
+        /// The request.
+        request: id::Request,
+        /// The attempt that brought it.
+        attempt: id::Attempt,
+    },
+    /// An engine was asked to move a run.
+    Moved {
+        /// The request.
+        request: id::Request,
+        /// The attempt that brings its answer.
+        attempt: id::Attempt,
+        /// The engine's listener.
+        from: SocketAddr,
+        /// What came of it.
+        result: Moved,
+    },
     /// An attempt brought no answer.
     Failed {
         /// The request.
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -6,7 +6,7 @@
     id::{self, Service},
     memory::prompt::Prompt,
     policy::Place,
-    reducer::event::Hop,
+    reducer::{event::Hop, moving::Transfer},
     unit::{Millis, Time},
     verdict::Verdict,
 };
@@ -101,6 +101,10 @@
     /// over.
     pub(super) position: Option<usize>,
     pub(super) stage: Stage,
+    /// How far its run has come on its way to another engine.
+    pub(super) transfer: Option<Transfer>,
+    /// Engines that were asked to take it; each is asked once.
+    pub(super) refuges: Vec<id::Backend>,
     /// Whether the answer of the attempt in hand was counted for or against its release.
     pub(super) judged: bool,
 }
@@ -134,6 +138,8 @@
             booking: None,
             position: None,
             stage: Stage::Waiting,
+            transfer: None,
+            refuges: vec![],
             judged: false,
         }
     }
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -170,6 +170,8 @@
             route: job.line.clone(),
             repeatable: false,
             resumable: false,
+            movable: false,
+            continues: None,
             priority: job.priority,
             runs: job.runs,
             record: false,
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -17,6 +17,7 @@
 //! | `line` | who waits, and who goes first |
 //! | `tally` | how the region uses its backend servers, told through hubs |
 //! | `reading` | long prompts, and what the boxes tell each other of them |
+//! | `moving` | runs that go on at another engine when theirs leaves |
 //! | `stall` | attempts that stay silent for too long |
 //! | `detect` | backend servers that failed without a word |
 //! | `suspect` | content that ends backend servers, and what the boxes tell each other of it |
@@ -52,6 +53,7 @@
 mod key;
 mod limit;
 mod line;
+mod moving;
 mod news;
 mod outcome;
 mod place;
@@ -236,6 +238,13 @@
                 ..
             } => self.ended(now, request, attempt, whole, &mut out),
             Event::Broke { request, attempt } => self.broke(now, request, attempt, &mut out),
+            Event::Closed { request, attempt } => self.closed(now, request, attempt, &mut out),
+            Event::Moved {
+                request,
+                attempt,
+                from,
+                result,
+            } => self.moved(now, request, attempt, from, result, &mut out),
             Event::Failed {
                 request,
                 attempt,
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -10,6 +10,7 @@
         event::Cause,
         job::{SOON, Spot, Stage},
         key::key_phase,
+        moving::Stream,
     },
     retry,
     unit::{Millis, Time},
@@ -78,6 +79,7 @@
         if let Stage::Sent { begun, .. } = &mut job.stage {
             *begun = Some(now);
         }
+        out.extend(job.arrive(request, now));
         if !job.bounded {
             self.deadlines.remove(&(job.deadline, request));
         }
@@ -102,9 +104,10 @@
             // Its server may have ended, though nobody may go on with the answer.
             self.suspect(now, request, &held, out);
         }
-        let Some(job) = self.jobs.remove(&request) else {
+        let Some(mut job) = self.jobs.remove(&request) else {
             return;
         };
+        out.extend(job.drop_copy(request));
         if whole {
             self.exonerate(now, job.content, out);
         }
@@ -162,6 +165,10 @@
         let spot = held.spot;
         self.judge_failed(request, &spot, cause);
         self.blame(now, &spot, cause);
+        if self.go_back(now, request, verdict, out) {
+            return;
+        }
+        let verdict = self.lose_copy(request, verdict, out);
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
@@ -207,6 +214,9 @@
         attempt: id::Attempt,
         out: &mut Vec<Effect>,
     ) {
+        if self.await_move(request, attempt, Stream::Cut) {
+            return;
+        }
         if self
             .in_hand(request, attempt)
             .is_some_and(|held| held.has_begun())
@@ -274,9 +284,10 @@
             return;
         }
         self.withdraw(request, out);
-        let Some(job) = self.jobs.remove(&request) else {
+        let Some(mut job) = self.jobs.remove(&request) else {
             return;
         };
+        out.extend(job.drop_copy(request));
         self.give_back(&job);
         self.deadlines.remove(&(job.deadline, request));
         if job.owns_key {
@@ -315,9 +326,10 @@
 
     /// Gives a request its final answer and forgets it.
     pub(super) fn finish(&mut self, request: id::Request, reply: Reply, out: &mut Vec<Effect>) {
-        let Some(job) = self.jobs.remove(&request) else {
+        let Some(mut job) = self.jobs.remove(&request) else {
             return;
         };
+        out.extend(job.drop_copy(request));
         self.give_back(&job);
         self.deadlines.remove(&(job.deadline, request));
         let reply = Reply {
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -57,7 +57,7 @@
 }
 
 /// A number that is drawn anew for each request and place.
-fn drawn(draw: u64, place: &Place) -> u64 {
+pub(super) fn drawn(draw: u64, place: &Place) -> u64 {
     let name = match place {
         Place::Backend(name) => name.as_str(),
         Place::Region(region) => region.as_str(),
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -90,6 +90,7 @@
         self.release(held, None);
         self.blame(now, &held.spot, Cause::Silent);
         if let Some(job) = self.jobs.get_mut(&request) {
+            out.extend(job.drop_copy(request));
             job.ran_at(&held.spot);
             job.moved |= held.has_begun();
             job.stage = Stage::Waiting;
--- a/tests/harness/engines.rs
+++ b/tests/harness/engines.rs
@@ -58,6 +58,11 @@
 
     /// The box of this name.
     pub fn at(name: &str, engines: Vec<Backend>) -> Self {
+        Self::configured(name, CONFIG, engines)
+    }
+
+    /// The same, by this configuration.
+    pub fn configured(name: &str, config: &str, engines: Vec<Backend>) -> Self {
         let identity = Identity {
             contact: contact(name, "atl", 10),
             incarnation: Incarnation(1),
@@ -73,7 +78,7 @@
             now: Time(0),
             requests: 0,
         };
-        let envelope = record::envelope(CONFIG.into()).expect("it reads");
+        let envelope = record::envelope(config.into()).expect("it reads");
         let config = Arc::new(record::config(&envelope, &places()).expect("it reads"));
         let source = Source::Store;
         world.step(Event::Offered { config, source });
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -272,6 +272,10 @@
             | Effect::Rollout(_)
             | Effect::Keep(_)
             | Effect::Discard(_)
+            | Effect::Move(_)
+            | Effect::Free(_)
+            | Effect::Close { .. }
+            | Effect::Carried(_)
             | Effect::Alarm(_) => {}
         }
     }
