--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`platform`] | the list of live and leaving boxes, and the client directory |
 //! | [`registry`] | the users' platform's store |
 //! | [`worker`] | a backend server of the users' platform that gets things wrong |
+//! | [`runs`] | what such a server knows of its streams that may move to another |
 //! | [`engine`] | a model engine (OpenAI-style, SSE) |
 //! | [`app`] | an application service that counts what it ran |
 //! | [`collector`] | a trace collector that counts the spans it was sent |
@@ -29,6 +30,7 @@
 pub mod platform;
 pub mod registry;
 pub mod releases;
+pub mod runs;
 pub mod store;
 pub mod system;
 pub mod worker;
--- /dev/null
+++ b/standin/src/runs.rs
@@ -0,0 +1,196 @@
+//! Streams of a model engine of the users' platform that move to another engine, with their memory.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{
+        Arc, LazyLock, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use serde_json::{Value, json};
+use tokio::time::sleep;
+
+use crate::worker::Seen;
+
+/// Copies by the engine that a run came from and their handles. Engines share memory only by them.
+static COPIES: LazyLock<Mutex<HashMap<(SocketAddr, String), Copy>>> = LazyLock::new(Mutex::default);
+
+/// How the engine takes calls to move a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Way {
+    /// As it should.
+    #[default]
+    Good,
+    /// There is no room at the target for the last part.
+    LastRefused,
+    /// The answer to the call that stops a run comes when that has long ended.
+    LastLate,
+    /// The answer to the first call that stops a run is lost.
+    LastLost,
+}
+
+/// A copy of a run's memory.
+#[derive(Clone, Debug)]
+struct Copy {
+    run: String,
+    /// The engine that holds it; none where it does not hold all.
+    target: Option<SocketAddr>,
+    /// Whether the run has stopped, so that it may go on.
+    stopped: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    stopped: AtomicBool,
+    events: AtomicU32,
+}
+
+/// A run, while its stream lasts.
+pub(crate) struct Run {
+    id: String,
+    state: Arc<State>,
+    runs: Arc<Runs>,
+}
+
+impl Run {
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.state.stopped.load(Relaxed)
+    }
+
+    pub(crate) fn made(&self, event: u32) {
+        self.state.events.store(event, Relaxed);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.runs.lock().remove(&self.id);
+    }
+}
+
+/// The runs of one engine.
+#[derive(Debug, Default)]
+pub struct Runs {
+    running: Mutex<BTreeMap<String, Arc<State>>>,
+    way: Mutex<Way>,
+    freed: Mutex<Vec<String>>,
+    calls: AtomicU32,
+}
+
+impl Runs {
+    /// It takes calls in this way from now on.
+    pub fn take(&self, way: Way) {
+        *self.way.lock().expect("the lock is never poisoned") = way;
+    }
+
+    /// The handles that were freed here.
+    pub fn freed(&self) -> Vec<String> {
+        let freed = self.freed.lock().expect("the lock is never poisoned");
+        freed.clone()
+    }
+
+    /// Calls to move a run so far.
+    pub fn calls(&self) -> u32 {
+        self.calls.load(Relaxed)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<State>>> {
+        self.running.lock().expect("the lock is never poisoned")
+    }
+
+    pub(crate) fn begin(self: &Arc<Self>, id: &str) -> Run {
+        let state = Arc::<State>::default();
+        self.lock().insert(id.to_owned(), state.clone());
+        Run {
+            id: id.to_owned(),
+            state,
+            runs: self.clone(),
+        }
+    }
+
+    /// Whether a request may run here: one that goes on needs its copy, which serves once.
+    pub(crate) fn admit(&self, here: SocketAddr, headers: &BTreeMap<String, String>) -> bool {
+        let Some((source, handle)) = headers.get("kv-from").and_then(|f| f.split_once('/')) else {
+            return true;
+        };
+        let Ok(source) = source.parse::<SocketAddr>() else {
+            return false;
+        };
+        let key = (source, handle.to_owned());
+        let mut copies = COPIES.lock().expect("the lock is never poisoned");
+        let fits = copies.get(&key).is_some_and(|copy| {
+            let place = source == here || copy.target == Some(here);
+            let last = headers.contains_key("last-event-id");
+            place && last && copy.stopped && headers.get("request-id") == Some(&copy.run)
+        });
+        if fits {
+            copies.remove(&key);
+        }
+        fits
+    }
+
+    /// Answers a call about runs; none for a request of another kind.
+    pub(crate) async fn call(&self, here: SocketAddr, request: &Seen) -> Option<String> {
+        let path = request.line.split(' ').nth(1)?;
+        if let Some(handle) = path.strip_prefix("/v1/kv-handle/") {
+            let key = (here, handle.to_owned());
+            let mut copies = COPIES.lock().expect("the lock is never poisoned");
+            let known = copies.remove(&key).is_some();
+            let mut freed = self.freed.lock().expect("the lock is never poisoned");
+            freed.push(handle.to_owned());
+            return Some(answer(if known { 200 } else { 404 }, &json!({})));
+        }
+        if path != "/v1/kv-move" {
+            return None;
+        }
+        self.calls.fetch_add(1, Relaxed);
+        let content: Value = serde_json::from_slice(&request.body).ok()?;
+        let last = content["last"] == json!(true);
+        let way = *self.way.lock().expect("the lock is never poisoned");
+        if last && way == Way::LastLate {
+            sleep(Duration::from_millis(1500)).await;
+        }
+        let run = content["id"].as_str()?.to_owned();
+        let handle = format!("h-{run}");
+        let Some(state) = self.lock().get(&run).cloned() else {
+            let known = COPIES.lock().expect("the lock is never poisoned");
+            // A run that was stopped keeps its copy.
+            let stopped = known
+                .get(&(here, handle.clone()))
+                .is_some_and(|c| c.stopped);
+            let content = json!({ "handle": handle, "created": 0 });
+            return Some(match stopped {
+                true => answer(200, &content),
+                false => answer(404, &json!({})),
+            });
+        };
+        let refused = last && way == Way::LastRefused;
+        let target = content["targetVersion"].as_str()?.parse().ok();
+        let copy = Copy {
+            run,
+            target: target.filter(|_| !refused),
+            stopped: last,
+        };
+        state.stopped.fetch_or(last, Relaxed);
+        let key = (here, handle.clone());
+        let mut copies = COPIES.lock().expect("the lock is never poisoned");
+        copies.insert(key, copy);
+        drop(copies);
+        if last && way == Way::LastLost {
+            self.take(Way::Good);
+            return Some(answer(500, &json!({})));
+        }
+        let events = state.events.load(Relaxed);
+        let content = json!({ "handle": handle, "created": events });
+        Some(answer(if refused { 503 } else { 200 }, &content))
+    }
+}
+
+fn answer(status: u16, content: &Value) -> String {
+    let content = content.to_string();
+    let length = content.len();
+    format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{content}")
+}
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -12,6 +12,7 @@
     time::{Duration, Instant},
 };
 
+use crate::runs::Runs;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -67,6 +68,8 @@
     said: Arc<Mutex<BTreeMap<&'static str, String>>>,
     /// How it answers whatever a request asks for.
     always: Arc<Mutex<Option<String>>>,
+    /// The streams that run here, and their copies.
+    pub runs: Arc<Runs>,
     /// How far the end of the process has come.
     end: watch::Sender<End>,
 }
@@ -84,6 +87,7 @@
             arrivals: Arc::default(),
             said: Arc::default(),
             always: Arc::default(),
+            runs: Arc::default(),
             end: watch::Sender::new(End::None),
         };
         let served = worker.clone();
@@ -190,6 +194,10 @@
                 self.note(request);
                 continue;
             }
+            if let Some(answer) = self.runs.call(self.address, &request).await {
+                stream.write_all(answer.as_bytes()).await?;
+                continue;
+            }
             let id = request.headers.get("request-id").cloned();
             let always = self
                 .always
@@ -201,9 +209,14 @@
             let last = request.headers.get("last-event-id");
             let last: u32 = last.and_then(|l| l.parse().ok()).unwrap_or(0);
             let mine = request.headers.get("target-instance") == Some(&self.name);
+            let admitted = self.runs.admit(self.address, &request.headers);
             self.note(request);
             let id = id.unwrap_or_default();
-            let mode = if mine { mode.as_str() } else { "replaced" };
+            let mode = match (mine, admitted) {
+                (false, _) => "replaced",
+                (true, false) => "full",
+                (true, true) => mode.as_str(),
+            };
             if !self.answer(&mut stream, &id, mode, last).await? {
                 return Ok(());
             }
@@ -317,13 +330,18 @@
         let start =
             format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         stream.write_all(start.as_bytes()).await?;
+        let run = self.runs.begin(id);
         for number in last + 1..=end {
+            if run.is_stopped() {
+                return Ok(false);
+            }
             let event = format!("id: {number}\ndata: {}\n\n", self.name);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
                 self.note_left(id);
                 return Ok(false);
             }
+            run.made(number);
             sleep(Duration::from_millis(50)).await;
         }
         if end < EVENTS {
--- /dev/null
+++ b/tests/moved_streams.rs
@@ -0,0 +1,158 @@
+//! A stream whose engine leaves goes on at another engine: its caller sees one whole answer.
+
+mod harness;
+
+use std::time::Duration;
+
+use harness::{
+    cloud::{Cloud, HOST},
+    eventually,
+};
+use hyper::Method;
+use petreldrum_standin::{
+    http::{Answer, call},
+    runs::Way,
+    worker::EVENTS,
+};
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Time for a stream to begin and to bring some events.
+const SOME_EVENTS: Duration = Duration::from_millis(250);
+
+/// A box before engine `i-1`, and a route whose streams may neither be repeated nor resumed.
+async fn one_engine() -> Cloud {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    let content = json!({
+        "version": 2,
+        "routes": [{
+            "name": "r", "host": HOST, "pathPrefix": "/flow/", "kind": "streaming", "timeoutMs": 6000,
+            "targetLatencyMs": 800, "priority": 0, "service": "app", "maxAttempts": 1,
+            "resumable": false, "gapAimMs": 600, "homeRegions": [],
+        }],
+        "services": [{
+            "name": "app", "healthPath": "/health", "coldPerS": 0.0,
+            "engine": { "kvTokens": 90000, "kvBytes": 35136, "linkMbps": 550000, "moves": true, "handle_s": 6 },
+        }],
+        "limits": {},
+    });
+    cloud.registry.put("op/config", &content);
+    eventually("the route is in force", || async {
+        cloud.boxes[0]
+            .send("/flow/x", "first", "")
+            .await
+            .status
+            .is_success()
+    })
+    .await;
+    cloud
+}
+
+/// Engine `i-1` says that it ends soon.
+fn withdraw(cloud: &Cloud) {
+    let content = json!({
+        "service": "app", "address": cloud.workers["i-1"].address, "zone": "atl-a", "version": "v1",
+        "slots": 8, "state": "draining", "coldRemainingMs": 0, "sequence": 2, "timeLeftMs": 2500,
+    });
+    cloud.registry.put("servers/i-1", &content);
+}
+
+/// A stream that begins at `i-1`, which is withdrawn before `i-2`, and takes calls in this way.
+async fn moved(way: Way) -> (Cloud, Answer) {
+    let mut cloud = one_engine().await;
+    let begun = cloud.boxes[0].begin("/flow/x", "one", "stream").await;
+    sleep(SOME_EVENTS).await;
+    cloud.workers["i-1"].runs.take(way);
+    cloud.add_worker("i-2", "atl").await;
+    sleep(harness::cloud::NEWS / 2).await;
+    withdraw(&cloud);
+    let answer = begun.finish().await;
+    (cloud, answer)
+}
+
+/// Each event came once and in order, with the engine that brought it.
+fn events(answer: &Answer) -> Vec<(u32, String)> {
+    let text = String::from_utf8_lossy(&answer.body);
+    let event = |event: &str| {
+        let (id, data) = event.split_once('\n').expect("two lines");
+        let id = id.trim_start_matches("id: ").parse().expect("a number");
+        (id, data.trim_start_matches("data: ").to_owned())
+    };
+    text.split_terminator("\n\n").map(event).collect()
+}
+
+fn assert_whole(answer: &Answer) -> Vec<String> {
+    let events = events(answer);
+    let ids: Vec<u32> = events.iter().map(|(id, _)| *id).collect();
+    assert!(answer.whole, "it ends with {ids:?}");
+    assert_eq!(ids, (1..=EVENTS).collect::<Vec<_>>());
+    events.into_iter().map(|(_, engine)| engine).collect()
+}
+
+async fn metric(cloud: &Cloud, line: &str) -> bool {
+    let answer = call(cloud.boxes[0].metrics, Method::GET, "/metrics", &[], "").await;
+    let text = answer.expect("it tells").body;
+    String::from_utf8_lossy(&text).contains(line)
+}
+
+#[tokio::test]
+async fn it_is_one_whole_answer() {
+    let (cloud, answer) = moved(Way::Good).await;
+    let engines = assert_whole(&answer);
+    assert_eq!((engines[0].as_str(), engines[19].as_str()), ("i-1", "i-2"));
+    let seen = cloud.workers["i-2"].seen("one");
+    assert_eq!(seen.len(), 1, "it goes on once");
+    assert!(cloud.workers["i-1"].runs.freed().is_empty(), "it was used");
+    assert!(metric(&cloud, r#"moves_total{end="there"} 1"#).await);
+}
+
+#[tokio::test]
+async fn it_goes_back_where_the_last_part_has_no_room() {
+    let (cloud, answer) = moved(Way::LastRefused).await;
+    let engines = assert_whole(&answer);
+    assert!(engines.iter().all(|engine| engine == "i-1"));
+    assert_eq!(cloud.workers["i-1"].seen("one").len(), 2);
+    assert!(cloud.workers["i-2"].seen("one").is_empty());
+}
+
+/// The answer to the call that stops the run was lost: the stream had ended by then without its end.
+#[tokio::test]
+async fn a_lost_answer_is_asked_for_again() {
+    let (cloud, answer) = moved(Way::LastLost).await;
+    assert_whole(&answer);
+    assert_eq!(cloud.workers["i-1"].runs.calls(), 3);
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_first_is_whole_where_it_is() {
+    let (cloud, answer) = moved(Way::LastLate).await;
+    let engines = assert_whole(&answer);
+    assert!(engines.iter().all(|engine| engine == "i-1"));
+    assert!(cloud.workers["i-2"].seen("one").is_empty());
+    eventually("the copy is freed", || async {
+        cloud.workers["i-1"].runs.freed() == ["h-one"]
+    })
+    .await;
+}
+
+/// A caller that left during a move left a copy behind that served nobody.
+#[tokio::test]
+async fn a_caller_that_leaves_frees_the_copy() {
+    let mut cloud = one_engine().await;
+    let mut begun = cloud.boxes[0].begin("/flow/x", "one", "stream").await;
+    begun.next().await;
+    cloud.workers["i-1"].runs.take(Way::LastLate);
+    cloud.add_worker("i-2", "atl").await;
+    sleep(harness::cloud::NEWS / 2).await;
+    withdraw(&cloud);
+    eventually("the run is being stopped", || async {
+        cloud.workers["i-1"].runs.calls() == 2
+    })
+    .await;
+    drop(begun);
+    eventually("the copy is freed", || async {
+        !cloud.workers["i-1"].runs.freed().is_empty()
+    })
+    .await;
+    assert!(cloud.workers["i-2"].seen("one").is_empty());
+}
