Fuzz runs that move while engines and callers come and go

The oracle knows what each engine does with each run: one live copy, none begun anew where it may not, each copy used once and by its own run, and none left when all is over.

--- /dev/null
+++ b/tests/moved_fuzz.rs
@@ -0,0 +1,406 @@
+//! Runs move while engines, callers and calls fail at any step: one live copy, none twice, no copy left behind.
+
+mod harness;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use harness::{
+    engines::{World, target},
+    solo::{news, places},
+};
+use petreldrum::{
+    fleet::Change,
+    id::{Attempt, Request},
+    memory::{
+        moved::{Handle, Moved},
+        prompt::Part,
+    },
+    platform::record,
+    reducer::{
+        effect::{Effect, Move, Send},
+        event::{Cause, Event},
+    },
+    unit::Millis,
+    verdict::Verdict,
+};
+
+const ENGINES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+fn config(resumable: bool) -> String {
+    let attempts = if resumable { 3 } else { 1 };
+    format!(
+        r#"{{"version":1,"routes":[{{"name":"r","host":"h.example","pathPrefix":"/p/","kind":"streaming",
+        "timeoutMs":8000,"targetLatencyMs":1000,"priority":1,"service":"s","maxAttempts":{attempts},
+        "resumable":{resumable},"gapAimMs":400,"homeRegions":[]}}],"services":[{{"name":"s","coldPerS":0,
+        "engine":{{"kvTokens":335639,"kvBytes":35136,"linkMbps":100000,"moves":true,"handle_s":6}}}}]}}"#
+    )
+}
+
+fn change(index: usize, state: &str, born: u64) -> Change {
+    let entry = format!(
+        r#"{{"service":"s","address":"10.0.0.{index}:1","zone":"atl-a","slots":4,"born":{born},{state}}}"#
+    );
+    let name = ENGINES[index].parse().expect("a name");
+    Change::Put(record::server(&name, entry.as_bytes(), &places()).expect("it reads"))
+}
+
+/// One request as it truly stands.
+#[derive(Debug)]
+struct Run {
+    attempt: Attempt,
+    /// Whether it may have run at any engine.
+    ran: bool,
+    begun: bool,
+    /// Whether an engine works on it.
+    live: bool,
+    /// The copy from which it may go on, once it is stopped.
+    stopped: Option<String>,
+    /// The name of its copies at the engine that runs it.
+    handle: Option<String>,
+    /// Whether an engine was asked to stop it.
+    asked: bool,
+    /// Whether the box was told that its stream closed.
+    closed: bool,
+}
+
+/// A copy of which the box was told.
+#[derive(Debug)]
+struct Copy {
+    run: Request,
+    ends: BTreeSet<String>,
+    over: bool,
+}
+
+struct Truth {
+    world: World,
+    resumable: bool,
+    runs: BTreeMap<Request, Run>,
+    calls: Vec<Move>,
+    copies: BTreeMap<String, Copy>,
+    handles: u32,
+}
+
+impl Truth {
+    fn new(resumable: bool) -> Self {
+        let ready = |index| match change(index, r#""state":"ready""#, 1) {
+            Change::Put(backend) => backend,
+            other => panic!("{other:?}"),
+        };
+        let engines = (0..ENGINES.len()).map(ready).collect();
+        let mut world = World::configured("box", &config(resumable), engines);
+        world.pass(4000);
+        Self {
+            world,
+            resumable,
+            runs: BTreeMap::new(),
+            calls: vec![],
+            copies: BTreeMap::new(),
+            handles: 0,
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        for effect in self.world.step(event) {
+            self.see(effect);
+        }
+    }
+
+    fn see(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send(send) => self.sent(send),
+            Effect::Move(call) => {
+                if let Some(run) = self.runs.get_mut(&call.request) {
+                    run.asked |= call.last;
+                }
+                self.calls.push(call);
+            }
+            Effect::Free(origin) => {
+                if let Some(copy) = self.copies.get_mut(&origin.handle.0) {
+                    copy.over = true;
+                }
+            }
+            Effect::Abort { request, .. } | Effect::Leave { request, .. } => {
+                if let Some(run) = self.runs.get_mut(&request) {
+                    (run.live, run.closed) = (false, true);
+                }
+            }
+            Effect::Reply { request, .. } | Effect::Close { request, .. } => {
+                self.runs.remove(&request);
+            }
+            _ => {}
+        }
+    }
+
+    fn sent(&mut self, send: Send) {
+        let before = self.runs.remove(&send.request);
+        let before = before.as_ref();
+        assert!(
+            before.is_none_or(|run| !run.live),
+            "two live copies: {send:?}"
+        );
+        match (&send.continues, before) {
+            (Some(origin), Some(run)) => {
+                let copy = &self.copies[&origin.handle.0];
+                assert_eq!(
+                    run.stopped.as_ref(),
+                    Some(&origin.handle.0),
+                    "it was not stopped"
+                );
+                assert!(
+                    !copy.over && copy.run == send.request,
+                    "another's copy, or none: {copy:?}"
+                );
+                assert!(copy.ends.contains(target(&send)), "it has no copy");
+            }
+            (Some(_), None) => panic!("it goes on with a run that was never begun"),
+            (None, Some(run)) => assert!(self.resumable || !run.ran, "it ran before"),
+            (None, None) => {}
+        }
+        let stopped = send
+            .continues
+            .as_ref()
+            .map(|origin| origin.handle.0.clone());
+        let run = Run {
+            attempt: send.attempt,
+            begun: false,
+            live: false,
+            stopped,
+            handle: None,
+            asked: false,
+            closed: false,
+            ran: before.is_some_and(|run| run.ran),
+        };
+        self.runs.insert(send.request, run);
+    }
+
+    fn pick(&self, choice: u8, fit: impl Fn(&Run) -> bool) -> Option<Request> {
+        let fit: Vec<Request> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| fit(run))
+            .map(|(r, _)| *r)
+            .collect();
+        fit.get(usize::from(choice) % fit.len().max(1)).copied()
+    }
+
+    /// What an engine that is asked for `call` does, and answers.
+    fn answer(&mut self, choice: u8) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let call = self
+            .calls
+            .remove(usize::from(choice >> 4) % self.calls.len());
+        let gone = !self.runs.contains_key(&call.request);
+        let run = self
+            .runs
+            .get_mut(&call.request)
+            .filter(|run| run.attempt == call.attempt);
+        let known = run.filter(|run| run.begun && (run.live || run.stopped.is_some()));
+        let result = match (known, choice % 8) {
+            (_, 0) => Moved::Lost,
+            // The copy was made before its caller left.
+            (None, 4 | 5) if gone => {
+                self.handles += 1;
+                let name = format!("h{}", self.handles);
+                let copy = Copy {
+                    run: call.request,
+                    ends: BTreeSet::new(),
+                    over: false,
+                };
+                self.copies.insert(name.clone(), copy);
+                let handle = Handle(name);
+                Moved::Copied { handle, events: 1 }
+            }
+            (None, _) => Moved::Absent,
+            (Some(run), kind) => {
+                let refused = kind == 1;
+                if !call.last && refused {
+                    Moved::Refused
+                } else if kind == 2 && !run.live {
+                    Moved::Busy
+                } else {
+                    let name = || {
+                        self.handles += 1;
+                        format!("h{}", self.handles)
+                    };
+                    let handle = run
+                        .stopped
+                        .clone()
+                        .or(run.handle.clone())
+                        .unwrap_or_else(name);
+                    run.handle = Some(handle.clone());
+                    if call.last {
+                        run.live = false;
+                        run.stopped = Some(handle.clone());
+                    }
+                    let ends = [call.from.name.to_string(), call.to.name.to_string()];
+                    let copy = Copy {
+                        run: call.request,
+                        ends: ends.into(),
+                        over: false,
+                    };
+                    let name = Handle(handle.clone());
+                    // It stopped, and nobody is told.
+                    if kind == 3 {
+                        Moved::Lost
+                    } else {
+                        self.copies.insert(handle, copy);
+                        match refused {
+                            true => Moved::Kept(name),
+                            false => Moved::Copied {
+                                handle: name,
+                                events: 1,
+                            },
+                        }
+                    }
+                }
+            }
+        };
+        self.step(Event::Moved {
+            request: call.request,
+            attempt: call.attempt,
+            from: call.from.address,
+            result,
+        });
+    }
+
+    fn end(&mut self, request: Request, whole: bool) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        (run.live, run.closed) = (false, true);
+        let attempt = run.attempt;
+        let timing = Default::default();
+        if !whole && (self.resumable || run.asked) {
+            return self.step(Event::Broke { request, attempt });
+        }
+        self.runs.remove(&request);
+        self.step(Event::Ended {
+            request,
+            attempt,
+            whole,
+            timing,
+        });
+    }
+
+    fn act(&mut self, kind: u8, choice: u8) {
+        let streaming = |run: &Run| run.begun && run.live;
+        let waiting = |run: &Run| !run.begun && !run.closed;
+        match kind % 12 {
+            0 => {
+                let part = Part {
+                    id: u64::from(choice),
+                    tokens: 100 + 40 * u32::from(choice),
+                };
+                for send in self.world.prompt(&[part]) {
+                    self.sent(send);
+                }
+            }
+            1 | 2 => {
+                self.world.now = self.world.now + Millis(100);
+                self.step(Event::Tick);
+            }
+            3 => {
+                let left = 200 * u64::from(choice >> 4);
+                let state = format!(r#""state":"draining","timeLeftMs":{left}"#);
+                self.step(news(change(usize::from(choice) % ENGINES.len(), &state, 1)));
+            }
+            4 => {
+                let born = 2 + self.world.now.0;
+                self.step(news(change(
+                    usize::from(choice) % ENGINES.len(),
+                    r#""state":"ready""#,
+                    born,
+                )));
+            }
+            5 | 6 => {
+                if let Some(request) = self.pick(choice, waiting) {
+                    let run = self.runs.get_mut(&request).expect("it was picked");
+                    (run.begun, run.live, run.ran) = (true, true, true);
+                    let used = run.stopped.take();
+                    if let Some(copy) = used.and_then(|handle| self.copies.get_mut(&handle)) {
+                        copy.over = true;
+                    }
+                    let attempt = run.attempt;
+                    self.step(Event::Begun { request, attempt });
+                }
+            }
+            7 | 8 => self.answer(choice),
+            9 => {
+                // A stopped stream closes; a live one ends, or breaks.
+                let open =
+                    |run: &Run| run.begun && !run.closed && (run.live || run.stopped.is_some());
+                if let Some(request) = self.pick(choice, open) {
+                    let live = self.runs[&request].live;
+                    let stopped = self.runs[&request].stopped.clone();
+                    self.end(request, live && choice >= 128);
+                    if let (Some(handle), Some(run)) = (stopped, self.runs.get_mut(&request)) {
+                        run.stopped.get_or_insert(handle);
+                    }
+                }
+            }
+            10 => {
+                if let Some(request) = self.pick(choice, waiting) {
+                    let run = self.runs.get_mut(&request).expect("it was picked");
+                    let broke = !choice.is_multiple_of(2);
+                    run.ran |= broke;
+                    run.closed = true;
+                    // Whoever broke off may have begun with the copy, which serves once.
+                    let used = run.stopped.clone().filter(|_| broke);
+                    if let Some(copy) = used.and_then(|handle| self.copies.get_mut(&handle)) {
+                        copy.over = true;
+                    }
+                    let attempt = run.attempt;
+                    let (verdict, cause) = match broke {
+                        false => (Verdict::NotRun, Cause::Full),
+                        true => (Verdict::MayHaveRun, Cause::Broken),
+                    };
+                    self.step(Event::Failed {
+                        request,
+                        attempt,
+                        verdict,
+                        cause,
+                    });
+                }
+            }
+            _ => {
+                if let Some(request) = self.pick(choice, streaming) {
+                    self.runs.remove(&request);
+                    self.step(Event::Gone(request));
+                }
+            }
+        }
+    }
+
+    /// All callers leave, and all engines answer: nothing may be left.
+    fn finish(mut self) {
+        // Those that wait in line are sent, or their time is over.
+        for _ in 0..90 {
+            while let Some((request, _)) = self.runs.pop_first() {
+                self.step(Event::Gone(request));
+            }
+            while !self.calls.is_empty() {
+                self.answer(7);
+            }
+            self.world.now = self.world.now + Millis(100);
+            self.step(Event::Tick);
+        }
+        let left: Vec<_> = self.copies.iter().filter(|(_, copy)| !copy.over).collect();
+        assert!(left.is_empty(), "copies that serve nobody: {left:?}");
+        assert_eq!(self.world.state.busy(), 0, "requests that nobody ends");
+    }
+}
+
+#[test]
+fn any_order_of_events_keeps_one_live_copy() {
+    bolero::check!()
+        .with_type::<(bool, Vec<(u8, u8)>)>()
+        .for_each(|(resumable, steps)| {
+            let mut truth = Truth::new(*resumable);
+            for (kind, choice) in steps {
+                truth.act(*kind, *choice);
+            }
+            truth.finish();
+        });
+}
