--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -5,8 +5,10 @@
 //! | [`prompt`] | what a caller tells of its prompt |
 //! | [`cache`] | which engines hold which parts of prompts |
 //! | [`news`] | what engines tell of that |
+//! | [`moved`] | a run's memory at another engine |
 
 pub mod cache;
+pub mod moved;
 pub mod news;
 pub mod prompt;
 
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -178,6 +178,8 @@
         self.chase_roster(now, out);
         self.ask_caches(now, out);
         self.follow_engines(now, out);
+        self.call_again(now, out);
+        self.move_runs(now, out);
         self.detect_failed(now, out);
         self.move_stalled(now, out);
         self.drain_all(now, out);
@@ -404,6 +406,7 @@
         for name in self.fleet.take_reborn() {
             self.forget_life(&name, out);
         }
+        self.move_runs(now, out);
         self.drain_all(now, out);
     }
 
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -8,6 +8,7 @@
         admit::refusal,
         effect::{Basis, Effect, Reply, Send, Target},
         job::{Job, SOON, Spot, Stage},
+        supply::Supply,
     },
     unit::{Millis, Time},
     verdict::Verdict,
@@ -108,8 +109,15 @@
         };
         let service = job.service.clone();
         let anonymous = self.is_anonymous(&job.ask.customer);
-        let supply = self.supply(now, job, &place).unwrap_or_default();
+        let continues = job.origin();
+        let movable = self.is_movable(job, &place);
+        // A run that goes on brings its memory with it.
+        let supply = match continues {
+            Some(_) => Supply::default(),
+            None => self.supply(now, job, &place).unwrap_or_default(),
+        };
         let reading = self.reading(job, &place, &supply);
+        let reading = reading.filter(|_| continues.is_none());
         let work = supply.read;
         let expected = self.count_send(now, &service, &place, work) + supply.span;
         if let (Place::Backend(name), Some(reading)) = (&place, &reading) {
@@ -120,7 +128,7 @@
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
-        job.attempts += 1;
+        job.attempts += u32::from(continues.is_none());
         job.judged = false;
         job.tried.push(place.clone());
         job.stage = Stage::Sent {
@@ -131,7 +139,9 @@
             expected,
             begun: None,
         };
-        self.book_run(now, request);
+        if continues.is_none() {
+            self.book_run(now, request);
+        }
         let Some(job) = self.jobs.get(&request) else {
             return;
         };
@@ -144,6 +154,8 @@
             route: job.line.clone(),
             repeatable: job.repeatable,
             resumable: job.resumable,
+            movable,
+            continues,
             priority: job.priority,
             runs: match relayed {
                 true => job.lent(),
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -8,8 +8,11 @@
     fleet::{self, Revision, Rollouts},
     id::{self, Domain, Incarnation, Region, Service},
     limit,
-    memory::news::News,
-    memory::prompt::{Part, Prompt},
+    memory::{
+        moved::Moved,
+        news::News,
+        prompt::{Part, Prompt},
+    },
     pin, pushback, retry,
     settings::Seed,
     size::Weight,
@@ -214,6 +217,24 @@
         /// The attempt that brought it.
         attempt: id::Attempt,
     },
+    /// The connection of a stream closed while its run was to be stopped; that may be its end.
+    Closed {
+        /// The request.
+        request: id::Request,
+        /// The attempt that brought it.
+        attempt: id::Attempt,
+    },
+    /// An engine was asked to move a run.
+    Moved {
+        /// The request.
+        request: id::Request,
+        /// The attempt that brings its answer.
+        attempt: id::Attempt,
+        /// The engine's listener.
+        from: SocketAddr,
+        /// What came of it.
+        result: Moved,
+    },
     /// An attempt brought no answer.
     Failed {
         /// The request.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -19,6 +19,7 @@
 //! | `tally` | how the region uses its backend servers, told through hubs |
 //! | `supply` | engines that others take parts of a prompt over from |
 //! | `reading` | long prompts, and what the boxes tell each other of them |
+//! | `moving` | runs that go on at another engine when theirs leaves |
 //! | `stall` | attempts that stay silent for too long |
 //! | `detect` | backend servers that failed without a word |
 //! | `suspect` | content that ends backend servers, and what the boxes tell each other of it |
@@ -58,6 +59,7 @@
 mod key;
 mod limit;
 mod line;
+mod moving;
 mod naming;
 mod news;
 pub mod order;
@@ -248,6 +250,13 @@
                 ..
             } => self.ended(now, request, attempt, whole, &mut out),
             Event::Broke { request, attempt } => self.broke(now, request, attempt, &mut out),
+            Event::Closed { request, attempt } => self.closed(now, request, attempt, &mut out),
+            Event::Moved {
+                request,
+                attempt,
+                from,
+                result,
+            } => self.moved(now, request, attempt, from, result, &mut out),
             Event::Failed {
                 request,
                 attempt,
