Soak real boxes under random faults on the platform's interface

Boxes are processes; store, servers and callers are stand-ins of the soak. The promises are pure functions over what these saw, with the excuses of the users' rules and no others.

Why it holds: the checks read sockets of callers and servers only.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`app`] | an application service that counts what it ran |
 //! | [`collector`] | a trace collector that counts the spans it was sent |
 //! | [`link`] | a link between regions: slow, or cut |
+//! | [`soak`] | the platform, its callers and its troubles, around boxes as real processes |
 //! | [`system`], [`demo`] | a whole system in one process |
 //! | [`crowd`] | the other boxes: reducers of several, in virtual time |
 //! | [`releases`] | backend servers of two releases before such boxes, and the operator who rolls one out |
@@ -29,6 +30,7 @@
 pub mod platform;
 pub mod registry;
 pub mod releases;
+pub mod soak;
 pub mod store;
 pub mod system;
 pub mod worker;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -11,6 +11,7 @@
     http::{Service, serve},
     measure,
     platform::Platform,
+    soak,
     store::Store,
 };
 
@@ -45,6 +46,8 @@
         #[command(subcommand)]
         what: measure::What,
     },
+    /// Boxes of the release binary under random faults, with their promises checked.
+    Soak(Box<soak::Options>),
     /// A whole system in one process: 3 regions of 3 boxes, backend servers and the store.
     Demo,
 }
@@ -65,6 +68,7 @@
         Task::App => run(listen, App::default()).await,
         Task::Collector => run(listen, Collector::default()).await,
         Task::Measure { what } => measure::run(what).await,
+        Task::Soak(options) => soak::run(*options).await,
         Task::Demo => demo::run().await,
     }
 }
