--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -21,6 +21,7 @@
 mod server;
 
 use std::{
+    collections::BTreeMap,
     env, fs,
     path::{Path, PathBuf},
     process,
@@ -34,7 +35,7 @@
 use check::{Breach, Rule};
 use plan::{Part, Size, Step};
 use play::{Setting, play};
-use record::Record;
+use record::{Outcome, Record};
 
 const REGIONS: [&str; 3] = ["perth", "bunbury", "geraldton"];
 /// The regions that requests of kind `home` may be served in, by number.
@@ -84,6 +85,9 @@
     /// Boxes, in three regions in turn.
     #[arg(long, default_value_t = 6)]
     pub boxes: usize,
+    /// Callers in each region.
+    #[arg(long, default_value_t = 6)]
+    pub callers: usize,
     /// The way of speaking; `own` is not built yet.
     #[arg(long, value_enum, default_value_t = Interface::Platform)]
     pub interface: Interface,
@@ -141,6 +145,7 @@
             program,
             folder: folder.to_owned(),
             boxes: self.boxes,
+            callers: self.callers,
             seed: self.seed,
             length: self.seconds * 1000,
             plants: self.plant.clone(),
@@ -164,6 +169,7 @@
         if breaches.is_empty() {
             fs::remove_dir_all(&folder)?;
         } else {
+            fs::write(folder.join("record.txt"), format!("{record:#?}"))?;
             println!("logs are in {}", folder.display());
         }
         Ok((record, breaches))
@@ -218,6 +224,21 @@
     }
 }
 
+/// How often attempts ended in which way.
+fn ends(record: &Record) -> BTreeMap<String, usize> {
+    let mut ends = BTreeMap::new();
+    for attempt in &record.attempts {
+        let name = match &attempt.end {
+            None => "none".to_owned(),
+            Some((_, Outcome::Answer(answer))) if answer.whole => answer.status.to_string(),
+            Some((_, Outcome::Answer(answer))) => format!("{} cut", answer.status),
+            Some((_, other)) => format!("{other:?}").to_lowercase(),
+        };
+        *ends.entry(name).or_default() += 1;
+    }
+    ends
+}
+
 fn report(options: &Options, steps: &[Step], record: &Record, breaches: &[Breach]) -> String {
     let lines: Vec<String> = breaches.iter().map(ToString::to_string).collect();
     let served = record.attempts.iter().filter(|a| check::is_served(a));
@@ -228,6 +249,7 @@
         "steps": steps.len(),
         "attempts": record.attempts.len(),
         "served": served.count(),
+        "ends": ends(record),
         "arrivals": record.arrivals.len(),
         "look_ups": record.look_ups.len(),
         "broken": lines,
--- a/standin/src/soak/play.rs
+++ b/standin/src/soak/play.rs
@@ -26,8 +26,6 @@
 
 /// Servers of the main service in each region; one of the other service stands beside them.
 const SERVERS: usize = 2;
-/// Callers in each region.
-const CALLERS: usize = 6;
 /// How long a server serves after it has said that it leaves, and a while.
 const DRAIN: Duration = Duration::from_millis(check::DRAIN_MS + 2000);
 /// How long the entry of a crashed server stays.
@@ -57,6 +55,8 @@
     pub folder: PathBuf,
     /// Boxes.
     pub boxes: usize,
+    /// Callers in each region.
+    pub callers: usize,
     /// Of callers.
     pub seed: u64,
     /// The shortest time that traffic lasts.
@@ -80,7 +80,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let doors = Arc::new(world.fleet.doors());
     let mut callers = JoinSet::new();
-    for number in 0..CALLERS * REGIONS.len() {
+    for number in 0..setting.callers * REGIONS.len() {
         let caller = Caller::new(&world.book, doors.clone(), setting.seed, number);
         callers.spawn(caller.run(stop.clone()));
     }
