--- a/standin/src/soak/check/answers.rs
+++ b/standin/src/soak/check/answers.rs
@@ -5,7 +5,7 @@
 use super::{
     super::{
         fleet::GRACE,
-        record::{Answer, Attempt, Kind, Ms, Outcome, Part},
+        record::{Answer, Arrival, Attempt, Kind, Ms, Outcome, Part},
         server::{EVENTS, body_of, signature},
     },
     APPLY_MS, Breach, CONTACT_MS, Rule, View,
@@ -213,16 +213,18 @@
         return;
     }
     let passed = !arrivals.is_empty();
-    if passed && view.in_touch(entry, end) {
-        found.lost += 1;
-    }
+    let in_touch = |a: &&Arrival| view.sender_in_touch(entry, a, end);
+    found.lost += usize::from(passed && arrivals.iter().all(in_touch));
     // "A request that crosses your close and is not passed on is not counted."
     if !passed && end - sent <= CROSSING_MS {
         return;
     }
     // "With no unplanned disturbance from contactMs before the request to its end"; the store's excuse nothing.
     let unplanned = view.disturbed(sent.saturating_sub(CONTACT_MS), end, |part| {
-        matches!(part, Part::Box(_) | Part::Frozen(_) | Part::Server(_))
+        matches!(
+            part,
+            Part::Box(_) | Part::Frozen(_) | Part::Cut(_) | Part::Server(_)
+        )
     });
     let grace = GRACE.as_millis() as Ms + AFTER_GRACE_MS;
     let planned = view
--- a/standin/src/soak/check/mod.rs
+++ b/standin/src/soak/check/mod.rs
@@ -97,10 +97,12 @@
         found.any(|trouble| is(trouble.part))
     }
 
-    /// "In touch", (1): no kill, start, SIGTERM or freeze of the box in the time before.
+    /// "In touch", (1): no kill, start, SIGTERM, freeze or cut of the box in the time before.
     fn in_touch(&self, number: usize, at: Ms) -> bool {
-        !self.disturbed(at.saturating_sub(CONTACT_MS), at, |part| {
-            matches!(part, Part::PlannedStop(n) | Part::Box(n) | Part::Frozen(n) | Part::Gone(n) if n == number)
+        !self.disturbed(at.saturating_sub(CONTACT_MS), at, |part| match part {
+            Part::PlannedStop(n) | Part::Box(n) | Part::Gone(n) => n == number,
+            Part::Frozen(n) | Part::Cut(n) => n == number,
+            Part::Settings(_) | Part::Store | Part::Server(_) => false,
         })
     }
 
@@ -111,15 +113,14 @@
         })
     }
 
-    /// Whether whoever sent an arrival was in touch: the entry box, or any box of the server's region to
+    /// Whether whoever sent an arrival was in touch at a moment: the entry box, or any box of the server's region to
     /// which it may have relayed.
-    fn sender_in_touch(&self, entry: usize, arrival: &Arrival) -> bool {
+    fn sender_in_touch(&self, entry: usize, arrival: &Arrival, at: Ms) -> bool {
         let region = self.record.lives[arrival.life].region;
         let regions = self.record.box_regions.iter().enumerate();
         let mut relays = regions.filter(|(_, r)| **r == region);
         let direct = self.record.box_regions.get(entry) == Some(&region);
-        self.in_touch(entry, arrival.at)
-            && (direct || relays.all(|(number, _)| self.in_touch(number, arrival.at)))
+        self.in_touch(entry, at) && (direct || relays.all(|(number, _)| self.in_touch(number, at)))
     }
 
     /// Whether a backend server was disturbed or ended within a span.
--- a/standin/src/soak/check/places.rs
+++ b/standin/src/soak/check/places.rs
@@ -95,7 +95,7 @@
     };
     // The store acknowledges while stable; what was acknowledged binds later, too.
     if view.is_core_stable(leaves, leaves + DRAIN_MS)
-        && view.sender_in_touch(attempt.entry, arrival)
+        && view.sender_in_touch(attempt.entry, arrival, arrival.at)
     {
         let late = arrival.at - leaves;
         add(
@@ -118,7 +118,7 @@
             && evacuation.until.is_none_or(|until| arrival.at < until)
             && view.is_core_stable(evacuation.from, arrival.at)
     });
-    if broken && view.sender_in_touch(attempt.entry, arrival) {
+    if broken && view.sender_in_touch(attempt.entry, arrival, arrival.at) {
         add(
             breaches,
             Rule::Evac,
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -21,7 +21,7 @@
     REGIONS, domain,
     record::{Book, Part},
 };
-use crate::http::call;
+use crate::{http::call, link::Link};
 
 /// How long the platform leaves a process after SIGTERM.
 pub const GRACE: Duration = Duration::from_secs(8);
@@ -41,6 +41,11 @@
     "metrics",
 ];
 
+/// Listeners that other boxes reach over a link each.
+const LINKED: [&str; 2] = ["peer", "gossip"];
+/// How long a byte takes over a link.
+const DELAY: Duration = Duration::from_millis(3);
+
 /// A port of a box, which keeps it over its starts: nobody else is given it while the box is down.
 struct Port {
     address: SocketAddr,
@@ -71,6 +76,8 @@
 struct Machine {
     region: usize,
     ports: BTreeMap<&'static str, Port>,
+    /// By which other boxes reach it.
+    links: BTreeMap<&'static str, Link>,
     running: Mutex<Option<Running>>,
     /// The number of its trouble of having no process.
     gone: Mutex<Option<usize>>,
@@ -102,7 +109,7 @@
             machines: Vec::new(),
         };
         for number in 0..count {
-            fleet.add(number)?;
+            fleet.add(number).await?;
         }
         // Each is told of all others, as a platform does that knows all machines.
         for number in 0..count {
@@ -123,12 +130,20 @@
         Ok(fleet)
     }
 
-    fn add(&mut self, number: usize) -> eyre::Result<()> {
+    async fn add(&mut self, number: usize) -> eyre::Result<()> {
         let port = |name| Ok((name, Port::reserve()?));
         let ports: eyre::Result<BTreeMap<_, _>> = LISTENERS.into_iter().map(port).collect();
+        let ports = ports?;
+        let mut links = BTreeMap::new();
+        for name in LINKED {
+            let link = Link::start(DELAY).await?;
+            link.point(ports[name].address);
+            links.insert(name, link);
+        }
         self.machines.push(Machine {
             region: number % REGIONS.len(),
-            ports: ports?,
+            ports,
+            links,
             running: Mutex::default(),
             gone: Mutex::default(),
         });
@@ -156,10 +171,15 @@
             .iter()
             .map(|(name, port)| format!("{name} = {}\n", port.address))
             .collect();
+        let advertised: String = machine
+            .links
+            .iter()
+            .map(|(name, link)| format!("{name} = {}\n", link.address))
+            .collect();
         let others = self.machines.iter().enumerate();
         let seeds: Vec<String> = others
             .filter(|(other, _)| *other != number)
-            .map(|(_, machine)| machine.ports["gossip"].address.to_string())
+            .map(|(_, machine)| machine.links["gossip"].address.to_string())
             .collect();
         let domains: Vec<String> = (0..REGIONS.len())
             .map(|region| format!("{}/{}", domain(region), REGIONS[region]))
@@ -168,7 +188,7 @@
         let text = format!(
             "[box]\nname = box-{number}\nregion = {}\nfailure_domain = {}\ninterface = platform\n\
              log = info\n[listen]\n{listens}admin_token = soak-admin-token-0001\n\
-             [peers]\nsecret = soak-cluster-secret-0001\nseeds = {}\n\
+             [advertise]\n{advertised}[peers]\nsecret = soak-cluster-secret-0001\nseeds = {}\n\
              [platform]\nstore = {}\ndomains = {}\nhop = 10ms\nbeat = 300ms\n\
              [limits]\nlinger = 3s\nretry_ratio = 0.2\nretry_slack = 58\n",
             REGIONS[region],
@@ -226,6 +246,12 @@
         }
     }
 
+    /// Cuts the links to a box, or mends them.
+    pub fn cut(&self, number: usize, cut: bool) {
+        let links = self.machines[number].links.values();
+        links.for_each(|link| link.cut(cut));
+    }
+
     /// Notes that a box is to end, whoever ends it.
     fn tell(&self, number: usize) {
         if let Some(running) = self.running(number).as_mut() {
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -69,6 +69,8 @@
     Kill(usize, Ms),
     /// A box stands still for so long.
     Freeze(usize, Ms),
+    /// A box's ways to and from other boxes are cut for so long.
+    Cut(usize, Ms),
     /// A box's settings are written anew, with a signal or without one.
     Settings(usize, bool),
     /// The store misbehaves for so long.
@@ -91,6 +93,7 @@
             }
             Self::Kill(target, back) => write!(f, "SIGKILL box-{target}, back after {back} ms"),
             Self::Freeze(target, span) => write!(f, "SIGSTOP box-{target} for {span} ms"),
+            Self::Cut(target, span) => write!(f, "links to box-{target} cut for {span} ms"),
             Self::Settings(target, signal) => {
                 let how = if *signal { "SIGHUP" } else { "no signal" };
                 write!(f, "settings of box-{target} written, {how}")
@@ -192,10 +195,11 @@
             4 => Fault::Evacuate(region, 2 * span),
             _ => Fault::Depart(server, Departure::Announced, back),
         },
-        Theme::Boxes => match random.random_range(0..5) {
+        Theme::Boxes => match random.random_range(0..7) {
             0 => Fault::Terminate(target, back),
             1 | 2 => Fault::Kill(target, back),
             3 => Fault::Freeze(target, span),
+            4 | 5 => Fault::Cut(target, span),
             _ => Fault::Settings(target, signal),
         },
         Theme::Store => {
--- a/standin/src/soak/play.rs
+++ b/standin/src/soak/play.rs
@@ -188,6 +188,14 @@
                 self.book.end(trouble);
                 Ok(())
             }
+            Fault::Cut(target, span) => {
+                let trouble = self.book.begin(Part::Cut(target));
+                self.fleet.cut(target, true);
+                sleep(Duration::from_millis(span)).await;
+                self.fleet.cut(target, false);
+                self.book.end(trouble);
+                Ok(())
+            }
             Fault::Settings(target, signal) => {
                 let trouble = self.book.begin(Part::Settings(target));
                 self.fleet.write_settings(target)?;
--- a/standin/src/soak/record.rs
+++ b/standin/src/soak/record.rs
@@ -115,6 +115,8 @@
     Box(usize),
     /// A box that stands still.
     Frozen(usize),
+    /// A box that others do not reach.
+    Cut(usize),
     /// A box without a process.
     Gone(usize),
     /// A box, by a signal that its settings changed.
