Start a box once where two steps of a soak start it

A start now looks and spawns under one lock, and a process ends with what holds it. Test: two_starts_at_once_are_one, red before, 1 of 1 after.

--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -73,6 +73,14 @@
     starting: bool,
 }
 
+impl Drop for Running {
+    fn drop(&mut self) {
+        // Both do nothing where it has ended and was waited for.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 struct Machine {
     region: usize,
     ports: BTreeMap<&'static str, Port>,
@@ -83,7 +91,7 @@
     gone: Mutex<Option<usize>>,
 }
 
-/// All boxes; they end with it.
+/// All boxes; their processes end with it.
 pub struct Fleet {
     book: Book,
     program: PathBuf,
@@ -311,13 +319,18 @@
             if !self.look(number) {
                 return Ok(());
             }
-            let child = self.spawn(number)?;
-            let running = Running {
-                child,
-                told: false,
-                starting: true,
-            };
-            *self.running(number) = Some(running);
+            {
+                let mut running = self.running(number);
+                if running.is_some() {
+                    // Another step has just started it.
+                    return Ok(());
+                }
+                *running = Some(Running {
+                    child: self.spawn(number)?,
+                    told: false,
+                    starting: true,
+                });
+            }
             // It ends at once where a port is still taken.
             sleep(10 * POLL).await;
             if !self.look(number) {
@@ -342,18 +355,6 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for machine in &self.machines {
-            let mut running = machine.running.lock().unwrap_or_else(|e| e.into_inner());
-            if let Some(mut process) = running.take() {
-                let _ = process.child.kill();
-                let _ = process.child.wait();
-            }
-        }
-    }
-}
-
 /// Where a box is met.
 #[derive(Clone, Copy, Debug)]
 pub struct Door {
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -133,6 +133,14 @@
     assert_eq!(found, [Rule::Lost].into());
 }
 
+/// Two that started the same box at once left one of the two processes to nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_starts_at_once_are_one() {
+    let kill = |target: usize| (1000, Fault::Kill(target, 500));
+    let kills = [kill(0), kill(0), kill(1), kill(1), kill(2), kill(2)];
+    assert_eq!(broken(5, &[], &kills).await, [].into());
+}
+
 /// One server of each service, two boxes, one version.
 fn quiet() -> Record {
     let life = |other| Life {
