--- a/standin/src/soak/check/mod.rs
+++ b/standin/src/soak/check/mod.rs
@@ -143,10 +143,10 @@
 
 /// "Fault", more strictly: no process ends by itself, be it disturbed or not.
 fn own_ends(view: &View<'_>, breaches: &mut Vec<Breach>) {
-    for (number, at) in &view.record.own_ends {
+    for (number, at, how) in &view.record.own_ends {
         breaches.push(Breach {
             rule: Rule::Fault,
-            what: format!("box-{number} ended by itself at {at} ms"),
+            what: format!("box-{number} ended by itself at {at} ms: {how}"),
         });
     }
 }
--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -273,12 +273,13 @@
         let Some(process) = running.as_mut() else {
             return true;
         };
-        if !matches!(process.child.try_wait(), Ok(Some(_))) {
+        let Ok(Some(status)) = process.child.try_wait() else {
             return false;
-        }
+        };
         if !process.told && !process.starting {
             let now = self.book.now();
-            self.book.record().own_ends.push((number, now));
+            let end = (number, now, status.to_string());
+            self.book.record().own_ends.push(end);
         }
         *running = None;
         let mut gone = self.machines[number]
--- a/standin/src/soak/record.rs
+++ b/standin/src/soak/record.rs
@@ -188,8 +188,8 @@
     pub look_ups: Vec<LookUp>,
     /// The region of each box.
     pub box_regions: Vec<usize>,
-    /// Boxes that ended by themselves, and when.
-    pub own_ends: Vec<(usize, Ms)>,
+    /// Boxes that ended by themselves, when, and how.
+    pub own_ends: Vec<(usize, Ms, String)>,
     /// When the last fault was over.
     pub calm: Option<Ms>,
 }
--- a/standin/tests/soak.rs
+++ b/standin/tests/soak.rs
@@ -316,7 +316,7 @@
 #[test]
 fn ends_and_dead_boxes_are_found() {
     let mut record = quiet();
-    record.own_ends.push((1, 500));
+    record.own_ends.push((1, 500, "signal: 11".to_owned()));
     assert_eq!(rules(&record), [Rule::Fault].into());
     let mut record = quiet();
     record.troubles.push(trouble(Part::Gone(1), 1000, 30_000));
