Write nng's framing in links, so that closing peers end no box

Change: a link connects by tokio, exchanges the protocol's greeting and writes length and bytes. What stands on the wire is the same; the listener stays nng's PULL socket. A link also hears at once that its peer has closed, and dials again after the first backoff.

Why it holds: no memory of a connection outlives its task. A dial takes no thread any more; the bound on dials under way is as before.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,15 +1,16 @@
 //! Messages between boxes over nng: one PULL listener, one PUSH link an addressee.
 //!
 //! A link holds few messages and drops what does not fit; a silent addressee never holds up the
-//! others. nng does not go on dialling an absent peer, so the link does, with backoff.
+//! others. Links write nng's framing themselves: its own PUSH socket sends through freed memory where a
+//! peer closes while the connection is set up, and panics where that happens during the handshake.
 
-use std::{
-    collections::HashMap, ffi::CString, io::Write as _, net::SocketAddr, sync::Arc, time::Duration,
-};
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use anng::{Message, Socket, pipes::TcpOptions, protocols::pipeline0};
+use anng::{Socket, pipes::TcpOptions, protocols::pipeline0};
 use eyre::WrapErr;
 use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
     sync::{Semaphore, mpsc},
     time::{sleep, timeout},
 };
@@ -29,9 +30,8 @@
 const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Wait before the first further dial, and the longest: a seed that comes back is found soon.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
-/// Dials at the same time to addressees that answered the last one, or were not dialled yet. Each
-/// takes a thread of its own while it lasts, a millisecond or two in a region: with one for each
-/// of a hundred new boxes a process had 141 threads, and 300 processes of one machine 17,700.
+/// Dials at the same time to addressees that answered the last one, or were not dialled yet: a box that
+/// meets a whole region does not open all connections at once.
 const FIRST_DIALS: usize = 4;
 /// Dials at the same time to addressees that did not answer the last one: most are dead and take all
 /// of [`DIAL_TIMEOUT`], and must not hold up the others.
@@ -39,9 +39,9 @@
 /// A link without a message for this long is taken down.
 const IDLE: Duration = Duration::from_secs(60);
 
-fn url(address: SocketAddr) -> CString {
-    CString::new(format!("tcp://{address}")).expect("an address holds no NUL")
-}
+/// What each side of a connection says first: the protocol's mark, and the kind of its socket.
+const PUSHER: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
+const PULLER: [u8; 8] = [0, b'S', b'P', 0, 0, 0x51, 0, 0];
 
 /// The listener for messages.
 pub(crate) struct Listener {
@@ -93,15 +93,49 @@
 }
 
 impl Dials {
-    /// Dials `url`; `again` says that the last dial there failed.
-    async fn dial(&self, url: &CString, again: bool) -> Option<Socket<pipeline0::Push0>> {
+    /// Dials `to`; `again` says that the last dial there failed.
+    async fn dial(&self, to: SocketAddr, again: bool) -> Option<TcpStream> {
         let line = if again { &self.further } else { &self.first };
         let _turn = line.acquire().await.ok()?;
-        let dialled = timeout(DIAL_TIMEOUT, pipeline0::Push0::dial(url.as_c_str())).await;
-        dialled.ok()?.ok()
+        match timeout(DIAL_TIMEOUT, greet(to)).await {
+            Ok(Ok(stream)) => Some(stream),
+            Ok(Err(error)) => {
+                log::debug!("gossip: dial {to}: {error}");
+                None
+            }
+            Err(_) => {
+                log::debug!("gossip: dial {to}: no answer in time");
+                None
+            }
+        }
+    }
+}
+
+/// Connects to a puller.
+async fn greet(to: SocketAddr) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    stream.write_all(&PUSHER).await?;
+    let mut greeting = [0; PULLER.len()];
+    stream.read_exact(&mut greeting).await?;
+    match greeting == PULLER {
+        true => Ok(stream),
+        false => Err(io::Error::other("it does not pull")),
     }
 }
 
+/// Writes one message: its length and its bytes.
+async fn push(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    let length = (bytes.len() as u64).to_be_bytes();
+    stream.write_all(&[&length, bytes].concat()).await
+}
+
+/// Waits until the other side closes; a puller sends nothing.
+async fn closed(stream: &mut TcpStream) {
+    let mut bytes = [0; PULLER.len()];
+    while matches!(stream.read(&mut bytes).await, Ok(1..)) {}
+}
+
 /// The outgoing links of one box.
 pub(crate) struct Links {
     secret: Secret,
@@ -147,9 +181,8 @@
 async fn run(to: SocketAddr, mut messages: mpsc::Receiver<Vec<u8>>, dials: Arc<Dials>) {
     let mut backoff = BACKOFF.0;
     let mut again = false;
-    let url = url(to);
     loop {
-        let Some(mut socket) = dials.dial(&url, again).await else {
+        let Some(mut stream) = dials.dial(to, again).await else {
             again = true;
             sleep(backoff).await;
             backoff = (backoff * 2).min(BACKOFF.1);
@@ -160,18 +193,19 @@
         };
         (backoff, again) = (BACKOFF.0, false);
         loop {
-            let Ok(Some(bytes)) = timeout(IDLE, messages.recv()).await else {
+            let next = tokio::select! {
+                next = timeout(IDLE, messages.recv()) => next,
+                () = closed(&mut stream) => break,
+            };
+            let Ok(Some(bytes)) = next else {
                 return;
             };
-            let mut message = Message::with_capacity(bytes.len());
-            if message.write_all(&bytes).is_err() {
-                continue;
-            }
-            let pushed = timeout(SEND_TIMEOUT, socket.push(message)).await;
+            let pushed = timeout(SEND_TIMEOUT, push(&mut stream, &bytes)).await;
             if !matches!(pushed, Ok(Ok(()))) {
-                log::debug!("gossip: {to} does not read; dialling again");
                 break;
             }
         }
+        log::debug!("gossip: {to} does not read; dialling again");
+        sleep(backoff).await;
     }
 }
