Notice peers that are gone on links that write framing themselves

A link whose peer is silent without a reset would fill the kernel's buffer for minutes: it now has the time-outs of all other connections between boxes.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    gateway::{core::Handle, metrics::Metrics},
+    gateway::{core::Handle, dial::tune, metrics::Metrics},
     reducer::event::Event,
     settings::Secret,
     wire::Frame,
@@ -114,7 +114,7 @@
 /// Connects to a puller.
 async fn greet(to: SocketAddr) -> io::Result<TcpStream> {
     let mut stream = TcpStream::connect(to).await?;
-    stream.set_nodelay(true)?;
+    tune(&stream)?;
     stream.write_all(&PUSHER).await?;
     let mut greeting = [0; PULLER.len()];
     stream.read_exact(&mut greeting).await?;
