Tell corrections of engines' memory at 5,000 bytes a second

Cause: at a peak about 100 long parts a second give way in a region; 1,500 bytes a second let a box tell five of them to 23 others, and the word of an engine counts for more than the guess.

Change: the bound is 5,000 bytes a second.

--- a/src/reducer/engine_news.rs
+++ b/src/reducer/engine_news.rs
@@ -49,8 +49,9 @@
 const MISSED: u64 = 3;
 /// Longest time for which one message may speak.
 const MAX_LASTS: Millis = Millis(60_000);
-/// Bytes a second that a box spends on telling all others, and what it may save up for its start.
-const RATE: usize = 1500;
+/// Bytes a second that a box spends on telling all others, and what it may save up for its start. At a peak about
+/// 100 long parts a second give way in a region of 70 engines and 24 boxes: four a second at each box, told to 23.
+const RATE: usize = 5000;
 const BURST: usize = 32 << 10;
 /// Bytes of a message, of an engine and of a part in it, about.
 const FRAME: usize = 48;
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -122,14 +122,14 @@
 fn told_slots(solo: &mut Solo) -> u32 {
     solo.digest(4, 0);
     let effects = solo.pass(2000);
-    let digests = effects.iter().filter_map(|effect| match effect {
+    let mut digests = effects.iter().filter_map(|effect| match effect {
         Effect::Gossip { frame, .. } => match &frame.body {
             Body::Digest(digest) => Some(digest),
             _ => None,
         },
         _ => None,
     });
-    let digest = digests.last().expect("another region is told");
+    let digest = digests.next_back().expect("another region is told");
     let capacity = digest
         .services
         .iter()
