Reckon once a send what a place reads and takes over

What the change wrote twice: what an engine reads and takes over was reckoned for the log and again for the send; the choice between sources and none stood in two places; a link's speed had two types, one with a reader that nothing used; two tests built the same request by hand.

A source is its address: no name is copied a candidate.

--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -12,30 +12,10 @@
 pub mod news;
 pub mod prompt;
 
-use std::{fmt, str::FromStr};
-
-use crate::unit::{Bytes, Millis};
-
-/// How much a link carries, in megabits a second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
-pub struct Link(pub f64);
-
-impl fmt::Display for Link {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}Mbps", self.0)
-    }
-}
-
-impl FromStr for Link {
-    type Err = String;
-    /// Reads `200Mbps` or `0.5Mbps`.
-    fn from_str(text: &str) -> Result<Self, String> {
-        let number = text.strip_suffix("Mbps").and_then(|n| n.parse().ok());
-        let valid = number.filter(|n: &f64| n.is_finite() && *n > 0.0);
-        let link = valid.map(Self);
-        link.ok_or_else(|| "expected a link's speed such as 200Mbps".to_owned())
-    }
-}
+use crate::{
+    size::Link,
+    unit::{Bytes, Millis},
+};
 
 /// The engines of one service, as far as their memory is concerned.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -92,7 +92,7 @@
         now: Time,
         request: id::Request,
         place: Place,
-        basis: Basis,
+        mut basis: Basis,
         out: &mut Vec<Effect>,
     ) {
         let attempt = self.next_attempt();
@@ -112,9 +112,11 @@
         let continues = job.origin();
         let movable = self.is_movable(job, &place);
         // A run that goes on brings its memory with it.
+        let supply = self.supply(now, job, &place).unwrap_or_default();
+        (basis.unread, basis.fetched) = (supply.read, supply.fetched);
         let supply = match continues {
             Some(_) => Supply::default(),
-            None => self.supply(now, job, &place).unwrap_or_default(),
+            None => supply,
         };
         let reading = self.reading(job, &place, &supply);
         let reading = reading.filter(|_| continues.is_none());
@@ -162,7 +164,7 @@
                 false => job.runs,
             },
             record: job.owns_key,
-            fetch: supply.source.map(|(_, address)| address),
+            fetch: supply.source,
             not_after: job.deadline,
             basis,
         }));
--- a/src/reducer/estimate.rs
+++ b/src/reducer/estimate.rs
@@ -159,10 +159,7 @@
             let short = Short::of(b.name.as_str());
             let unread = self.cache.unread(prompt, short, memory, now);
             let batch = Batch::at(engine, busy, plan.gap(), now);
-            let supply = match &sources {
-                Some(sources) => sources.supply(b, unread, engine),
-                None => Supply::reading(unread),
-            };
+            let supply = Supply::of(sources.as_ref(), b, unread, engine);
             let burden = burden(prompt, supply.read, engine, batch) + moved(&supply);
             let reading = engine.pending(now) + engine.reading(supply.read);
             (Millis(reading as u64) + supply.span, burden)
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -71,8 +71,6 @@
     pub(super) fn basis(&self, now: Time, job: &Job, place: &Place, among: &[Candidate]) -> Basis {
         let chosen = among.iter().find(|c| c.place == *place);
         let ages = self.table.live(now).map(|peer| now.since(peer.heard));
-        let supply = self.supply(now, job, place);
-        let supply = supply.as_ref();
         Basis {
             version: self.version(),
             number: job.attempts + 1,
@@ -87,8 +85,9 @@
             target: job.target.unwrap_or_default(),
             prompt: job.prompt.as_ref().map_or(0, |prompt| prompt.tokens),
             shared: job.prompt.as_ref().map_or(0, Prompt::shared),
-            unread: supply.map_or(0, |supply| supply.read),
-            fetched: supply.map_or(0, |supply| supply.fetched),
+            // What the place has to do is reckoned as the request is sent.
+            unread: 0,
+            fetched: 0,
             told: match place {
                 Place::Backend(name) => self.cache.is_told(Short::of(name.as_str()), now),
                 Place::Region(_) => false,
@@ -220,10 +219,7 @@
                 Some(prompt) => {
                     let short = Short::of(backend.name.as_str());
                     let unread = self.cache.unread(prompt, short, memory, now);
-                    let supply = match &sources {
-                        Some(sources) => sources.supply(backend, unread, server),
-                        None => Supply::reading(unread),
-                    };
+                    let supply = Supply::of(sources.as_ref(), backend, unread, server);
                     let first = server.first_token(supply.read, now) + supply.span;
                     let batch = Batch::at(server, busy, plan.gap(), now);
                     let burden = estimate::burden(prompt, supply.read, server, batch);
--- a/src/reducer/supply.rs
+++ b/src/reducer/supply.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     config::Backend,
-    id::{self, Region, Service},
+    id::{Region, Service},
     memory::{Engine, cache},
     policy::{Place, Policy},
     reducer::{State, job::Job},
@@ -30,7 +30,7 @@
     /// How long that takes.
     pub(super) span: Millis,
     /// The engine that holds them.
-    pub(super) source: Option<(id::Backend, SocketAddr)>,
+    pub(super) source: Option<SocketAddr>,
 }
 
 /// The engines of a region that hold a prompt's longest shared part.
@@ -41,8 +41,20 @@
 }
 
 impl Supply {
+    /// What `backend` has to do for a prompt of which it lacks `unread` tokens: it reads them all where there are no
+    /// sources.
+    pub(super) fn of(
+        sources: Option<&Sources<'_>>,
+        backend: &Backend,
+        unread: u32,
+        server: &Server,
+    ) -> Self {
+        let alone = || Self::reading(unread);
+        sources.map_or_else(alone, |sources| sources.supply(backend, unread, server))
+    }
+
     /// It reads all that it lacks.
-    pub(super) fn reading(unread: u32) -> Self {
+    fn reading(unread: u32) -> Self {
         Self {
             read: unread,
             ..Self::default()
@@ -52,7 +64,7 @@
 
 impl Sources<'_> {
     /// What `backend` has to do for a prompt of which it lacks `unread` tokens.
-    pub(super) fn supply(&self, backend: &Backend, unread: u32, server: &Server) -> Supply {
+    fn supply(&self, backend: &Backend, unread: u32, server: &Server) -> Supply {
         let alone = Supply::reading(unread);
         let others = self.holders.iter();
         // Memory of other weights is of no use.
@@ -76,7 +88,7 @@
             read: unread - fetched,
             fetched,
             span,
-            source: Some((holder.name.clone(), holder.address)),
+            source: Some(holder.address),
         }
     }
 }
@@ -130,14 +142,12 @@
         let short = Short::of(name.as_str());
         let unread = self.cache.unread(prompt, short, memory, now);
         let region = &self.table.me.region;
-        let (Some(backend), Some(sources)) = (
-            self.fleet.get(name),
-            self.sources(now, &job.service, region, job),
-        ) else {
+        let Some(backend) = self.fleet.get(name) else {
             return Some(Supply::reading(unread));
         };
+        let sources = self.sources(now, &job.service, region, job);
         let fresh = Server::default();
         let server = self.servers.get(name).unwrap_or(&fresh);
-        Some(sources.supply(backend, unread, server))
+        Some(Supply::of(sources.as_ref(), backend, unread, server))
     }
 }
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -33,6 +33,17 @@
     })
 }
 
+/// A caller's own request of host `h`.
+fn direct(request: u64, path: &str) -> Event {
+    let mut event = relayed(request);
+    if let Event::Arrived(arrival) = &mut event {
+        arrival.hop = Hop::Direct;
+        arrival.host = Some("h".to_owned());
+        arrival.path = path.to_owned();
+    }
+    event
+}
+
 fn text(more: &str) -> String {
     let parts = [
         caller("a", ""),
@@ -175,13 +186,7 @@
                  repeatable=true\nhost=h\nregions=perth\n";
     let mut solo = Solo::new(&text(route));
     solo.pass(1000);
-    let mut event = relayed(960);
-    if let Event::Arrived(arrival) = &mut event {
-        arrival.hop = Hop::Direct;
-        arrival.host = Some("h".to_owned());
-        arrival.path = "/home/x".to_owned();
-    }
-    solo.step(event);
+    solo.step(direct(960, "/home/x"));
     solo.digest(4, 0);
     solo.step(Event::Stop);
     assert_eq!(resolved(&mut solo, "perth", "h"), ["far"], "a home");
@@ -195,13 +200,7 @@
                  regions=geraldton\n[route any]\nprefix=/any\nkind=application\nrepeatable=true\nhost=h\n";
     let mut solo = Solo::new(&text(route));
     solo.pass(3000);
-    let mut event = relayed(970);
-    if let Event::Arrived(arrival) = &mut event {
-        arrival.hop = Hop::Direct;
-        arrival.host = Some("h".to_owned());
-        arrival.path = "/any/x".to_owned();
-    }
-    solo.step(event);
+    solo.step(direct(970, "/any/x"));
     solo.digest_used(&["geraldton"], &["home", "any"]);
     assert!(resolved(&mut solo, "geraldton", "h").is_empty());
     // A route that was not used for long keeps nobody away.
