--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -2,16 +2,13 @@
 
 use std::{
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
 };
 
 use bytes::Bytes;
-use hyper::{
-    Response,
-    body::{Body as HttpBody, Frame, Incoming, SizeHint},
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
 use tokio::{
     sync::mpsc,
     time::{Instant, Sleep, sleep},
@@ -22,7 +19,9 @@
         attempt::Found,
         clock::Moment,
         core::{Handle, Order},
+        delimiter::Delimiter,
         dial::Lease,
+        metrics::Metrics,
         resume::{Next, Resume},
         signs::Pulse,
         trace::Span,
@@ -90,14 +89,6 @@
     }
 }
 
-/// Whether the end of `response`'s body can be told from a cut.
-pub(crate) fn is_framed<B: HttpBody>(response: &Response<B>) -> bool {
-    let headers = response.headers();
-    headers.contains_key(CONTENT_LENGTH)
-        || headers.contains_key(TRANSFER_ENCODING)
-        || response.body().is_end_stream()
-}
-
 /// The attempt that brings an answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Source {
@@ -176,10 +167,10 @@
     core: Handle,
     orders: mpsc::UnboundedReceiver<Order>,
     pub(super) source: Source,
-    /// Whether the end of the connection is not the end of the answer.
-    framed: bool,
-    /// Whether the answer ends with its connection.
-    closes: bool,
+    /// Whether the end of the connection is the end of the answer.
+    pub(crate) framed: bool,
+    delimiter: Delimiter,
+    metrics: Arc<Metrics>,
     stall: Pin<Box<Sleep>>,
     pace: Pace,
     /// Its word on the backend server that brings it, where this box listens to that.
@@ -196,15 +187,16 @@
     pub(crate) fn new(
         found: Found,
         core: Handle,
+        metrics: Arc<Metrics>,
         orders: mpsc::UnboundedReceiver<Order>,
         source: Source,
-        framed: bool,
         came: Moment,
         resume: Option<Resume>,
     ) -> Self {
         Self {
-            framed,
-            closes: !is_framed(&found.response),
+            framed: true,
+            delimiter: Delimiter::of(&found.response),
+            metrics,
             pulse: None,
             pace: Pace::begin(came),
             incoming: found.response.into_body(),
@@ -270,16 +262,36 @@
                     }
                     self.stall.as_mut().reset(Instant::now() + STALL);
                     if let Ok(bytes) = frame.into_data() {
+                        self.delimiter.note(&bytes);
                         return Poll::Ready(Piece::Data(bytes));
                     }
                 }
                 Poll::Ready(Some(Err(_))) => return Poll::Ready(Piece::Cut),
-                Poll::Ready(None) if self.framed => return Poll::Ready(Piece::End),
-                Poll::Ready(None) => return Poll::Ready(Piece::Cut),
+                Poll::Ready(None) => {
+                    self.note_close(self.framed);
+                    let piece = if self.framed { Piece::End } else { Piece::Cut };
+                    return Poll::Ready(piece);
+                }
             }
         }
     }
 
+    /// Tells how an answer that ended with its connection is taken.
+    fn note_close(&self, whole: bool) {
+        if !self.delimiter.is_close() {
+            return;
+        }
+        let label = if whole { "whole" } else { "broken" };
+        let ends = &self.metrics.unframed_ends;
+        ends.with_label_values(&[label]).inc();
+        let Source { request, attempt } = self.source;
+        log::info!(
+            "stream: box_id={request} attempt={} ended {} whole={whole}",
+            attempt.0,
+            self.delimiter
+        );
+    }
+
     /// Stays with an answer that began while the reducer decided to try elsewhere: the order to abort
     /// is followed by one to send, which is not carried out. The answer goes on under the number of
     /// that attempt; false where there is none, and the answer is to be broken off.
@@ -313,7 +325,7 @@
             }
             let next = match ready!(self.poll_piece(cx)) {
                 Piece::Data(bytes) => self.data(bytes).map(Ok),
-                Piece::End if self.closes && self.is_stopping() => {
+                Piece::End if self.delimiter.is_close() && self.is_stopping() => {
                     self.leave();
                     if !self.set_off() {
                         let Source { request, attempt } = self.source;
@@ -391,7 +403,7 @@
             match ready!(resume.poll(cx)) {
                 Next::Found(found) => {
                     self.core.tell(Event::Begun { request, attempt });
-                    self.closes = !is_framed(&found.response);
+                    self.delimiter = Delimiter::of(&found.response);
                     self.incoming = found.response.into_body();
                     self.lease = Some(found.lease);
                     let now = Moment::now();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -38,6 +38,8 @@
     pub worst: IntGaugeVec,
     /// Attempts whose connection to a backend server broke, by whether the answer had begun.
     pub broken: IntCounterVec,
+    /// Answers with neither a length nor chunks, by how their end was taken.
+    pub unframed_ends: IntCounterVec,
     /// Runs that were to move to another engine, by how that ended.
     pub moves: IntCounterVec,
     /// Tokens of their prompts.
@@ -272,6 +274,11 @@
                 "Attempts whose connection to a backend server broke.",
                 &["answer"],
             )?,
+            unframed_ends: counters(
+                "unframed_ends_total",
+                "Answers with neither a length nor chunks.",
+                &["end"],
+            )?,
             moves: counters(
                 "moves_total",
                 "Runs that were to move to another engine, by how that ended.",
