Tell the error that cuts a stream

The error of a connection that broke in the middle of an answer was swallowed, so the log could not tell a peer that is gone from a close before the end.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -264,7 +264,12 @@
                         return Poll::Ready(Piece::Data(bytes));
                     }
                 }
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(Piece::Cut),
+                Poll::Ready(Some(Err(error))) => {
+                    let Source { request, attempt } = self.source;
+                    let number = attempt.0;
+                    log::info!("stream: box_id={request} attempt={number} cut error={error:?}");
+                    return Poll::Ready(Piece::Cut);
+                }
                 Poll::Ready(None) => {
                     let whole = self.delimiter.is_whole();
                     self.note_close(whole);
