Carry relayed answers in records that show a gap

Cause: the box at the server gives its connection up 1.5 s after the first byte that nobody acknowledged. What a partition held up is lost with it, but what was written last is still under way and arrives when the cut ends. The box at the caller checked nothing and passed it on.

Change: bodies without a length go between boxes in records, each with a check of its bytes and of their position, and a last one that marks the end. The box at the caller passes on what follows what it had and takes anything else for a cut, logged and counted (relay_gaps_total).

Why it holds: the sender's knowledge of the order travels with the bytes, so no time-out and no network between the boxes is trusted with it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
     gateway::{
         Shell,
         clock::Moment,
+        delimiter::{Delimiter, Sender},
         dial::{Distance, Failure, Lease},
         exchange::Door,
         head,
@@ -52,6 +53,7 @@
 /// An answer that begins.
 pub(crate) struct Found {
     pub(crate) response: Response<Incoming>,
+    pub(crate) delimiter: Delimiter,
     pub(crate) lease: Lease,
     pub(crate) span: Span,
 }
@@ -136,7 +138,12 @@
             hear_pushback(shell, send, headers);
         }
     }
+    let sender = match send.target {
+        Target::Backend { .. } => Sender::Backend,
+        Target::Relay { .. } | Target::Pass { .. } => Sender::Box,
+    };
     let found = Found {
+        delimiter: Delimiter::of(&response, sender),
         response,
         lease,
         span,
@@ -322,6 +329,7 @@
         headers.insert(head::LEFT, head::value(left.0));
     }
     if to_box {
+        headers.insert(own(head::RECORDS), head::value(true));
         headers.insert(own(head::RUNS), head::value(send.runs));
         headers.insert(own(head::FROM), head::value(&shell.settings.region));
         headers.insert(own(head::CUSTOMER), head::value(&send.customer));
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -22,6 +22,7 @@
         delimiter::Delimiter,
         dial::Lease,
         metrics::Metrics,
+        records::{self, Gap},
         resume::{Next, Resume},
         signs::Pulse,
         trace::Span,
@@ -54,6 +55,56 @@
     Stream(Box<Stream>),
     /// It comes from a task that also keeps it.
     Kept(mpsc::Receiver<Result<Bytes, Cut>>),
+    /// It goes to another box.
+    Recorded(Box<Recorded>),
+}
+
+/// A body in records.
+pub struct Recorded {
+    body: Body,
+    writer: records::Writer,
+    ended: bool,
+}
+
+impl Recorded {
+    fn new(body: Body) -> Self {
+        Self {
+            body,
+            writer: records::Writer::default(),
+            ended: false,
+        }
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let next = ready!(self.body.poll_bytes(cx));
+        self.ended = !matches!(next, Some(Ok(_)));
+        Poll::Ready(Some(match next {
+            Some(next) => next.map(|bytes| self.writer.write(&bytes)),
+            None => Ok(self.writer.end()),
+        }))
+    }
+}
+
+impl Body {
+    /// The same in records, where it comes piece by piece.
+    pub(crate) fn into_records(self) -> Self {
+        match self {
+            Self::Stream(_) | Self::Kept(_) => Self::Recorded(Box::new(Recorded::new(self))),
+            Self::Whole(_) | Self::Recorded(_) => self,
+        }
+    }
+
+    fn poll_bytes(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        match self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(Ok)),
+            Self::Stream(stream) => stream.poll_next(cx),
+            Self::Kept(receiver) => receiver.poll_recv(cx),
+            Self::Recorded(recorded) => recorded.poll_next(cx),
+        }
+    }
 }
 
 impl HttpBody for Body {
@@ -64,11 +115,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        let next = match &mut *self {
-            Self::Whole(bytes) => bytes.take().map(Ok),
-            Self::Stream(stream) => ready!(stream.poll_next(cx)),
-            Self::Kept(receiver) => ready!(receiver.poll_recv(cx)),
-        };
+        let next = ready!(self.poll_bytes(cx));
         Poll::Ready(next.map(|result| result.map(Frame::data)))
     }
 
@@ -76,7 +123,7 @@
         match self {
             Self::Whole(Some(bytes)) => SizeHint::with_exact(bytes.len() as u64),
             Self::Whole(None) => SizeHint::with_exact(0),
-            Self::Stream(_) | Self::Kept(_) => SizeHint::default(),
+            Self::Stream(_) | Self::Kept(_) | Self::Recorded(_) => SizeHint::default(),
         }
     }
 
@@ -85,6 +132,7 @@
             Self::Whole(bytes) => bytes.is_none(),
             Self::Stream(stream) => stream.done,
             Self::Kept(_) => false,
+            Self::Recorded(recorded) => recorded.ended,
         }
     }
 }
@@ -192,7 +240,7 @@
         resume: Option<Resume>,
     ) -> Self {
         Self {
-            delimiter: Delimiter::of(&found.response),
+            delimiter: found.delimiter,
             metrics,
             pulse: None,
             pace: Pace::begin(came),
@@ -259,9 +307,14 @@
                         pulse.note(now);
                     }
                     self.stall.as_mut().reset(Instant::now() + STALL);
-                    if let Ok(bytes) = frame.into_data() {
-                        self.delimiter.note(&bytes);
-                        return Poll::Ready(Piece::Data(bytes));
+                    let bytes = frame.into_data().unwrap_or_default();
+                    match self.delimiter.read(bytes) {
+                        Ok(bytes) if bytes.is_empty() => {}
+                        Ok(bytes) => return Poll::Ready(Piece::Data(bytes)),
+                        Err(gap) => {
+                            self.note_gap(gap);
+                            return Poll::Ready(Piece::Cut);
+                        }
                     }
                 }
                 Poll::Ready(Some(Err(error))) => {
@@ -295,6 +348,16 @@
         );
     }
 
+    fn note_gap(&self, gap: Gap) {
+        self.metrics.relay_gaps.inc();
+        let Source { request, attempt } = self.source;
+        let number = attempt.0;
+        log::warn!(
+            "stream: box_id={request} attempt={number} cut gap={}",
+            gap.offset
+        );
+    }
+
     /// Stays with an answer that began while the reducer decided to try elsewhere: the order to abort
     /// is followed by one to send, which is not carried out. The answer goes on under the number of
     /// that attempt; false where there is none, and the answer is to be broken off.
@@ -406,7 +469,7 @@
             match ready!(resume.poll(cx)) {
                 Next::Found(found) => {
                     self.core.tell(Event::Begun { request, attempt });
-                    self.delimiter = Delimiter::of(&found.response);
+                    self.delimiter = found.delimiter;
                     self.incoming = found.response.into_body();
                     self.lease = Some(found.lease);
                     let now = Moment::now();
--- a/src/gateway/delimiter.rs
+++ b/src/gateway/delimiter.rs
@@ -2,13 +2,18 @@
 
 use std::fmt;
 
+use bytes::Bytes;
 use hyper::{
     Response,
     body::Body,
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
 };
 
-use crate::gateway::events::Scanner;
+use crate::gateway::{
+    events::Scanner,
+    head,
+    records::{Gap, Reader},
+};
 
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -21,12 +26,24 @@
     Close,
     /// The close of the connection, behind a stream of events.
     Events(Scanner),
+    /// The last record of another box.
+    Records(Reader),
+}
+
+/// Who answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sender {
+    Backend,
+    Box,
 }
 
 impl Delimiter {
     /// What `response` announces.
-    pub(crate) fn of<B: Body>(response: &Response<B>) -> Self {
+    pub(crate) fn of<B: Body>(response: &Response<B>, sender: Sender) -> Self {
         let headers = response.headers();
+        if sender == Sender::Box && headers.contains_key(head::RECORDS) {
+            return Self::Records(Reader::default());
+        }
         let framed = headers.contains_key(CONTENT_LENGTH)
             || headers.contains_key(TRANSFER_ENCODING)
             || response.body().is_end_stream();
@@ -41,10 +58,15 @@
         }
     }
 
-    /// Takes note of the next bytes of the body.
-    pub(crate) fn note(&mut self, bytes: &[u8]) {
-        if let Self::Events(scanner) = self {
-            scanner.push(bytes);
+    /// What of the next bytes is of the answer and may be passed on.
+    pub(crate) fn read(&mut self, bytes: Bytes) -> Result<Bytes, Gap> {
+        match self {
+            Self::Framed | Self::Close => Ok(bytes),
+            Self::Events(scanner) => {
+                scanner.push(&bytes);
+                Ok(bytes)
+            }
+            Self::Records(reader) => reader.read(&bytes),
         }
     }
 
@@ -54,12 +76,13 @@
         match self {
             Self::Framed | Self::Close => true,
             Self::Events(scanner) => scanner.is_whole(),
+            Self::Records(reader) => reader.is_ended(),
         }
     }
 
     /// Whether the body ends with its connection.
     pub(crate) fn is_close(&self) -> bool {
-        !matches!(self, Self::Framed)
+        matches!(self, Self::Close | Self::Events(_))
     }
 }
 
@@ -68,6 +91,7 @@
         match self {
             Self::Framed => f.write_str("by=framing"),
             Self::Close => f.write_str("by=close"),
+            Self::Records(reader) => write!(f, "by=records ended={}", reader.is_ended()),
             Self::Events(scanner) => {
                 let (events, inside) = (scanner.events(), scanner.is_inside());
                 write!(f, "by=close events={events} inside_event={inside}")
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -111,6 +111,10 @@
         answer_reply(&shell, &Reply { verdict, ..reply })
     });
     span.note("http.response.status_code", response.status().as_u16());
+    let in_records = door == Door::Peer && incoming.parts.headers.contains_key(head::RECORDS);
+    if in_records && !response.headers().contains_key(CONTENT_LENGTH) {
+        response = recorded(response);
+    }
     let headers = response.headers_mut();
     if shell.settings.interface == Interface::Own {
         headers.insert(head::BOX, head::value(&shell.settings.name));
@@ -127,6 +131,16 @@
     response
 }
 
+/// Brings a body that comes piece by piece in records, so that the other box sees a gap.
+fn recorded(response: Response<Body>) -> Response<Body> {
+    let mut response = response.map(Body::into_records);
+    if matches!(response.body(), Body::Recorded(_)) {
+        let headers = response.headers_mut();
+        headers.insert(head::RECORDS, head::value(true));
+    }
+    response
+}
+
 fn answer_reply(shell: &Shell, reply: &Reply) -> Response<Body> {
     let labels = [reply.status.to_string(), reply.verdict.to_string()];
     shell.metrics.replies.with_label_values(&labels).inc();
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -31,6 +31,8 @@
 pub const HOP: &str = "petreldrum-hop";
 /// Between boxes: how many backend servers may still run the request.
 pub const RUNS: &str = "petreldrum-runs";
+/// Between boxes: the asking box reads bodies in records; on an answer: its body comes so.
+pub const RECORDS: &str = "petreldrum-records";
 /// Between boxes: the region that sends.
 pub const FROM: &str = "petreldrum-from";
 /// Between boxes: the customer whose key was checked.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -40,6 +40,8 @@
     pub broken: IntCounterVec,
     /// Answers with neither a length nor chunks, by how their end was taken.
     pub unframed_ends: IntCounterVec,
+    /// Relayed answers of which something was missing.
+    pub relay_gaps: IntCounter,
     /// Runs that were to move to another engine, by how that ended.
     pub moves: IntCounterVec,
     /// Tokens of their prompts.
@@ -279,6 +281,10 @@
                 "Answers with neither a length nor chunks.",
                 &["end"],
             )?,
+            relay_gaps: counter(
+                "relay_gaps_total",
+                "Relayed answers of which something was missing.",
+            )?,
             moves: counters(
                 "moves_total",
                 "Runs that were to move to another engine, by how that ended.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod order;
 pub mod pack;
 mod read;
+pub mod records;
 mod repeats;
 mod replay;
 mod report;
--- a/tests/event_ends.rs
+++ b/tests/event_ends.rs
@@ -17,8 +17,8 @@
         return false;
     };
     let lines: Vec<&str> = lines.split(line_end).collect();
-    let is_field = |line: &&str| !line.is_empty() && !line.starts_with(':');
-    let last_field = lines.iter().rposition(|line| is_field(&line));
+    let is_field = |line: &str| !line.is_empty() && !line.starts_with(':');
+    let last_field = lines.iter().rposition(|line| is_field(line));
     let last_empty = lines.iter().rposition(|line| line.is_empty());
     last_field.is_some() && last_field < last_empty
 }
