Teach the soak unframed streams and answers that lose bytes

Servers may now bring streams with neither a length nor chunks, half of which end inside an event, also where their server crashes; and links may lose bytes of a box's answers, pass later ones on and break.

--- a/standin/src/soak/fleet.rs
+++ b/standin/src/soak/fleet.rs
@@ -260,6 +260,12 @@
         links.for_each(|link| link.cut(cut));
     }
 
+    /// Loses `size` bytes of a box's answers to other boxes, after the next `skip` ones.
+    pub fn lose(&self, number: usize, skip: usize, size: usize) {
+        let links = self.machines[number].links.values();
+        links.for_each(|link| link.lose(skip, size));
+    }
+
     /// Notes that a box is to end, whoever ends it.
     fn tell(&self, number: usize) {
         if let Some(running) = self.running(number).as_mut() {
--- a/standin/src/soak/plan.rs
+++ b/standin/src/soak/plan.rs
@@ -45,6 +45,8 @@
     Slow,
     /// It refuses everything.
     Full,
+    /// Its streams have neither a length nor chunks, and every second one ends inside an event.
+    Unframed,
 }
 
 /// How a backend server goes.
@@ -71,6 +73,8 @@
     Freeze(usize, Ms),
     /// A box's ways to and from other boxes are cut for so long.
     Cut(usize, Ms),
+    /// Answers of a box to other boxes lose bytes, and break soon after, for so long.
+    Gaps(usize, Ms),
     /// A box's settings are written anew, with a signal or without one.
     Settings(usize, bool),
     /// The store misbehaves for so long.
@@ -94,6 +98,9 @@
             Self::Kill(target, back) => write!(f, "SIGKILL box-{target}, back after {back} ms"),
             Self::Freeze(target, span) => write!(f, "SIGSTOP box-{target} for {span} ms"),
             Self::Cut(target, span) => write!(f, "links to box-{target} cut for {span} ms"),
+            Self::Gaps(target, span) => {
+                write!(f, "answers of box-{target} lose bytes for {span} ms")
+            }
             Self::Settings(target, signal) => {
                 let how = if *signal { "SIGHUP" } else { "no signal" };
                 write!(f, "settings of box-{target} written, {how}")
@@ -195,11 +202,12 @@
             4 => Fault::Evacuate(region, 2 * span),
             _ => Fault::Depart(server, Departure::Announced, back),
         },
-        Theme::Boxes => match random.random_range(0..7) {
+        Theme::Boxes => match random.random_range(0..8) {
             0 => Fault::Terminate(target, back),
             1 | 2 => Fault::Kill(target, back),
             3 => Fault::Freeze(target, span),
             4 | 5 => Fault::Cut(target, span),
+            6 => Fault::Gaps(target, span),
             _ => Fault::Settings(target, signal),
         },
         Theme::Store => {
@@ -218,7 +226,8 @@
                 Departure::Crash,
                 Departure::AddressReused,
             ];
-            let ills = [Illness::Dark, Illness::Lying, Illness::Slow, Illness::Full];
+            use Illness::{Dark, Full, Lying, Slow, Unframed};
+            let ills = [Dark, Lying, Slow, Full, Unframed];
             let way = *ways.choose(random).expect("there are ways");
             let ill = *ills.choose(random).expect("there are ills");
             match random.random_range(0..2) {
--- a/standin/src/soak/play.rs
+++ b/standin/src/soak/play.rs
@@ -10,7 +10,10 @@
     time::Duration,
 };
 
-use tokio::{task::JoinSet, time::sleep};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 use super::{
     Plant, REGIONS,
@@ -38,6 +41,8 @@
 const SHORT: Duration = Duration::from_millis(50);
 /// Breaches of one rule that are told; more of them say no more.
 const TOLD: usize = 5;
+/// Time between two losses of bytes.
+const LOSS_PAUSE: Duration = Duration::from_millis(150);
 /// How often the promises are checked.
 const LOOK: Duration = Duration::from_secs(1);
 
@@ -196,6 +201,12 @@
                 self.book.end(trouble);
                 Ok(())
             }
+            Fault::Gaps(target, span) => {
+                let trouble = self.book.begin(Part::Cut(target));
+                self.lose(target, span).await;
+                self.book.end(trouble);
+                Ok(())
+            }
             Fault::Settings(target, signal) => {
                 let trouble = self.book.begin(Part::Settings(target));
                 self.fleet.write_settings(target)?;
@@ -235,6 +246,17 @@
         }
     }
 
+    /// Loses bytes of a box's answers again and again, a few or many, in heads and in bodies.
+    async fn lose(&self, target: usize, span: Ms) {
+        let end = Instant::now() + Duration::from_millis(span);
+        for turn in (1..).take_while(|_| Instant::now() < end) {
+            self.fleet
+                .lose(target, turn * 61 % 1500, turn * 29 % 300 + 1);
+            sleep(LOSS_PAUSE).await;
+        }
+        self.fleet.lose(target, 0, 0);
+    }
+
     async fn bring_back(&self, target: usize, back: Ms, trouble: usize) -> eyre::Result<()> {
         sleep(Duration::from_millis(back)).await;
         self.fleet.restart(target).await?;
--- a/standin/src/soak/server.rs
+++ b/standin/src/soak/server.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -12,14 +12,14 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header::HeaderValue,
+    Request, Response, StatusCode, Version, body::Incoming, header::HeaderValue,
     server::conn::http1 as server, service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc, watch},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use super::{
@@ -27,7 +27,10 @@
     plan::Illness,
     record::{Arrival, Book, Kind, Life, Ms, Part},
 };
-use crate::http::{Body, stream, whole};
+use crate::{
+    http::{Body, stream, whole},
+    script::EVENT_STREAM,
+};
 
 /// Events of a whole stream.
 pub const EVENTS: u32 = 10;
@@ -38,6 +41,10 @@
 const WORK: Duration = Duration::from_millis(20);
 const SLOW_WORK: Duration = Duration::from_millis(600);
 const EVENT_PAUSE: Duration = Duration::from_millis(40);
+/// Events of an unframed stream that breaks off, before the half one.
+const BREAK_AFTER: u32 = 4;
+/// How long the connections of such streams outlast their server, to bring the half event.
+const LAST_BYTES: Duration = Duration::from_millis(100);
 /// How long a server that ends leaves its running requests.
 const LAST_WORK: Duration = Duration::from_millis(1500);
 
@@ -148,7 +155,7 @@
     /// Ends when its running requests are done, or soon anyway.
     pub async fn finish(&self) {
         let all = self.slots.acquire_many(SLOTS as u32);
-        let _ = tokio::time::timeout(LAST_WORK, all).await;
+        let _ = timeout(LAST_WORK, all).await;
         self.crash();
     }
 
@@ -172,15 +179,30 @@
     async fn serve(self, channel: TcpStream) {
         let _ = channel.set_nodelay(true);
         let mut end = self.end.subscribe();
-        let handler = service_fn(|request| self.answer(request));
+        let unframed = AtomicBool::new(false);
+        let handler = service_fn(|request| self.answer(request, &unframed));
         let served = server::Builder::new().serve_connection(TokioIo::new(channel), handler);
-        tokio::select! {
-            _ = served => {}
-            _ = end.wait_for(|end| *end) => {}
+        tokio::pin!(served);
+        let ended = tokio::select! {
+            _ = &mut served => false,
+            _ = end.wait_for(|end| *end) => true,
+        };
+        if ended && unframed.load(Ordering::Relaxed) {
+            let _ = timeout(LAST_BYTES, served).await;
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> std::io::Result<Response<Body>> {
+    fn illness(&self) -> Option<Illness> {
+        *self.illness.lock().expect("the lock is never poisoned")
+    }
+
+    /// Answers one request; `is_unframed` is whether the connection's answer has neither a length nor
+    /// chunks.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        is_unframed: &AtomicBool,
+    ) -> std::io::Result<Response<Body>> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(std::io::Error::other)?;
         let body = body.to_bytes();
@@ -189,7 +211,7 @@
             let value = head.headers.get(name).and_then(|v| v.to_str().ok());
             value.unwrap_or_default().to_owned()
         };
-        let illness = *self.illness.lock().expect("the lock is never poisoned");
+        let illness = self.illness();
         if path == "/health" {
             return self.health(illness).await;
         }
@@ -232,7 +254,18 @@
         self.book.record().arrivals[arrival].status = 200;
         if kind == Some(Kind::Stream) {
             let last = text("last-event-id").parse().unwrap_or(0);
-            return Ok(self.signed(self.events(last, slot), &id, arrival));
+            let unframed = illness == Some(Illness::Unframed);
+            is_unframed.store(unframed, Ordering::Relaxed);
+            let end = match unframed && turn.is_multiple_of(2) {
+                true => EVENTS.min(last + BREAK_AFTER),
+                false => EVENTS,
+            };
+            let mut answer = self.events(last, end, unframed, slot);
+            if unframed {
+                // The library then writes neither a length nor chunks.
+                *answer.version_mut() = Version::HTTP_10;
+            }
+            return Ok(self.signed(answer, &id, arrival));
         }
         sleep(WORK).await;
         let foreign = self.has(Plant::ForeignAnswer) && kind == Some(Kind::Safe);
@@ -295,24 +328,38 @@
         answer
     }
 
-    fn events(&self, last: u32, slot: tokio::sync::OwnedSemaphorePermit) -> Response<Body> {
+    /// Streams the events after `last` up to `end`; an unframed stream that is not whole ends
+    /// inside the next one.
+    fn events(
+        &self,
+        last: u32,
+        end: u32,
+        unframed: bool,
+        slot: tokio::sync::OwnedSemaphorePermit,
+    ) -> Response<Body> {
         let (sender, receiver) = mpsc::channel(1);
         let skipped = self.has(Plant::SkippedEvent).then_some(EVENTS / 2);
         let name = self.name.clone();
-        let mut end = self.end.subscribe();
+        let mut crash = self.end.subscribe();
         tokio::spawn(async move {
             let _slot = slot;
-            for number in (last + 1..=EVENTS).filter(|n| Some(*n) != skipped) {
+            let mut made = last;
+            for number in (last + 1..=end).filter(|n| Some(*n) != skipped) {
                 let event = format!("id: {number}\ndata: {name}\n\n");
                 tokio::select! {
                     sent = sender.send(Ok(Bytes::from(event))) => if sent.is_err() { return },
-                    _ = end.wait_for(|end| *end) => return,
+                    _ = crash.wait_for(|end| *end) => break,
                 }
+                made = number;
                 sleep(EVENT_PAUSE).await;
             }
+            if unframed && made < EVENTS {
+                let half = format!("id: {}\nda", made + 1);
+                let _ = sender.send(Ok(Bytes::from(half))).await;
+            }
         });
         let mut answer = stream(receiver);
-        let kind = HeaderValue::from_static("text/event-stream");
+        let kind = HeaderValue::from_static(EVENT_STREAM);
         answer.headers_mut().insert("content-type", kind);
         answer
     }
