Check the heads of answers between boxes

Change: each answer between boxes carries a check of its status and headers, and its length where that is known. An answer without it, or with another one, counts as a connection that broke.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use crate::{
     gateway::{
         Shell,
+        checksum::Checksum,
         clock::Moment,
         delimiter::{Delimiter, Sender},
         dial::{Distance, Failure, Lease},
@@ -126,6 +127,19 @@
         Miss::new(failure.verdict(), cause)
     })?;
     span.note("http.response.status_code", response.status().as_u16());
+    let sender = match send.target {
+        Target::Backend { .. } => Sender::Backend,
+        Target::Relay { .. } | Target::Pass { .. } => Sender::Box,
+    };
+    if sender == Sender::Box && !Checksum::holds(&response) {
+        count("failed");
+        shell.metrics.relay_gaps.inc();
+        let (request, attempt) = (send.request, send.attempt.0);
+        log::warn!(
+            "attempt: box_id={request} attempt={attempt} answered by {address} with a broken head"
+        );
+        return Err(Miss::new(Verdict::MayHaveRun, Cause::Broken));
+    }
     let refused = refusal(shell, prepared, &send.target, &response);
     let ran = refused.is_none() && response.status().is_success();
     let not_run = refused.is_some_and(|(verdict, _)| verdict.is_not_run());
@@ -138,10 +152,6 @@
             hear_pushback(shell, send, headers);
         }
     }
-    let sender = match send.target {
-        Target::Backend { .. } => Sender::Backend,
-        Target::Relay { .. } | Target::Pass { .. } => Sender::Box,
-    };
     let found = Found {
         delimiter: Delimiter::of(&response, sender),
         response,
@@ -329,7 +339,6 @@
         headers.insert(head::LEFT, head::value(left.0));
     }
     if to_box {
-        headers.insert(own(head::RECORDS), head::value(true));
         headers.insert(own(head::RUNS), head::value(send.runs));
         headers.insert(own(head::FROM), head::value(&shell.settings.region));
         headers.insert(own(head::CUSTOMER), head::value(&send.customer));
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -18,6 +18,7 @@
         Shell, ask,
         attempt::{Found, Miss, Prepared, try_once},
         body::{Body, Cut, Piece, STALL, Source, Stream},
+        checksum::Checksum,
         clock::Moment,
         core::{Handle, Order},
         head, pack,
@@ -111,8 +112,7 @@
         answer_reply(&shell, &Reply { verdict, ..reply })
     });
     span.note("http.response.status_code", response.status().as_u16());
-    let in_records = door == Door::Peer && incoming.parts.headers.contains_key(head::RECORDS);
-    if in_records && !response.headers().contains_key(CONTENT_LENGTH) {
+    if door == Door::Peer && !response.headers().contains_key(CONTENT_LENGTH) {
         response = recorded(response);
     }
     let headers = response.headers_mut();
@@ -128,6 +128,9 @@
             headers.insert(head::LEAVING, head::value(true));
         }
     }
+    if door == Door::Peer {
+        Checksum::add(&mut response);
+    }
     response
 }
 
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -31,8 +31,10 @@
 pub const HOP: &str = "petreldrum-hop";
 /// Between boxes: how many backend servers may still run the request.
 pub const RUNS: &str = "petreldrum-runs";
-/// Between boxes: the asking box reads bodies in records; on an answer: its body comes so.
+/// Between boxes, on an answer: its body comes in records.
 pub const RECORDS: &str = "petreldrum-records";
+/// Between boxes, on an answer: the check of its head.
+pub const CHECK: &str = "petreldrum-check";
 /// Between boxes: the region that sends.
 pub const FROM: &str = "petreldrum-from";
 /// Between boxes: the customer whose key was checked.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod attempt;
 mod body;
 mod carry;
+pub mod checksum;
 pub mod clock;
 mod core;
 mod delimiter;
--- /dev/null
+++ b/tests/head_checks.rs
@@ -0,0 +1,60 @@
+//! Heads of answers between boxes: whatever is lost of one, its check no longer holds.
+
+use hyper::{Response, header::HeaderName};
+use petreldrum::gateway::checksum::Checksum;
+
+fn response(fields: &[(&str, &str)]) -> Response<String> {
+    let mut response = Response::new("whole".to_owned());
+    for (name, value) in fields {
+        let name: HeaderName = name.parse().expect("a name");
+        response
+            .headers_mut()
+            .append(name, value.parse().expect("a value"));
+    }
+    response
+}
+
+const FIELDS: [(&str, &str); 4] = [
+    ("response-signature", "abc"),
+    ("content-type", "text/plain"),
+    ("set-cookie", "a"),
+    ("set-cookie", "b"),
+];
+
+#[test]
+fn holds_as_it_was_sent() {
+    let mut sent = response(&FIELDS);
+    Checksum::add(&mut sent);
+    assert!(Checksum::holds(&sent));
+    assert_eq!(sent.headers()["content-length"], "5");
+    // The HTTP library adds these.
+    for name in ["date", "connection"] {
+        sent.headers_mut()
+            .insert(name, "x".parse().expect("a value"));
+    }
+    assert!(Checksum::holds(&sent));
+}
+
+#[test]
+fn notices_what_is_lost_or_changed() {
+    let mut sent = response(&FIELDS);
+    Checksum::add(&mut sent);
+    let names: Vec<HeaderName> = sent.headers().keys().cloned().collect();
+    for name in names {
+        let copy = || {
+            let mut copy = Response::new(());
+            *copy.headers_mut() = sent.headers().clone();
+            copy
+        };
+        let mut lost = copy();
+        lost.headers_mut().remove(&name);
+        assert!(!Checksum::holds(&lost), "without {name}");
+        let mut changed = copy();
+        changed
+            .headers_mut()
+            .insert(&name, "1".parse().expect("a value"));
+        assert!(!Checksum::holds(&changed), "another {name}");
+    }
+    *sent.status_mut() = hyper::StatusCode::ACCEPTED;
+    assert!(!Checksum::holds(&sent));
+}
