Never resume a stream inside an event that was passed on

By reading, while looking for the same cause elsewhere: an event of more than 256 KiB passes as it comes, and its id counted from then on.

Change: a stream that has passed on a part of an event stays where it is until that event has ended, and the id counts then. The new test reads the state after such a part; on the code before, which has no such state, it was not run. The path through a process is not tested: no stand-in writes events of that size.

--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -280,7 +280,9 @@
         {
             let crossed = match order {
                 Order::Stopping | Order::Send(_) => self.stop(order),
-                Order::Leave if self.resume.is_some() => return Poll::Ready(Piece::Left),
+                Order::Leave if self.resume.as_ref().is_some_and(|r| r.may_leave()) => {
+                    return Poll::Ready(Piece::Left);
+                }
                 Order::Abort | Order::Leave => self.stay(),
                 _ => false,
             };
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -96,12 +96,16 @@
     scanner: Scanner,
     partial: BytesMut,
     last: Option<String>,
+    /// Whether a part of an event was passed on, and the id that it told.
+    split: bool,
+    split_id: Option<String>,
 }
 
 impl Events {
     /// Takes bytes of the stream and returns those that end an event, with what came before.
     pub fn push(&mut self, bytes: Bytes) -> Bytes {
-        let whole = match self.scanner.push(&bytes) {
+        let end = self.scanner.push(&bytes);
+        let whole = match end {
             Some(end) if self.partial.is_empty() && end == bytes.len() => bytes,
             end => {
                 self.partial.extend_from_slice(&bytes);
@@ -109,12 +113,23 @@
                 self.split_partial(end.map(|_| self.partial.len() - after))
             }
         };
-        if let Some(id) = last_id(&whole) {
-            self.last = Some(id);
+        if end.is_some() {
+            self.split = false;
+            let id = last_id(&whole).or(self.split_id.take());
+            self.last = id.or(self.last.take());
+        } else if !whole.is_empty() {
+            self.split = true;
+            self.split_id = last_id(&whole).or(self.split_id.take());
         }
         whole
     }
 
+    /// Whether a part of an event was passed on whose rest is still to come: no other server can bring
+    /// that.
+    pub fn is_split(&self) -> bool {
+        self.split
+    }
+
     /// Takes out what ends at `end`, or all of an event that grows too long.
     fn split_partial(&mut self, end: Option<usize>) -> Bytes {
         let part = match end {
--- a/src/gateway/resume.rs
+++ b/src/gateway/resume.rs
@@ -51,9 +51,14 @@
         }
     }
 
+    /// Whether the stream may leave its place as things stand.
+    pub(crate) fn may_leave(&self) -> bool {
+        !self.events.is_split()
+    }
+
     /// Whether the stream may go on after a cut as things stand.
     pub(crate) fn outlives_cut(&self) -> bool {
-        self.after_cut || self.stop.is_asked()
+        self.may_leave() && (self.after_cut || self.stop.is_asked())
     }
 
     /// Tries to go on as ordered; returns the stream's word on the next backend server.
--- a/tests/resumed_streams.rs
+++ b/tests/resumed_streams.rs
@@ -58,6 +58,18 @@
     assert_eq!(ids(&answer.body), (1..=EVENTS).collect::<Vec<_>>());
 }
 
+// A long event of which a part had been passed on was taken for a whole one, and lost its rest.
+#[test]
+fn half_of_a_long_event_is_no_event() {
+    let mut events = Events::default();
+    events.push(Bytes::from("id: 1\ndata: a\n\n"));
+    let part = events.push(Bytes::from(format!("id: 2\ndata: {}", "x".repeat(300_000))));
+    assert!(part.len() > 300_000, "it is not gathered");
+    assert_eq!((events.last(), events.is_split()), (Some("1"), true));
+    events.push(Bytes::from("x\n\nid: 3\n"));
+    assert_eq!((events.last(), events.is_split()), (Some("2"), false));
+}
+
 #[test]
 fn any_pieces_make_whole_events() {
     bolero::check!()
