Give streams on their way a file of their own

Bodies and their records stay there; what brings a stream, how it ends and how it goes on is gateway/stream.rs. Behaviour is unchanged.

--- a/src/gateway/carry.rs
+++ b/src/gateway/carry.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     gateway::{
-        body::Stream,
         core::{Core, Order},
+        stream::Stream,
     },
     memory::moved::{Moved, Origin},
     platform::engine,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
     gateway::{
         Shell, ask,
         attempt::{Found, Miss, Prepared, try_once},
-        body::{Body, Cut, Piece, STALL, Source, Stream},
+        body::Body,
         checksum::Checksum,
         clock::Moment,
         core::{Handle, Order},
@@ -25,6 +25,7 @@
         read::{self, deny},
         replay::{Answer, MAX_ANSWER},
         resume::Resume,
+        stream::{Cut, Piece, STALL, Source, Stream},
         trace::Span,
     },
     id, platform,
@@ -113,7 +114,7 @@
     });
     span.note("http.response.status_code", response.status().as_u16());
     if door == Door::Peer && !response.headers().contains_key(CONTENT_LENGTH) {
-        response = recorded(response);
+        response = head::recorded(response);
     }
     let headers = response.headers_mut();
     if shell.settings.interface == Interface::Own {
@@ -134,16 +135,6 @@
     response
 }
 
-/// Brings a body that comes piece by piece in records, so that the other box sees a gap.
-fn recorded(response: Response<Body>) -> Response<Body> {
-    let mut response = response.map(Body::into_records);
-    if matches!(response.body(), Body::Recorded(_)) {
-        let headers = response.headers_mut();
-        headers.insert(head::RECORDS, head::value(true));
-    }
-    response
-}
-
 fn answer_reply(shell: &Shell, reply: &Reply) -> Response<Body> {
     let labels = [reply.status.to_string(), reply.verdict.to_string()];
     shell.metrics.replies.with_label_values(&labels).inc();
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -219,6 +219,16 @@
     response
 }
 
+/// Brings a body that comes piece by piece in records, so that the other box sees a gap.
+pub(crate) fn recorded(response: Response<Body>) -> Response<Body> {
+    let mut response = response.map(Body::into_records);
+    if matches!(response.body(), Body::Recorded(_)) {
+        let headers = response.headers_mut();
+        headers.insert(RECORDS, value(true));
+    }
+    response
+}
+
 /// An answer that is all at hand.
 pub(crate) fn whole(
     status: StatusCode,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -51,6 +51,7 @@
 mod shell;
 mod signs;
 mod store;
+mod stream;
 pub mod sync;
 mod trace;
 mod worst;
