Send records only to boxes that ask for them

By reading the change: a box of an earlier release would have passed the records of a new one on to its caller as they are. A box now asks for checked answers by a header, and one that does not gets plain bodies (test: a request of the old form).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -339,6 +339,7 @@
         headers.insert(head::LEFT, head::value(left.0));
     }
     if to_box {
+        headers.insert(own(head::CHECKED), head::value(true));
         headers.insert(own(head::RUNS), head::value(send.runs));
         headers.insert(own(head::FROM), head::value(&shell.settings.region));
         headers.insert(own(head::CUSTOMER), head::value(&send.customer));
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -113,7 +113,8 @@
         answer_reply(&shell, &Reply { verdict, ..reply })
     });
     span.note("http.response.status_code", response.status().as_u16());
-    if door == Door::Peer && !response.headers().contains_key(CONTENT_LENGTH) {
+    let checked = door == Door::Peer && incoming.parts.headers.contains_key(head::CHECKED);
+    if checked && !response.headers().contains_key(CONTENT_LENGTH) {
         response = head::recorded(response);
     }
     let headers = response.headers_mut();
@@ -129,7 +130,7 @@
             headers.insert(head::LEAVING, head::value(true));
         }
     }
-    if door == Door::Peer {
+    if checked {
         Checksum::add(&mut response);
     }
     response
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -31,6 +31,9 @@
 pub const HOP: &str = "petreldrum-hop";
 /// Between boxes: how many backend servers may still run the request.
 pub const RUNS: &str = "petreldrum-runs";
+/// Between boxes, on a request: its sender takes only answers whose head has a check, and reads bodies
+/// in records.
+pub const CHECKED: &str = "petreldrum-checked";
 /// Between boxes, on an answer: its body comes in records.
 pub const RECORDS: &str = "petreldrum-records";
 /// Between boxes, on an answer: the check of its head.
--- a/tests/relay_gaps.rs
+++ b/tests/relay_gaps.rs
@@ -4,8 +4,9 @@
 
 use std::{ops::Range, time::Duration};
 
-use harness::{Standin, World, backend, chat, eventually, preamble};
-use petreldrum_standin::link::Link;
+use harness::{SECRET, Standin, World, backend, chat, eventually, preamble, streamed, tokens};
+use hyper::Method;
+use petreldrum_standin::{http::call, link::Link};
 use serde_json::json;
 
 const REGIONS: [&str; 2] = ["perth", "bunbury"];
@@ -89,3 +90,26 @@
         assert!(all.text.starts_with(&got.text), "{lost:?}: {:?}", got.text);
     }
 }
+
+#[tokio::test]
+async fn box_that_does_not_ask_gets_plain_bodies() {
+    let engine = Standin::start("engine").await;
+    let (world, _link) = world(&engine).await;
+    let peer = world.get("bunbury-1").peer;
+    let headers = [
+        ("petreldrum-secret", SECRET),
+        ("petreldrum-hop", "relay"),
+        ("petreldrum-from", "perth"),
+        ("petreldrum-caller", "ward"),
+    ];
+    let body = chat("x", TOKENS).to_string();
+    let plain = call(peer, Method::POST, CHAT, &headers, body.clone()).await;
+    let plain = plain.expect("the box answers");
+    assert_eq!(streamed(&plain), Some(tokens("x", TOKENS)));
+    assert!(plain.header("petreldrum-records").is_empty());
+    let asking = [&headers[..], &[("petreldrum-checked", "true")]].concat();
+    let checked = call(peer, Method::POST, CHAT, &asking, body).await;
+    let checked = checked.expect("the box answers");
+    assert_eq!(checked.header("petreldrum-records"), "true");
+    assert_eq!(checked.header("petreldrum-check").len(), 16);
+}
