Send no records for answers that have no body

By reading the change: an answer without a body (204, 304, to HEAD) was said to come in records, and the box behind it would have waited for the last one and told a cut. Test: a 204 behind a relay in broken_stream_is_seen_behind_a_relay; it was not run on the code before.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -114,8 +114,8 @@
     });
     span.note("http.response.status_code", response.status().as_u16());
     let checked = door == Door::Peer && incoming.parts.headers.contains_key(head::CHECKED);
-    if checked && !response.headers().contains_key(CONTENT_LENGTH) {
-        response = head::recorded(response);
+    if checked {
+        response = head::recorded(response, &incoming.parts.method);
     }
     let headers = response.headers_mut();
     if shell.settings.interface == Interface::Own {
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{
-    HeaderMap, Response, StatusCode,
+    HeaderMap, Method, Response, StatusCode,
     header::{
         AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderName, HeaderValue,
         RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
@@ -222,8 +222,14 @@
     response
 }
 
-/// Brings a body that comes piece by piece in records, so that the other box sees a gap.
-pub(crate) fn recorded(response: Response<Body>) -> Response<Body> {
+/// Brings a body that comes piece by piece in records, so that the other box sees a gap. One with a
+/// length shows that by itself.
+pub(crate) fn recorded(response: Response<Body>, method: &Method) -> Response<Body> {
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    let none = *method == Method::HEAD || bodiless.contains(&response.status());
+    if none || response.headers().contains_key(CONTENT_LENGTH) {
+        return response;
+    }
     let mut response = response.map(Body::into_records);
     if matches!(response.body(), Body::Recorded(_)) {
         let headers = response.headers_mut();
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -284,6 +284,11 @@
             ),
             "surplus" => (good.clone() + &good.replace(id, "surplus"), true),
             "unframed" => (head("200 OK", signed) + "\r\n" + &body, false),
+            "bodiless" => (
+                good.replace("200 OK", "204 No Content")
+                    .replace(&(length.clone() + &body), "\r\n"),
+                true,
+            ),
             "cut" => (good[..good.len() - 2].to_owned(), false),
             "garbage" => ("%%% no protocol %%%\r\n\r\n".to_owned(), false),
             "lost" => (String::new(), false),
--- a/tests/unframed_streams.rs
+++ b/tests/unframed_streams.rs
@@ -130,6 +130,8 @@
         cloud.boxes[0].send("/safe/x", "first", "").await.status == 200
     })
     .await;
+    let answer = cloud.boxes[0].send("/once/x", "none", "bodiless").await;
+    assert_eq!((answer.status.as_u16(), answer.whole), (204, true));
     for (number, script) in broken().iter().enumerate() {
         let id = format!("one-{number}");
         let answer = play(&cloud.boxes[0], "/once/x", &id, script).await;
