--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! |---|---|
 //! | `shell` | what all tasks of one box share |
 //! | `core` | the actor that owns the reducer and carries out its effects |
-//! | `exchange`, `read`, `attempt`, [`resume`] | one request and its answer |
+//! | `exchange`, `read`, `attempt`, `resume` | one request and its answer |
+//! | `stream`, `delimiter`, [`events`], [`records`], [`checksum`] | an answer on its way, and where it ends |
 //! | `serve`, `framing`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
 //! | `gossip` | nng between boxes |
 //! | `store`, `follow`, `list` | the platform, by our own interface |
