Log what a box knows of each region when it directs a caller away

The line of a look-up that names no box of the caller's region now has the uptime of the box and its view of each other region; a counter and a line each 10 s count look-ups by the boxes named. No decision changes.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of a box; docs/operate.md says which values need attention.
 
 use crate::{
+    gateway::report::Lookup,
     reducer::{
         effect::{MoveOutcome, MoveReport},
         status::{Allotted, Repeats, Rollout},
@@ -71,6 +72,8 @@
     pub followed: IntGauge,
     /// Milliseconds since the least recent update among the followed engines.
     pub oldest_engine_update: IntGauge,
+    /// Look-ups answered, by the origin of the boxes named.
+    pub lookups: IntCounterVec,
     /// Stored responses that were replayed.
     pub replays: IntCounter,
     /// Alarms raised.
@@ -341,6 +344,11 @@
                 "engine_news_age_ms",
                 "Time since the followed engine was heard that was heard longest ago.",
             )?,
+            lookups: counters(
+                "lookups_total",
+                "Look-ups of boxes, by where the boxes named are: own, digest, elsewhere, nowhere.",
+                &["boxes"],
+            )?,
             replays: counter("replays_total", "Kept answers given again.")?,
             alarms: counter("alarms_total", "Alarms; each is in the log.")?,
             gossip: counters(
@@ -449,23 +457,21 @@
         counter.inc_by(bytes as u64);
     }
 
+    /// Counts the answer to a look-up.
+    pub(crate) fn count_lookup(&self, lookup: Lookup) {
+        self.lookups.with_label_values(&[lookup.name()]).inc();
+    }
+
     /// Formats the bytes of messages between boxes since the start, by direction and kind, for the
     /// log.
     pub fn traffic(&self) -> String {
-        let mut sums = Vec::new();
-        for family in self.gossip.collect() {
-            for metric in family.get_metric() {
-                let labels = metric.get_label().iter().map(|label| label.value());
-                let values: Vec<&str> = labels.collect();
-                sums.push(format!(
-                    "{}={}",
-                    values.join("-"),
-                    metric.get_counter().get_value()
-                ));
-            }
-        }
-        sums.sort_unstable();
-        sums.join(" ")
+        format_counts(&self.gossip)
+    }
+
+    /// Formats the look-ups answered since the start, by the origin of the boxes named, for the
+    /// log.
+    pub fn lookup_counts(&self) -> String {
+        format_counts(&self.lookups)
     }
 
     /// Encodes all metrics in the Prometheus text format.
@@ -478,3 +484,18 @@
         text
     }
 }
+
+/// Formats counters as `LABEL-LABEL=N`, sorted by label.
+fn format_counts(counters: &IntCounterVec) -> String {
+    let mut counts = Vec::new();
+    for family in counters.collect() {
+        for metric in family.get_metric() {
+            let labels = metric.get_label().iter().map(|label| label.value());
+            let values: Vec<&str> = labels.collect();
+            let count = metric.get_counter().get_value();
+            counts.push(format!("{}={count}", values.join("-")));
+        }
+    }
+    counts.sort_unstable();
+    counts.join(" ")
+}
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -4,7 +4,7 @@
     gateway::core::Core,
     id,
     reducer::{
-        effect::{Effect, Move, Reply, Send as SendOrder, Target},
+        effect::{Effect, Entry, Move, Reply, Send as SendOrder, Target},
         event::{Event, Timing},
     },
     size::Weight,
@@ -70,6 +70,39 @@
     }
 }
 
+/// Origin of the boxes that a look-up names, for the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lookup {
+    /// The caller's region, which is the region of this box.
+    Own,
+    /// The caller's region, as listed in a digest.
+    Digest,
+    /// Regions other than the caller's.
+    Elsewhere,
+    /// No box.
+    Nowhere,
+}
+
+impl Lookup {
+    fn of(boxes: &[Entry], detour: bool, own: &id::Region) -> Self {
+        match boxes.first() {
+            None => Self::Nowhere,
+            Some(_) if detour => Self::Elsewhere,
+            Some(entry) if entry.contact.region == *own => Self::Own,
+            Some(_) => Self::Digest,
+        }
+    }
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Digest => "digest",
+            Self::Elsewhere => "elsewhere",
+            Self::Nowhere => "nowhere",
+        }
+    }
+}
+
 impl Core {
     /// Updates the gauges and the fleet size, and periodically the allotment and roll-out metrics
     /// and the traffic log.
@@ -106,6 +139,7 @@
         if now.since(self.traffic_logged_at) >= TRAFFIC_LOG_INTERVAL {
             self.traffic_logged_at = now;
             log::info!("peers: bytes {}", metrics.traffic());
+            log::info!("look-ups: {}", metrics.lookup_counts());
         }
         let revision = self.state.revision();
         metrics.store_era.set(revision.era.0 as i64);
@@ -139,6 +173,10 @@
                 return metrics.broken.with_label_values(&[label]).inc();
             }
             Effect::MoveEnded(carried) => return metrics.count_move(carried),
+            Effect::Boxes { boxes, detour, .. } => {
+                let source = Lookup::of(boxes, detour.is_some(), &self.parts.settings.region);
+                return metrics.count_lookup(source);
+            }
             Effect::Quarantine(step) => {
                 return metrics.quarantine.with_label_values(&[step.name()]).inc();
             }
@@ -242,15 +280,19 @@
                 detour: Some(detour),
             } => {
                 let named: Vec<&str> = boxes.iter().map(|b| b.contact.name.as_str()).collect();
+                let views: Vec<String> = detour.views.iter().map(ToString::to_string).collect();
                 self.log_request(
                     *request,
                     format_args!(
-                        "look-up region={} host={} none-ready planned={} used={} named={}",
+                        "look-up region={} host={} none-ready planned={} used={} named={} up={} \
+                         regions={}",
                         detour.region,
                         detour.host.as_deref().unwrap_or("-"),
                         detour.planned,
                         detour.used,
-                        named.join(",")
+                        named.join(","),
+                        detour.uptime,
+                        views.join(" ")
                     ),
                 );
             }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -209,6 +209,7 @@
             recovered_at,
             received_at: now,
             sent: 0,
+            unreachable: 0,
             backoff_until: old.map_or(Time(0), |old| old.backoff_until),
             digest,
         };
@@ -244,7 +245,9 @@
     /// Removes a relay endpoint that could not be reached, until the next digest.
     pub fn remove_endpoint(&mut self, region: &Region, name: &BoxName) {
         if let Some(remote) = self.regions.get_mut(region) {
+            let before = remote.digest.endpoints.len();
             remote.digest.endpoints.retain(|d| d.contact.name != *name);
+            remote.unreachable += before - remote.digest.endpoints.len();
         }
     }
 
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -78,6 +78,8 @@
     pub recovered_at: Option<Time>,
     /// Requests relayed since the digest that have not ended.
     pub sent: u32,
+    /// Entry points of the last digest that could not be reached and were removed.
+    pub unreachable: usize,
     /// Until when no requests are relayed there because the region refused one.
     pub backoff_until: Time,
 }
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -4,13 +4,13 @@
 
 use crate::{
     config::{Refusal, Route},
-    id,
+    id::{self, Region},
     member::{Peer, load},
     policy::Policy,
     reducer::{
         State,
         admit::refusal_reply,
-        effect::{Effect, Entry, Fallback, Reply},
+        effect::{Effect, Entry, Fallback, RegionView, Reply},
         event::Credential,
         job::DEFAULT_RETRY_AFTER,
     },
@@ -106,9 +106,26 @@
             host: host.map(str::to_owned),
             planned: self.is_planned_stop(now, region),
             used: routes.filter(|r| self.demand.is_used(r, now)).count(),
+            uptime: now,
+            views: self.region_views(now),
         }
     }
 
+    fn region_views(&self, now: Time) -> Vec<RegionView> {
+        let view = |region: Region| {
+            let remote = self.table.region(&region);
+            RegionView {
+                age: remote.map(|r| now.since(r.received_at)),
+                endpoints: remote.map_or(0, |r| r.digest.endpoints.len()),
+                unreachable: remote.map_or(0, |r| r.unreachable),
+                stopping: remote.is_some_and(|r| r.digest.stopping),
+                absent: self.absent_since(&region).map(|since| now.since(since)),
+                region,
+            }
+        };
+        self.other_regions().into_iter().map(view).collect()
+    }
+
     /// Returns how many requests of `host` seen by this box may run in `region`, how many of its
     /// used routes, and how many of all its routes; higher is better.
     fn permitted_use(
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -230,6 +230,43 @@
     pub planned: bool,
     /// Number of the host's routes that are in use, as far as this box knows.
     pub used: usize,
+    /// Uptime of this box.
+    pub uptime: Time,
+    /// What this box knows of the other regions.
+    pub views: Vec<RegionView>,
+}
+
+/// What a box knows of another region, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RegionView {
+    /// The region.
+    pub region: Region,
+    /// Age of its last digest; `None` if there was none since this box started.
+    pub age: Option<Millis>,
+    /// Entry points in use.
+    pub endpoints: usize,
+    /// Entry points of the last digest that could not be reached.
+    pub unreachable: usize,
+    /// Whether the last digest reported that all boxes of the region are stopping by plan.
+    pub stopping: bool,
+    /// Time since the region's planned stop, if one is known.
+    pub absent: Option<Millis>,
+}
+
+impl fmt::Display for RegionView {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let span = |span: Option<Millis>| span.map_or("-".to_owned(), |span| span.to_string());
+        write!(
+            f,
+            "{}:age={},entries={},unreachable={},stopping={},absent={}",
+            self.region,
+            span(self.age),
+            self.endpoints,
+            self.unreachable,
+            self.stopping,
+            span(self.absent)
+        )
+    }
 }
 
 /// Mode in which a box follows the platform's store.
