Keep until when a stopped region is expected back

A box that was younger than another region's planned stop reported the stop as no older than itself, and the others took that for a new stop: callers of a region that does not come back could be kept from other regions for as long as boxes kept starting.

Cause: a box kept when the stop was, and its clock cannot hold a moment before its own start. Regions also prolonged each other's reports by the time in transit, each time that they repeated them.

Change: a box keeps until when the region is expected back. A report that differs by less than the time-out of a region is an echo and changes nothing, also shortly after the end. A region's own boxes ignore reports of its stop.

Evidence: young_box_does_not_prolong_an_absence fails before and passes now.

--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -119,7 +119,7 @@
                 endpoints: remote.map_or(0, |r| r.digest.endpoints.len()),
                 unreachable: remote.map_or(0, |r| r.unreachable),
                 stopping: remote.is_some_and(|r| r.digest.stopping),
-                absent: self.absent_since(&region).map(|since| now.since(since)),
+                absent: self.absence_age(now, &region),
                 region,
             }
         };
@@ -162,8 +162,7 @@
     /// while ago.
     fn is_planned_stop(&self, now: Time, region: &id::Region) -> bool {
         if *region != self.table.me.region {
-            let absent = self.absent_since(region);
-            return absent.is_some_and(|since| now.since(since) < MAX_RESTART);
+            return self.is_absent(now, region);
         }
         let stopping = |peer: &Peer| {
             peer.last.phase == Phase::Leaving && now.since(peer.received_at) < MAX_RESTART
@@ -171,19 +170,25 @@
         self.phase(now) == Phase::Leaving || self.table.peers().any(stopping)
     }
 
-    /// Returns when the last box of another region announced its stop, if no box there has accepted
-    /// work since. The announcement may have reached this box, or others before it started.
-    fn absent_since(&self, region: &id::Region) -> Option<Time> {
+    fn is_absent(&self, now: Time, region: &id::Region) -> bool {
+        self.absent_until(region).is_some_and(|until| now < until)
+    }
+
+    /// Returns until when another region is expected back from a planned stop, if its last box
+    /// announced one and no box there has accepted work since. The announcement may have reached
+    /// this box, or others before it started.
+    fn absent_until(&self, region: &id::Region) -> Option<Time> {
         let reported = self.control.absences.get(region).copied();
         let Some(remote) = self.table.region(region) else {
             return reported;
         };
+        let since_digest = remote.received_at + MAX_RESTART;
         if remote.digest.stopping {
-            return Some(remote.received_at);
+            return Some(since_digest);
         }
         // Starting boxes send digests for their region before they accept work.
         let back = !remote.digest.endpoints.is_empty();
-        reported.filter(|since| !back || *since > remote.received_at)
+        reported.filter(|until| !back || *until > since_digest)
     }
 
     /// Records the planned stop of a region before a digest of its restarted boxes replaces the
@@ -191,8 +196,8 @@
     pub(super) fn record_absence(&mut self, region: &id::Region) {
         let stopped = self.table.region(region).filter(|r| r.digest.stopping);
         if let Some(remote) = stopped {
-            let since = remote.received_at;
-            self.control.absences.insert(region.clone(), since);
+            let until = remote.received_at + MAX_RESTART;
+            self.control.absences.insert(region.clone(), until);
         }
     }
 
@@ -202,22 +207,35 @@
         let reported = self.control.absences.keys();
         let regions: BTreeSet<&id::Region> = known.chain(reported).collect();
         let absence = |region: &id::Region| {
-            let age = now.since(self.absent_since(region)?);
+            let age = self.absence_age(now, region)?;
             let region = region.clone();
-            (age < MAX_RESTART).then_some(Absence { region, age })
+            Some(Absence { region, age })
         };
         regions.into_iter().filter_map(absence).collect()
     }
 
-    /// Records planned stops reported by another region, which may date from before the start of
-    /// this box.
+    /// Returns the time since the planned stop of a region that is expected back from it.
+    fn absence_age(&self, now: Time, region: &id::Region) -> Option<Millis> {
+        let left = self.absent_until(region)?.since(now);
+        (left > Millis(0)).then(|| Millis(MAX_RESTART.0.saturating_sub(left.0)))
+    }
+
+    /// Records planned stops of other regions reported by another box; they may date from before
+    /// the start of this box.
     pub(super) fn receive_absences(&mut self, now: Time, reported: &[Absence]) {
+        let mine = &self.table.me.region;
+        // Ages leave out the time in transit, so a report that regions send each other must not
+        // prolong an absence, nor renew one that has just ended.
+        let echo = self.table.region_timeout();
         let absences = &mut self.control.absences;
-        absences.retain(|_, since| now.since(*since) < MAX_RESTART);
+        absences.retain(|_, until| now < *until + echo);
         let recent = reported.iter().filter(|absence| absence.age < MAX_RESTART);
-        for Absence { region, age } in recent {
-            let since = absences.entry(region.clone()).or_default();
-            *since = (*since).max(now - *age);
+        for Absence { region, age } in recent.filter(|absence| absence.region != *mine) {
+            let reported = now + Millis(MAX_RESTART.0 - age.0);
+            let until = absences.entry(region.clone()).or_insert(reported);
+            if reported.since(*until) > echo {
+                *until = reported;
+            }
         }
     }
 
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -65,8 +65,8 @@
     /// When the store last came back from a backup copy.
     pub(super) restored: Option<Time>,
     pub(super) evacuations: Evacuations,
-    /// When the last box of each other region announced a planned stop, as reported by other boxes
-    /// or by an earlier digest of that region.
+    /// Until when other regions are expected back from a planned stop, as reported by other boxes or
+    /// by an earlier digest of that region.
     pub(super) absences: HashMap<Region, Time>,
     /// How this box currently follows the store.
     pub(super) follow: Follow,
--- a/tests/home_regions.rs
+++ b/tests/home_regions.rs
@@ -355,3 +355,19 @@
     let effects = restarts.crowd.step(2, look_up(u64::MAX, "perth"));
     assert!(named_regions(&effects).is_empty());
 }
+
+// A box that was younger than a planned stop reported the stop as old as itself, and the others
+// took that for a new one.
+#[test]
+fn young_box_does_not_prolong_an_absence() {
+    let mut solo = Solo::young(&text("[region geraldton]\n"));
+    solo.pass(500);
+    solo.digest_without(&["geraldton"], 20_000);
+    let absences = solo.pass(1000);
+    let ages = digests(&absences).into_iter().flat_map(|d| d.absences);
+    let ages: Vec<Millis> = ages.map(|absence| absence.age).collect();
+    assert!(
+        !ages.is_empty() && ages.iter().all(|age| *age >= Millis(20_000)),
+        "{ages:?}"
+    );
+}
