Take no region as gone while its digests arrive

Cause: a digest lists at most three entry points of a region. Each that refused a relay or could not be reached was removed until the next digest, and a region without entry points counted as gone, whether its digests arrived or not. A region that a box had not heard since its own start counted as gone after 3 s. Removed entry points got no digests either.

Change: entry points that fail are skipped, not removed, and stay addressees of digests. A region that is heard without an entry point that can be used, or was not heard since this box started, is expected back for 24 s, as after a planned stop; only regions where all requests may run are named meanwhile. The log says returning= in place of planned=.

Evidence: region_without_reachable_entry_points_is_not_gone, starting_region_is_not_gone, new_box_waits_for_regions_that_it_has_not_heard and digests_go_on_to_unreachable_entry_points fail before and pass now. The third one replaces new_box_learns_of_planned_stops_from_its_region: it asks the same of the same box, and that its callers are directed elsewhere in the end.

--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -284,11 +284,11 @@
                 self.log_request(
                     *request,
                     format_args!(
-                        "look-up region={} host={} none-ready planned={} used={} named={} up={} \
+                        "look-up region={} host={} none-ready returning={} used={} named={} up={} \
                          regions={}",
                         detour.region,
                         detour.host.as_deref().unwrap_or("-"),
-                        detour.planned,
+                        detour.returning,
                         detour.used,
                         named.join(","),
                         detour.uptime,
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -12,7 +12,7 @@
 mod uses;
 
 use std::{
-    collections::{BTreeMap, HashMap, hash_map::Entry},
+    collections::{BTreeMap, BTreeSet, HashMap, hash_map::Entry},
     hash::Hash,
     net::SocketAddr,
 };
@@ -196,23 +196,26 @@
 
     /// Applies a digest of another region.
     pub fn apply_digest(&mut self, digest: Digest, now: Time) {
-        let boxes = digest.boxes as usize;
-        self.census.record_remote(&digest.region, boxes, now);
-        let silent = self.region_timeout();
         let old = self.regions.get(&digest.region);
+        let silent = self.region_timeout();
         let recovered_at = match old {
             Some(old) if now.since(old.received_at) > silent => Some(now),
             Some(old) => old.recovered_at,
             None => None,
         };
+        let closed = digest.endpoints.is_empty();
+        let closed_before = old.and_then(|old| old.closed_since);
         let remote = Remote {
             recovered_at,
             received_at: now,
             sent: 0,
-            unreachable: 0,
+            unreachable: BTreeSet::new(),
+            closed_since: closed.then(|| closed_before.unwrap_or(now)),
             backoff_until: old.map_or(Time(0), |old| old.backoff_until),
             digest,
         };
+        let boxes = remote.digest.boxes as usize;
+        self.census.record_remote(&remote.digest.region, boxes, now);
         self.regions.insert(remote.digest.region.clone(), remote);
     }
 
@@ -242,12 +245,13 @@
         }
     }
 
-    /// Removes a relay endpoint that could not be reached, until the next digest.
-    pub fn remove_endpoint(&mut self, region: &Region, name: &BoxName) {
+    /// Records that a relay endpoint could not be reached; it is not used until the next digest.
+    pub fn record_unreachable(&mut self, region: &Region, name: &BoxName, now: Time) {
         if let Some(remote) = self.regions.get_mut(region) {
-            let before = remote.digest.endpoints.len();
-            remote.digest.endpoints.retain(|d| d.contact.name != *name);
-            remote.unreachable += before - remote.digest.endpoints.len();
+            remote.unreachable.insert(name.clone());
+            if !remote.is_open() {
+                remote.closed_since.get_or_insert(now);
+            }
         }
     }
 
@@ -317,11 +321,11 @@
 
     /// Returns the relay endpoint of `region` for the `turn`-th request, in round-robin order.
     pub fn relay_endpoint(&self, region: &Region, turn: u64) -> Option<&Endpoint> {
-        let doors = &self.regions.get(region)?.digest.endpoints;
+        let doors: Vec<&Endpoint> = self.regions.get(region)?.endpoints().collect();
         let index = usize::try_from(turn)
             .unwrap_or(0)
             .checked_rem(doors.len())?;
-        doors.get(index)
+        doors.get(index).copied()
     }
 
     /// Returns the newest configuration version that another box has reported, and a box to fetch
@@ -330,7 +334,7 @@
     pub fn newest(&self, now: Time) -> Option<(Version, &Contact)> {
         let near = self.live(now).map(|p| (p.last.version, &p.last.contact));
         let far = self.reachable(now).filter_map(|(_, r)| {
-            let door = r.digest.endpoints.first()?;
+            let door = r.endpoints().next()?;
             Some((r.digest.version, &door.contact))
         });
         let (mine, scale) = (self.me.name.as_str(), self.scale(now));
@@ -362,9 +366,7 @@
 
     /// Returns the region with the newest store revision, if newer than `known`.
     pub fn newest_region(&self, known: Revision, now: Time) -> Option<(&Region, &Remote)> {
-        let doors = self
-            .reachable(now)
-            .filter(|(_, r)| !r.digest.endpoints.is_empty());
+        let doors = self.reachable(now).filter(|(_, r)| r.is_open());
         let ahead = doors.filter(|(_, r)| r.digest.revision > known);
         ahead.max_by_key(|(_, r)| r.digest.revision)
     }
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -1,11 +1,11 @@
 //! State of one other box, or of one other region.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use crate::{
     id::{BoxName, Incarnation},
     unit::{Millis, Time},
-    wire::{Digest, Heartbeat, NameHash},
+    wire::{Digest, Endpoint, Heartbeat, NameHash},
 };
 
 /// Number of consecutive messages that may be missed before a box or a region is no longer used.
@@ -78,13 +78,26 @@
     pub recovered_at: Option<Time>,
     /// Requests relayed since the digest that have not ended.
     pub sent: u32,
-    /// Entry points of the last digest that could not be reached and were removed.
-    pub unreachable: usize,
+    /// Entry points of the last digest that could not be reached.
+    pub unreachable: BTreeSet<BoxName>,
+    /// Since when the region has had no entry point that can be reached; `None` if it has one.
+    pub closed_since: Option<Time>,
     /// Until when no requests are relayed there because the region refused one.
     pub backoff_until: Time,
 }
 
 impl Remote {
+    /// Returns the entry points that may be used: those of the last digest, except unreachable ones.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        let endpoints = self.digest.endpoints.iter();
+        endpoints.filter(|endpoint| !self.unreachable.contains(&endpoint.contact.name))
+    }
+
+    /// Reports whether any entry point may be used.
+    pub fn is_open(&self) -> bool {
+        self.endpoints().next().is_some()
+    }
+
     /// Returns the free slots for `service` at `now`: those of the digest, limited by the ramp-up,
     /// less the requests relayed since.
     pub fn free(&self, service: NameHash, now: Time) -> u32 {
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -63,9 +63,8 @@
     /// regions where most of the host's requests may run, since a body should not reach a region
     /// where it may not run.
     ///
-    /// While the boxes of the caller's region are stopped by plan, only regions where all requests
-    /// may run are returned: the region will be back soon, and until then its boxes serve the
-    /// callers that already know them.
+    /// While the boxes of the caller's region are expected back, only regions where all requests may
+    /// run are returned: until then its boxes serve the callers that already know them.
     pub(super) fn resolve(
         &mut self,
         now: Time,
@@ -84,7 +83,7 @@
             // Better regions may still be unknown; another box can answer the caller.
             boxes.clear();
         } else {
-            if self.is_planned_stop(now, region) {
+            if self.is_expected_back(now, region) {
                 boxes.retain(|e| self.permits_all_used(now, host, &e.contact.region));
             }
             let permitted = |e: &Entry| self.permitted_use(now, host, &e.contact.region);
@@ -104,7 +103,7 @@
         Fallback {
             region: region.clone(),
             host: host.map(str::to_owned),
-            planned: self.is_planned_stop(now, region),
+            returning: self.is_expected_back(now, region),
             used: routes.filter(|r| self.demand.is_used(r, now)).count(),
             uptime: now,
             views: self.region_views(now),
@@ -116,8 +115,8 @@
             let remote = self.table.region(&region);
             RegionView {
                 age: remote.map(|r| now.since(r.received_at)),
-                endpoints: remote.map_or(0, |r| r.digest.endpoints.len()),
-                unreachable: remote.map_or(0, |r| r.unreachable),
+                endpoints: remote.map_or(0, |r| r.endpoints().count()),
+                unreachable: remote.map_or(0, |r| r.unreachable.len()),
                 stopping: remote.is_some_and(|r| r.digest.stopping),
                 absent: self.absence_age(now, &region),
                 region,
@@ -158,16 +157,27 @@
         relevant.all(|route| route.permits(region))
     }
 
-    /// Reports whether the boxes of `region`, none of which accepts work, stopped by plan a short
-    /// while ago.
-    fn is_planned_stop(&self, now: Time, region: &id::Region) -> bool {
+    /// Reports whether the boxes of `region`, none of which accepts work here, will probably do so
+    /// soon: they stopped by plan a short while ago or before this box started, they are starting,
+    /// or they are live but could not be reached.
+    fn is_expected_back(&self, now: Time, region: &id::Region) -> bool {
+        let is_recent = |since: Time| now.since(since) < MAX_RESTART;
         if *region != self.table.me.region {
-            return self.is_absent(now, region);
+            let closed = match self.table.region(region) {
+                Some(_) if !self.table.is_reachable(region, now) => None,
+                Some(remote) => remote.closed_since,
+                // Its boxes may all have ended before this one started.
+                None => self.other_regions().contains(region).then_some(Time(0)),
+            };
+            return closed.is_some_and(is_recent) || self.is_absent(now, region);
+        }
+        let stopping =
+            |peer: &Peer| peer.last.phase == Phase::Leaving && is_recent(peer.received_at);
+        match self.phase(now) {
+            Phase::Leaving => true,
+            Phase::Unready if is_recent(Time(0)) => true,
+            Phase::Unready | Phase::Ready => self.table.peers().any(stopping),
         }
-        let stopping = |peer: &Peer| {
-            peer.last.phase == Phase::Leaving && now.since(peer.received_at) < MAX_RESTART
-        };
-        self.phase(now) == Phase::Leaving || self.table.peers().any(stopping)
     }
 
     fn is_absent(&self, now: Time, region: &id::Region) -> bool {
@@ -254,7 +264,7 @@
         });
         let remote_doors = self.table.reachable(now).flat_map(|(_, remote)| {
             let age = now.since(remote.received_at);
-            remote.digest.endpoints.iter().map(move |door| Entry {
+            remote.endpoints().map(move |door| Entry {
                 contact: door.contact.clone(),
                 incarnation: door.incarnation,
                 uptime: door.uptime + age,
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     id::Region,
-    member::load,
+    member::{Remote, load},
     policy::Policy,
     reducer::{State, effect::Effect},
     settings::Seed,
@@ -65,13 +65,14 @@
     }
 
     /// Returns the address for the next digest to `region`, taking turns among the boxes that its
-    /// last digest listed and, if the region is silent or lists no box, its seeds.
+    /// last digest listed, reachable or not, and, if the region is silent or lists no box, its
+    /// seeds.
     ///
     /// One copy suffices, since its receiver forwards it. Taking turns skips a box that is gone,
     /// and a seed reaches a region whose boxes were all replaced.
     fn digest_target(&self, now: Time, region: &Region) -> Option<SocketAddr> {
         let remote = self.table.region(region);
-        let doors = remote.map_or(&[][..], |r| &r.digest.endpoints);
+        let doors = remote.into_iter().flat_map(|r| &r.digest.endpoints);
         let is_neighbour = |s: &Seed| {
             self.table
                 .peers()
@@ -82,7 +83,7 @@
             None => s.gossip != self.table.me.gossip && !is_neighbour(s),
         });
         let live = remote.is_some_and(|r| now.since(r.received_at) <= self.table.region_timeout());
-        let mut targets: Vec<SocketAddr> = doors.iter().map(|d| d.contact.gossip).collect();
+        let mut targets: Vec<SocketAddr> = doors.map(|d| d.contact.gossip).collect();
         if !live || targets.is_empty() {
             targets.extend(seeds.map(|s| s.gossip));
         }
@@ -182,8 +183,8 @@
         out: &mut Vec<Effect>,
     ) {
         let remote = self.table.region(&sender.region);
-        let doors = remote.map_or(&[][..], |r| &r.digest.endpoints);
-        let contacts: Vec<Contact> = doors.iter().map(|d| d.contact.clone()).collect();
+        let doors = remote.into_iter().flat_map(Remote::endpoints);
+        let contacts: Vec<Contact> = doors.map(|d| d.contact.clone()).collect();
         let to = sender.gossip;
         let frame = self.frame(Body::Members(contacts));
         out.push(Effect::Gossip { to, frame });
@@ -197,7 +198,7 @@
     pub(super) fn broadcast_targets(&self, now: Time) -> Vec<(SocketAddr, bool)> {
         let local = self.table.live(now).map(|p| p.last.contact.gossip);
         let remote_doors = self.table.reachable(now).filter_map(|(_, remote)| {
-            let doors = &remote.digest.endpoints;
+            let doors: Vec<&Endpoint> = remote.endpoints().collect();
             let turn = (self.attempts as usize).checked_rem(doors.len())?;
             Some(doors[turn].contact.gossip)
         });
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -226,8 +226,8 @@
     pub region: Region,
     /// The host that was looked up.
     pub host: Option<String>,
-    /// Whether the boxes of that region made a planned stop recently.
-    pub planned: bool,
+    /// Whether the boxes of that region are expected to accept work soon.
+    pub returning: bool,
     /// Number of the host's routes that are in use, as far as this box knows.
     pub used: usize,
     /// Uptime of this box.
--- a/src/reducer/inventory.rs
+++ b/src/reducer/inventory.rs
@@ -108,8 +108,7 @@
         self.learn_holdings(now, &holdings);
         let local = self.table.live(now).map(|p| p.last.contact.gossip);
         let remotes = self.table.reachable(now);
-        let remote_doors =
-            remotes.flat_map(|(_, r)| r.digest.endpoints.iter().map(|d| d.contact.gossip));
+        let remote_doors = remotes.flat_map(|(_, r)| r.endpoints().map(|d| d.contact.gossip));
         let targets: Vec<SocketAddr> = local.chain(remote_doors).collect();
         for to in targets {
             let frame = self.frame(Body::Holdings(holdings.clone()));
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -297,7 +297,7 @@
                 Assignment::Chosen(Place::Region(region), Some(door)),
                 Cause::Unreachable | Cause::Leaving,
             ) => {
-                self.table.remove_endpoint(region, door);
+                self.table.record_unreachable(region, door, now);
             }
             (Assignment::Chosen(Place::Region(region), _), Cause::Refused) => {
                 self.table.relay_refused(region, now);
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -268,7 +268,7 @@
             home,
         } = *wish;
         let place = Place::Region(region.clone());
-        let closed = remote.digest.endpoints.is_empty() || now < remote.backoff_until;
+        let closed = !remote.is_open() || now < remote.backoff_until;
         if closed || job.tried.contains(&place) {
             return None;
         }
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -124,7 +124,7 @@
         }
         let local = self.table.list_source(now);
         let remotes = self.table.reachable(now);
-        let mut remote_peers = remotes.flat_map(|(_, remote)| &remote.digest.endpoints);
+        let mut remote_peers = remotes.flat_map(|(_, remote)| remote.endpoints());
         let remote_peer = || remote_peers.next().map(|door| door.contact.peer);
         local.map(|contact| contact.peer).or_else(remote_peer)
     }
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -282,12 +282,7 @@
             name: name.clone(),
             version: remote.digest.version,
             silent: now.since(remote.received_at),
-            doors: remote
-                .digest
-                .endpoints
-                .iter()
-                .map(|d| d.contact.name.clone())
-                .collect(),
+            doors: remote.endpoints().map(|d| d.contact.name.clone()).collect(),
         });
         Status {
             name: self.table.me.name.clone(),
