Name no other region before all are heard after a pause

After a freeze a box directed callers to whichever region it heard first.

Cause: the 3 s in which a box names no other region counted from its start alone. After a pause all regions look silent, and digests arrive one by one.

Change: they count as well from the end of a pause after which a live region may count as silent: longer than its time-out less the time by which its next digest is due (1.1 s with up to four other regions).

Evidence: resumed_box_hears_all_regions_first, after pauses of 1.6, 2.5 and 10 s, fails before and passes now. In its first form the test also passed without this change where a region had never been heard; it now plays a box that has run for 30 s, and asks that callers are directed on after 3 s.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -45,6 +45,8 @@
 const MIN_DIGEST_PERIOD: Millis = Millis(700);
 /// Digest period in milliseconds for each other region.
 const DIGEST_MS_PER_REGION: u64 = 170;
+/// Time in transit, and until the next tick of its receiver, by which a digest is not yet late.
+const DIGEST_DELAY: Millis = Millis(300);
 /// How long a silent box is remembered.
 pub const PEER_RETENTION: Millis = Millis(60_000);
 /// How long no requests are sent to a region after it refused one.
@@ -106,6 +108,16 @@
         MIN_DIGEST_PERIOD.max(Millis(DIGEST_MS_PER_REGION * self.regions.len() as u64))
     }
 
+    /// Returns the time after a digest by which the next one should have been received.
+    pub fn digest_due(&self) -> Millis {
+        self.digest_period() + DIGEST_DELAY
+    }
+
+    /// Returns the longest pause of this process after which no live region counts as silent.
+    pub fn max_pause(&self) -> Millis {
+        Millis(self.region_timeout().0.saturating_sub(self.digest_due().0))
+    }
+
     /// Returns how long a region may be silent before it is no longer used.
     pub fn region_timeout(&self) -> Millis {
         Millis(MAX_MISSED * self.digest_period().0)
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -19,8 +19,8 @@
     wire::{Absence, Phase},
 };
 
-/// Time after its start in which a box does not send callers to other regions: by its end it has
-/// heard of every live region.
+/// Time after its start, or after its process was frozen, in which a box does not send callers to
+/// other regions: by its end it has heard of every live region.
 const REDIRECT_DELAY: Millis = Millis(3000);
 /// Longest duration of a planned restart of a region's boxes: three times the grace period of 8 s
 /// that the platform leaves a process. A region that stays away longer counts as gone, and its
@@ -79,7 +79,7 @@
         if any_local {
             boxes.retain(local);
             boxes = self.weight_entries(now, boxes);
-        } else if now < Time(0) + REDIRECT_DELAY {
+        } else if !self.control.has_listened_for(REDIRECT_DELAY, now) {
             // Better regions may still be unknown; another box can answer the caller.
             boxes.clear();
         } else {
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -37,6 +37,8 @@
     pub(super) seq: u64,
     last_step: Option<Time>,
     resumed: Option<Time>,
+    /// End of the last pause of this process after which live regions may count as silent.
+    outdated: Option<Time>,
     last_heartbeat: Option<Time>,
     /// The period until the next heartbeat that the last heartbeat announced to the region.
     pub(super) announced_period: Millis,
@@ -114,8 +116,12 @@
 
     /// Reports whether the process has not been frozen within the last `span`.
     pub(super) fn has_run_for(&self, span: Millis, now: Time) -> bool {
-        self.resumed
-            .is_none_or(|resumed| now.since(resumed) >= span)
+        is_older(self.resumed, span, now)
+    }
+
+    /// Reports whether this process has heard the other regions for the last `span`, or could have.
+    pub(super) fn has_listened_for(&self, span: Millis, now: Time) -> bool {
+        now >= Time(0) + span && is_older(self.outdated, span, now)
     }
 
     pub(super) fn due(last: &mut Option<Time>, span: Millis, now: Time) -> bool {
@@ -127,6 +133,11 @@
     }
 }
 
+/// Reports whether `event` was at least `span` ago, or never.
+fn is_older(event: Option<Time>, span: Millis, now: Time) -> bool {
+    event.is_none_or(|at| now.since(at) >= span)
+}
+
 impl<P: Policy> State<P> {
     pub(super) fn detect_suspension(&mut self, now: Time, out: &mut Vec<Effect>) {
         let pause = self
@@ -134,6 +145,9 @@
             .last_step
             .map_or(Millis(0), |last| now.since(last));
         self.control.last_step = Some(now);
+        if pause > self.table.max_pause() {
+            self.control.outdated = Some(now);
+        }
         if pause > SUSPENSION_THRESHOLD {
             self.control.resumed = Some(now);
             out.push(Effect::Alarm(Alarm::Suspended(pause)));
--- a/tests/home_regions.rs
+++ b/tests/home_regions.rs
@@ -324,14 +324,22 @@
 // After a freeze, a box named whichever region it heard first.
 #[test]
 fn resumed_box_hears_all_regions_first() {
-    let geraldton = "[region geraldton]\n[route third]\nprefix=/third\nkind=application\n\
-                     repeatable=true\nhost=h\nregions=geraldton\n";
-    let mut solo = Solo::new(&text(geraldton));
-    solo.pass(5000);
-    solo.now = solo.now + Millis(10_000);
-    solo.pass(1500);
-    solo.digest(4, 0);
-    assert!(resolved(&mut solo, "geraldton").is_empty());
+    let third = "[region geraldton]\n[route third]\nprefix=/third\nkind=application\n\
+                 repeatable=true\nhost=h\nregions=geraldton\n";
+    // With the age of the last digest, a pause shorter than the time-out of a region may exceed it.
+    for pause in [1600, 2500, 10_000] {
+        let mut solo = Solo::new(&text(third));
+        solo.pass(30_000);
+        solo.digest(4, 0);
+        assert!(!resolved(&mut solo, "geraldton").is_empty());
+        solo.now = solo.now + Millis(pause);
+        solo.digest(4, 0);
+        let named = resolved(&mut solo, "geraldton");
+        assert!(named.is_empty(), "{named:?} after a pause of {pause} ms");
+        solo.pass(3000);
+        solo.digest(4, 0);
+        assert!(!resolved(&mut solo, "geraldton").is_empty());
+    }
 }
 
 // A box that started after all boxes of another region had ended took that region as gone.
