--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -206,9 +206,21 @@
         }
     }
 
-    /// Applies a digest of another region.
-    pub fn apply_digest(&mut self, digest: Digest, now: Time) {
+    /// Applies a digest of another region sent by `reporter`; returns `false` if the current one is
+    /// kept.
+    ///
+    /// A box that has just started, or hears few boxes of its region, sends digests until it hears
+    /// the others. Such a digest must not replace a current one that describes at least twice as
+    /// many boxes.
+    pub fn apply_digest(&mut self, reporter: &BoxName, digest: Digest, now: Time) -> bool {
         let old = self.regions.get(&digest.region);
+        let current = old.filter(|old| now.since(old.received_at) <= self.digest_due());
+        let is_partial = |old: &Remote| {
+            old.reporter != *reporter && old.digest.boxes >= digest.boxes.saturating_mul(2)
+        };
+        if current.is_some_and(is_partial) {
+            return false;
+        }
         let silent = self.region_timeout();
         let recovered_at = match old {
             Some(old) if now.since(old.received_at) > silent => Some(now),
@@ -218,6 +230,7 @@
         let closed = digest.endpoints.is_empty();
         let closed_before = old.and_then(|old| old.closed_since);
         let remote = Remote {
+            reporter: reporter.clone(),
             recovered_at,
             received_at: now,
             sent: 0,
@@ -229,6 +242,7 @@
         let boxes = remote.digest.boxes as usize;
         self.census.record_remote(&remote.digest.region, boxes, now);
         self.regions.insert(remote.digest.region.clone(), remote);
+        true
     }
 
     /// Counts a request relayed to `region`.
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -72,6 +72,8 @@
 pub struct Remote {
     /// Last digest received.
     pub digest: Digest,
+    /// Box that sent it.
+    pub reporter: BoxName,
     /// When that digest was received.
     pub received_at: Time,
     /// When the region was heard again after a silence; `None` if it never was silent.
--- a/src/reducer/ask.rs
+++ b/src/reducer/ask.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     config::{Refusal, Route},
-    id::{self, Region},
+    id,
     member::{Peer, load},
     policy::Policy,
     reducer::{
@@ -111,7 +111,7 @@
     }
 
     fn region_views(&self, now: Time) -> Vec<RegionView> {
-        let view = |region: Region| {
+        let view = |region: id::Region| {
             let remote = self.table.region(&region);
             RegionView {
                 age: remote.map(|r| now.since(r.received_at)),
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -341,11 +341,11 @@
             Body::Digest(digest) if digest.region != self.table.me.region => {
                 self.control.heard_peer = true;
                 self.record_absence(&digest.region);
-                self.table.apply_digest(digest.clone(), now);
+                let applied = self.table.apply_digest(&frame.from, digest.clone(), now);
                 self.receive_absences(now, &digest.absences);
                 self.demand.merge(&digest.used, now);
                 self.receive_held(now, &digest.held, out);
-                if digest.spread {
+                if applied && digest.spread {
                     self.forward_digest(now, &frame, digest, out);
                 }
             }
