Count withheld servers when lists of the store are compared

Seen: store_news::news_settle_though_the_store_comes_back_from_copies: box 6 holds a server for leaving that box 0 does not.

Cause, by a trace of that input (time in ms): - 7900 to 8500: s3 is removed, and all boxes learn of it (e0r3). - 10100: the store comes back from a copy that still lists s3 (e1r1). All boxes withhold s3 for RESTORE_GRACE, since they know that it ended. - 12500: s3 is removed again (e1r2). At 12600 and 12700 hubs 4 and 3, which the store refused until 11800, read the whole list of e1r2, without s3, and drop their withheld entry. Fleet::differences compares the list with the registered members alone, so s3 is not recorded as changed at e1r2. - 12700 and 12800: boxes 0, 2 and 6 fetch the changes since e1r1 from box 4, boxes 1, 5 and 7 from box 3. s3 is not among them: all six now know e1r2 and still withhold s3. - 12800 to 13500: boxes 0, 1, 2 and 5 hear of the removal from the store itself. Boxes 6 and 7 cease to follow it at 13100, before their turn. - 15300 and 15400: the grace ends, boxes 7 and 6 put s3 back in use, and nothing takes it away.

Ruled out by the trace: doubt (s3 is never in doubt) and announced departures (none at any box).

Change: differences also yields withheld entries that the list lacks. Other boxes are sent registered members and withheld entries alike as registered (Fleet::registered), so a comparison that decides what they are told has to cover both. A withheld entry that is still listed was already recorded as changed, and a single removal is recorded by its name in any case.

Evidence: store_eras::a_withheld_server_that_goes_again_is_told_as_gone is red before the change ([] against [one]) and green after.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -450,9 +450,9 @@
         (found, gone)
     }
 
-    /// Returns the names for which `list` differs from the known state. A listed server whose
-    /// registration was in doubt counts as different, because other boxes may still have it in
-    /// doubt.
+    /// Returns the names for which `list` differs from what other boxes are sent as registered,
+    /// including withheld entries. A listed server whose registration was in doubt counts as
+    /// different, because other boxes may still have it in doubt.
     pub fn differences(&self, list: &[Backend]) -> Vec<id::Backend> {
         let listed: HashMap<&id::Backend, &Backend> = list.iter().map(|b| (&b.name, b)).collect();
         let same = |name: &id::Backend, backend: &Backend| {
@@ -473,6 +473,7 @@
         let registered = self.members.iter().filter(|(_, m)| m.registered);
         let missing = registered
             .map(|(name, _)| name)
+            .chain(self.withheld.keys())
             .filter(|n| !listed.contains_key(n));
         let changed = listed.iter().filter(|(name, b)| !same(name, b));
         let changed = changed.map(|(name, _)| *name);
--- a/tests/store_eras.rs
+++ b/tests/store_eras.rs
@@ -215,6 +215,29 @@
     assert!(is_served(&world));
 }
 
+// The server is removed once more while it is withheld, so it is not among the servers in use.
+#[test]
+fn a_withheld_server_that_goes_again_is_told_as_gone() {
+    let one = life("one", "ready", 0, 5);
+    let mut teller = world(std::slice::from_ref(&one));
+    let mut told = world(std::slice::from_ref(&one));
+    for world in [&mut teller, &mut told] {
+        world.step(gone(&one, at(1, 21)));
+        world.step(list(std::slice::from_ref(&one), at(2, 17)));
+        world.step(Event::Synced(at(2, 17)));
+    }
+    teller.step(list(&[], at(2, 18)));
+    teller.step(Event::Synced(at(2, 18)));
+    let roster = teller.state.roster(teller.now, Some(at(2, 17)));
+    let roster = roster.expect("the box knows a list");
+    assert_eq!(roster.since, Some(at(2, 17)), "changes alone are sent");
+    assert_eq!(roster.removed, std::slice::from_ref(&one.name));
+    told.step(Event::Roster(roster));
+    assert_eq!(told.state.revision(), at(2, 18));
+    told.pass(RESTORE_GRACE.0 + 200);
+    assert!(!is_served(&told));
+}
+
 #[test]
 fn a_server_that_the_copy_lacks_is_believed_until_it_writes_again() {
     let (one, two) = (life("one", "ready", 0, 5), life("two", "ready", 0, 5));
