Stop a box of the soak while it passes a stream on

Cause: the stand-in. The planted fault `short-grace` kills a box 50 ms after SIGTERM at a fixed time, whether or not the box has an answer under way. Where callers fall out of step by some tens of milliseconds, no answer may be cut, and then there is nothing to find.

Change: under `short-grace` a box gets SIGTERM when a stream through it has just begun: less than 100 ms before, of at least 400 ms. If none begins within 30 s, the run ends with an error. Other stops, the plan and the checks are unchanged.

As strict: the test, its plan and its bounds are unchanged, and three cuts have to happen where chance decided before.

--- a/standin/src/soak/mod.rs
+++ b/standin/src/soak/mod.rs
@@ -66,7 +66,8 @@
     UnwrittenEvacuation,
     /// Configuration versions after the first are recorded, but not written to the store.
     UnwrittenVersion,
-    /// Boxes are killed if they still run 50 ms after SIGTERM.
+    /// Boxes are stopped while they pass a stream on, and killed if they still run 50 ms after
+    /// SIGTERM.
     ShortGrace,
     /// Cold servers register as warm.
     HiddenCold,
--- a/standin/src/soak/play.rs
+++ b/standin/src/soak/play.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use eyre::bail;
 use tokio::{
     task::JoinSet,
     time::{Instant, sleep},
@@ -22,7 +23,7 @@
     fleet::{Fleet, TERMINATION_GRACE},
     operator::Operator,
     plan::{Departure, Fault, Outage, Step},
-    record::{Ms, Part, Record, Recorder},
+    record::{Kind, Ms, Part, Record, Recorder},
     server::{Server, ServerOptions},
 };
 use crate::http;
@@ -39,6 +40,11 @@
 const COLD_MS: Ms = 4000;
 /// Grace period of a planned stop under [`PlantedFault::ShortGrace`].
 const SHORT_GRACE: Duration = Duration::from_millis(50);
+/// A stream that began this recently, of at least 400 ms, outlasts [`SHORT_GRACE`].
+const FRESH_STREAM_MS: Ms = 100;
+/// Longest wait for a stream through a box, and the interval of its checks.
+const STREAM_TIMEOUT: Duration = Duration::from_secs(30);
+const STREAM_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Reported breaches of one rule; further ones add no information.
 const MAX_REPORTED_PER_RULE: usize = 5;
 /// Time between two drops of bytes.
@@ -177,8 +183,11 @@
     async fn inject(&self, fault: Fault) -> eyre::Result<()> {
         match fault {
             Fault::Terminate(target, restart_delay) => {
-                let trouble = self.recorder.begin(Part::PlannedStop(target));
                 let short = self.planted_faults.contains(&PlantedFault::ShortGrace);
+                if short {
+                    self.wait_for_stream(target).await?;
+                }
+                let trouble = self.recorder.begin(Part::PlannedStop(target));
                 let grace = if short {
                     SHORT_GRACE
                 } else {
@@ -255,6 +264,34 @@
         }
     }
 
+    /// Waits until a box passes on a stream that has just begun: a short grace period breaks the
+    /// platform's promise only if it cuts an answer.
+    async fn wait_for_stream(&self, target: usize) -> eyre::Result<()> {
+        let begin = Instant::now();
+        while !self.has_fresh_stream(target) {
+            if begin.elapsed() > STREAM_TIMEOUT {
+                let limit = STREAM_TIMEOUT.as_secs();
+                bail!("box-{target} passed on no stream within {limit} s");
+            }
+            sleep(STREAM_POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    fn has_fresh_stream(&self, target: usize) -> bool {
+        let now = self.recorder.now();
+        let record = self.recorder.record();
+        let through_target = |id: &str| {
+            let mut attempts = record.attempts.iter().rev();
+            let attempt = attempts.find(|a| a.id == id);
+            attempt.is_some_and(|a| a.kind == Kind::Stream && a.entry == target && a.end.is_none())
+        };
+        record.arrivals.iter().rev().any(|arrival| {
+            let fresh = arrival.status == 200 && arrival.at + FRESH_STREAM_MS > now;
+            fresh && through_target(&arrival.id)
+        })
+    }
+
     /// Drops bytes of a box's answers repeatedly, at varying offsets and in varying numbers, so
     /// that both heads and bodies are hit.
     async fn drop_bytes(&self, target: usize, span: Ms) {
