Log the parts of prompts whose attempts broke

The log named the content of an attempt that broke at a server, but not the parts of its prompt. It could not tell a part that ends its servers, under another content each time, from one content that comes again. Lines 'broken at=' now end with the shared parts. No decision changes.

--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -262,13 +262,19 @@
                 request,
                 backend,
                 content,
+                parts,
                 age,
                 begun,
             } => {
                 let begun = begun.map_or("no".to_owned(), |span| span.to_string());
+                let parts: Vec<String> = parts.iter().map(ToString::to_string).collect();
+                let parts = parts.join(",");
                 self.log_request(
                     *request,
-                    format_args!("broken at={backend} content={content} age={age} begun={begun}"),
+                    format_args!(
+                        "broken at={backend} content={content} age={age} begun={begun} \
+                         parts={parts}"
+                    ),
                 );
             }
             Effect::Repeat(repeat) => self.log_request(repeat.request, repeat),
--- a/src/memory/prompt.rs
+++ b/src/memory/prompt.rs
@@ -1,6 +1,8 @@
 //! What a caller states about its prompt: its length and the parts that it shares with other
 //! prompts.
 
+use std::fmt;
+
 use super::cache::LONG;
 
 /// Part of a prompt; requests with the same part send the same tokens.
@@ -12,6 +14,12 @@
     pub tokens: u32,
 }
 
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}:{}", self.id, self.tokens)
+    }
+}
+
 /// Prompt of a request to a model engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -10,7 +10,7 @@
     content::Fingerprint,
     fleet::Revision,
     id::{self, Incarnation, Region, Service},
-    memory::transfer::Origin,
+    memory::{prompt::Part, transfer::Origin},
     quarantine::{self, Held},
     retry,
     rollout::{Order, Standing},
@@ -399,6 +399,8 @@
         backend: id::Backend,
         /// Fingerprint of the requested content.
         content: Fingerprint,
+        /// Parts of its prompt that other requests may share.
+        parts: Vec<Part>,
         /// Time since the request was sent.
         age: Millis,
         /// Time since the answer began, if it had.
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -4,7 +4,7 @@
     config::{Plan, Query},
     content::{Content, Fingerprint},
     id::{self, Service},
-    memory::prompt::Prompt,
+    memory::prompt::{Part, Prompt},
     policy::Place,
     reducer::{event::Hop, moving::Transfer},
     unit::{Millis, Time},
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns the parts of the prompt that other requests may share.
+    pub(super) fn shared_parts(&self) -> &[Part] {
+        self.prompt.as_ref().map_or(&[], Prompt::shared_parts)
+    }
+
     pub(super) fn verdict(&self) -> Verdict {
         if self.may_have_run {
             Verdict::MayHaveRun
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -79,6 +79,7 @@
             request,
             backend: name.clone(),
             content: job.content,
+            parts: job.shared_parts().to_vec(),
             age: now.since(in_flight.at),
             begun,
         });
