Hold back the part of prompts that explains a series of crashes

Cause: quarantine judges whole contents, and no two of the requests were alike. What they had in common, one part of their prompts, was kept nowhere.

Change: each box reports which contents and parts were in flight at a server that crashed, and when answers with a part were complete. A part is held back that explains three moments of crashes by answers that had just begun, or five by anything in flight, under new contents each time and at all servers that crashed at a moment, with no complete answer that began since. Popular parts need missing answers too. A tie waits for the next crash. What a held part explains is no evidence against contents; those held by it alone are cleared. Holds of parts travel and are stored as those of contents are.

Why it holds: whatever else the requests hold, the part is at each crash and no answer with it completes; a sound part is cleared by its next answer.

--- a/src/content.rs
+++ b/src/content.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{id, settings::Secret, sign, wire::NameHash};
+use crate::{id, memory::prompt::Part, settings::Secret, sign, wire::NameHash};
 
 /// Domain separator of the hash: a hash of the same bytes for another purpose differs.
 const PURPOSE: &str = "content";
@@ -34,12 +34,13 @@
     }
 }
 
-/// A customer and the content it requested, the same at every box.
+/// What is held back or suspected, the same at every box: a content requested by a customer, or a
+/// part of prompts of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint {
-    /// The customer.
-    pub customer: NameHash,
-    /// The content of the request.
+    /// The customer, or the service.
+    pub owner: NameHash,
+    /// The content of the request, or the identity of the part.
     pub content: Content,
 }
 
@@ -47,15 +48,23 @@
     /// Creates the fingerprint of a content requested by `customer`.
     pub fn new(customer: &id::Customer, content: Content) -> Self {
         Self {
-            customer: NameHash::of(customer.as_str()),
+            owner: NameHash::of(customer.as_str()),
             content,
         }
     }
+
+    /// Creates the fingerprint of a part of prompts of `service`.
+    pub fn of_part(service: &id::Service, part: &Part) -> Self {
+        Self {
+            owner: NameHash::of(service.as_str()),
+            content: Content(part.id),
+        }
+    }
 }
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:08x}-{:016x}", self.customer.0, self.content.0)
+        write!(f, "{:08x}-{:016x}", self.owner.0, self.content.0)
     }
 }
 
@@ -63,11 +72,11 @@
     type Err = &'static str;
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let expected = "expected two hexadecimal numbers with a dash between, as in the log";
-        let (customer, content) = text.split_once('-').ok_or(expected)?;
-        let customer = u32::from_str_radix(customer, 16).map_err(|_| expected)?;
+        let (owner, content) = text.split_once('-').ok_or(expected)?;
+        let owner = u32::from_str_radix(owner, 16).map_err(|_| expected)?;
         let content = u64::from_str_radix(content, 16).map_err(|_| expected)?;
         Ok(Self {
-            customer: NameHash(customer),
+            owner: NameHash(owner),
             content: Content(content),
         })
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod cmd;
 pub mod config;
 pub mod content;
+pub mod crash;
 pub mod detector;
 pub mod fleet;
 pub mod gateway;
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -11,7 +11,7 @@
 //! least evidence.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     fmt,
 };
 
@@ -36,7 +36,7 @@
 /// Two crashes of one server this far apart count as two, if its name is the same for all of its
 /// incarnations. The time exceeds the longest delay of a report of one crash, and is shorter than a
 /// server takes to start and serve.
-const SAME_CRASH_TIME: Millis = Millis(5000);
+pub const SAME_CRASH_TIME: Millis = Millis(5000);
 /// How long a content is quarantined, and how long strikes are kept: time for an operator to
 /// investigate.
 pub const HOLD: Millis = Millis(600_000);
@@ -66,12 +66,18 @@
 /// Returns the weight of a crash for an attempt whose answer began `begun` ago; `None` if it had
 /// not begun.
 pub fn weight(begun: Option<Millis>) -> u32 {
-    match begun {
-        Some(span) if span > EARLY_CRASH_TIME => LATE_CRASH_WEIGHT,
-        Some(_) | None => EARLY_CRASH_WEIGHT,
+    match is_early_crash(begun) {
+        true => EARLY_CRASH_WEIGHT,
+        false => LATE_CRASH_WEIGHT,
     }
 }
 
+/// Reports whether an answer had not begun, or only just, when its server crashed; `begun` is the
+/// time since then.
+pub fn is_early_crash(begun: Option<Millis>) -> bool {
+    begun.is_none_or(|span| span <= EARLY_CRASH_TIME)
+}
+
 /// A quarantined content, as boxes report it to each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
@@ -91,6 +97,15 @@
         /// Crashes recorded so far.
         ends: usize,
     },
+    /// A part of prompts explains a series of crashes.
+    Explained {
+        /// The part.
+        part: Fingerprint,
+        /// Crashes that it explains.
+        crashes: usize,
+        /// Contents with the part that were in flight at them.
+        contents: usize,
+    },
     /// The content is quarantined from now on.
     Held {
         /// The content.
@@ -115,7 +130,7 @@
     pub fn is_decision(&self) -> bool {
         match self {
             Self::Struck { .. } => false,
-            Self::Held { .. } => true,
+            Self::Explained { .. } | Self::Held { .. } => true,
             Self::Cleared { held, .. } => *held,
         }
     }
@@ -124,6 +139,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::Struck { .. } => "struck",
+            Self::Explained { .. } => "explained",
             Self::Held { .. } => "held",
             Self::Cleared { .. } => "cleared",
         }
@@ -134,6 +150,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Struck { content, ends } => write!(f, "struck content={content} ends={ends}"),
+            Self::Explained {
+                part,
+                crashes,
+                contents,
+            } => write!(
+                f,
+                "explained part={part} crashes={crashes} contents={contents}"
+            ),
             Self::Held {
                 content,
                 ends,
@@ -273,6 +297,44 @@
         Some(Step::Cleared { content, held })
     }
 
+    /// Reports whether the quarantine of `content` has ended and nothing has shown since that it
+    /// may run.
+    pub fn is_on_probation(&self, content: &Fingerprint) -> bool {
+        let record = self.records.get(content);
+        record.is_some_and(|record| record.held_until.is_none() && record.crashes.is_empty())
+    }
+
+    /// Ends the quarantine of a part, which has no evidence of its own here.
+    pub fn lift(&mut self, part: Fingerprint) -> Option<Step> {
+        let held = self.records.remove(&part)?.held_until.is_some();
+        Some(Step::Cleared {
+            content: part,
+            held,
+        })
+    }
+
+    /// Drops the evidence of crashes that have another cause. Returns the quarantined contents
+    /// against which too little is left.
+    pub fn drop_crashes(&mut self, explained: &HashSet<NameHash>) -> Vec<Fingerprint> {
+        let mut exonerated = Vec::new();
+        self.records.retain(|content, record| {
+            let before = record.crashes.len();
+            record
+                .crashes
+                .retain(|crash| !explained.contains(&crash.life));
+            if record.crashes.len() == before {
+                return true;
+            }
+            let held = record.held_until.is_some();
+            if held && record.evidence() < QUARANTINE_WEIGHT {
+                exonerated.push(*content);
+            }
+            held || !record.crashes.is_empty()
+        });
+        exonerated.sort_unstable();
+        exonerated
+    }
+
     /// Returns the quarantined contents to report to other boxes: the latest first, evenly divided
     /// between customers.
     pub fn to_report(&self, now: Time) -> Vec<Held> {
@@ -281,7 +343,7 @@
         let mut counts: HashMap<NameHash, usize> = HashMap::new();
         let mut ranked: Vec<(usize, Held)> = Vec::with_capacity(held.len());
         for held in held {
-            let rank = counts.entry(held.content.customer).or_default();
+            let rank = counts.entry(held.content.owner).or_default();
             ranked.push((*rank, held));
             *rank += 1;
         }
@@ -316,22 +378,22 @@
     /// Returns the record of `content`, after making room for it if it is new.
     fn record(&mut self, content: Fingerprint, now: Time) -> &mut Record {
         if !self.records.contains_key(&content) {
-            self.make_room(content.customer);
+            self.make_room(content.owner);
         }
         let record = self.records.entry(content).or_default();
         record.last_evidence = now;
         record
     }
 
-    /// Makes room for one more record of `customer`.
-    fn make_room(&mut self, customer: NameHash) {
-        let same_customer = |c: &&Fingerprint| c.customer == customer;
-        if self.records.keys().filter(same_customer).count() >= MAX_EACH {
-            self.remove_weakest(customer);
+    /// Makes room for one more record of `owner`.
+    fn make_room(&mut self, owner: NameHash) {
+        let same_owner = |c: &&Fingerprint| c.owner == owner;
+        if self.records.keys().filter(same_owner).count() >= MAX_EACH {
+            self.remove_weakest(owner);
         } else if self.records.len() >= MAX_MARKS {
             let mut counts: HashMap<NameHash, usize> = HashMap::new();
             for content in self.records.keys() {
-                *counts.entry(content.customer).or_default() += 1;
+                *counts.entry(content.owner).or_default() += 1;
             }
             let most = counts
                 .into_iter()
@@ -342,10 +404,10 @@
         }
     }
 
-    /// Removes the record of `customer` with the least evidence: those not quarantined first, then
+    /// Removes the record of `owner` with the least evidence: those not quarantined first, then
     /// by weight, then by the time of the last evidence.
-    fn remove_weakest(&mut self, customer: NameHash) {
-        let records = self.records.iter().filter(|(c, _)| c.customer == customer);
+    fn remove_weakest(&mut self, owner: NameHash) {
+        let records = self.records.iter().filter(|(c, _)| c.owner == owner);
         let weakest = records.min_by_key(|(content, record)| {
             (
                 record.held_until,
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -206,6 +206,7 @@
         self.update_distribution(now);
         self.report_usage(now, out);
         self.watch_rollouts(now, out);
+        self.examine_crashes(now, out);
         self.send_cleared(now, out);
         self.update_limit_shares(now);
         self.send_limits(now, out);
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -3,9 +3,11 @@
 use crate::{
     config::{Plan, Query},
     content::{Content, Fingerprint},
+    crash::{self, Suspect},
     id::{self, Service},
     memory::prompt::{Part, Prompt},
     policy::Place,
+    quarantine,
     reducer::{event::Hop, moving::Transfer},
     unit::{Millis, Time},
     verdict::Verdict,
@@ -151,6 +153,24 @@
         self.prompt.as_ref().map_or(&[], Prompt::shared_parts)
     }
 
+    /// Returns the fingerprints of these parts.
+    pub(super) fn part_fingerprints(&self) -> impl Iterator<Item = Fingerprint> {
+        let parts = self.shared_parts().iter();
+        parts.map(|part| Fingerprint::of_part(&self.service, part))
+    }
+
+    /// Returns the request as a suspect in the crash of its server, unless it has no shared part or
+    /// its answer was long in progress; `begun` is the time since its answer began.
+    pub(super) fn suspect(&self, begun: Option<Millis>) -> Option<Suspect> {
+        let parts: Vec<Content> = self.part_fingerprints().map(|part| part.content).collect();
+        let early = quarantine::is_early_crash(begun);
+        (early && !parts.is_empty()).then_some(Suspect {
+            content: self.content.content,
+            recent: crash::is_recent(begun),
+            parts,
+        })
+    }
+
     pub(super) fn verdict(&self) -> Verdict {
         if self.may_have_run {
             Verdict::MayHaveRun
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -90,6 +90,7 @@
 use crate::{
     allotment::{Accounts, Tolerance},
     config::{Config, Version},
+    crash,
     fleet::{Changes, Fleet, Revision},
     id::{self, Domain, Incarnation},
     ledger::Ledger,
@@ -166,6 +167,8 @@
     cache: Cache,
     budgets: Budgets,
     quarantine: Quarantine,
+    /// Crashes of backend servers, with the requests in flight.
+    crashes: crash::Log,
     suspects: suspect::CrashProbes,
     demand: demand::Demand,
     listed: BTreeSet<SocketAddr>,
@@ -210,6 +213,7 @@
             cache: Cache::default(),
             budgets: Budgets::new(identity.retry, identity.first_start),
             quarantine: Quarantine::default(),
+            crashes: crash::Log::default(),
             suspects: suspect::CrashProbes::default(),
             demand: demand::Demand::default(),
             listed: BTreeSet::new(),
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -115,6 +115,7 @@
         out.extend(job.free_copy(request));
         if whole {
             self.clear_content(now, job.content, out);
+            self.clear_parts(now, &job, &in_flight, out);
         }
         self.deadlines.remove(&(job.deadline, request));
         if job.owns_key {
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -1,4 +1,5 @@
-//! Finds out which request content crashed a backend server, and shares the evidence between boxes.
+//! Finds out which request content, or which part of prompts, crashed a backend server, and shares
+//! the evidence between boxes.
 //!
 //! Load pattern: a server that crashes breaks tens of attempts of several boxes within
 //! milliseconds. A broken connection alone does not prove a crash, since servers reset connections
@@ -11,7 +12,8 @@
 
 use crate::{
     content::Fingerprint,
-    id,
+    crash::{Origin, Report, Suspect},
+    id::{self, Service},
     policy::{Place, Policy},
     quarantine::{self, Held, Step, Strike},
     reducer::{
@@ -21,7 +23,7 @@
         outcome,
     },
     unit::{Millis, Time},
-    wire::{Body, Frame, Marks},
+    wire::{Body, Crashes, Frame, Marks, NameHash},
 };
 
 /// Maximum number of strikes, or of cleared contents, in one message: about 1.5 KB.
@@ -39,6 +41,10 @@
     since: Time,
     /// The strikes to record if the server has crashed.
     strikes: Vec<Strike>,
+    /// The service of the attempts that broke.
+    service: Service,
+    /// The requests with a prompt that may have crashed it.
+    suspects: Vec<Suspect>,
 }
 
 /// Attempts that broke at servers which may have crashed.
@@ -56,6 +62,15 @@
         let same = self.strikes.iter().filter(|s| s.content == *content);
         same.map(|strike| strike.weight).max()
     }
+
+    /// Reports whether a request with `part` may have crashed the server.
+    fn suspects(&self, part: &Fingerprint) -> bool {
+        NameHash::of(self.service.as_str()) == part.owner
+            && self
+                .suspects
+                .iter()
+                .any(|s| s.parts.contains(&part.content))
+    }
 }
 
 impl<P: Policy> State<P> {
@@ -103,9 +118,12 @@
         let probe = probes.entry(name.clone()).or_insert(Probe {
             since: now,
             strikes: Vec::new(),
+            service: job.service.clone(),
+            suspects: Vec::new(),
         });
         if probe.strikes.len() < MAX_STRIKES_PER_PROBE {
             probe.strikes.push(strike);
+            probe.suspects.extend(job.suspect(begun));
         }
     }
 
@@ -120,7 +138,11 @@
     ) {
         self.judge_broken(backend, closed);
         let probe = self.suspects.probes.remove(backend);
-        let strikes = probe.filter(|_| closed).map(|probe| probe.strikes);
+        let probe = probe.filter(|_| closed);
+        if let Some(probe) = &probe {
+            self.report_crash(now, probe, out);
+        }
+        let strikes = probe.map(|probe| probe.strikes);
         let mut new_strikes = Vec::new();
         for strike in strikes.into_iter().flatten() {
             if self.record_strike(now, strike, out) {
@@ -129,7 +151,15 @@
             }
         }
         for strikes in new_strikes.chunks(MAX_MARKS_PER_MESSAGE) {
-            self.broadcast_marks(now, strikes.to_vec(), Vec::new(), out);
+            let strikes = strikes.to_vec();
+            self.broadcast_marks(
+                now,
+                Marks {
+                    strikes,
+                    ..Marks::default()
+                },
+                out,
+            );
         }
         // Requests that waited for the result may continue unless they are quarantined now.
         self.drain_all(now, out);
@@ -172,7 +202,15 @@
     pub(super) fn send_cleared(&mut self, now: Time, out: &mut Vec<Effect>) {
         let cleared = std::mem::take(&mut self.suspects.cleared);
         for cleared in cleared.chunks(MAX_MARKS_PER_MESSAGE) {
-            self.broadcast_marks(now, Vec::new(), cleared.to_vec(), out);
+            let cleared = cleared.to_vec();
+            self.broadcast_marks(
+                now,
+                Marks {
+                    cleared,
+                    ..Marks::default()
+                },
+                out,
+            );
         }
     }
 
@@ -185,6 +223,9 @@
         marks: &Marks,
         out: &mut Vec<Effect>,
     ) {
+        for report in &marks.crashes.0 {
+            self.crashes.record(report, Origin::Other, now);
+        }
         for strike in &marks.strikes {
             // This box has a complete answer for the content, so it tells all boxes that it is
             // cleared.
@@ -197,6 +238,11 @@
         for content in &marks.cleared {
             // Another box has announced it already.
             self.suspects.cleared.retain(|other| other != content);
+            if self.crashes.knows(content) {
+                self.crashes.record_success(*content, now);
+                out.extend(self.quarantine.lift(*content).map(Effect::Quarantine));
+                continue;
+            }
             let step = self.quarantine.clear(*content, now);
             out.extend(step.map(Effect::Quarantine));
         }
@@ -212,9 +258,14 @@
     /// Applies the quarantined contents received from another box.
     pub(super) fn receive_held(&mut self, now: Time, held: &[Held], out: &mut Vec<Effect>) {
         for held in held {
-            if self.quarantine.has_recent_success(&held.content, now) {
+            let held_at = Time((now + held.left).0.saturating_sub(quarantine::HOLD.0));
+            if self.quarantine.has_recent_success(&held.content, now)
+                || self.crashes.refutes(&held.content, held_at)
+            {
                 self.suspects.cleared.push(held.content);
-            } else if let Some(step) = self.quarantine.apply_report(*held, now) {
+            } else if self.crashes.accepts(&held.content)
+                && let Some(step) = self.quarantine.apply_report(*held, now)
+            {
                 self.apply_step(now, step, out);
             }
         }
@@ -222,14 +273,29 @@
 
     /// Lets a content run again on an operator's request.
     pub(super) fn pardon(&mut self, now: Time, content: Fingerprint, out: &mut Vec<Effect>) {
-        self.clear_content(now, content, out);
+        if self.crashes.knows(&content) {
+            self.record_success(now, content, now, out);
+            self.suspects.cleared.push(content);
+        } else {
+            self.clear_content(now, content, out);
+        }
         self.send_cleared(now, out);
     }
 
     /// Returns the refusal for a request whose content is quarantined, or `None` if it may run.
     pub(super) fn quarantine_refusal(&self, now: Time, job: &Job) -> Option<Reply> {
-        let left = self.quarantine.held(&job.content, now)?;
-        let reason = "it is held back: backend servers ended while they ran the same request";
+        let (left, reason) = match self.quarantine.held(&job.content, now) {
+            Some(left) => {
+                let reason =
+                    "it is held back: backend servers ended while they ran the same request";
+                (left, reason)
+            }
+            None => {
+                let held = |part| self.quarantine.held(&part, now);
+                let reason = "it is held back: backend servers ended under a part of its prompt";
+                (job.part_fingerprints().find_map(held)?, reason)
+            }
+        };
         Some(Reply::new(503, job.verdict(), reason).with_retry_after(left))
     }
 
@@ -238,16 +304,141 @@
     /// Without this wait a stream went on to a fourth server in the milliseconds that the probe
     /// took, in 2 of 10 runs of ten such requests at two boxes; with it, in none of 16.
     pub(super) fn awaits_probe(&self, now: Time, job: &Job) -> bool {
+        let recent = |probe: &&Probe| now.since(probe.since) < PROBE_TIMEOUT;
+        let probed = |part: &Fingerprint| {
+            let mut probes = self.suspects.probes.values().filter(recent);
+            probes.any(|probe| probe.suspects(part))
+        };
+        let mut parts = job.part_fingerprints();
+        if parts.any(|part| probed(&part) && self.crashes.needs_one_more(&part)) {
+            return true;
+        }
         let probes = self.suspects.probes.values();
         let weight: u32 = probes
-            .filter(|probe| now.since(probe.since) < PROBE_TIMEOUT)
+            .filter(recent)
             .filter_map(|probe| probe.weight(&job.content))
             .sum();
         weight > 0 && self.quarantine.would_quarantine(&job.content, weight)
     }
 
+    /// Reports the requests in flight at a server that crashed to all boxes, this one included.
+    fn report_crash(&mut self, now: Time, probe: &Probe, out: &mut Vec<Effect>) {
+        let Some(life) = probe.strikes.first().map(|strike| strike.life) else {
+            return;
+        };
+        for suspects in probe.suspects.chunks(MAX_MARKS_PER_MESSAGE) {
+            let report = Report {
+                life,
+                service: NameHash::of(probe.service.as_str()),
+                age: now.since(probe.since),
+                suspects: suspects.to_vec(),
+            };
+            self.crashes.record(&report, Origin::Own, now);
+            let crashes = Crashes(vec![report]);
+            self.broadcast_marks(
+                now,
+                Marks {
+                    crashes,
+                    ..Marks::default()
+                },
+                out,
+            );
+        }
+    }
+
+    /// Holds back the parts that explain the crashes which all boxes have reported on.
+    pub(super) fn examine_crashes(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for life in self.crashes.take_reported(now) {
+            self.examine_crash(now, life, out);
+        }
+    }
+
+    /// Holds back the part that explains the series which ends with the crash of `life`.
+    fn examine_crash(&mut self, now: Time, life: NameHash, out: &mut Vec<Effect>) {
+        let quarantine = &self.quarantine;
+        let held = |part: &Fingerprint| quarantine.held(part, now).is_some();
+        let suspected = |part: &Fingerprint| quarantine.is_on_probation(part);
+        if let Some((part, series)) = self.crashes.culprit(life, held, suspected) {
+            out.push(Effect::Quarantine(Step::Explained {
+                part,
+                crashes: series.crashes,
+                contents: series.contents.len(),
+            }));
+            let left = quarantine::HOLD;
+            let content = part;
+            if let Some(step) = self.quarantine.apply_report(Held { content, left }, now) {
+                self.apply_step(now, step, out);
+                // One box writes: that which sent a request with the part to the server.
+                if self.crashes.is_own(life, &part) {
+                    self.store_quarantined(now, part, out);
+                }
+            }
+        }
+        self.exonerate(now, out);
+    }
+
+    /// Drops the evidence against contents that were in flight at crashes which a held part
+    /// explains.
+    fn exonerate(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let quarantine = &self.quarantine;
+        let explained = self
+            .crashes
+            .explained(|part| quarantine.held(part, now).is_some());
+        if explained.is_empty() {
+            return;
+        }
+        for content in self.quarantine.drop_crashes(&explained) {
+            self.clear_content(now, content, out);
+        }
+    }
+
+    /// Records that a request with `part` whose answer began at `began` was answered completely.
+    fn record_success(&mut self, now: Time, part: Fingerprint, began: Time, out: &mut Vec<Effect>) {
+        let told = self.crashes.record_success(part, began);
+        let held = self.quarantine.held(&part, now).is_some();
+        if held && !self.crashes.refutes(&part, now) {
+            return;
+        }
+        let lifted = held || self.quarantine.is_on_probation(&part);
+        if told || lifted {
+            self.suspects.cleared.push(part);
+        }
+        if let Some(step) = self.quarantine.lift(part) {
+            out.push(Effect::Quarantine(step));
+            if self.registry {
+                out.push(Effect::RemoveHeld(part));
+            }
+        }
+    }
+
+    /// Records a complete answer of a backend server for the parts of its request's prompt.
+    pub(super) fn clear_parts(
+        &mut self,
+        now: Time,
+        job: &Job,
+        in_flight: &outcome::InFlight,
+        out: &mut Vec<Effect>,
+    ) {
+        let at_backend = matches!(in_flight.spot, Assignment::Chosen(Place::Backend(_), _));
+        let Some(began) = in_flight.begun.filter(|_| at_backend) else {
+            return;
+        };
+        let parts: Vec<Fingerprint> = job.part_fingerprints().collect();
+        for part in &parts {
+            self.record_success(now, *part, began, out);
+        }
+        if !parts.is_empty() {
+            self.crashes.record_answer(parts, began);
+        }
+    }
+
     /// Records a strike; returns whether it was new.
     fn record_strike(&mut self, now: Time, strike: Strike, out: &mut Vec<Effect>) -> bool {
+        let quarantine = &self.quarantine;
+        let held = |part: &Fingerprint| quarantine.held(part, now).is_some();
+        if self.crashes.is_explained(strike.life, held) {
+            return false;
+        }
         let Some(step) = self.quarantine.record_crash(strike, now) else {
             return false;
         };
@@ -259,13 +450,17 @@
         out.push(Effect::Quarantine(step));
         if let Step::Held { content, .. } = step {
             self.refuse_pending(now, content, out);
+            self.exonerate(now, out);
         }
     }
 
     /// Refuses this box's pending requests of a content that was just quarantined: those waiting,
     /// and those sent whose answer has not begun, so that no further server starts them.
     fn refuse_pending(&mut self, now: Time, content: Fingerprint, out: &mut Vec<Effect>) {
-        let same = self.jobs.iter().filter(|(_, job)| job.content == content);
+        let concerned = |job: &Job| {
+            job.content == content || job.part_fingerprints().any(|part| part == content)
+        };
+        let same = self.jobs.iter().filter(|(_, job)| concerned(job));
         let pending = same.filter(|(_, job)| match &job.stage {
             Stage::Waiting => true,
             Stage::Sent { begun, .. } => begun.is_none(),
@@ -292,18 +487,11 @@
 
     /// Sends strikes and cleared contents to every box of the region, and to one box of each other
     /// region, which forwards them there.
-    fn broadcast_marks(
-        &mut self,
-        now: Time,
-        strikes: Vec<Strike>,
-        cleared: Vec<Fingerprint>,
-        out: &mut Vec<Effect>,
-    ) {
+    fn broadcast_marks(&mut self, now: Time, marks: Marks, out: &mut Vec<Effect>) {
         for (to, spread) in self.broadcast_targets(now) {
             let frame = self.frame(Body::Marks(Marks {
-                strikes: strikes.clone(),
-                cleared: cleared.clone(),
                 spread,
+                ..marks.clone()
             }));
             out.push(Effect::Gossip { to, frame });
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,6 +8,7 @@
 use crate::{
     config::Version,
     content::Fingerprint,
+    crash,
     fleet::{Change, Revision, Rollouts},
     id::{BoxName, Domain, Incarnation, Region},
     memory::report::Corrections,
@@ -398,6 +399,23 @@
     pub cleared: Vec<Fingerprint>,
     /// Whether the receiver forwards it within its region.
     pub spread: bool,
+    /// Requests in flight at servers that crashed; must stay the last field.
+    pub crashes: Crashes,
+}
+
+/// Requests in flight at servers that crashed.
+///
+/// They stand at the end of messages. A message of an older release ends before them and reads as
+/// without any.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Crashes(pub Vec<crash::Report>);
+
+impl<'de> Deserialize<'de> for Crashes {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(
+            Vec::deserialize(deserializer).ok().unwrap_or_default(),
+        ))
+    }
 }
 
 /// Request limit announced by a backend server for all boxes together.
--- a/tests/held_contents.rs
+++ b/tests/held_contents.rs
@@ -205,6 +205,7 @@
             strikes,
             cleared,
             spread: false,
+            crashes: Default::default(),
         }),
     }))
 }
--- a/tests/quarantine_table.rs
+++ b/tests/quarantine_table.rs
@@ -15,7 +15,7 @@
 
 fn content(customer: u32, number: u64) -> Fingerprint {
     Fingerprint {
-        customer: NameHash(customer),
+        owner: NameHash(customer),
         content: Content(number),
     }
 }
