Take no answer that ends with its connection for a proof

A crash between two events of an answer without a length or chunks looks like its end. Such an answer cleared its content, was no evidence, and led to no probe; so did errors clear.

The box now marks these ends as inconclusive: they clear nothing, and stand as evidence if the server proves to have crashed within a second, which other connections show, or the next attempt to reach it, which is probed then. No probe is sent where a server can be reached.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -128,6 +128,8 @@
     orders: mpsc::UnboundedReceiver<Command>,
     pub(super) source: Source,
     delimiter: Delimiter,
+    /// Whether the status of the response reports success.
+    success: bool,
     metrics: Arc<Metrics>,
     stall: Pin<Box<Sleep>>,
     times: PieceTimes,
@@ -153,6 +155,7 @@
     ) -> Self {
         Self {
             delimiter: upstream.delimiter,
+            success: upstream.response.status().is_success(),
             metrics,
             pulse: None,
             times: PieceTimes::begin(received_at),
@@ -183,6 +186,9 @@
             lease.return_to_pool();
         }
         let Source { request, attempt } = self.source;
+        if whole && (self.delimiter.is_close() || !self.success) {
+            self.core.tell(Event::Inconclusive { request, attempt });
+        }
         self.core.tell(Event::Ended {
             request,
             attempt,
@@ -404,6 +410,7 @@
                 AttemptOutcome::Answered(upstream) => {
                     self.core.tell(Event::Begun { request, attempt });
                     self.delimiter = upstream.delimiter;
+                    self.success = upstream.response.status().is_success();
                     self.incoming = upstream.response.into_body();
                     self.lease = Some(upstream.lease);
                     let now = BootInstant::now();
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -140,6 +140,7 @@
             return;
         };
         job.attempts += u32::from(continues.is_none());
+        job.inconclusive = false;
         job.judged = false;
         job.tried.push(place.clone());
         job.stage = Stage::Sent {
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -202,6 +202,14 @@
         /// The attempt that produced the answer.
         attempt: id::Attempt,
     },
+    /// The end of the current answer does not show that the backend server survived the request: the
+    /// answer is an error, or it ends with its connection, as it would after a crash.
+    Inconclusive {
+        /// The request.
+        request: id::Request,
+        /// The attempt that produced the answer.
+        attempt: id::Attempt,
+    },
     /// An answer that had begun has ended.
     Ended {
         /// The request.
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -108,6 +108,8 @@
     pub(super) transfer: Option<Transfer>,
     /// Engines that were asked to take the run; each is asked once.
     pub(super) move_targets: Vec<id::Backend>,
+    /// Whether the end of the current answer shows nothing of its backend server.
+    pub(super) inconclusive: bool,
     /// Whether the answer of the current attempt was already counted for or against its release.
     pub(super) judged: bool,
 }
@@ -144,6 +146,7 @@
             stage: Stage::Waiting,
             transfer: None,
             move_targets: vec![],
+            inconclusive: false,
             judged: false,
         }
     }
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -261,6 +261,9 @@
             Event::Begun { request, attempt } => {
                 self.on_answer_started(now, request, attempt, &mut out)
             }
+            Event::Inconclusive { request, attempt } => {
+                self.mark_inconclusive(request, attempt);
+            }
             Event::Ended {
                 request,
                 attempt,
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -113,7 +113,9 @@
             return;
         };
         out.extend(job.free_copy(request));
-        if whole {
+        if whole && job.inconclusive {
+            self.record_inconclusive(now, &job, &in_flight);
+        } else if whole {
             self.clear_content(now, job.content, out);
             self.clear_parts(now, &job, &in_flight, out);
         }
@@ -169,6 +171,9 @@
             self.probe_after_break(now, request, &in_flight, out);
         }
         let spot = in_flight.spot;
+        if cause == Cause::Unreachable {
+            self.probe_after_close(now, &spot, out);
+        }
         self.judge_failed(request, &spot, cause);
         self.record_failure(now, &spot, cause);
         if self.return_to_source(now, request, verdict, out) {
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -8,7 +8,7 @@
 //! once, and quarantined contents are also part of the messages that boxes exchange regularly, so a
 //! box that started, resumed or was cut off learns them from the first such message.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use crate::{
     content::Fingerprint,
@@ -35,6 +35,22 @@
 /// them take 400 ms at most.
 const PROBE_TIMEOUT: Millis = Millis(500);
 
+/// How long answers that ended with their connections are remembered: a crash shows in other
+/// connections, or in the next attempt to open one.
+const CLOSED_RETENTION: Millis = Millis(1000);
+/// Maximum number of such answers.
+const MAX_CLOSED: usize = 128;
+
+/// A request that a server ran when it may have crashed.
+#[derive(Debug)]
+struct Involvement {
+    at: Time,
+    backend: id::Backend,
+    service: Service,
+    strike: Strike,
+    suspect: Option<Suspect>,
+}
+
 /// A probe of a server's port that has not reported yet.
 #[derive(Debug)]
 struct Probe {
@@ -51,10 +67,34 @@
 #[derive(Debug, Default)]
 pub(super) struct CrashProbes {
     probes: HashMap<id::Backend, Probe>,
+    /// Requests whose answers ended as they would after a crash.
+    closed: VecDeque<Involvement>,
     /// Cleared contents that the other boxes have not been told of yet.
     cleared: Vec<Fingerprint>,
 }
 
+impl CrashProbes {
+    fn add_closed(&mut self, involved: Involvement, now: Time) {
+        self.closed.retain(|c| now.since(c.at) < CLOSED_RETENTION);
+        if self.closed.len() >= MAX_CLOSED {
+            self.closed.pop_front();
+        }
+        self.closed.push_back(involved);
+    }
+
+    /// Removes the last answer of a server that ended with its connection.
+    fn pop_closed(&mut self, name: &id::Backend, now: Time) -> Option<Involvement> {
+        let recent = |c: &Involvement| c.backend == *name && now.since(c.at) < CLOSED_RETENTION;
+        let last = self.closed.iter().rposition(recent)?;
+        self.closed.remove(last)
+    }
+
+    /// Removes all such answers of a server.
+    fn take_closed(&mut self, name: &id::Backend, now: Time) -> Vec<Involvement> {
+        std::iter::from_fn(|| self.pop_closed(name, now)).collect()
+    }
+}
+
 impl Probe {
     /// Returns the weight of a crash as evidence against `content`, if it ran there. One crash
     /// counts once, however many attempts with that content broke.
@@ -98,32 +138,102 @@
             age: now.since(in_flight.at),
             begun,
         });
+        let broken = self.involvement(now, name, job, begun);
         // The end of a server that was leaving is expected.
-        let Some(backend) = self.fleet.get(name).filter(|backend| !backend.leaving) else {
+        if let Some(broken) = broken {
+            self.probe(now, broken, out);
+        }
+    }
+
+    /// Returns how a request is involved if the server that ran it has crashed; `begun` is the time
+    /// since its answer began. `None` if the server was leaving.
+    fn involvement(
+        &self,
+        now: Time,
+        name: &id::Backend,
+        job: &Job,
+        begun: Option<Millis>,
+    ) -> Option<Involvement> {
+        let backend = self.fleet.get(name).filter(|backend| !backend.leaving)?;
+        Some(Involvement {
+            at: now,
+            backend: name.clone(),
+            service: job.service.clone(),
+            strike: Strike {
+                content: job.content,
+                life: backend.life(),
+                weight: quarantine::weight(begun),
+            },
+            suspect: job.suspect(begun),
+        })
+    }
+
+    /// Probes a server that may have crashed while it ran a request.
+    fn probe(&mut self, now: Time, involved: Involvement, out: &mut Vec<Effect>) {
+        let Some(backend) = self.fleet.get(&involved.backend) else {
             return;
         };
-        let strike = Strike {
-            content: job.content,
-            life: backend.life(),
-            weight: quarantine::weight(begun),
-        };
         let address = backend.address;
+        let name = involved.backend.clone();
+        let closed = self.suspects.take_closed(&name, now);
         let probes = &mut self.suspects.probes;
         // A later result may concern the server's next incarnation.
         probes.retain(|_, probe| now.since(probe.since) < PROBE_TIMEOUT);
-        if !probes.contains_key(name) {
+        if !probes.contains_key(&name) {
             let backend = name.clone();
             out.push(Effect::Probe { backend, address });
         }
-        let probe = probes.entry(name.clone()).or_insert(Probe {
+        let probe = probes.entry(name).or_insert(Probe {
             since: now,
             strikes: Vec::new(),
-            service: job.service.clone(),
+            service: involved.service.clone(),
             suspects: Vec::new(),
         });
-        if probe.strikes.len() < MAX_STRIKES_PER_PROBE {
-            probe.strikes.push(strike);
-            probe.suspects.extend(job.suspect(begun));
+        for involved in closed.into_iter().chain([involved]) {
+            if probe.strikes.len() < MAX_STRIKES_PER_PROBE {
+                probe.strikes.push(involved.strike);
+                probe.suspects.extend(involved.suspect);
+            }
+        }
+    }
+
+    pub(super) fn mark_inconclusive(&mut self, request: id::Request, attempt: id::Attempt) {
+        if self.in_hand(request, attempt).is_none() {
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&request) {
+            job.inconclusive = true;
+        }
+    }
+
+    /// Remembers a request whose answer ended as it would if its server had crashed.
+    pub(super) fn record_inconclusive(
+        &mut self,
+        now: Time,
+        job: &Job,
+        in_flight: &outcome::InFlight,
+    ) {
+        let Assignment::Chosen(Place::Backend(name), _) = &in_flight.spot else {
+            return;
+        };
+        let begun = in_flight.begun.map(|at| now.since(at));
+        if let Some(involved) = self.involvement(now, name, job, begun) {
+            self.suspects.add_closed(involved, now);
+        }
+    }
+
+    /// Probes a server that cannot be reached soon after answers ended with their connections.
+    pub(super) fn probe_after_close(
+        &mut self,
+        now: Time,
+        spot: &Assignment,
+        out: &mut Vec<Effect>,
+    ) {
+        let Assignment::Chosen(Place::Backend(name), _) = spot else {
+            return;
+        };
+        if let Some(involved) = self.suspects.pop_closed(name, now) {
+            self.probe(now, involved, out);
         }
     }
 
--- a/tests/held_contents.rs
+++ b/tests/held_contents.rs
@@ -292,6 +292,41 @@
     assert!(sends(&send_content(&mut solo, 4, 9)).is_empty());
 }
 
+// An answer that ends with its connection ends like one whose server crashed between two events.
+#[test]
+fn answers_that_end_with_their_connection_clear_nothing() {
+    let mut solo = solo();
+    for request in [1, 3, 5] {
+        let send = sends(&send_content(&mut solo, request, 9)).remove(0);
+        solo.begun(&send);
+        let (request, attempt) = (send.request, send.attempt);
+        solo.step(Event::Inconclusive { request, attempt });
+        solo.ended(&send);
+        // The server shows to have crashed when the next request finds nothing at its port.
+        let mut probed = Vec::new();
+        for other in 0..8 {
+            let next = sends(&send_content(
+                &mut solo,
+                100 * request.0 + other,
+                100 + other,
+            ))
+            .remove(0);
+            if next.target != send.target {
+                solo.begun(&next);
+                solo.ended(&next);
+                continue;
+            }
+            let effects = solo.failed(&next, Verdict::NotRun, Cause::Unreachable);
+            probed = probes(&effects);
+            break;
+        }
+        assert_eq!(probed.len(), 1, "the server is probed");
+        probe_results(&mut solo, probed, true);
+        solo.pass(6000);
+    }
+    assert!(sends(&send_content(&mut solo, 7, 9)).is_empty());
+}
+
 #[test]
 fn leaving_servers_are_not_probed() {
     let mut solo = solo();
