Give up an endless answer that nobody can be given

A request with an idempotency key goes on when its caller leaves, so that its answer can be replayed. An answer too long to be replayed was read on, without end if its bytes had none: a connection, a slot and processor time were lost until the box ended. It is given up now, as a broken one.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -443,6 +443,11 @@
                     }
                     buffered = buffered.filter(|all| all.len() <= MAX_ANSWER_BYTES);
                     caller = send_piece(caller, Ok(bytes)).await;
+                    if caller.is_none() && buffered.is_none() {
+                        // Too long to be replayed: nobody can be given the rest, which may be
+                        // endless.
+                        return stream.end(false);
+                    }
                 }
                 Piece::End => {
                     // Stored before the end is reported, so that a re-send always finds it.
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -146,6 +146,11 @@
 }
 
 impl Begun {
+    /// Returns the status of the response.
+    pub fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
     /// Returns the response headers.
     pub fn head(&self) -> &hyper::HeaderMap {
         self.response.headers()
