Tell boxes when complete answers with a part began

Messages now say how long ago the answer began, and an answer contradicts a hold only if too few crashes came after it. A popular part is no rival of a rare one.

New tests: a part that turns deadly, two deadly parts, crashes by chance beside a series, boxes that start or come back from a cut, a pardon.

--- a/src/crash.rs
+++ b/src/crash.rs
@@ -33,7 +33,7 @@
 /// Contents a crash up to which a part counts as rare. A popular part is at every crash by chance.
 const RARE_CONTENTS: usize = 2;
 /// Share of a service's complete answers from which on a part counts as popular.
-const POPULAR_SHARE: f64 = 0.03;
+const POPULAR_SHARE: f64 = 0.05;
 /// Complete answers of a service from which shares are computed.
 const MIN_ANSWERS: usize = 32;
 /// A popular part explains a series only if this many complete answers since its first crash should
@@ -88,6 +88,24 @@
     Other,
 }
 
+/// The last complete answer with a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Success {
+    /// The part.
+    pub part: Fingerprint,
+    /// How long ago the answer began.
+    pub age: Millis,
+}
+
+/// What boxes tell each other of parts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Requests in flight at servers that crashed.
+    pub reports: Vec<Report>,
+    /// Complete answers with parts that were in flight there.
+    pub successes: Vec<Success>,
+}
+
 /// Reports whether an answer had just begun; `begun` is the time since then, if it had.
 pub fn is_recent(begun: Option<Millis>) -> bool {
     begun.is_some_and(|span| span <= RECENT_TIME)
@@ -244,6 +262,11 @@
         crashes.any(|crash| crash.life == life && crash.own.contains(part))
     }
 
+    /// Reports whether a request of this box with `part` was in flight at any crash.
+    pub fn is_own_part(&self, part: &Fingerprint) -> bool {
+        self.crashes.iter().any(|crash| crash.own.contains(part))
+    }
+
     /// Returns the crashes that all boxes have had the time to report on and that were not examined
     /// since.
     pub fn take_reported(&mut self, now: Time) -> Vec<NameHash> {
@@ -262,19 +285,20 @@
         self.answers.push_back(Answer { began, parts });
     }
 
-    /// Reports whether many of the service's complete answers had `part`.
-    fn is_popular(&self, part: &Fingerprint) -> bool {
+    /// Reports whether many of the service's complete answers had `part`; `None` if there were too
+    /// few to tell.
+    fn is_popular(&self, part: &Fingerprint) -> Option<bool> {
         let answers = self.answers.iter().filter(|a| a.is_of(part.owner));
         let (all, with) = answers.fold((0, 0), |(all, with), answer| {
             (all + 1, with + u32::from(answer.parts.contains(part)))
         });
-        all >= MIN_ANSWERS && f64::from(with) >= POPULAR_SHARE * all as f64
+        (all >= MIN_ANSWERS).then_some(f64::from(with) >= POPULAR_SHARE * all as f64)
     }
 
     /// Reports whether this box believes another one that holds `part`. It judges a popular part by
     /// itself.
     pub fn accepts(&self, part: &Fingerprint) -> bool {
-        !self.is_popular(part) || self.explains(part)
+        self.is_popular(part) != Some(true) || self.explains(part)
     }
 
     /// Records a complete answer with `part` that began at `began`. Returns whether the other boxes
@@ -291,7 +315,7 @@
     }
 
     /// Returns when the last complete answer with `part` began.
-    fn last_success(&self, part: &Fingerprint) -> Option<Time> {
+    pub fn last_success(&self, part: &Fingerprint) -> Option<Time> {
         let known = self.successes.iter().filter_map(|known| known.get(part));
         known.max().copied()
     }
@@ -301,10 +325,12 @@
         self.last_success(part).is_some() || self.crashes.iter().any(|c| c.parts.contains_key(part))
     }
 
-    /// Reports whether complete answers contradict a hold of `part` that began at `held_at`.
+    /// Reports whether complete answers contradict a hold of `part` that began at `held_at`: one began
+    /// about then, and too few crashes came after it.
     pub fn refutes(&self, part: &Fingerprint, held_at: Time) -> bool {
         let recent = |began: Time| held_at.since(began) < REFUTATION_TIME;
-        self.last_success(part).is_some_and(recent) && !self.explains(part)
+        let series = self.series(part, Scope::All, &HashSet::new());
+        self.last_success(part).is_some_and(recent) && series.moments < MIN_RECENT_MOMENTS
     }
 
     /// Reports whether `part` explains a series of crashes.
@@ -324,7 +350,8 @@
             answer.is_of(part.owner) && series.since.is_some_and(|since| answer.began > since)
         };
         let answers = || self.answers.iter().filter(counts).count();
-        let popular = series.is_popular() || self.is_popular(part);
+        let popular = self.is_popular(part);
+        let popular = popular.unwrap_or_else(|| series.is_popular());
         !popular || series.expected(answers()) >= MISSING_ANSWERS
     }
 
@@ -422,9 +449,13 @@
             });
             let strength = |series: &Series| (series.moments, Reverse(series.contents.len()));
             let (part, best) = sufficient.max_by_key(|(_, series)| strength(series))?;
-            let rivals = all
-                .iter()
-                .filter(|(other, series)| other != part && series.rivals(best));
+            // A popular part is at every crash by chance.
+            let is_rival = |(other, series): &&(Fingerprint, Series)| {
+                let plausible = self.is_popular(other) != Some(true)
+                    || self.is_sufficient(other, scope, series);
+                other != part && plausible && series.rivals(best)
+            };
+            let rivals = all.iter().filter(is_rival);
             (rivals.count() == 0).then(|| (*part, best.clone()))
         })
     }
--- a/src/quarantine.rs
+++ b/src/quarantine.rs
@@ -87,6 +87,13 @@
     pub left: Millis,
 }
 
+impl Held {
+    /// Returns when the quarantine began.
+    pub fn since(&self, now: Time) -> Time {
+        Time((now + self.left).0.saturating_sub(HOLD.0))
+    }
+}
+
 /// A change in the state of a content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
--- a/src/reducer/suspect.rs
+++ b/src/reducer/suspect.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     content::Fingerprint,
-    crash::{Origin, Report, Suspect},
+    crash::{Evidence, Origin, Report, Success, Suspect},
     id::{self, Service},
     policy::{Place, Policy},
     quarantine::{self, Held, Step, Strike},
@@ -23,7 +23,7 @@
         outcome,
     },
     unit::{Millis, Time},
-    wire::{Body, Crashes, Frame, Marks, NameHash},
+    wire::{Body, Frame, Marks, NameHash, Parts},
 };
 
 /// Maximum number of strikes, or of cleared contents, in one message: about 1.5 KB.
@@ -71,6 +71,8 @@
     closed: VecDeque<Involvement>,
     /// Cleared contents that the other boxes have not been told of yet.
     cleared: Vec<Fingerprint>,
+    /// Parts with complete answers that the other boxes have not been told of yet.
+    answered: Vec<Fingerprint>,
 }
 
 impl CrashProbes {
@@ -308,22 +310,41 @@
         self.receive_held(now, &[Held { content, left }], out);
     }
 
-    /// Sends the other boxes the contents cleared since the last tick.
+    /// Sends the other boxes the contents cleared and the parts answered since the last tick.
     pub(super) fn send_cleared(&mut self, now: Time, out: &mut Vec<Effect>) {
         let cleared = std::mem::take(&mut self.suspects.cleared);
         for cleared in cleared.chunks(MAX_MARKS_PER_MESSAGE) {
-            let cleared = cleared.to_vec();
-            self.broadcast_marks(
-                now,
-                Marks {
-                    cleared,
-                    ..Marks::default()
-                },
-                out,
-            );
+            let marks = Marks {
+                cleared: cleared.to_vec(),
+                ..Marks::default()
+            };
+            self.broadcast_marks(now, marks, out);
+        }
+        let mut answered = std::mem::take(&mut self.suspects.answered);
+        answered.sort_unstable();
+        answered.dedup();
+        for answered in answered.chunks(MAX_MARKS_PER_MESSAGE) {
+            let success = |part: &Fingerprint| {
+                let age = now.since(self.crashes.last_success(part)?);
+                Some(Success { part: *part, age })
+            };
+            let successes = answered.iter().filter_map(success).collect();
+            let evidence = Evidence {
+                successes,
+                ..Evidence::default()
+            };
+            self.broadcast_evidence(now, evidence, out);
         }
     }
 
+    fn broadcast_evidence(&mut self, now: Time, evidence: Evidence, out: &mut Vec<Effect>) {
+        let marks = Marks {
+            parts: Parts(evidence),
+            ..Marks::default()
+        };
+        self.broadcast_marks(now, marks, out);
+    }
+
     /// Applies strikes and cleared contents received from another box, and forwards them if
     /// requested.
     pub(super) fn receive_marks(
@@ -333,9 +354,17 @@
         marks: &Marks,
         out: &mut Vec<Effect>,
     ) {
-        for report in &marks.crashes.0 {
+        let Evidence { reports, successes } = &marks.parts.0;
+        for report in reports {
             self.crashes.record(report, Origin::Other, now);
         }
+        for success in successes {
+            // Another box has announced it already.
+            self.suspects.answered.retain(|part| *part != success.part);
+            let began = Time(now.0.saturating_sub(success.age.0));
+            self.crashes.record_success(success.part, began);
+            self.lift_refuted(now, success.part, out);
+        }
         for strike in &marks.strikes {
             // This box has a complete answer for the content, so it tells all boxes that it is
             // cleared.
@@ -348,11 +377,6 @@
         for content in &marks.cleared {
             // Another box has announced it already.
             self.suspects.cleared.retain(|other| other != content);
-            if self.crashes.knows(content) {
-                self.crashes.record_success(*content, now);
-                out.extend(self.quarantine.lift(*content).map(Effect::Quarantine));
-                continue;
-            }
             let step = self.quarantine.clear(*content, now);
             out.extend(step.map(Effect::Quarantine));
         }
@@ -368,11 +392,10 @@
     /// Applies the quarantined contents received from another box.
     pub(super) fn receive_held(&mut self, now: Time, held: &[Held], out: &mut Vec<Effect>) {
         for held in held {
-            let held_at = Time((now + held.left).0.saturating_sub(quarantine::HOLD.0));
-            if self.quarantine.has_recent_success(&held.content, now)
-                || self.crashes.refutes(&held.content, held_at)
-            {
+            if self.quarantine.has_recent_success(&held.content, now) {
                 self.suspects.cleared.push(held.content);
+            } else if self.crashes.refutes(&held.content, held.since(now)) {
+                self.suspects.answered.push(held.content);
             } else if self.crashes.accepts(&held.content)
                 && let Some(step) = self.quarantine.apply_report(*held, now)
             {
@@ -384,8 +407,9 @@
     /// Lets a content run again on an operator's request.
     pub(super) fn pardon(&mut self, now: Time, content: Fingerprint, out: &mut Vec<Effect>) {
         if self.crashes.knows(&content) {
-            self.record_success(now, content, now, out);
-            self.suspects.cleared.push(content);
+            self.crashes.record_success(content, now);
+            self.suspects.answered.push(content);
+            self.lift_refuted(now, content, out);
         } else {
             self.clear_content(now, content, out);
         }
@@ -444,15 +468,11 @@
                 suspects: suspects.to_vec(),
             };
             self.crashes.record(&report, Origin::Own, now);
-            let crashes = Crashes(vec![report]);
-            self.broadcast_marks(
-                now,
-                Marks {
-                    crashes,
-                    ..Marks::default()
-                },
-                out,
-            );
+            let evidence = Evidence {
+                reports: vec![report],
+                ..Evidence::default()
+            };
+            self.broadcast_evidence(now, evidence, out);
         }
     }
 
@@ -502,22 +522,23 @@
         }
     }
 
-    /// Records that a request with `part` whose answer began at `began` was answered completely.
-    fn record_success(&mut self, now: Time, part: Fingerprint, began: Time, out: &mut Vec<Effect>) {
-        let told = self.crashes.record_success(part, began);
-        let held = self.quarantine.held(&part, now).is_some();
-        if held && !self.crashes.refutes(&part, now) {
+    /// Ends the quarantine or the probation of a part that complete answers contradict.
+    fn lift_refuted(&mut self, now: Time, part: Fingerprint, out: &mut Vec<Effect>) {
+        let left = self.quarantine.held(&part, now);
+        let held = left.map(|left| Held {
+            content: part,
+            left,
+        });
+        let refuted = held.is_some_and(|held| self.crashes.refutes(&part, held.since(now)));
+        if !refuted && !self.quarantine.is_on_probation(&part) {
             return;
         }
-        let lifted = held || self.quarantine.is_on_probation(&part);
-        if told || lifted {
-            self.suspects.cleared.push(part);
-        }
-        if let Some(step) = self.quarantine.lift(part) {
-            out.push(Effect::Quarantine(step));
-            if self.registry {
-                out.push(Effect::RemoveHeld(part));
-            }
+        let Some(step) = self.quarantine.lift(part) else {
+            return;
+        };
+        out.push(Effect::Quarantine(step));
+        if self.registry && self.crashes.is_own_part(&part) {
+            out.push(Effect::RemoveHeld(part));
         }
     }
 
@@ -535,7 +556,11 @@
         };
         let parts: Vec<Fingerprint> = job.part_fingerprints().collect();
         for part in &parts {
-            self.record_success(now, *part, began, out);
+            let held = self.quarantine.held(part, now).is_some();
+            if self.crashes.record_success(*part, began) || held {
+                self.suspects.answered.push(*part);
+            }
+            self.lift_refuted(now, *part, out);
         }
         if !parts.is_empty() {
             self.crashes.record_answer(parts, began);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -399,22 +399,21 @@
     pub cleared: Vec<Fingerprint>,
     /// Whether the receiver forwards it within its region.
     pub spread: bool,
-    /// Requests in flight at servers that crashed; must stay the last field.
-    pub crashes: Crashes,
+    /// Evidence for and against parts of prompts; must stay the last field.
+    pub parts: Parts,
 }
 
-/// Requests in flight at servers that crashed.
+/// Evidence for and against parts of prompts.
 ///
-/// They stand at the end of messages. A message of an older release ends before them and reads as
+/// It stands at the end of messages. A message of an older release ends before it and reads as
 /// without any.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct Crashes(pub Vec<crash::Report>);
+pub struct Parts(pub crash::Evidence);
 
-impl<'de> Deserialize<'de> for Crashes {
+impl<'de> Deserialize<'de> for Parts {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        Ok(Self(
-            Vec::deserialize(deserializer).ok().unwrap_or_default(),
-        ))
+        let evidence = crash::Evidence::deserialize(deserializer);
+        Ok(Self(evidence.ok().unwrap_or_default()))
     }
 }
 
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -5,81 +5,193 @@
 
 mod harness;
 
-use harness::crashes::{CONTACT, DEADLY, Fleet};
-use petreldrum::unit::{Millis, Time};
+use harness::crashes::{ALSO_DEADLY, CONTACT, DEADLY, FIRST_PART, Fleet};
+use petreldrum::{
+    content::Fingerprint,
+    memory::prompt::Part,
+    reducer::event::Event,
+    unit::{Millis, Time},
+};
 
-/// Crashes after which the part must be known.
+/// Crashes after which a part must be known.
 const KNOWN_AFTER_CRASHES: usize = 5;
 /// Requests that may still reach engines once the part must be known at all boxes.
 const MAX_LATE_SENDS: usize = 3;
 /// Least share of sound requests that are served at the first try, relative to a calm time.
 const LEAST_SERVED: f64 = 0.5;
+const CALM_MS: u64 = 8000;
 const CRASHES_MS: u64 = 40_000;
+const BOXES: usize = 9;
+const ENGINES: usize = 9;
 
-/// Lets requests with a deadly part come for a while, and checks what reached engines since the part
-/// must be known, and how sound requests fared.
-fn assert_contained(mut fleet: Fleet, what: &str) {
-    let start = fleet.crowd.now;
-    fleet.pass(5000);
-    let calm = fleet.served_share(DEADLY[0], start, fleet.crowd.now);
-    fleet.deadly_rate = 2.0;
-    fleet.pass(CRASHES_MS);
+/// Returns when a deadly part must be known at all boxes.
+fn known_at(fleet: &Fleet, part: u64) -> Option<Time> {
+    let mut crashes = fleet.crashes.iter().filter(|(_, other)| *other == part);
+    let (fifth, _) = crashes.nth(KNOWN_AFTER_CRASHES - 1)?;
+    Some(*fifth + CONTACT)
+}
+
+/// Checks what reached engines after the parts had to be known, and how sound requests fared.
+fn assert_contained(fleet: &Fleet, calm: f64, what: &str) {
     let ended = fleet.crashes.len();
-    let known = fleet.crashes.get(KNOWN_AFTER_CRASHES - 1).copied();
-    if let Some(fifth) = known {
-        let late = fleet
-            .deadly_sends
-            .iter()
-            .filter(|at| **at > fifth + CONTACT);
-        let late = late.count();
+    for part in [DEADLY, ALSO_DEADLY] {
+        let Some(known) = known_at(fleet, part) else {
+            continue;
+        };
+        let late = |(at, other): &&(Time, u64)| *other == part && *at > known;
+        let late = fleet.deadly_sends.iter().filter(late).count();
         assert!(
             late <= MAX_LATE_SENDS,
             "{what}: {late} late sends, {ended} engines crashed"
         );
     }
-    let last = known.or(fleet.crashes.last().copied()).unwrap_or(start);
-    let settled = last + Millis(2 * CONTACT.0);
-    let served = fleet.served_share(DEADLY[0], settled, fleet.crowd.now);
+    let known = [DEADLY, ALSO_DEADLY].map(|part| known_at(fleet, part));
+    let last = fleet.crashes.last().map(|(at, _)| *at + CONTACT);
+    let settled = known.into_iter().max().flatten().or(last);
+    let settled = settled.unwrap_or(Time(0)) + CONTACT;
+    let served = fleet.served_share(FIRST_PART, settled, fleet.crowd.now);
     assert!(
         served >= LEAST_SERVED * calm,
         "{what}: {served:.2} served after {calm:.2}, {ended} engines crashed"
     );
-    let refused = fleet
-        .final_refusals
-        .iter()
-        .filter(|at| **at > settled)
-        .count();
+    let refused = fleet.final_refusals.iter().filter(|at| **at > settled);
     assert_eq!(
-        refused, 0,
+        refused.count(),
+        0,
         "{what}: sound requests that are refused for good"
     );
 }
 
+/// Returns boxes and engines after a calm time, and the share of requests served then.
+fn calm_fleet(seed: u64) -> (Fleet, f64) {
+    let mut fleet = Fleet::new(BOXES, ENGINES, seed);
+    let start = fleet.crowd.now;
+    fleet.pass(CALM_MS);
+    let calm = fleet.served_share(FIRST_PART, start, fleet.crowd.now);
+    (fleet, calm)
+}
+
 #[test]
 fn deadly_part_reaches_few_engines() {
-    for seed in 0..8 {
-        assert_contained(Fleet::new(9, 9, seed), &format!("seed {seed}"));
+    for rate in [0.5, 2.0, 20.0] {
+        for seed in 0..4 {
+            let (mut fleet, calm) = calm_fleet(seed);
+            fleet.deadly_rate = rate;
+            fleet.pass(CRASHES_MS);
+            assert_contained(&fleet, calm, &format!("{rate}/s, seed {seed}"));
+        }
+    }
+}
+
+/// Complete answers from before do not protect a part.
+#[test]
+fn part_turns_deadly() {
+    for seed in 0..4 {
+        let (mut fleet, calm) = calm_fleet(seed);
+        let deadly = std::mem::take(&mut fleet.deadly);
+        fleet.deadly_rate = 2.0;
+        fleet.pass(CALM_MS);
+        assert!(fleet.crashes.is_empty());
+        fleet.deadly = deadly;
+        fleet.pass(CRASHES_MS);
+        assert_contained(&fleet, calm, &format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn two_deadly_parts_are_told_apart() {
+    for seed in 0..4 {
+        let (mut fleet, calm) = calm_fleet(seed);
+        fleet.deadly_asks = vec![DEADLY, ALSO_DEADLY];
+        fleet.deadly_rate = 3.0;
+        fleet.pass(CRASHES_MS);
+        assert_contained(&fleet, calm, &format!("seed {seed}"));
+    }
+}
+
+/// Other crashes beside the series neither hide its part nor convict another one.
+#[test]
+fn crashes_by_chance_hide_no_deadly_part() {
+    for seed in 0..4 {
+        let (mut fleet, calm) = calm_fleet(seed);
+        fleet.deadly_rate = 2.0;
+        for round in 0..8 {
+            fleet.pass(CRASHES_MS / 8);
+            fleet.crash(round % ENGINES);
+        }
+        assert_contained(&fleet, calm, &format!("seed {seed}"));
     }
 }
 
-/// Waves of crashes without a deadly part.
 #[test]
 fn crashes_by_chance_hold_nothing() {
-    for seed in 0..8 {
-        let mut fleet = Fleet::new(9, 9, seed);
+    for (seed, rate) in [100.0, 300.0].into_iter().cycle().take(8).enumerate() {
+        let mut fleet = Fleet::new(BOXES, ENGINES, seed as u64);
+        fleet.rate = rate;
         let start = fleet.crowd.now;
         for _ in 0..6 {
             fleet.pass(5000);
-            for engine in (0..9).filter(|engine| engine % 2 == seed as usize % 2) {
+            for engine in (0..ENGINES).filter(|engine| engine % 2 == seed % 2) {
                 fleet.crash(engine);
             }
         }
         fleet.pass(5000);
         assert!(fleet.holds.is_empty(), "seed {seed}: {:?}", fleet.holds);
-        let served = fleet.served_share(DEADLY[0], start, Time(u64::MAX));
+        let served = fleet.served_share(FIRST_PART, start, Time(u64::MAX));
         assert!(
             served > 0.8,
             "seed {seed}: {served:.2} served at the first try"
         );
     }
 }
+
+/// An operator's pardon at one box lets the part run everywhere, until it crashes engines again.
+#[test]
+fn pardoned_part_runs_again() {
+    let (mut fleet, _) = calm_fleet(0);
+    fleet.deadly_rate = 2.0;
+    fleet.pass(CRASHES_MS);
+    let deadly = std::mem::take(&mut fleet.deadly);
+    let held = fleet.deadly_sends.len();
+    fleet.pass(CALM_MS);
+    assert_eq!(fleet.first_tries_of(DEADLY), 0, "it is held at all boxes");
+    let service = "read".parse().expect("valid name");
+    let (id, tokens) = (DEADLY, 37);
+    let part = Fingerprint::of_part(&service, &Part { id, tokens });
+    fleet.step(4, Event::Pardoned(part));
+    fleet.pass(2 * CALM_MS);
+    let served = fleet.first_tries_of(DEADLY);
+    assert!(served > 20, "{served} served");
+    fleet.deadly = deadly;
+    fleet.pass(CRASHES_MS);
+    let since = fleet.crowd.now;
+    fleet.pass(CALM_MS);
+    assert!(held > 0 && fleet.deadly_sends.iter().all(|(at, _)| *at < since));
+}
+
+/// Boxes that start when the part is held, and boxes that were cut off meanwhile, learn of it.
+#[test]
+fn started_and_reconnected_boxes_hold_the_part() {
+    for seed in 0..4 {
+        let (mut fleet, _) = calm_fleet(seed);
+        let cut = (0..BOXES).map(|other| (BOXES - 1, other));
+        let cut: Vec<(usize, usize)> = cut.flat_map(|(a, b)| [(a, b), (b, a)]).collect();
+        fleet.crowd.cut = cut;
+        fleet.deadly_rate = 2.0;
+        fleet.pass(CRASHES_MS / 2);
+        fleet.deadly_rate = 0.0;
+        fleet.pass(CALM_MS);
+        fleet.crowd.cut.clear();
+        for number in 0..3 {
+            fleet.crowd.launch(number);
+            fleet.list(number);
+        }
+        fleet.pass(CONTACT.0);
+        let since = fleet.crowd.now;
+        fleet.deadly_rate = 2.0;
+        fleet.pass(CALM_MS);
+        let late = |(at, _): &&(Time, u64)| *at > since + Millis(100);
+        let late = fleet.deadly_sends.iter().filter(late).count();
+        assert_eq!(late, 0, "seed {seed}");
+    }
+}
--- a/tests/harness/crashes.rs
+++ b/tests/harness/crashes.rs
@@ -49,8 +49,11 @@
 const SECOND_PART: u64 = 1000;
 /// Bound on the time between a fault and its effect at all boxes.
 pub const CONTACT: Millis = Millis(5000);
-/// The first and the second part of a request that crashes engines.
-pub const DEADLY: [u64; 2] = [1, 900];
+/// The first part of the requests that crash engines.
+pub const FIRST_PART: u64 = 1;
+/// The second part of most of them, and that of the others if there are two kinds.
+pub const DEADLY: u64 = 900;
+pub const ALSO_DEADLY: u64 = 901;
 
 const REGIONS: [&str; 3] = ["perth", "bunbury", "geraldton"];
 
@@ -83,7 +86,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct FirstTry {
     pub sent: Time,
-    pub first_part: u64,
+    pub parts: [u64; 2],
     pub served: bool,
 }
 
@@ -106,10 +109,12 @@
     due: [f64; 2],
     /// The parts that crash engines.
     pub deadly: BTreeSet<u64>,
-    /// Crashes caused by a deadly part.
-    pub crashes: Vec<Time>,
-    /// Sends with a deadly part to engines.
-    pub deadly_sends: Vec<Time>,
+    /// The second parts that requests with a deadly part have, in turn.
+    pub deadly_asks: Vec<u64>,
+    /// Crashes caused by a deadly part, with the part.
+    pub crashes: Vec<(Time, u64)>,
+    /// Sends with a deadly part to engines, with the part.
+    pub deadly_sends: Vec<(Time, u64)>,
     pub first_tries: Vec<FirstTry>,
     /// Refusals of sound requests with a retry delay that no caller waits for.
     pub final_refusals: Vec<Time>,
@@ -176,7 +181,8 @@
             rate: 100.0,
             deadly_rate: 0.0,
             due: [0.0; 2],
-            deadly: [DEADLY[1]].into(),
+            deadly: [DEADLY, ALSO_DEADLY].into(),
+            deadly_asks: vec![DEADLY],
             crashes: Vec::new(),
             deadly_sends: Vec::new(),
             first_tries: Vec::new(),
@@ -266,8 +272,8 @@
                 index += 1;
                 continue;
             }
-            if self.is_deadly(request) {
-                self.crashes.push(now);
+            if let Some(part) = self.deadly_part(request) {
+                self.crashes.push((now, part));
                 return self.crash(engine);
             }
             self.engines[engine].runs.remove(index);
@@ -282,9 +288,10 @@
         }
     }
 
-    fn is_deadly(&self, request: id::Request) -> bool {
-        let parts = self.asks.get(&request).map(|ask| ask.parts);
-        parts.is_some_and(|parts| parts.iter().any(|part| self.deadly.contains(part)))
+    /// Returns the part of a request that crashes engines.
+    fn deadly_part(&self, request: id::Request) -> Option<u64> {
+        let parts = self.asks.get(&request)?.parts;
+        parts.into_iter().find(|part| self.deadly.contains(part))
     }
 
     /// Returns the number of engines that run.
@@ -338,8 +345,12 @@
             self.due[kind] += rate * STEP_MS as f64 / 1000.0;
             while self.due[kind] >= 1.0 {
                 self.due[kind] -= self.random.random_range(0.5..1.5);
-                let parts = [DEADLY, self.sound_parts()][usize::from(kind == 0)];
                 self.requests += 1;
+                let turn = self.requests as usize % self.deadly_asks.len();
+                let parts = match kind {
+                    0 => self.sound_parts(),
+                    _ => [FIRST_PART, self.deadly_asks[turn]],
+                };
                 self.send_request(Ask {
                     content: self.requests,
                     parts,
@@ -442,12 +453,16 @@
             };
             return self.later.push((number, failed));
         };
-        let deadly = self.is_deadly(request);
-        if deadly {
-            self.deadly_sends.push(self.crowd.now);
+        let deadly = self.deadly_part(request);
+        if let Some(part) = deadly {
+            self.deadly_sends.push((self.crowd.now, part));
         }
         let begins = self.crowd.now + FIRST_BYTE_DELAY;
-        let (least, most) = if deadly { CRASH_DELAY_MS } else { ANSWER_MS };
+        let (least, most) = if deadly.is_some() {
+            CRASH_DELAY_MS
+        } else {
+            ANSWER_MS
+        };
         let ends = begins + Millis(self.random.random_range(least..most));
         self.engines[engine].runs.push(Run {
             number,
@@ -473,7 +488,7 @@
         if sound && ask.first_try {
             self.first_tries.push(FirstTry {
                 sent: ask.sent,
-                first_part: ask.parts[0],
+                parts: ask.parts,
                 served,
             });
         }
@@ -484,11 +499,17 @@
         }
     }
 
+    /// Returns how many first tries with this second part were served.
+    pub fn first_tries_of(&self, second_part: u64) -> usize {
+        let served = |try_: &&FirstTry| try_.served && try_.parts[1] == second_part;
+        self.first_tries.iter().filter(served).count()
+    }
+
     /// Returns the share of the first tries with this first part that were served, of those sent
     /// from `from` to `to`.
     pub fn served_share(&self, first_part: u64, from: Time, to: Time) -> f64 {
         let within =
-            |try_: &&FirstTry| try_.first_part == first_part && (from..to).contains(&try_.sent);
+            |try_: &&FirstTry| try_.parts[0] == first_part && (from..to).contains(&try_.sent);
         let tries: Vec<&FirstTry> = self.first_tries.iter().filter(within).collect();
         let served = tries.iter().filter(|try_| try_.served).count();
         served as f64 / tries.len().max(1) as f64
--- a/tests/held_contents.rs
+++ b/tests/held_contents.rs
@@ -205,7 +205,7 @@
             strikes,
             cleared,
             spread: false,
-            crashes: Default::default(),
+            parts: Default::default(),
         }),
     }))
 }
--- a/tests/wire_frames.rs
+++ b/tests/wire_frames.rs
@@ -9,7 +9,7 @@
     member::Table,
     settings::Secret,
     unit::{Millis, Time},
-    wire::{Body, Error, Frame},
+    wire::{Body, Error, Frame, Marks},
 };
 
 fn secret(text: &str) -> Secret {
@@ -59,3 +59,15 @@
     // the earlier one has been silent.
     assert!(table.admit(&frame(4, 1), at + Millis(60_000)));
 }
+
+/// Evidence about parts of prompts stands at the end of a message, which may lack it.
+#[test]
+fn marks_without_evidence_about_parts_read() {
+    let marks = Marks {
+        spread: true,
+        ..Marks::default()
+    };
+    let new = postcard::to_stdvec(&marks).expect("the message can be encoded");
+    let old = &new[..new.len() - 2];
+    assert_eq!(postcard::from_bytes(old), Ok(marks));
+}
