--- a/src/crash.rs
+++ b/src/crash.rs
@@ -440,13 +440,22 @@
         if explained.contains(&life) {
             return None;
         }
-        [Scope::Recent, Scope::All].into_iter().find_map(|scope| {
+        let scopes = [Scope::Recent, Scope::All].into_iter();
+        let suspected = scopes.clone().find_map(|scope| {
+            let parts = crash.parts.keys().filter(|part| is_suspected(part));
+            let mut series = parts.map(|part| (*part, self.series(part, scope, &explained)));
+            series.find(|(_, series)| series.moments > 0)
+        });
+        if suspected.is_some() {
+            return suspected;
+        }
+        scopes.into_iter().find_map(|scope| {
             let parts = crash.parts.keys();
             let series = parts.map(|part| (*part, self.series(part, scope, &explained)));
             let all: Vec<(Fingerprint, Series)> = series.collect();
-            let sufficient = all.iter().filter(|(part, series)| {
-                self.is_sufficient(part, scope, series) || series.moments > 0 && is_suspected(part)
-            });
+            let sufficient = all
+                .iter()
+                .filter(|(part, series)| self.is_sufficient(part, scope, series));
             let strength = |series: &Series| (series.moments, Reverse(series.contents.len()));
             let (part, best) = sufficient.max_by_key(|(_, series)| strength(series))?;
             // A popular part is at every crash by chance.
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -9,6 +9,7 @@
 use petreldrum::{
     content::Fingerprint,
     memory::prompt::Part,
+    quarantine::HOLD,
     reducer::event::Event,
     unit::{Millis, Time},
 };
@@ -169,6 +170,24 @@
     assert!(held > 0 && fleet.deadly_sends.iter().all(|(at, _)| *at < since));
 }
 
+/// When its quarantine has ended, one crash is enough to hold the part again.
+#[test]
+fn part_is_held_again_after_one_crash() {
+    let (mut fleet, _) = calm_fleet(0);
+    fleet.deadly_rate = 2.0;
+    fleet.pass(CRASHES_MS);
+    fleet.deadly_rate = 0.0;
+    fleet.rate = 5.0;
+    fleet.pass(HOLD.0);
+    let since = fleet.crowd.now;
+    fleet.rate = 100.0;
+    fleet.deadly_rate = 2.0;
+    fleet.pass(CRASHES_MS);
+    let late = fleet.deadly_sends.iter().filter(|(at, _)| *at > since);
+    let late = late.count();
+    assert!((1..=MAX_LATE_SENDS).contains(&late), "{late} late sends");
+}
+
 /// Boxes that start when the part is held, and boxes that were cut off meanwhile, learn of it.
 #[test]
 fn started_and_reconnected_boxes_hold_the_part() {
