Log what a box lacks of the store's changes, and from whom it heard

A box that hears of a newer revision kept no record of it once the box that had told it was no longer asked, and logged nothing. So the log could not tell a box that never heard of a change from one that heard and found nobody to ask.

The lag is now kept until the box has caught up, logged after two seconds with the phase of the box that told of it, and shown as store_lag_ms. What is asked for, and when, changes in one point: the time since when a box lacks something is no longer forgotten when its source goes.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -105,6 +105,8 @@
     pub store_failures: IntGauge,
     /// Latest store revision known to this box, within its era.
     pub store_revision: IntGauge,
+    /// Milliseconds for which this box has lacked changes of the store that another box has.
+    pub store_lag: IntGauge,
     /// Number of times that the store was restored from a copy, as far as this box knows.
     pub store_era: IntGauge,
     /// Connections open at the listeners.
@@ -387,6 +389,10 @@
                 "store_revision",
                 "The last change of the store that this box has heard of.",
             )?,
+            store_lag: gauge(
+                "store_lag_ms",
+                "Milliseconds for which this box has lacked changes that another box has.",
+            )?,
             store_era: gauge(
                 "store_era",
                 "How often the store has come back from a copy, as far as this box knows.",
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -143,6 +143,7 @@
             log::info!("look-ups: {}", metrics.lookup_counts());
         }
         let revision = self.state.revision();
+        metrics.store_lag.set(self.state.store_lag(now).0 as i64);
         metrics.store_era.set(revision.era.0 as i64);
         metrics.store_revision.set(revision.number as i64);
     }
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -19,8 +19,8 @@
         era::Evacuations,
         event::Source,
         heartbeat::GREETING_RETRY_INTERVAL,
+        lag::Lag,
         news::PendingChanges,
-        roster::StoreLag,
     },
     unit::{Millis, Time},
     wire::{Body, Frame, NameHash, Phase},
@@ -49,7 +49,8 @@
     pub(super) last_roster_fetch: Option<Time>,
     /// Requests for a cache inventory that this box has sent to engines.
     pub(super) inventory_requests: usize,
-    pub(super) store_lag: Option<StoreLag>,
+    /// Changes of the store that another box has and this one lacks.
+    pub(super) lag: Option<Lag>,
     /// Gossip addresses of the boxes to which this box sends heartbeats at the shortest period.
     pub(super) monitors: BTreeSet<SocketAddr>,
     /// Gossip addresses learned from other boxes, and when each was last sent a greeting.
@@ -211,6 +212,7 @@
         self.update_limit_shares(now);
         self.send_limits(now, out);
         self.send_departures(now, out);
+        self.update_lag(now, out);
         self.report_isolation(now, out);
         self.update_reach(now, out);
         self.fetch_missing_roster(now, out);
@@ -336,6 +338,7 @@
                 self.receive_held(now, &beat.held, out);
                 self.receive_limits(now, &frame.from, &beat.limits, beat.contact.gossip, out);
                 self.receive_departures(now, &frame.from, &beat.departures, out);
+                self.hear_revision(now, &frame.from, beat.revision);
                 self.receive_store_age(now, beat.revision, beat.store_age);
                 let to = beat.contact.gossip;
                 let stayed = self.table.peer(&frame.from);
@@ -354,6 +357,7 @@
             Body::Digest(digest) if digest.region != self.table.me.region => {
                 self.control.heard_peer = true;
                 self.record_absence(&digest.region);
+                self.hear_revision(now, &frame.from, digest.revision);
                 self.receive_store_age(now, digest.revision, digest.store_age);
                 let applied = self.table.apply_digest(&frame.from, digest.clone(), now);
                 self.receive_absences(now, &digest.absences);
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -9,6 +9,7 @@
     rollout::{Finding, Order, Standing},
     size::Weight,
     unit::{Millis, Rate},
+    wire::Phase,
 };
 
 /// A condition that an operator should know about.
@@ -106,6 +107,24 @@
         /// whole.
         crowding: f64,
     },
+    /// This box has lacked changes of the store for long that another box has.
+    Lagging {
+        /// Newest revision heard of.
+        newest: Revision,
+        /// Revision that this box knows.
+        known: Revision,
+        /// Box that told of the newest revision.
+        teller: id::BoxName,
+        /// Phase of that box; `None` if it is of another region.
+        phase: Option<Phase>,
+    },
+    /// This box has all changes of the store that it had lacked for long.
+    CaughtUp {
+        /// Revision that this box knows.
+        known: Revision,
+        /// Time for which it lacked changes.
+        lag: Millis,
+    },
     /// This box reaches neither the store nor any other box, and treats all servers as cold until
     /// it does.
     Isolated,
@@ -177,6 +196,21 @@
             Self::OutdatedUpdate { revision, known } => {
                 write!(f, "store news={revision} known={known} dropped=older")
             }
+            Self::Lagging {
+                newest,
+                known,
+                teller,
+                phase,
+            } => {
+                write!(f, "store newest={newest} known={known} told-by={teller}")?;
+                match phase {
+                    Some(phase) => write!(f, " phase={phase}"),
+                    None => f.write_str(" phase=-"),
+                }
+            }
+            Self::CaughtUp { known, lag } => {
+                write!(f, "store known={known} state=caught-up lag={lag}")
+            }
             Self::Isolated => f.write_str("all state=silent store=silent cold=assumed"),
             Self::Path { lost, neighbours } => {
                 let state = if *lost { "unreachable" } else { "reached" };
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -33,6 +33,7 @@
 //! | `judge` | evidence for or against a release, from its answers |
 //! | `news` | which boxes follow the platform's store, and how changes reach the others |
 //! | `era` | a store that was restored from a copy |
+//! | `lag` | changes of the store that another box has and this one lacks |
 //! | `roster` | backend servers learned from peers while the store is unreachable |
 //! | `heartbeat`, `digest` | messages between the boxes of a region, and between regions |
 //! | `control` | ticks, messages, configuration, suspensions of the process |
@@ -58,6 +59,7 @@
 mod job;
 mod judge;
 mod key;
+mod lag;
 mod limit;
 mod line;
 mod moving;
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -142,6 +142,7 @@
         let heard_at = Time(now.0.saturating_sub(progress.age.0));
         self.control.hub_heard_store = self.control.hub_heard_store.max(Some(heard_at));
         self.store_heard = self.store_heard.max(Some(heard_at));
+        self.hear_revision(now, from, progress.revision);
         self.receive_store_age(now, progress.revision, StoreAge(Some(progress.age)));
         if progress.revision > self.revision && self.control.follow == Follow::Forwarded {
             self.fetch_missed_changes(now, from, out);
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -37,15 +37,6 @@
 /// otherwise two boxes that report to each other would make the age shrink with every message.
 const MAX_TRANSIT_TIME: Millis = Millis(250);
 
-/// A store revision that another box knows and this one does not.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct StoreLag {
-    /// The revision that the other box knows.
-    revision: Revision,
-    /// When this box first learned that it is behind.
-    since: Time,
-}
-
 impl<P: Policy> State<P> {
     /// Returns the registered backend servers that this box knows, or only the changes after
     /// `since` if its history reaches back that far; `None` before it has any list.
@@ -165,39 +156,18 @@
 
     /// Returns a box to fetch from if others have been ahead of this one for longer than changes
     /// from the store normally take.
-    fn newer_roster(&mut self, now: Time) -> Option<SocketAddr> {
-        let Some(revision) = self.newest_revision(now) else {
-            self.control.store_lag = None;
-            return None;
-        };
-        let previous = self
-            .control
-            .store_lag
-            .filter(|b| b.revision > self.revision);
-        let since = now;
-        let store_lag = previous.unwrap_or(StoreLag { revision, since });
-        self.control.store_lag = Some(store_lag);
+    fn newer_roster(&self, now: Time) -> Option<SocketAddr> {
+        let since = self.lacks_changes_since()?;
         let tolerance = match self.is_store_reachable(now) {
             true => MAX_STORE_LAG + fleet::batch_delay(self.table.boxes(now)),
             false => Millis(0),
         };
-        if now.since(store_lag.since) < tolerance {
+        if now.since(since) < tolerance {
             return None;
         }
         self.newer_source(now)
     }
 
-    /// Returns the highest store revision known to any box, if it is beyond that of this one.
-    fn newest_revision(&self, now: Time) -> Option<Revision> {
-        if !self.registry {
-            return None;
-        }
-        let local = self.table.newest_peer(self.revision, now);
-        let remote_best = self.table.newest_region(self.revision, now);
-        let local = local.map(|peer| peer.last.revision);
-        local.max(remote_best.map(|(_, remote)| remote.digest.revision))
-    }
-
     /// Returns the box to fetch the missing state from. Only one box of a region asks other
     /// regions, because traffic between regions is limited and expensive.
     fn newer_source(&self, now: Time) -> Option<SocketAddr> {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -52,6 +52,16 @@
     Leaving,
 }
 
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unready => "unready",
+            Self::Ready => "ready",
+            Self::Leaving => "leaving",
+        })
+    }
+}
+
 /// Name of a backend server, service or customer, shortened to 32 bits of its xxh3 hash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NameHash(pub u32);
