--- /dev/null
+++ b/tests/unheard_news.rs
@@ -0,0 +1,59 @@
+//! Boxes that the store does not reach, and that heard of changes which nobody tells them.
+
+mod harness;
+
+use harness::cold::{RATE, Region};
+use petreldrum::{fleet::Revision, reducer::event::Event};
+
+/// Sizes of a region, with the box that the store does not reach as number 0.
+const SIZES: [usize; 3] = [2, 3, 4];
+/// Time from an evacuation until the evacuated servers become cold, in ms.
+const WARM_MS: u64 = 5000;
+/// Time that a stopping box takes to complete its requests, in ms.
+const STOP_MS: u64 = 5400;
+
+/// Delivers the store's answer to all boxes but number 0 each second.
+fn pass_informed(region: &mut Region, seconds: u64, revision: u64) {
+    for _ in 0..seconds {
+        for number in 1..region.crowd.boxes.len() {
+            let revision = Revision::first(revision);
+            region.crowd.step(number, Event::Synced(revision));
+        }
+        region.pass(1000);
+    }
+}
+
+/// Tells all boxes but number 0 that the backend server is evacuated.
+fn evacuate(region: &mut Region, revision: u64) {
+    let revision = Revision::first(revision);
+    for number in 1..region.crowd.boxes.len() {
+        let domains = ["a".parse().expect("valid name")].into();
+        region
+            .crowd
+            .step(number, Event::Evacuated { domains, revision });
+        region.crowd.step(number, Event::Synced(revision));
+    }
+}
+
+/// Guards against a box that floods cold servers of its evacuated domain: a cold server got 8
+/// requests in a second, of 6.2 allowed.
+///
+/// Its neighbours had been told of the evacuation and were stopping, and it asked only boxes that
+/// take work for what it lacked.
+#[test]
+fn box_hears_of_an_evacuation_from_stopping_neighbours() {
+    for size in SIZES {
+        let mut region = Region::warm(size, RATE);
+        pass_informed(&mut region, 2, 1);
+        evacuate(&mut region, 2);
+        for number in 1..size {
+            region.crowd.step(number, Event::Stop);
+        }
+        region.pass(WARM_MS);
+        region.sent.clear();
+        region.pass(STOP_MS - WARM_MS);
+        (1..size).for_each(|number| region.crowd.boxes[number] = None);
+        region.pass(2000);
+        region.assert_rate_kept();
+    }
+}
