Ask stopping neighbours for changes that only they have

Cause: a box that the store does not reach fetched what it lacks only from boxes that take work. A stopping box answers for seconds more and its heartbeats say that it knows more, yet it was passed over. Other regions were asked instead, and their entry points could be as old as the asker.

Evidence: store newest=e0r24 known=e0r23 told-by=B phase=leaving at each of the three boxes without the store; the logged sends to each flooded server are all of one box at e0r23.

Change: sources are all boxes of the region that know more, those that take work first, and then another region; a fetch that brings nothing is followed by one from the next source. A box that starts may get its first list from a stopping neighbour too.

It holds because what a heartbeat promises can now be fetched from the box that promised it, for as long as that box answers.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -12,6 +12,7 @@
 mod uses;
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap, hash_map::Entry},
     hash::Hash,
     net::SocketAddr,
@@ -385,17 +386,22 @@
         near.max().unwrap_or_default()
     }
 
-    /// Returns a ready box of this region that knows a store revision newer than `known`. A box in
-    /// this box's failure domain is preferred, then the one with the newest revision; ties are
-    /// broken differently at each box.
-    pub fn newest_peer(&self, known: Revision, now: Time) -> Option<&Peer> {
-        let ahead = self.ready(now).filter(|p| p.last.revision > known);
+    /// Returns the live boxes of this region that know a store revision newer than `known`, best
+    /// first. Boxes that take work come before stopping ones, then those in this box's failure
+    /// domain, then those with the newest revision; ties are broken differently at each box.
+    pub fn newer_peers(&self, known: Revision, now: Time) -> Vec<&Peer> {
+        let has_list = |p: &&Peer| p.last.phase != Phase::Unready;
+        let ahead = self.live(now).filter(|p| p.last.revision > known);
+        let mut ahead: Vec<&Peer> = ahead.filter(has_list).collect();
         let (mine, scale) = (self.me.name.as_str(), self.scale(now));
-        ahead.max_by_key(|p| {
+        ahead.sort_by_cached_key(|p| {
             let contact = &p.last.contact;
+            let takes_work = p.last.phase == Phase::Ready;
             let preferred = Rank::of(&contact.name, p.last.room, mine, scale);
-            (contact.domain == self.me.domain, p.last.revision, preferred)
-        })
+            let is_near = contact.domain == self.me.domain;
+            Reverse((takes_work, is_near, p.last.revision, preferred))
+        });
+        ahead
     }
 
     /// Returns the region with the newest store revision, if newer than `known`.
--- a/src/member/room.rs
+++ b/src/member/room.rs
@@ -1,10 +1,11 @@
 //! Capacity of the boxes of a region, and their load relative to each other.
 
 use crate::{
+    fleet::Revision,
     member::{Table, rank::Rank},
     size::{Room, Weight},
     unit::Time,
-    wire::{Contact, Phase},
+    wire::{Contact, Heartbeat, Phase},
 };
 
 impl Table {
@@ -18,17 +19,24 @@
         weights.get(middle).copied().unwrap_or(Weight::DEFAULT)
     }
 
-    /// Returns a box of this region that takes work, to fetch a list from. Boxes in this failure
-    /// domain come first, each box prefers another one, and large boxes are preferred by more
-    /// boxes.
+    /// Returns a box of this region to fetch a list from. Boxes that take work come before stopping
+    /// ones, then those in this failure domain; each box prefers another one, and large boxes are
+    /// preferred by more boxes.
     pub fn list_source(&self, now: Time) -> Option<&Contact> {
         let scale = self.scale(now);
-        let near = self.ready(now).map(|p| &p.last);
-        let sender = near.max_by_key(|heartbeat| {
+        let near = self.live(now).map(|p| &p.last);
+        let has_list = |heartbeat: &&Heartbeat| match heartbeat.phase {
+            Phase::Unready => false,
+            Phase::Ready => true,
+            Phase::Leaving => heartbeat.revision > Revision::default(),
+        };
+        let sender = near.filter(has_list).max_by_key(|heartbeat| {
             let contact = &heartbeat.contact;
+            let takes_work = heartbeat.phase == Phase::Ready;
             let here = contact.domain == self.me.domain;
             let role = self.me.name.as_str();
-            (here, Rank::of(&contact.name, heartbeat.room, role, scale))
+            let preferred = Rank::of(&contact.name, heartbeat.room, role, scale);
+            (takes_work, here, preferred)
         });
         sender.map(|heartbeat| &heartbeat.contact)
     }
--- a/src/reducer/lag.rs
+++ b/src/reducer/lag.rs
@@ -29,6 +29,8 @@
     teller: BoxName,
     /// When this box heard of the oldest one.
     since: Time,
+    /// Number of fetches from other boxes since the last one that brought changes.
+    pub(super) fetches: usize,
     /// Whether the lag was logged.
     is_noted: bool,
 }
@@ -44,6 +46,7 @@
             newest: revision,
             teller: teller.clone(),
             since: now,
+            fetches: 0,
             is_noted: false,
         });
         if revision > lag.newest {
@@ -70,6 +73,7 @@
         if self.revision >= lag.first {
             lag.first = lag.newest;
             lag.since = now;
+            lag.fetches = 0;
         }
         if !lag.is_noted && now.since(lag.since) >= USUAL_CATCH_UP_TIME {
             lag.is_noted = true;
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -132,6 +132,9 @@
             return;
         };
         if Control::due(&mut self.control.last_roster_fetch, FETCH_INTERVAL, now) {
+            if let Some(lag) = &mut self.control.lag {
+                lag.fetches += 1;
+            }
             out.push(self.fetch_roster(peer));
         }
     }
@@ -156,7 +159,7 @@
 
     /// Returns a box to fetch from if others have been ahead of this one for longer than changes
     /// from the store normally take.
-    fn newer_roster(&self, now: Time) -> Option<SocketAddr> {
+    fn newer_roster(&mut self, now: Time) -> Option<SocketAddr> {
         let since = self.lacks_changes_since()?;
         let tolerance = match self.is_store_reachable(now) {
             true => MAX_STORE_LAG + fleet::batch_delay(self.table.boxes(now)),
@@ -165,21 +168,23 @@
         if now.since(since) < tolerance {
             return None;
         }
-        self.newer_source(now)
+        let sources = self.newer_sources(now);
+        let turn = self.control.lag.as_ref().map_or(0, |lag| lag.fetches);
+        sources.get(turn.checked_rem(sources.len())?).copied()
     }
 
-    /// Returns the box to fetch the missing state from. Only one box of a region asks other
-    /// regions, because traffic between regions is limited and expensive.
-    fn newer_source(&self, now: Time) -> Option<SocketAddr> {
-        if let Some(local) = self.table.newest_peer(self.revision, now) {
-            return Some(local.last.contact.peer);
-        }
-        if !self.table.leads(REMOTE_FETCH_DUTY, now) {
-            return None;
-        }
-        let (region, _) = self.table.newest_region(self.revision, now)?;
-        let door = self.table.relay_endpoint(region, self.control.digests)?;
-        Some(door.contact.peer)
+    /// Returns the boxes to fetch the missing state from in turn, best first. Only one box of a
+    /// region asks other regions, because traffic between regions is limited and expensive.
+    fn newer_sources(&self, now: Time) -> Vec<SocketAddr> {
+        let near = self.table.newer_peers(self.revision, now).into_iter();
+        let near = near.map(|peer| peer.last.contact.peer);
+        let asks_far = self.table.leads(REMOTE_FETCH_DUTY, now);
+        let far = self.table.newest_region(self.revision, now);
+        let far = far.filter(|_| asks_far).and_then(|(region, _)| {
+            let door = self.table.relay_endpoint(region, self.control.digests)?;
+            Some(door.contact.peer)
+        });
+        near.chain(far).collect()
     }
 
     /// Applies the state fetched from another box, unless the store has sent it in the meantime.
--- a/tests/unheard_news.rs
+++ b/tests/unheard_news.rs
@@ -35,6 +35,19 @@
     }
 }
 
+/// Guards against a box that starts, that the store does not reach, and that has no list of servers
+/// for as long as its only neighbour takes to stop.
+#[test]
+fn starting_box_gets_the_list_of_a_stopping_neighbour() {
+    let mut region = Region::warm(2, RATE);
+    region.crowd.step(1, Event::Stop);
+    region.crowd.launch(0);
+    region.pass(2000);
+    let clock = region.crowd.clock(0);
+    let started = region.crowd.boxes[0].as_ref().expect("the box runs");
+    assert!(started.roster(clock, None).is_some(), "it has the list");
+}
+
 /// Guards against a box that floods cold servers of its evacuated domain: a cold server got 8
 /// requests in a second, of 6.2 allowed.
 ///
