Answer other boxes until a stopping box ends

What callers saw: the box beside a stopping one acts on old state, and floods servers that are evacuated and cold.

Change: the listener for other boxes closes last, when no request is left.

Evidence: hears_of_servers_by_a_stopping_neighbour (platform, the news comes 0.5 s after SIGTERM with linger 0.3 s) and stopping_box_answers_other_boxes (own interface, the configuration is fetched 1.5 s after SIGTERM with linger 1 s) fail before and pass after.

It holds because what a box can be asked for no longer ends before it does. Relays are refused as before, since the reducer refuses them while leaving.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -195,6 +195,9 @@
     shell: Arc<Shell>,
     listeners: Vec<JoinHandle<()>>,
     closing: watch::Sender<bool>,
+    /// The listener for other boxes, which closes last.
+    peer_listener: JoinHandle<()>,
+    closing_peer: watch::Sender<bool>,
     bound: Bound,
 }
 
@@ -300,12 +303,16 @@
         );
         log::info!("box: listening on {bound}.");
         let closing = watch::Sender::new(false);
-        let mut listeners = listeners(&shell, public, peer, admin, &closing);
+        let closing_peer = watch::Sender::new(false);
+        let peer_listener = listen_to_boxes(&shell, peer, &closing_peer);
+        let mut listeners = listeners(&shell, public, admin, &closing);
         listeners.extend(directory::serve(&shell, optional, &closing));
         Ok(Self {
             shell,
             listeners,
             closing,
+            peer_listener,
+            closing_peer,
             bound,
         })
     }
@@ -359,6 +366,11 @@
         {
             sleep(STOP_POLL).await;
         }
+        // The other boxes may lack what only this one knows.
+        self.closing_peer.send_replace(true);
+        if let Err(error) = self.peer_listener.await {
+            log::error!("box: listener task failed: {error}.");
+        }
         let tracer = self.shell.tracer.clone();
         let _ = tokio::task::spawn_blocking(move || tracer.shutdown()).await;
         log::info!("box: stopped.");
@@ -403,45 +415,53 @@
     }
 }
 
+/// Serves the other boxes until `closing` is set.
+fn listen_to_boxes(
+    shell: &Arc<Shell>,
+    peer: tokio::net::TcpListener,
+    closing: &watch::Sender<bool>,
+) -> JoinHandle<()> {
+    let shared = shell.clone();
+    let boxes = move |request| exchange::serve(shared.clone(), request, exchange::Ingress::Peer);
+    tokio::spawn(serve::run(
+        peer,
+        shell.settings.max_head.0 as usize,
+        shell.metrics.clone(),
+        closing.subscribe(),
+        boxes,
+    ))
+}
+
+/// Serves callers and operators until `closing` is set.
 fn listeners(
     shell: &Arc<Shell>,
     public: tokio::net::TcpListener,
-    peer: tokio::net::TcpListener,
     admin: tokio::net::TcpListener,
     closing: &watch::Sender<bool>,
 ) -> Vec<JoinHandle<()>> {
     let max_head = shell.settings.max_head.0 as usize;
     let metrics = shell.metrics.clone();
-    let closing_rx = || closing.subscribe();
-    let exchange = |door| {
+    let callers = {
         let shell = shell.clone();
-        move |request| exchange::serve(shell.clone(), request, door)
+        move |request| exchange::serve(shell.clone(), request, exchange::Ingress::Public)
     };
     let operators = {
         let shell = shell.clone();
         move |request| admin::serve(shell.clone(), request)
     };
-    use exchange::Ingress::{Peer, Public};
     vec![
         tokio::spawn(serve::run(
             public,
             max_head,
             metrics.clone(),
-            closing_rx(),
-            exchange(Public),
-        )),
-        tokio::spawn(serve::run(
-            peer,
-            max_head,
-            metrics.clone(),
-            closing_rx(),
-            exchange(Peer),
+            closing.subscribe(),
+            callers,
         )),
         tokio::spawn(serve::run(
             admin,
             max_head,
             metrics,
-            closing_rx(),
+            closing.subscribe(),
             operators,
         )),
     ]
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -2,9 +2,14 @@
 
 mod harness;
 
-use harness::{Standin, World, backend, chat, eventually, preamble, streamed, tokens};
+use std::time::Duration;
+
+use harness::{SECRET, Standin, World, backend, chat, eventually, preamble, streamed, tokens};
+use hyper::Method;
 use nix::sys::signal::Signal::SIGTERM;
+use petreldrum_standin::http::call;
 use serde_json::json;
+use tokio::time::sleep;
 
 const REGIONS: [&str; 2] = ["perth", "bunbury"];
 const PATH: &str = "/v1/chat/completions";
@@ -77,6 +82,35 @@
     }
 }
 
+/// Guards against boxes that cannot fetch the configuration of a box that completes its last
+/// requests.
+#[tokio::test]
+async fn stopping_box_answers_other_boxes() {
+    let world = World::start(&["perth"], 1).await;
+    let app = Standin::start("app").await;
+    let text = preamble(&["perth"], "perth")
+        + &backend("app", app.address, "perth", "booking", "")
+        + "[selector rest]\n";
+    world.configure("perth-1", 0, &text).await;
+    app.post("/_behave", json!({ "run_ms": 3000 })).await;
+    let perth = world.get("perth-1");
+    let key = perth.key("x").await;
+    let booking = perth.book(&key, "x");
+    let rest = async {
+        eventually("the booking runs", || async { app.runs("x").await == 1 }).await;
+        perth.signal(SIGTERM);
+        // Longer than its listeners for callers stay open.
+        sleep(Duration::from_millis(1500)).await;
+        let secret = [("petreldrum-secret", SECRET)];
+        let path = "/petreldrum/config";
+        let answer = call(perth.peer, Method::GET, path, &secret, "").await;
+        answer.is_ok_and(|answer| answer.status.is_success())
+    };
+    let (booking, answered) = tokio::join!(booking, rest);
+    assert!(booking.status.is_success(), "the booking is completed");
+    assert!(answered, "the configuration is fetched");
+}
+
 #[tokio::test]
 async fn server_stops() {
     let world = World::start(&["perth"], 2).await;
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -21,6 +21,7 @@
     crowd::{Crowd, TICK},
     solo::news,
 };
+use nix::sys::signal::Signal;
 use petreldrum::{
     config::Builder,
     fleet::{Change, Revision, Roster},
@@ -113,6 +114,30 @@
     assert_eq!(serving_backends(&cloud.boxes[1]).await, ["i-1"]);
 }
 
+/// Guards against a box that learns nothing more from its only informed neighbour, because that one
+/// has closed its listeners and completes its last requests.
+#[tokio::test]
+async fn hears_of_servers_by_a_stopping_neighbour() {
+    let (cloud, _store) = with_store_cut(&["atl"]).await;
+    // Sent to both servers; runs until the time limit of its route.
+    let held = cloud.boxes[0].begin("/open/x", "held", "silent");
+    let rest = async {
+        sleep(Duration::from_millis(100)).await;
+        cloud.boxes[0].signal(Signal::SIGTERM);
+        // Longer than its listeners for callers stay open.
+        sleep(Duration::from_millis(500)).await;
+        let empty = serde_json::json!({});
+        cloud.registry.put("op/evacuate/atl-a", &empty);
+        sleep(BY_PEERS).await;
+        assert_eq!(
+            serving_backends(&cloud.boxes[1]).await,
+            [""],
+            "all are evacuated"
+        );
+    };
+    tokio::join!(held, rest);
+}
+
 #[tokio::test]
 async fn hears_of_servers_by_another_region() {
     let (mut cloud, _store) = with_store_cut(&["mcn", "mcn"]).await;
