Treat servers as cold while changes of the store are known to lack

What callers saw: requests to servers that get cold are lost when these fall over.

Cause: a box judged how current it is by the age of its knowledge and by boxes that fell silent, not by what it was told. One that heard of a newer revision which nobody gave it went on as before, also after the boxes that had it were gone.

Change: a box that has lacked changes for two seconds, the time in which they usually come, holds the rate for cold servers until it has them. Heartbeats carry the newest revision heard of, so that a box that starts beside it does the same. The field stands at the end of the message; older messages are read as before, and older boxes ignore it.

It holds because a revision heard of is never forgotten until its changes are there, whoever told of it.

--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -72,11 +72,14 @@
         self.is_uninformed(now) && self.table.lost_since(informed_at, now).next().is_some()
     }
 
-    /// Reports whether this box is isolated, or was until less than `span` ago. The first message
-    /// that ends an isolation does not say what this box missed.
+    /// Reports whether this box may have missed that servers became cold: it lacks changes of the
+    /// store, is isolated, or was isolated until less than `span` ago. The first message that ends
+    /// an isolation does not say what this box missed.
     fn is_behind(&self, now: Time, span: Millis) -> bool {
         let ended_recently = |at: Time| now.since(at) < span;
-        self.control.last_isolated.is_some_and(ended_recently) || self.is_isolated(now)
+        self.control.last_isolated.is_some_and(ended_recently)
+            || self.is_isolated(now)
+            || self.lacks_changes(now)
     }
 
     /// Returns the time from the end of an isolation until this box knows which servers of `service`
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -338,7 +338,8 @@
                 self.receive_held(now, &beat.held, out);
                 self.receive_limits(now, &frame.from, &beat.limits, beat.contact.gossip, out);
                 self.receive_departures(now, &frame.from, &beat.departures, out);
-                self.hear_revision(now, &frame.from, beat.revision);
+                let heard = beat.revision.max(beat.heard.0);
+                self.hear_revision(now, &frame.from, heard);
                 self.receive_store_age(now, beat.revision, beat.store_age);
                 let to = beat.contact.gossip;
                 let stayed = self.table.peer(&frame.from);
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -168,6 +168,7 @@
             room: self.table.room,
             store_age: self.known_store_age(now),
             path_lost: self.path_lost(),
+            heard: self.heard_revision(),
         }
     }
 
--- a/src/reducer/lag.rs
+++ b/src/reducer/lag.rs
@@ -12,10 +12,11 @@
         effect::{Effect, Note},
     },
     unit::{Millis, Time},
+    wire::HeardRevision,
 };
 
-/// Time in which a box that learns that it lacks changes normally receives them, from the store or
-/// from another box.
+/// Time in which a box that learns that it lacks changes normally gets them, from the store or from
+/// another box. A box that lacks them for longer may have missed that servers became cold.
 const USUAL_CATCH_UP_TIME: Millis = Millis(2000);
 
 /// Changes that this box lacks.
@@ -36,7 +37,7 @@
 }
 
 impl<P: Policy> State<P> {
-    /// Records that the box `teller` knows `revision`.
+    /// Records that the box `teller` knows `revision`, or has heard of it.
     pub(super) fn hear_revision(&mut self, now: Time, teller: &BoxName, revision: Revision) {
         if !self.registry || revision <= self.revision {
             return;
@@ -87,6 +88,17 @@
         }
     }
 
+    /// Returns the newest revision that this box has heard of, if it lacks its changes.
+    pub(super) fn heard_revision(&self) -> HeardRevision {
+        let lag = self.control.lag.as_ref();
+        HeardRevision(lag.map_or(Revision::default(), |lag| lag.newest))
+    }
+
+    /// Reports whether this box has lacked changes for longer than it usually takes to get them.
+    pub(super) fn lacks_changes(&self, now: Time) -> bool {
+        self.store_lag(now) >= USUAL_CATCH_UP_TIME
+    }
+
     /// Returns since when this box has lacked changes that another box has.
     pub(super) fn lacks_changes_since(&self) -> Option<Time> {
         let lag = self.control.lag.as_ref();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -201,6 +201,21 @@
     }
 }
 
+/// Newest revision of the platform's store that a box has heard of, if it lacks its changes.
+///
+/// It stands at the end of messages. A message of an older release ends before it and reads as the
+/// oldest revision.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct HeardRevision(pub Revision);
+
+impl<'de> Deserialize<'de> for HeardRevision {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(
+            Revision::deserialize(deserializer).ok().unwrap_or_default(),
+        ))
+    }
+}
+
 /// Update from the platform's store, sent by a hub.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoreUpdate {
@@ -277,6 +292,8 @@
     pub store_age: StoreAge,
     /// Whether the sender can open no connection to backend servers.
     pub path_lost: PathLost,
+    /// Newest store revision that the sender has heard of, if it lacks its changes.
+    pub heard: HeardRevision,
 }
 
 /// Box of another region that accepts relayed requests.
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -167,6 +167,7 @@
             room: Default::default(),
             store_age: Default::default(),
             path_lost: Default::default(),
+            heard: Default::default(),
         }),
     )
 }
--- a/tests/unequal_boxes.rs
+++ b/tests/unequal_boxes.rs
@@ -249,6 +249,7 @@
         room,
         store_age: Default::default(),
         path_lost: Default::default(),
+        heard: Default::default(),
     }
 }
 
@@ -345,8 +346,15 @@
 fn old_messages_read() {
     let announced = heartbeat(1, 3, room(SMALL));
     let new = postcard::to_stdvec(&announced).expect("the message can be encoded");
-    // The capacity takes two bytes, the age of the store and the path one each where they are unset.
-    for (missing, room) in [(4, Room::default()), (2, room(SMALL)), (1, room(SMALL))] {
+    // The capacity and the revision heard of take two bytes each where they are unset, the age of the
+    // store and the path one each.
+    let sizes = [
+        (6, Room::default()),
+        (4, room(SMALL)),
+        (3, room(SMALL)),
+        (2, room(SMALL)),
+    ];
+    for (missing, room) in sizes {
         let old = &new[..new.len() - missing];
         let read: Heartbeat = postcard::from_bytes(old).expect("the old format can be decoded");
         assert_eq!(
--- a/tests/unheard_news.rs
+++ b/tests/unheard_news.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::cold::{RATE, Region};
-use petreldrum::{fleet::Revision, reducer::event::Event};
+use petreldrum::{fleet::Revision, reducer::event::Event, unit::Millis};
 
 /// Sizes of a region, with the box that the store does not reach as number 0.
 const SIZES: [usize; 3] = [2, 3, 4];
@@ -35,6 +35,58 @@
     }
 }
 
+/// Guards against a box that knows that it lacks changes and treats servers as warm, because the
+/// boxes that have the changes do not answer, or have ended.
+#[test]
+fn box_that_lacks_changes_treats_servers_as_cold() {
+    for (size, end) in SIZES
+        .into_iter()
+        .flat_map(|size| [(size, false), (size, true)])
+    {
+        let mut region = Region::warm(size, RATE);
+        region.mute = (1..size).collect();
+        pass_informed(&mut region, 2, 1);
+        evacuate(&mut region, 2);
+        region.pass(1000);
+        if end {
+            (1..size).for_each(|number| region.crowd.boxes[number] = None);
+        }
+        region.pass(3000);
+        region.sent.clear();
+        region.pass(3000);
+        region.assert_rate_kept();
+        if end {
+            continue;
+        }
+        assert!(!region.sent.is_empty(), "some are served");
+        region.mute.clear();
+        region.pass(2000);
+        let lag = region.crowd.boxes[0].as_ref().expect("the box runs");
+        assert_eq!(lag.store_lag(region.crowd.clock(0)), Millis(0));
+    }
+}
+
+/// A box that starts beside one that lacks changes gets a list that lacks them as well.
+#[test]
+fn starting_box_hears_what_its_neighbour_lacks() {
+    let mut region = Region::warm(3, RATE);
+    region.mute = vec![2];
+    for _ in 0..2 {
+        region.crowd.step(2, Event::Synced(Revision::first(1)));
+        region.pass(1000);
+    }
+    region.crowd.step(2, Event::Synced(Revision::first(2)));
+    region.pass(1000);
+    region.crowd.boxes[2] = None;
+    region.crowd.boxes[1] = None;
+    region.pass(500);
+    region.crowd.launch(1);
+    region.pass(5000);
+    region.sent.clear();
+    region.pass(3000);
+    region.assert_rate_kept();
+}
+
 /// Guards against a box that starts, that the store does not reach, and that has no list of servers
 /// for as long as its only neighbour takes to stop.
 #[test]
