Make no knowledge of the store younger at a box that starts

What callers saw: as with any box that takes old state for current, requests to cold servers are lost.

Cause: a box that started 2.1 s ago and was told what the store held 6.1 s ago recorded the start of its own clock as the time of that knowledge, since its clock has no earlier time, and told its neighbours an age of 2.1 s. They counted as informed for up to 4.5 s more.

Change: what is older than the process is not recorded, so the box states no age until it is told something younger.

Test: starting_box_makes_no_knowledge_younger failed with an age of 2100 ms where 6100 ms is the least that is true, and passes.

It holds because an age is now either stated in full or not at all.

--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -82,9 +82,10 @@
         let StoreAge(Some(age)) = age else {
             return;
         };
+        // Knowledge that is older than this process has no time on its clock.
+        let at = now.0.checked_sub(age.0 + MAX_TRANSIT_TIME.0).map(Time);
         if revision <= self.revision {
-            let at = Time(now.0.saturating_sub(age.0 + MAX_TRANSIT_TIME.0));
-            self.control.informed_at = self.control.informed_at.max(Some(at));
+            self.control.informed_at = self.control.informed_at.max(at);
         }
     }
 
--- a/tests/unheard_news.rs
+++ b/tests/unheard_news.rs
@@ -2,8 +2,16 @@
 
 mod harness;
 
-use harness::cold::{RATE, Region};
-use petreldrum::{fleet::Revision, reducer::event::Event, unit::Millis};
+use harness::{
+    cold::{RATE, Region},
+    crowd::TICK,
+};
+use petreldrum::{
+    fleet::Revision,
+    reducer::{effect::Effect, event::Event},
+    unit::Millis,
+    wire::Body,
+};
 
 /// Sizes of a region, with the box that the store does not reach as number 0.
 const SIZES: [usize; 3] = [2, 3, 4];
@@ -66,6 +74,38 @@
     }
 }
 
+/// Guards against a box that started after the store's last answer and states its own age as the age
+/// of what it was told, so that its neighbours count as informed.
+#[test]
+fn starting_box_makes_no_knowledge_younger() {
+    let mut region = Region::warm(2, RATE);
+    region.pass(6000);
+    let told_at = region.crowd.now;
+    region.crowd.step(0, Event::Synced(Revision::first(1)));
+    region.crowd.boxes[1] = None;
+    region.pass(4000);
+    region.crowd.launch(1);
+    region.pass(2000);
+    let mut claims = 0;
+    for _ in 0..30 {
+        region.crowd.now = region.crowd.now + Millis(TICK);
+        let effects = region.crowd.tick();
+        for (number, effect) in effects {
+            let Effect::Gossip { frame, .. } = effect else {
+                continue;
+            };
+            let Body::Heartbeat(heartbeat) = frame.body else {
+                continue;
+            };
+            let age = heartbeat.store_age.0.filter(|_| number == 1);
+            let oldest = region.crowd.now.since(told_at);
+            assert!(age.is_none_or(|age| age >= oldest), "{age:?} of {oldest}");
+            claims += usize::from(number == 1);
+        }
+    }
+    assert!(claims > 0, "the box that started sends heartbeats");
+}
+
 /// A box that starts beside one that lacks changes gets a list that lacks them as well.
 #[test]
 fn starting_box_hears_what_its_neighbour_lacks() {
