Take a lost informant for a loss of knowledge, also after a planned stop

What callers saw: requests to cold servers are lost where the last box that the store reached has left by plan.

Cause: a box that left by plan was no loss, as it takes no work with it. It takes knowledge with it: what the store reports afterwards reaches nobody here, and the boxes that stay went on as if nothing could have changed.

Change: a box remembers which box of its region was informed last. It is isolated if that box is gone (left, silent, or started again) and had been informed after the store stopped answering this box. Where the store answers nobody, all know the same, and a planned stop costs nothing.

Tests: box_whose_informed_neighbours_left_treats_servers_as_cold failed with 249 requests in a second, 15 allowed (regions of two to four, with and without a start of the boxes that left), and passes; planned_stops_without_a_store_cost_nothing passes before and after.

It holds because the judgement asks who was better informed, not whether a box went by plan.

--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -33,7 +33,7 @@
 
 impl Peer {
     /// Reports whether the box is considered live at `now`.
-    pub(super) fn is_live(&self, now: Time) -> bool {
+    pub(crate) fn is_live(&self, now: Time) -> bool {
         !self.suspected && now.since(self.received_at) <= self.max_silence()
     }
 
--- a/src/reducer/cold.rs
+++ b/src/reducer/cold.rs
@@ -63,13 +63,14 @@
     }
 
     /// Reports whether this box is isolated, alone or together with others: it lost the store and
-    /// boxes of its region at the same time, and no box that it hears is better informed. A failure
-    /// domain may then be evacuated, and its servers cold, without its knowledge. A box that never
-    /// had peers, or one in a region whose boxes all hear each other, is not isolated in this
-    /// sense.
+    /// boxes of its region at the same time, or the box that was informed in its place, and no box
+    /// that it hears is better informed. A failure domain may then be evacuated, and its servers
+    /// cold, without its knowledge. A box that never had peers, or one in a region whose boxes all
+    /// hear each other, is not isolated in this sense.
     pub(super) fn is_isolated(&self, now: Time) -> bool {
         let informed_at = self.control.informed_at.unwrap_or_default();
-        self.is_uninformed(now) && self.table.lost_since(informed_at, now).next().is_some()
+        let has_lost_peers = || self.table.lost_since(informed_at, now).next().is_some();
+        self.is_uninformed(now) && (has_lost_peers() || self.has_lost_informant(now))
     }
 
     /// Reports whether this box may have missed that servers became cold: it lacks changes of the
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -21,6 +21,7 @@
         heartbeat::GREETING_RETRY_INTERVAL,
         lag::Lag,
         news::PendingChanges,
+        roster::Informant,
     },
     unit::{Millis, Time},
     wire::{Body, Frame, NameHash, Phase},
@@ -79,6 +80,8 @@
     pub(super) store_answered: Option<Time>,
     /// When this box, or a box that knew no more, last knew all that the store held.
     pub(super) informed_at: Option<Time>,
+    /// Source of this box's newest knowledge of the store.
+    pub(super) informant: Option<Informant>,
     /// When a hub last heard from the store, as reported by that hub.
     pub(super) hub_heard_store: Option<Time>,
     last_digest: Option<Time>,
@@ -340,7 +343,8 @@
                 self.receive_departures(now, &frame.from, &beat.departures, out);
                 let heard = beat.revision.max(beat.heard.0);
                 self.hear_revision(now, &frame.from, heard);
-                self.receive_store_age(now, beat.revision, beat.store_age);
+                let source = Some((&frame.from, frame.incarnation));
+                self.receive_store_age(now, source, beat.revision, beat.store_age);
                 let to = beat.contact.gossip;
                 let stayed = self.table.peer(&frame.from);
                 let stayed = stayed.is_some_and(|peer| peer.last.phase != Phase::Leaving);
@@ -359,7 +363,7 @@
                 self.control.heard_peer = true;
                 self.record_absence(&digest.region);
                 self.hear_revision(now, &frame.from, digest.revision);
-                self.receive_store_age(now, digest.revision, digest.store_age);
+                self.receive_store_age(now, None, digest.revision, digest.store_age);
                 let applied = self.table.apply_digest(&frame.from, digest.clone(), now);
                 self.receive_absences(now, &digest.absences);
                 self.demand.merge(&digest.used, now);
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -143,7 +143,8 @@
         self.control.hub_heard_store = self.control.hub_heard_store.max(Some(heard_at));
         self.store_heard = self.store_heard.max(Some(heard_at));
         self.hear_revision(now, from, progress.revision);
-        self.receive_store_age(now, progress.revision, StoreAge(Some(progress.age)));
+        let age = StoreAge(Some(progress.age));
+        self.receive_store_age(now, None, progress.revision, age);
         if progress.revision > self.revision && self.control.follow == Follow::Forwarded {
             self.fetch_missed_changes(now, from, out);
         }
--- a/src/reducer/roster.rs
+++ b/src/reducer/roster.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     fleet::{self, Change, Revision, Roster},
+    id::{BoxName, Incarnation},
     policy::Policy,
     reducer::{
         State,
@@ -37,6 +38,15 @@
 /// otherwise two boxes that report to each other would make the age shrink with every message.
 const MAX_TRANSIT_TIME: Millis = Millis(250);
 
+/// Source of this box's newest knowledge of the store.
+#[derive(Clone, Debug)]
+pub(super) struct Informant {
+    /// The box of this region that told of it; `None` if it was the store, a hub or another region.
+    source: Option<(BoxName, Incarnation)>,
+    /// When the source knew all that the store held.
+    at: Time,
+}
+
 impl<P: Policy> State<P> {
     /// Returns the registered backend servers that this box knows, or only the changes after
     /// `since` if its history reaches back that far; `None` before it has any list.
@@ -69,6 +79,15 @@
         self.store_heard = Some(now);
         self.control.store_answered = Some(now);
         self.control.informed_at = Some(now);
+        self.record_informant(None, now);
+    }
+
+    /// Records that `source` knew at `at` all that the store held, if that is the newest.
+    fn record_informant(&mut self, source: Option<(BoxName, Incarnation)>, at: Time) {
+        let known = self.control.informant.as_ref();
+        if known.is_none_or(|informant| at > informant.at) {
+            self.control.informant = Some(Informant { source, at });
+        }
     }
 
     /// Returns how old this box's knowledge of the store is.
@@ -77,18 +96,41 @@
     }
 
     /// Records that a box that knows `revision`, and so no more than this one, had knowledge of the
-    /// store of this age.
-    pub(super) fn receive_store_age(&mut self, now: Time, revision: Revision, age: StoreAge) {
+    /// store of this age. `source` is that box, if it is of this region.
+    pub(super) fn receive_store_age(
+        &mut self,
+        now: Time,
+        source: Option<(&BoxName, Incarnation)>,
+        revision: Revision,
+        age: StoreAge,
+    ) {
         let StoreAge(Some(age)) = age else {
             return;
         };
         // Knowledge that is older than this process has no time on its clock.
         let at = now.0.checked_sub(age.0 + MAX_TRANSIT_TIME.0).map(Time);
-        if revision <= self.revision {
-            self.control.informed_at = self.control.informed_at.max(at);
+        if let Some(at) = at.filter(|_| revision <= self.revision) {
+            self.control.informed_at = self.control.informed_at.max(Some(at));
+            let source = source.map(|(name, incarnation)| (name.clone(), incarnation));
+            self.record_informant(source, at);
         }
     }
 
+    /// Reports whether the box of this region that was informed last has left, fallen silent or
+    /// started again, and the store had not answered this box for long by then. Where the store
+    /// answers nobody, all boxes know the same, and nothing is lost with one.
+    pub(super) fn has_lost_informant(&self, now: Time) -> bool {
+        let Some(informant) = &self.control.informant else {
+            return false;
+        };
+        let Some((name, incarnation)) = &informant.source else {
+            return false;
+        };
+        let peer = self.table.peer(name);
+        let is_here = peer.is_some_and(|p| p.is_live(now) && p.incarnation == *incarnation);
+        !is_here && informant.at > self.store_heard.unwrap_or_default() + STORE_TIMEOUT
+    }
+
     /// Reports whether this box knows neither from the store nor from other boxes what the store
     /// held a short time ago; false where no store is followed.
     pub(super) fn is_uninformed(&self, now: Time) -> bool {
--- a/tests/unheard_news.rs
+++ b/tests/unheard_news.rs
@@ -106,6 +106,65 @@
     assert!(claims > 0, "the box that started sends heartbeats");
 }
 
+/// Guards against a box that treats servers as warm after its last informed neighbour left by plan:
+/// what the store reports after that reaches nobody here.
+#[test]
+fn box_whose_informed_neighbours_left_treats_servers_as_cold() {
+    for (size, restarts) in SIZES
+        .into_iter()
+        .flat_map(|size| [(size, false), (size, true)])
+    {
+        let mut region = Region::warm(size, RATE);
+        pass_informed(&mut region, 8, 1);
+        for number in 1..size {
+            region.crowd.step(number, Event::Stop);
+        }
+        region.pass(1000);
+        (1..size).for_each(|number| region.crowd.boxes[number] = None);
+        region.pass(1000);
+        if restarts {
+            (1..size).for_each(|number| region.crowd.launch(number));
+        }
+        region.pass(5000);
+        // What the boxes that started send is not limited: the list is all that they know.
+        region.crowd.frozen = (1..size).collect();
+        region.sent.clear();
+        region.pass(1000);
+        region.assert_rate_kept();
+        assert!(restarts || !region.sent.is_empty(), "some are served");
+    }
+}
+
+/// Planned stops cost nothing where the store reaches nobody: what the stopping boxes know, all know.
+#[test]
+fn planned_stops_without_a_store_cost_nothing() {
+    for size in [3, 4] {
+        for away_s in [1, 3, 6] {
+            let mut region = Region::warm(size, RATE);
+            // Answers of the store come up to three seconds apart.
+            for number in 0..size {
+                let synced = Event::Synced(Revision::first(1));
+                region.crowd.step(number, synced);
+                region.pass(700);
+            }
+            region.pass(away_s * 1000);
+            for number in 2..size {
+                region.crowd.step(number, Event::Stop);
+                region.pass(1000);
+                region.crowd.boxes[number] = None;
+                region.pass(1000);
+                region.crowd.launch(number);
+                region.pass(1000);
+            }
+            region.pass(4000);
+            region.sent.clear();
+            region.pass(1000);
+            let rate = region.sent.len() as f64;
+            assert!(rate > RATE * 4.0, "{rate} requests a second, {size} boxes");
+        }
+    }
+}
+
 /// A box that starts beside one that lacks changes gets a list that lacks them as well.
 #[test]
 fn starting_box_hears_what_its_neighbour_lacks() {
