Read which backend servers are brittle, and count rejections

A backend server may say in its answers how many requests a second it may have to reject without falling over. Nothing read that, and rejections were not counted, so a fall could not be told from any other end.

The header is read (Server-Brittle on the platform, brittle_header of a server's section on our own interface), logged where it changes, stated in each sent line and counted. Nothing is decided by it yet.

--- a/src/config/headers.rs
+++ b/src/config/headers.rs
@@ -9,6 +9,9 @@
     pub refusal: Option<String>,
     /// Carries the requests per second that the server accepts from all boxes together.
     pub limit: Option<String>,
+    /// Carries how many requests per second the server may have to reject without falling over, while
+    /// it is brittle.
+    pub brittle: Option<String>,
     /// Reports whether the server is leaving.
     pub leaving: Option<String>,
 }
--- a/src/config/parse.rs
+++ b/src/config/parse.rs
@@ -265,6 +265,7 @@
     let headers = Headers {
         refusal: section.optional("refusal_header"),
         limit: section.optional("limit_header"),
+        brittle: section.optional("brittle_header"),
         leaving: section.optional("leaving_header"),
     };
     let release = section.optional("release");
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -153,6 +153,7 @@
     if concerns_backend(shell, prepared, &response) {
         let headers = response.headers();
         report_limit(shell, send, headers, now, ran);
+        report_brittleness(shell, send, headers, now, ran);
         report_departure(shell, send, headers);
         if rejected {
             report_pushback(shell, send, headers);
@@ -179,11 +180,26 @@
         }
         Some((verdict, cause)) => {
             count("refused");
+            count_rejection(shell, send, cause);
             Err(AttemptFailure::new(verdict, cause))
         }
     }
 }
 
+/// Counts a request that a backend server rejected.
+fn count_rejection(shell: &Shell, send: &Send, cause: Cause) {
+    let is_backend = matches!(send.target, Target::Backend { .. });
+    if is_backend && matches!(cause, Cause::Full | Cause::Refused) {
+        let brittle = if send.basis.brittle.is_some() {
+            "yes"
+        } else {
+            "no"
+        };
+        let counter = shell.metrics.rejections.with_label_values(&[brittle]);
+        counter.inc();
+    }
+}
+
 /// Reports whether the headers of a response concern the backend server that was addressed: a
 /// response to another request, or for another server, says nothing about this one.
 fn concerns_backend(shell: &Shell, prepared: &Prepared, response: &Response<Incoming>) -> bool {
@@ -263,6 +279,29 @@
     }
 }
 
+/// Reports whether a backend server announces that it is brittle, under the same conditions as a
+/// limit.
+fn report_brittleness(shell: &Shell, send: &Send, headers: &HeaderMap, sent: Time, ran: bool) {
+    let Target::Backend {
+        name,
+        headers: names,
+        ..
+    } = &send.target
+    else {
+        return;
+    };
+    let word = Announcement::read(fields(headers, names.brittle.as_ref()));
+    let brittle = send.basis.brittle.is_some();
+    if word.rate().is_some() || ran && (brittle || word == Announcement::Unreadable) {
+        let backend = name.clone();
+        shell.core.tell(Event::Brittle {
+            backend,
+            word,
+            sent,
+        });
+    }
+}
+
 /// Classifies a response on the platform that is not the result of the request; none if it is the
 /// result.
 fn classify_platform_answer(
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -58,6 +58,10 @@
     pub rollouts: IntGaugeVec,
     /// Backend servers that report a request-rate limit, as far as this box knows.
     pub limited: IntGauge,
+    /// Backend servers that announce that they are brittle, as far as this box knows.
+    pub brittle: IntGauge,
+    /// Requests that backend servers rejected, by whether the server was brittle.
+    pub rejections: IntCounterVec,
     /// Backend servers that announced in a response that they are leaving, before their
     /// registration showed it, as far as this box knows.
     pub departing: IntGauge,
@@ -326,6 +330,15 @@
                 "limited_backends",
                 "Backend servers that say how many requests a second they take.",
             )?,
+            brittle: gauge(
+                "brittle_backends",
+                "Backend servers that announce that they are brittle.",
+            )?,
+            rejections: counters(
+                "rejections_total",
+                "Requests that backend servers rejected, by whether the server was brittle.",
+                &["brittle"],
+            )?,
             departing: gauge(
                 "departing_backends",
                 "Backend servers that said in an answer that they leave, before their registration does.",
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -43,8 +43,8 @@
         write!(
             f,
             " config={} places={} wait={} first={} hop={} burden={} free={} load_age={} waited={} \
-             target={} prompt={} shared={} unread={} fetched={} told={} cold={} limit={} store={} \
-             store_age={} warmth={}",
+             target={} prompt={} shared={} unread={} fetched={} told={} cold={} limit={} brittle={} \
+             store={} store_age={} warmth={}",
             basis.version,
             basis.places,
             basis.wait,
@@ -64,6 +64,9 @@
             basis
                 .limit
                 .map_or("none".to_owned(), |rate| rate.to_string()),
+            basis
+                .brittle
+                .map_or("no".to_owned(), |rate| rate.to_string()),
             basis.revision,
             basis.store_age,
             basis.warmth
@@ -124,6 +127,7 @@
         metrics.weight.set(i64::from(weight));
         metrics.full.set(i64::from(self.state.is_full()));
         metrics.limited.set(self.state.limited() as i64);
+        metrics.brittle.set(self.state.brittle() as i64);
         metrics.pushed_back.set(self.state.pushed_back(now) as i64);
         metrics.set_engines(
             self.state.followed_engines(),
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -131,6 +131,8 @@
     pub warmth: Warmth,
     /// Rate that the place accepts from all boxes together, if it names one.
     pub limit: Option<Rate>,
+    /// Rejections per second that the server tolerates, if it is brittle.
+    pub brittle: Option<Rate>,
     /// Latest known revision of the platform's store; zero if no store is followed.
     pub revision: Revision,
     /// Age of the store's latest answer; zero if there was none.
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -63,6 +63,15 @@
         /// Box that reported it; `None` if the server itself did.
         teller: Option<id::BoxName>,
     },
+    /// A backend server announced that it is brittle, or no longer does.
+    Brittle {
+        /// The backend server.
+        backend: id::Backend,
+        /// Requests per second that it may have to reject; `None` if it is not brittle.
+        tolerance: Option<Rate>,
+        /// Box that reported it; `None` if the server itself did.
+        teller: Option<id::BoxName>,
+    },
     /// A backend server announced that it is leaving.
     Departing {
         /// The backend server.
@@ -183,6 +192,18 @@
                 }
                 write_source(f, teller.as_ref())
             }
+            Self::Brittle {
+                backend,
+                tolerance,
+                teller,
+            } => {
+                write!(f, "backend={backend} brittle=")?;
+                match tolerance {
+                    Some(tolerance) => write!(f, "{tolerance}")?,
+                    None => f.write_str("no")?,
+                }
+                write_source(f, teller.as_ref())
+            }
             Self::Departing { backend, teller } => {
                 write!(f, "backend={backend} state=leaving")?;
                 write_source(f, teller.as_ref())
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -178,6 +178,16 @@
         /// When the answered request was sent.
         sent: Time,
     },
+    /// A backend server answered, and the answer said that the server is brittle or the server is
+    /// known to be.
+    Brittle {
+        /// The backend server.
+        backend: id::Backend,
+        /// Requests per second that it may have to reject without falling over.
+        word: limit::Announcement,
+        /// When the answered request was sent.
+        sent: Time,
+    },
     /// A backend server announced in an answer that it is leaving.
     Departing {
         /// The backend server.
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -11,6 +11,7 @@
 //! | `subset` | selection of a few among thousands of backend servers to consider first |
 //! | `cold` | rate limit of cold backend servers, and this box's share of it |
 //! | `limit` | rate limits that backend servers name |
+//! | `brittle` | backend servers that fall over if they have to reject requests |
 //! | `departure` | backend servers that announce that they are leaving |
 //! | `pushback` | backend servers that ask this box to send nothing for a while |
 //! | `engine_news` | changes of prompt caches, as reported by engines |
@@ -42,6 +43,7 @@
 mod admit;
 mod allot;
 mod ask;
+mod brittle;
 mod cold;
 mod control;
 mod demand;
@@ -251,6 +253,11 @@
                 word,
                 sent,
             } => self.record_limit(now, &backend, word, sent, &mut out),
+            Event::Brittle {
+                backend,
+                word,
+                sent,
+            } => self.record_brittleness(now, &backend, word, sent, &mut out),
             Event::Departing {
                 backend,
                 incarnation,
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -105,6 +105,10 @@
                 Place::Backend(name) => self.servers.get(name).and_then(|s| s.limit.rate()),
                 Place::Region(_) => None,
             },
+            brittle: match place {
+                Place::Backend(name) => self.servers.get(name).and_then(|s| s.rejections.rate()),
+                Place::Region(_) => None,
+            },
             revision: self.revision,
             store_age: self.store_age(now),
         }
--- a/src/server.rs
+++ b/src/server.rs
@@ -106,6 +106,8 @@
     detector: Detector,
     /// The rate limit that it announces over all boxes.
     pub limit: Limit,
+    /// The limit on rejected requests that it announces over all boxes, while it is brittle.
+    pub rejections: Limit,
     /// The end of the pause that it asked this box for.
     pushed_back_until: Option<Time>,
     /// Whether the last pause that it asked for was unreadable.
@@ -136,6 +138,7 @@
             running_updated: Time(0),
             detector: Detector::default(),
             limit: Limit::default(),
+            rejections: Limit::default(),
             pushed_back_until: None,
             unreadable_pushback: false,
         }
