Keep brittle servers' requests within what they run at once

Cause: boxes fill slots and queue by numbers that stay whatever the servers answer, each box by load reports of the others that are old, and what one server rejects goes to the next.

Change: the boxes of a region share what a brittle server runs at once, as they share a named limit, by rank and without communication; each request, repeat and moved run takes from the box's share, and the rest waits in the box or is refused at once. Slots that a server states itself are trusted, less a tenth. Configured ones are searched for by the time of answers, which falls with the requests in flight as long as some of them wait. A rejection lowers the cap, at once and in the whole region, and that of the other servers if two of a service reject. It rises by steps no larger than the rejections that the server tolerates. New servers of a brittle service are taken for brittle until they answer.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod allotment;
 pub mod bucket;
+pub mod cap;
 pub mod cmd;
 pub mod config;
 pub mod content;
--- a/src/policy/balanced.rs
+++ b/src/policy/balanced.rs
@@ -37,7 +37,7 @@
             let away = if c.home { 0.0 } else { weights.away };
             weights.tail * delay(c) + away + weights.cost * c.price
         };
-        let in_time = |c: &&Candidate| c.wait + c.hop < view.left;
+        let in_time = |c: &&Candidate| c.wait + c.hop + c.margin < view.left;
         let usable = view.candidates.iter().filter(in_time);
         match usable.min_by(|a, b| score(a).total_cmp(&score(b))) {
             Some(best) => best.choice(),
--- a/src/policy/baseline.rs
+++ b/src/policy/baseline.rs
@@ -19,7 +19,7 @@
 /// Chooses the least loaded of the usable places that can begin in time.
 fn pick_least_loaded<'a>(view: &View<'a>, usable: impl Fn(&Candidate) -> bool) -> Choice {
     let places = || view.candidates.iter().filter(|c| usable(c));
-    let in_time = places().filter(|c| c.wait + c.hop < view.left);
+    let in_time = places().filter(|c| c.wait + c.hop + c.margin < view.left);
     match in_time.min_by(|a, b| a.load.total_cmp(&b.load)) {
         Some(place) => place.choice(),
         None => refuse(places()),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -41,6 +41,8 @@
     pub risk: Millis,
     /// Mean time between two slots becoming free.
     pub step: Millis,
+    /// Time that must be left when the request is sent there.
+    pub margin: Millis,
     /// Expected wait for a slot.
     pub wait: Millis,
     /// Expected time to the first byte once a slot is free.
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -214,6 +214,7 @@
         self.send_cleared(now, out);
         self.update_limit_shares(now);
         self.send_limits(now, out);
+        self.follow_brittle(now, out);
         self.send_departures(now, out);
         self.update_lag(now, out);
         self.report_isolation(now, out);
@@ -340,6 +341,7 @@
                 self.control.heard_peer = true;
                 self.receive_held(now, &beat.held, out);
                 self.receive_limits(now, &frame.from, &beat.limits, beat.contact.gossip, out);
+                self.receive_brittleness(now, &frame.from, &beat.brittle.0, out);
                 self.receive_departures(now, &frame.from, &beat.departures, out);
                 let heard = beat.revision.max(beat.heard.0);
                 self.hear_revision(now, &frame.from, heard);
@@ -383,6 +385,9 @@
             Body::Limits(limits) => {
                 self.merge_limits(now, &frame.from, limits, out);
             }
+            Body::Brittle(reports) => {
+                self.receive_brittleness(now, &frame.from, reports, out);
+            }
             Body::Departures(departures) => {
                 self.receive_departures(now, &frame.from, departures, out);
             }
--- a/src/reducer/digest.rs
+++ b/src/reducer/digest.rs
@@ -163,6 +163,8 @@
                 let limited = server.limit.slots(slots, server.whole());
                 let cold = self.cold_slots(now, service, backend, server.whole());
                 let limited = cold.map_or(limited, |cold| cold.min(limited));
+                let cap = server.cap_level();
+                let limited = cap.map_or(limited, |cap| cap.limit.min(limited));
                 total.slots += limited;
                 total.busy += match limited < slots {
                     true => busy.min(limited),
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -72,6 +72,17 @@
         /// Box that reported it; `None` if the server itself did.
         teller: Option<id::BoxName>,
     },
+    /// The number of requests that a brittle backend server is given at once changed.
+    Capped {
+        /// The backend server.
+        backend: id::Backend,
+        /// Requests in flight over all boxes.
+        limit: u32,
+        /// Number of changes.
+        version: u32,
+        /// Box that reported it; `None` if this box changed it.
+        teller: Option<id::BoxName>,
+    },
     /// A backend server announced that it is leaving.
     Departing {
         /// The backend server.
@@ -204,6 +215,18 @@
                 }
                 write_source(f, teller.as_ref())
             }
+            Self::Capped {
+                backend,
+                limit,
+                version,
+                teller,
+            } => {
+                write!(f, "backend={backend} cap={limit} version={version}")?;
+                match teller {
+                    Some(teller) => write!(f, " told-by={teller}"),
+                    None => f.write_str(" told-by=self"),
+                }
+            }
             Self::Departing { backend, teller } => {
                 write!(f, "backend={backend} state=leaving")?;
                 write_source(f, teller.as_ref())
--- a/src/reducer/heartbeat.rs
+++ b/src/reducer/heartbeat.rs
@@ -9,7 +9,7 @@
     reducer::{State, control::Control, effect::Effect},
     settings::Seed,
     unit::{Millis, Time},
-    wire::{Body, Contact, Heartbeat, Load, NameHash, Silent},
+    wire::{Body, BrittleServers, Contact, Heartbeat, Load, NameHash, Silent},
 };
 
 /// Time for a box learned from others to answer a greeting before it is greeted again.
@@ -169,6 +169,7 @@
             store_age: self.known_store_age(now),
             path_lost: self.path_lost(),
             heard: self.heard_revision(),
+            brittle: BrittleServers(self.known_brittleness(now)),
         }
     }
 
--- a/src/reducer/limit.rs
+++ b/src/reducer/limit.rs
@@ -159,19 +159,22 @@
         }
     }
 
+    /// Returns how long a silent box keeps its share of what a server takes. One that fell silent
+    /// unexpectedly may be cut off and still be sending; one that announced its stop ends soon after.
+    pub(super) fn sender_retention(&self, peer: &Peer) -> Millis {
+        match peer.last.phase {
+            Phase::Leaving => SHARE_RETENTION,
+            Phase::Unready | Phase::Ready => PEER_RETENTION,
+        }
+    }
+
     /// Returns how much of a server's limit this box may send; nothing until it knows which other
     /// boxes send.
-    ///
-    /// A box that fell silent unexpectedly may be cut off and still be sending, so it keeps its
-    /// share until it is forgotten. A box that announced its stop ends soon after.
     fn limit_share(&self, now: Time, name: &id::Backend, rate: Rate) -> Share {
         if !self.knows_region(now) {
             return Share::default();
         }
-        let retention = |peer: &Peer| match peer.last.phase {
-            Phase::Leaving => SHARE_RETENTION,
-            Phase::Unready | Phase::Ready => PEER_RETENTION,
-        };
+        let retention = |peer: &Peer| self.sender_retention(peer);
         let (rank, boxes) = self.table.rank_among_active(name.as_str(), retention, now);
         limit::share(rate, rank, boxes)
     }
--- a/src/reducer/moving/choice.rs
+++ b/src/reducer/moving/choice.rs
@@ -167,6 +167,9 @@
             transfer.is_some_and(|t| t.reserves(&backend.name))
         };
         let reserved = self.jobs.values().filter(reserves).count() as u32;
+        if let Some(room) = self.cap_room(now, &backend.name) {
+            return room.saturating_sub(reserved);
+        }
         let slots = server.slots(backend.slots, now);
         slots.saturating_sub(server.busy + others + reserved)
     }
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -81,6 +81,11 @@
         {
             out.push(Effect::Noted(Note::Recovered(name.clone())));
         }
+        if let Assignment::Chosen(Place::Backend(name), _) = &in_flight.spot
+            && let Some(cap) = self.servers.get_mut(name).and_then(|s| s.cap.as_mut())
+        {
+            cap.record_answer(in_flight.at, now.since(in_flight.at));
+        }
         if let Stage::Sent { begun, .. } = &mut job.stage {
             *begun = Some(now);
         }
@@ -170,6 +175,7 @@
         if cause == Cause::Broken {
             self.probe_after_break(now, request, &in_flight, out);
         }
+        self.record_rejection(now, &in_flight, cause, out);
         let spot = in_flight.spot;
         if cause == Cause::Unreachable {
             self.probe_after_close(now, &spot, out);
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -25,6 +25,9 @@
 /// Backend servers sampled for each request. With two, the less busy one gets at most twice its
 /// share of the requests while updates of its load are in transit.
 const SAMPLED: usize = 2;
+/// Time that a request for a brittle server must have left, in percent of the time in which the server
+/// usually begins its answers.
+const CAPPED_MARGIN_PERCENT: u64 = 150;
 /// Penalty on the backend servers that were not sampled, as a multiple of the expected time between
 /// two slots that become free there.
 const UNSAMPLED_PENALTY: u64 = 2;
@@ -45,6 +48,44 @@
     pub(super) candidates: Vec<Candidate>,
 }
 
+/// How far a backend server is occupied, from the view of one box.
+#[derive(Clone, Copy, Debug)]
+struct Occupancy {
+    slots: u32,
+    busy: u32,
+    free: u32,
+    /// Requests that go before a new one, and the new one.
+    ahead: u64,
+}
+
+impl Occupancy {
+    /// The boxes together have `busy` requests at a server with `slots`, this one `mine`.
+    fn of_server(slots: u32, busy: u32, mine: u32, boxes: u32, queued: u64) -> Self {
+        // The load reports of other boxes are old, so each box may always use its own share.
+        let share = (slots / boxes).max(1);
+        Self {
+            slots,
+            busy,
+            free: slots.saturating_sub(busy).max(share.saturating_sub(mine)),
+            ahead: u64::from(busy.saturating_sub(slots)) + queued + 1,
+        }
+    }
+
+    /// This box has `mine` requests at a server, of which it may have `share`.
+    fn of_share(share: u32, mine: u32, queued: u64) -> Self {
+        Self {
+            slots: share.max(1),
+            busy: mine,
+            free: share.saturating_sub(mine),
+            ahead: u64::from(mine.saturating_sub(share)) + queued + 1,
+        }
+    }
+
+    fn load(&self) -> f64 {
+        f64::from(self.busy) / f64::from(self.slots)
+    }
+}
+
 /// Reason why a backend server gets no new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Exclusion {
@@ -191,6 +232,7 @@
             .filter(|b| self.excluded(now, b).is_none())
             .filter(|b| self.admits(now, config, &plan.service, b))
             .filter(|b| self.limit_wait(now, &b.name, 0.0).is_some())
+            .filter(|b| self.has_cap_share(&b.name))
             .filter(|b| !job.tried.contains(&Place::Backend(b.name.clone())))
             .filter(|b| !self.is_avoided(now, b, job.ask.random))
             .collect();
@@ -215,17 +257,30 @@
         let sources = self.sources(now, &plan.service, mine, job);
         for backend in &usable {
             let server = self.servers.get(&backend.name).unwrap_or(&fresh);
-            let slots = server.slots(backend.slots, now);
             let busy = server.busy + self.table.busy(NameHash::of(backend.name.as_str()), now);
-            // The load reports of other boxes are old, so each box may always use its own share.
-            let share = (slots / boxes as u32).max(1);
-            let free = slots
-                .saturating_sub(busy)
-                .max(share.saturating_sub(server.busy));
-            let ahead = u64::from(busy.saturating_sub(slots)) + queued_ahead as u64 + 1;
-            let turn = server.limit.wait(turns, now).unwrap_or_default();
+            let occupancy = match &server.cap {
+                Some(cap) => Occupancy::of_share(cap.share(), server.busy, turns as u64),
+                None => {
+                    let slots = server.slots(backend.slots, now);
+                    Occupancy::of_server(
+                        slots,
+                        busy,
+                        server.busy,
+                        boxes as u32,
+                        queued_ahead as u64,
+                    )
+                }
+            };
+            let Occupancy { slots, free, .. } = occupancy;
+            let hold = server.cap.as_ref().map_or(Millis(0), |cap| cap.hold(now));
+            let turn = server.limit.wait(turns, now).unwrap_or_default().max(hold);
+            // Requests wait here for the shares of such servers, in overload until little time is left.
+            let margin = match server.cap {
+                Some(_) => Millis(server.first().0 * CAPPED_MARGIN_PERCENT / 100),
+                None => Millis(0),
+            };
             let slot = match free {
-                0 => Millis(server.whole().0 * ahead / u64::from(slots)),
+                0 => Millis(server.whole().0 * occupancy.ahead / u64::from(slots)),
                 _ => Millis(0),
             };
             let (free, wait) = match turn {
@@ -253,8 +308,9 @@
                 place: Place::Backend(backend.name.clone()),
                 home: mine == home,
                 free,
-                load: f64::from(busy) / f64::from(slots),
+                load: occupancy.load(),
                 risk: Millis(0),
+                margin,
                 step: Millis(server.whole().0 / u64::from(slots)),
                 wait,
                 first,
@@ -307,6 +363,7 @@
             free,
             load: f64::from(busy) / f64::from(slots),
             risk: Millis(0),
+            margin: Millis(0),
             step: Millis(capacity.whole.0 / u64::from(slots)),
             wait,
             first,
--- a/src/reducer/reach.rs
+++ b/src/reducer/reach.rs
@@ -144,6 +144,7 @@
             free: slots,
             load: 0.0,
             risk: Millis(0),
+            margin: Millis(0),
             step: Millis(server.whole().0 / u64::from(slots)),
             wait: Millis(0),
             first: server.first(),
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::{
     bucket::Bucket,
+    cap::{Cap, Level},
     detector::Detector,
     limit::Limit,
     unit::{self, Millis, Rate, Time},
@@ -108,6 +109,8 @@
     pub limit: Limit,
     /// The limit on rejected requests that it announces over all boxes, while it is brittle.
     pub rejections: Limit,
+    /// How many requests it is given at once, while it is brittle.
+    pub cap: Option<Cap>,
     /// The end of the pause that it asked this box for.
     pushed_back_until: Option<Time>,
     /// Whether the last pause that it asked for was unreadable.
@@ -139,6 +142,7 @@
             detector: Detector::default(),
             limit: Limit::default(),
             rejections: Limit::default(),
+            cap: None,
             pushed_back_until: None,
             unreadable_pushback: false,
         }
@@ -154,6 +158,19 @@
         };
     }
 
+    /// Returns the cap, which is set if there is none yet. `others` is the number of requests that
+    /// other boxes have in flight there.
+    pub fn cap_or_new(&mut self, slots: u32, trusted: bool, others: u32, now: Time) -> &mut Cap {
+        let (busy, usual_ms) = (self.busy + others, self.first_byte_ms);
+        let new = || Cap::new(slots, trusted, busy, usual_ms, now);
+        self.cap.get_or_insert_with(new)
+    }
+
+    /// Returns the part of the cap that boxes agree on, if there is a cap.
+    pub fn cap_level(&self) -> Option<Level> {
+        self.cap.as_ref().map(Cap::level)
+    }
+
     /// Returns why the server gets no requests at `now`, if it gets none.
     pub fn block(&self, now: Time) -> Option<Block> {
         // After the pause, a single request probes the server.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::{
+    cap::Level,
     config::Version,
     content::Fingerprint,
     crash,
@@ -294,6 +295,8 @@
     pub path_lost: PathLost,
     /// Newest store revision that the sender has heard of, if it lacks its changes.
     pub heard: HeardRevision,
+    /// Brittle backend servers of the region.
+    pub brittle: BrittleServers,
 }
 
 /// Box of another region that accepts relayed requests.
@@ -457,6 +460,53 @@
     pub age: Millis,
 }
 
+/// A backend server that announced that it is brittle, and what the boxes of its region give it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Brittleness {
+    /// The backend server.
+    pub backend: NameHash,
+    /// Hash of its name and incarnation.
+    pub life: NameHash,
+    /// Rejections per second that it tolerates; `None` if it no longer announces any.
+    pub tolerance: Option<Rate>,
+    /// How long ago that was announced.
+    pub age: Millis,
+    /// Requests in flight over all boxes; zero if the sender has not set a cap yet.
+    pub limit: u32,
+    /// Number of changes of that cap.
+    pub version: u32,
+    /// Whether the search for the number of slots has ended.
+    pub settled: bool,
+    /// Time during which nothing is sent.
+    pub hold: Millis,
+}
+
+impl Brittleness {
+    /// Returns the cap.
+    pub fn level(&self) -> Level {
+        Level {
+            limit: self.limit,
+            version: self.version,
+            settled: self.settled,
+        }
+    }
+}
+
+/// Brittle backend servers in a heartbeat.
+///
+/// It stands at the end of messages. A message of an older release ends before it and reads as
+/// without any.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct BrittleServers(pub Vec<Brittleness>);
+
+impl<'de> Deserialize<'de> for BrittleServers {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        Ok(Self(
+            Vec::deserialize(deserializer).ok().unwrap_or_default(),
+        ))
+    }
+}
+
 /// Departure announced by a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departure {
@@ -499,6 +549,8 @@
     Departures(Vec<Departure>),
     /// Sent within a region: corrections to earlier reports on engines' caches.
     Corrections(Corrections),
+    /// Sent within a region: changes of brittle backend servers and of their caps.
+    Brittle(Vec<Brittleness>),
 }
 
 impl Body {
@@ -518,6 +570,7 @@
             Self::Limits(_) => "limits",
             Self::Departures(_) => "departures",
             Self::Corrections(_) => "kept",
+            Self::Brittle(_) => "brittle",
         }
     }
 }
--- a/standin/src/measure/fleet.rs
+++ b/standin/src/measure/fleet.rs
@@ -168,6 +168,7 @@
             store_age: Default::default(),
             path_lost: Default::default(),
             heard: Default::default(),
+            brittle: Default::default(),
         }),
     )
 }
--- a/tests/harness/brittle.rs
+++ b/tests/harness/brittle.rs
@@ -4,7 +4,8 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use petreldrum::{
-    config::{Config, Envelope, Version},
+    config::{Backend, Builder, Config, Envelope, Version},
+    fleet::{Change, Revision},
     id,
     limit::Announcement,
     reducer::{
@@ -18,7 +19,7 @@
 
 use super::{
     crowd::{Crowd, TICK},
-    solo::{arrival, caller},
+    solo::{arrival, caller, news},
 };
 
 /// Simulation step, in ms.
@@ -53,6 +54,8 @@
     pub run_ms: (u64, u64),
     /// Requests per second of all callers.
     pub demand: f64,
+    /// Whether the servers register themselves, and so state their slots.
+    pub registered: bool,
     pub seed: u64,
 }
 
@@ -80,6 +83,7 @@
 pub struct Scene {
     pub crowd: Crowd,
     setup: Setup,
+    registered: Vec<Backend>,
     random: StdRng,
     servers: Vec<Server>,
     /// Rejections per second that the servers announce to tolerate.
@@ -98,6 +102,19 @@
     due_requests: f64,
 }
 
+/// Returns `config` without its backend servers.
+fn without_servers(config: &Config) -> Arc<Config> {
+    let config = Builder {
+        version: config.version,
+        regions: config.regions.clone(),
+        customers: config.customers.clone(),
+        routes: config.routes.clone(),
+        selectors: config.selectors.clone(),
+        ..Builder::default()
+    };
+    Arc::new(config.build())
+}
+
 fn server_name(server: usize) -> String {
     format!("s{server}")
 }
@@ -118,11 +135,17 @@
         )
     };
     let servers: String = (0..setup.servers).map(server).collect();
+    // Requests may run in their own region alone, so that regions do not affect each other.
+    let callers = REGIONS[..setup.regions].iter().map(|region| {
+        let home = format!("home={region}");
+        caller(region, "rate=1000000/s").replace("home=perth", &home)
+    });
+    let callers: String = callers.collect();
     let text = regions
         + "[route read]\nprefix=/read\nkind=application\nrepeatable=true\ndeadline=2s\n"
-        + &caller("a", "rate=1000000/s")
+        + &callers
         + &servers
-        + "[selector all]\n";
+        + "[selector all]\nregions=home\n";
     let envelope = Envelope {
         version: Version(1),
         write: String::new(),
@@ -136,11 +159,13 @@
     /// Starts boxes that know each other, with servers that are not brittle.
     pub fn new(setup: Setup) -> Self {
         let config = config(&setup);
-        let mut crowd = match setup.regions {
-            1 => Crowd::in_one_region(setup.boxes, config),
-            _ => Crowd::in_three_regions(setup.boxes, config),
+        let mut crowd = match (setup.regions, setup.registered) {
+            (_, true) => Crowd::across_regions(setup.boxes, without_servers(&config)),
+            (1, false) => Crowd::in_one_region(setup.boxes, config.clone()),
+            (_, false) => Crowd::in_three_regions(setup.boxes, config.clone()),
         };
         crowd.pass(START_MS);
+        let registered = config.backends.values().cloned().collect();
         let server = |number| Server {
             name: server_name(number).parse().expect("a name"),
             coming: Vec::new(),
@@ -149,9 +174,10 @@
             rejected: Vec::new(),
             down_until: Time(0),
         };
-        Self {
+        let mut scene = Self {
             crowd,
             setup,
+            registered,
             random: StdRng::seed_from_u64(setup.seed),
             servers: (0..setup.servers).map(server).collect(),
             tolerance: None,
@@ -162,7 +188,22 @@
             replies: Vec::new(),
             requests: 0,
             due_requests: 0.0,
+        };
+        (0..setup.boxes).for_each(|number| scene.register_servers(number));
+        scene
+    }
+
+    /// Delivers the list of servers that register themselves to a box.
+    fn register_servers(&mut self, number: usize) {
+        if !self.setup.registered {
+            return;
         }
+        let list = Change::List {
+            backends: self.registered.clone(),
+            grace: Millis(0),
+        };
+        self.step(number, news(list));
+        self.step(number, Event::Synced(Revision::first(1)));
     }
 
     /// Lets the servers announce that they are brittle, and later let fewer requests wait.
@@ -198,7 +239,8 @@
         self.requests += 1;
         let number = self.random.random_range(0..self.setup.boxes);
         if !self.crowd.frozen.contains(&number) {
-            self.step(number, arrival(self.requests, "a", None));
+            let caller = self.crowd.region(number);
+            self.step(number, arrival(self.requests, caller, None));
         }
     }
 
@@ -225,14 +267,27 @@
     fn apply(&mut self, number: usize, effect: Effect) {
         match effect {
             Effect::Send(send) => self.deliver_request(number, send),
+            Effect::Abort { request, attempt } => self.abort(number, request, attempt),
             Effect::Reply { reply, .. } => self.replies.push((self.crowd.now, reply)),
             _ => {}
         }
     }
 
+    /// Ends a request whose connection a box closed.
+    fn abort(&mut self, number: usize, request: id::Request, attempt: id::Attempt) {
+        let is_other = |run: &Run| {
+            run.number != number || run.send.request != request || run.send.attempt != attempt
+        };
+        for server in &mut self.servers {
+            server.coming.retain(is_other);
+            server.running.retain(is_other);
+            server.waiting.retain(is_other);
+        }
+    }
+
     fn deliver_request(&mut self, number: usize, send: Send) {
         let Target::Backend { name, .. } = &send.target else {
-            // Relays to other regions are refused: all regions are equally busy.
+            // To a neighbour, after all servers fell over.
             return self.fail(number, &send, Verdict::NotRun, Cause::Refused);
         };
         let server = self.servers.iter().position(|s| s.name == *name);
@@ -372,6 +427,12 @@
         }
     }
 
+    /// Starts a box that was killed.
+    pub fn launch(&mut self, number: usize) {
+        self.crowd.launch(number);
+        self.register_servers(number);
+    }
+
     /// Returns the largest number of falls that the platform permits in one brittle time.
     pub fn allowed_falls(&self) -> usize {
         2 + self.setup.servers / 10
--- a/tests/unequal_boxes.rs
+++ b/tests/unequal_boxes.rs
@@ -250,6 +250,7 @@
         store_age: Default::default(),
         path_lost: Default::default(),
         heard: Default::default(),
+        brittle: Default::default(),
     }
 }
 
@@ -347,12 +348,13 @@
     let announced = heartbeat(1, 3, room(SMALL));
     let new = postcard::to_stdvec(&announced).expect("the message can be encoded");
     // The capacity and the revision heard of take two bytes each where they are unset, the age of the
-    // store and the path one each.
+    // store, the path and the list of brittle servers one each.
     let sizes = [
-        (6, Room::default()),
+        (7, Room::default()),
+        (5, room(SMALL)),
         (4, room(SMALL)),
         (3, room(SMALL)),
-        (2, room(SMALL)),
+        (1, room(SMALL)),
     ];
     for (missing, room) in sizes {
         let old = &new[..new.len() - missing];
