Show caps to operators, and test brittle engines as processes

petreldrum status and explain say what a brittle server is given at once and which part of it this box has. The stand-in's engines may say that they are brittle and reject what does not fit their queue.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     cmd::call::Admin,
-    reducer::status::{Limit, Status},
+    reducer::status::{Cap, Limit, Status},
 };
 
 /// Show the state of the system as seen by a box: boxes and their configuration versions, regions,
@@ -123,18 +123,26 @@
     }
     for backend in &status.backends {
         println!(
-            "  backend {:12} {}: {}, {}/{} busy, first byte {}{}",
+            "  backend {:12} {}: {}, {}/{} busy, first byte {}{}{}",
             backend.name.to_string(),
             if backend.used { "used" } else { "NOT used" },
             backend.reason,
             backend.busy,
             backend.slots,
             backend.first,
-            backend.limit.as_ref().map(format_limit).unwrap_or_default()
+            backend.limit.as_ref().map(format_limit).unwrap_or_default(),
+            backend.cap.as_ref().map(format_cap).unwrap_or_default()
         );
     }
 }
 
+fn format_cap(cap: &Cap) -> String {
+    format!(
+        ", brittle: {} at once of all boxes and {} of this one",
+        cap.limit, cap.share
+    )
+}
+
 fn format_limit(limit: &Limit) -> String {
     let teller = limit.teller.as_ref();
     let teller = teller.map_or("itself".to_owned(), ToString::to_string);
--- a/src/reducer/status.rs
+++ b/src/reducer/status.rs
@@ -10,7 +10,7 @@
     reducer::{State, job::Job, place::Exclusion},
     retry,
     rollout::{Count, Finding, Standing},
-    server::Block,
+    server::{Block, Server},
     service,
     size::Weight,
     unit::{Millis, Rate, Time},
@@ -184,6 +184,31 @@
     /// The rate limit that the server announces for all boxes, if any.
     #[serde(default)]
     pub limit: Option<Limit>,
+    /// How many requests the server is given at once, while it is brittle.
+    #[serde(default)]
+    pub cap: Option<Cap>,
+}
+
+/// The requests that a brittle backend server is given at once.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Cap {
+    /// Rejections a second that the server tolerates; none if it has not answered yet.
+    pub tolerance: Option<Rate>,
+    /// Requests in flight, of all boxes together.
+    pub limit: u32,
+    /// The part of it that this box may have in flight.
+    pub share: u32,
+}
+
+impl Cap {
+    fn of(server: &Server) -> Option<Self> {
+        let cap = server.cap.as_ref()?;
+        Some(Self {
+            tolerance: server.rejections.rate(),
+            limit: cap.level().limit,
+            share: cap.share(),
+        })
+    }
 }
 
 /// The rate limit that a backend server announces.
@@ -322,6 +347,7 @@
                     slots: server.slots(b.slots, now),
                     first: server.first(),
                     limit: Limit::of(&server.limit, now),
+                    cap: Cap::of(&server),
                 }
             })
             .collect();
@@ -355,6 +381,9 @@
                     () if self.limit_wait(now, &b.name, 0.0).is_none() => {
                         "other boxes share the limit that it names"
                     }
+                    () if !self.has_cap_share(&b.name) => {
+                        "other boxes share what it takes while it is brittle"
+                    }
                     () => return None,
                 };
                 Some(LeftOut {
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -3,13 +3,16 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use bytes::Bytes;
 use hyper::{
-    Response, StatusCode,
+    HeaderMap, Response, StatusCode,
     header::{HeaderValue, RETRY_AFTER},
 };
 use serde::{Deserialize, Serialize};
@@ -25,6 +28,8 @@
 pub const REFUSED: &str = "x-engine-refused";
 /// Response header with the number of requests per second that the engine accepts.
 pub const LIMIT: &str = "x-engine-limit";
+/// Response header with the rejections per second that the engine tolerates.
+pub const BRITTLE: &str = "x-engine-brittle";
 /// Capacity of the prefix cache.
 const MAX_CACHED_PREFIXES: usize = 32;
 const DEFAULT_TOKENS: u64 = 8;
@@ -49,6 +54,10 @@
     pub reset: bool,
     /// The limit reported in answers: requests per second accepted from all boxes together.
     pub limit: Option<f64>,
+    /// The rejections per second that answers say to be tolerated.
+    pub brittle: Option<f64>,
+    /// Requests that may wait for a slot; further ones are rejected.
+    pub queue: Option<usize>,
 }
 
 impl Default for Behaviour {
@@ -62,6 +71,8 @@
             cut: false,
             reset: false,
             limit: None,
+            brittle: None,
+            queue: None,
         }
     }
 }
@@ -83,6 +94,9 @@
     counts: Arc<Mutex<Counts>>,
     prefixes: Arc<Mutex<VecDeque<u64>>>,
     slots: Arc<Semaphore>,
+    slot_count: usize,
+    /// Requests that run or wait.
+    in_flight: Arc<AtomicUsize>,
 }
 
 impl Engine {
@@ -93,6 +107,8 @@
             counts: Arc::default(),
             prefixes: Arc::default(),
             slots: Arc::new(Semaphore::new(slots)),
+            slot_count: slots,
+            in_flight: Arc::default(),
         }
     }
 
@@ -131,7 +147,13 @@
         let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
         let model = body["model"].clone();
         let (sender, receiver) = mpsc::channel(1);
-        tokio::spawn(self.clone().generate(prompt, tokens, model, sender));
+        let engine = self.clone();
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            let in_flight = engine.in_flight.clone();
+            engine.generate(prompt, tokens, model, sender).await;
+            in_flight.fetch_sub(1, Ordering::Relaxed);
+        });
         let mut response = stream(receiver);
         let kind = HeaderValue::from_static("text/event-stream");
         response.headers_mut().insert("content-type", kind);
@@ -140,9 +162,26 @@
         {
             response.headers_mut().insert(LIMIT, limit);
         }
+        self.announce_brittleness(response.headers_mut());
         response
     }
 
+    /// Sets the header that says how many rejections are tolerated.
+    fn announce_brittleness(&self, headers: &mut HeaderMap) {
+        let tolerance = self.behaviour().brittle.map(|n| n.to_string());
+        let tolerance = tolerance.and_then(|text| HeaderValue::from_str(&text).ok());
+        if let Some(tolerance) = tolerance {
+            headers.insert(BRITTLE, tolerance);
+        }
+    }
+
+    /// Reports whether all slots are taken and no further request may wait.
+    fn is_full(&self) -> bool {
+        let queue = self.behaviour().queue;
+        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        queue.is_some_and(|queue| in_flight >= self.slot_count + queue)
+    }
+
     async fn generate(
         self,
         prompt: String,
@@ -200,11 +239,12 @@
                 Some(json_answer(&json!(counts)))
             }
             "/v1/chat/completions" | "/v1/completions" if behaviour.reset => None,
-            "/v1/chat/completions" | "/v1/completions" if behaviour.refuse => {
+            "/v1/chat/completions" | "/v1/completions" if behaviour.refuse || self.is_full() => {
                 self.count(|c| c.refused += 1);
                 let mut answer = whole(StatusCode::SERVICE_UNAVAILABLE, "leaving");
                 let yes = HeaderValue::from_static("yes");
                 answer.headers_mut().insert(REFUSED, yes);
+                self.announce_brittleness(answer.headers_mut());
                 if let Some(seconds) = behaviour.retry_after {
                     let seconds = HeaderValue::from_str(&seconds.to_string());
                     let seconds = seconds.expect("a number is a valid header value");
--- a/standin/src/measure/policies.rs
+++ b/standin/src/measure/policies.rs
@@ -49,6 +49,8 @@
     cut: false,
     reset: false,
     limit: None,
+    brittle: None,
+    queue: None,
 };
 
 /// Phases, with requests per second in each region.
