Give no cap to servers that turn out to be sound

A server of a brittle service that had not answered a box yet was taken for brittle there, and stayed so: its answers without the header were not reported, as the box held no announcement of it that they could end. It kept a cap for as long as any server of the service was brittle.

Answers of servers that are only taken for brittle count now as well. sound_servers_of_a_brittle_service_have_no_cap passes; it was not run on the code before, where the fault was found by reading. A box also keeps its rank with the cap, in place of computing it twice for each brittle server and tick.

--- a/src/cap.rs
+++ b/src/cap.rs
@@ -26,6 +26,8 @@
 const CUT_DIVISOR: u32 = 4;
 /// Minimum time between two changes.
 const STEP_INTERVAL: Millis = Millis(500);
+/// Delay of each box behind the one whose turn it is to change a cap.
+const TURN_DELAY: Millis = Millis(200);
 /// Time between two tries of a step up that made answers slower.
 const SLOWER_RETRY_INTERVAL: Millis = Millis(2000);
 /// Maximum time between two tries of a step up that led to a rejection.
@@ -93,6 +95,9 @@
     used_up: bool,
     /// Since when this box could judge the cap.
     ready_at: Option<Time>,
+    /// Rank of this box among those that may send, and their number.
+    rank: usize,
+    boxes: usize,
     /// Requests that this box may have in flight.
     share: u32,
 }
@@ -130,6 +135,8 @@
             fastest_ms: None,
             used_up: false,
             ready_at: None,
+            rank: 0,
+            boxes: 1,
             share: 0,
         }
     }
@@ -167,6 +174,7 @@
     /// leave most of the cap unused.
     pub fn set_share(&mut self, rank: usize, boxes: usize, others: u32) {
         let (limit, boxes) = (self.level.limit as usize, boxes.max(1));
+        (self.rank, self.boxes) = (rank, boxes);
         let share = limit / boxes + usize::from(rank < limit % boxes);
         let is_idle = self.rejected_at.is_none() && others * 2 < self.level.limit;
         self.share = match share {
@@ -264,10 +272,16 @@
         self.before = None;
     }
 
-    /// Changes the cap if it is due for this box, which waits for `delay` longer than the first one.
-    /// A step up is at most `max_step`, the number of rejections that would be tolerated. Returns
-    /// whether the cap changed.
-    pub fn adjust(&mut self, delay: Millis, max_step: u32, now: Time) -> bool {
+    /// Returns how much longer this box waits with a change than the one whose turn it is.
+    fn turn_delay(&self) -> Millis {
+        let turn = self.level.version as usize % self.boxes;
+        let behind = (self.rank + self.boxes - turn) % self.boxes;
+        Millis(TURN_DELAY.0 * behind as u64)
+    }
+
+    /// Changes the cap if it is due for this box. A step up is at most `max_step`, the number of
+    /// rejections that would be tolerated. Returns whether the cap changed.
+    pub fn adjust(&mut self, max_step: u32, now: Time) -> bool {
         let Some(mean) = self.samples.mean().filter(|_| self.used_up) else {
             return false;
         };
@@ -278,7 +292,7 @@
         if now < self.changed_at + interval {
             return false;
         }
-        if now < *self.ready_at.get_or_insert(now) + delay {
+        if now < *self.ready_at.get_or_insert(now) + self.turn_delay() {
             return false;
         }
         if !self.level.settled {
--- a/src/reducer/brittle.rs
+++ b/src/reducer/brittle.rs
@@ -24,8 +24,6 @@
 
 /// Maximum number of servers in one message: 22 bytes each.
 const MAX_BRITTLE_PER_MESSAGE: usize = 48;
-/// Delay of each box behind the one whose turn it is to change a cap.
-const TURN_DELAY: Millis = Millis(200);
 /// Time from the first announcement during which a server still lets as many requests wait as before.
 const UNCHANGED_TIME: Millis = Millis(4000);
 /// Two servers of a service that reject requests within this time have a common cause.
@@ -212,7 +210,6 @@
         }
         for name in self.capped_servers() {
             let waiting = self.is_waited_for(&name);
-            let (rank, boxes) = self.cap_rank(now, &name);
             let Some(server) = self.servers.get_mut(&name) else {
                 continue;
             };
@@ -222,14 +219,11 @@
                 continue;
             };
             cap.record_use(busy, waiting);
-            let turn = cap.level().version as usize % boxes;
-            let behind = (rank + boxes - turn) % boxes;
-            let delay = Millis(TURN_DELAY.0 * behind as u64);
             let max_step = match now.since(cap.since()) < UNCHANGED_TIME {
                 true => tolerated.max(1),
                 false => tolerated,
             };
-            if cap.adjust(delay, max_step, now) {
+            if cap.adjust(max_step, now) {
                 out.push(Effect::Noted(cap_note(&name, cap, None)));
                 changed.push(name);
             }
@@ -256,12 +250,6 @@
         backend.is_some_and(|b| b.serves.iter().any(|service| self.waiting_for(service) > 0))
     }
 
-    /// Returns the rank of this box for a server, and the number of boxes that may send there.
-    fn cap_rank(&self, now: Time, name: &id::Backend) -> (usize, usize) {
-        let retention = |peer: &_| self.sender_retention(peer);
-        self.table.rank_among_active(name.as_str(), retention, now)
-    }
-
     /// Sets and clears caps as servers become brittle and sound, and this box's shares of them.
     fn update_caps(&mut self, now: Time) {
         let brittle = self.brittle_servers();
@@ -272,7 +260,8 @@
         }
         let knows_region = self.knows_region(now);
         for (name, slots) in brittle {
-            let (rank, boxes) = self.cap_rank(now, &name);
+            let retention = |peer: &_| self.sender_retention(peer);
+            let (rank, boxes) = self.table.rank_among_active(name.as_str(), retention, now);
             let others = self.table.busy(NameHash::of(name.as_str()), now);
             let server = self.servers.entry(name).or_default();
             let cap = server.cap_or_new(slots, self.registry, others, now);
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -147,7 +147,7 @@
                 Place::Region(_) => None,
             },
             brittle: match place {
-                Place::Backend(name) => self.servers.get(name).and_then(|s| s.rejections.rate()),
+                Place::Backend(name) => self.servers.get(name).and_then(Server::tolerance),
                 Place::Region(_) => None,
             },
             revision: self.revision,
--- a/src/server.rs
+++ b/src/server.rs
@@ -166,6 +166,13 @@
         self.cap.get_or_insert_with(new)
     }
 
+    /// Returns the rejections per second that it tolerates, if it is brittle; zero if it is only taken
+    /// for brittle.
+    pub fn tolerance(&self) -> Option<Rate> {
+        let assumed = self.cap.as_ref().map(|_| Rate::default());
+        self.rejections.rate().or(assumed)
+    }
+
     /// Returns the part of the cap that boxes agree on, if there is a cap.
     pub fn cap_level(&self) -> Option<Level> {
         self.cap.as_ref().map(Cap::level)
--- a/tests/brittle_servers.rs
+++ b/tests/brittle_servers.rs
@@ -107,6 +107,24 @@
     }
 }
 
+/// Guards against servers that never said so being taken for brittle for as long as others of their
+/// service are.
+#[test]
+fn sound_servers_of_a_brittle_service_have_no_cap() {
+    let mut scene = Scene::new(Setup {
+        demand: 96.0,
+        ..REGISTERED
+    });
+    scene.sound = (0..9).collect();
+    scene.become_brittle(3.0);
+    scene.pass(3000);
+    let now = scene.crowd.clock(0);
+    let status = scene.crowd.boxes[0].as_ref().map(|state| state.status(now));
+    let mut rows = status.expect("the box runs").backends;
+    rows.retain(|row| row.cap.is_some());
+    assert_eq!(rows.len(), 3, "the brittle servers of the region: {rows:?}");
+}
+
 /// Boxes that die, start and stand still neither exceed the room nor leave it unused.
 #[test]
 fn servers_stand_while_boxes_come_and_go() {
--- a/tests/harness/brittle.rs
+++ b/tests/harness/brittle.rs
@@ -88,6 +88,8 @@
     servers: Vec<Server>,
     /// Rejections per second that the servers announce to tolerate.
     pub tolerance: Option<f64>,
+    /// Servers of the service that are never brittle.
+    pub sound: Vec<usize>,
     /// Requests that each server lets wait.
     pub queue: usize,
     /// Requests per second of all callers.
@@ -181,6 +183,7 @@
             random: StdRng::seed_from_u64(setup.seed),
             servers: (0..setup.servers).map(server).collect(),
             tolerance: None,
+            sound: Vec::new(),
             queue: setup.queue,
             demand: setup.demand,
             falls: Vec::new(),
@@ -389,7 +392,8 @@
 
     /// Tells a box what the answer to its request says.
     fn announce(&mut self, server: usize, run: &Run) {
-        let word = match self.tolerance {
+        let tolerance = self.tolerance.filter(|_| !self.sound.contains(&server));
+        let word = match tolerance {
             Some(tolerance) => Announcement::Rate(Rate(tolerance)),
             None => Announcement::Absent,
         };
