Keep a reported cap beyond the known slots from ending a box

Cause: the search for a server's slots clamped its result between the cap in force and the highest cap for the slots that this box knows. A neighbour with an earlier configuration may have told a cap beyond that, and clamping with crossed bounds panics, which ends the reducer.

Change: the highest cap comes last and wins. The outcome is the same wherever the bounds do not cross.

--- a/src/cap.rs
+++ b/src/cap.rs
@@ -327,7 +327,9 @@
             return self.set_limit((limit / 2).max(floor), false, now);
         }
         let slots = (f64::from(before) * ratio) as u32;
-        self.set_limit(slots.clamp(limit, Self::ceiling(self.slots)), true, now);
+        // A box with another configuration may have set a cap beyond the ceiling.
+        let limit = slots.max(limit).min(Self::ceiling(self.slots));
+        self.set_limit(limit, true, now);
     }
 
     fn step_up(&mut self, max_step: u32, now: Time) -> bool {
