Read limits on requests and on rejections in one place

The two functions that report what a server announces in its answers were alike but for the header and the event. The rule for what is reported, and when an absent header counts, stands once now. Behaviour is the same: a rate always, an unreadable word if the request ran, none if it ran and the server is known to announce something.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -152,8 +152,7 @@
     let rejected = not_run || response.status() == StatusCode::SERVICE_UNAVAILABLE;
     if concerns_backend(shell, prepared, &response) {
         let headers = response.headers();
-        report_limit(shell, send, headers, now, ran);
-        report_brittleness(shell, send, headers, now, ran);
+        report_limits(shell, send, headers, now, ran);
         report_departure(shell, send, headers);
         if rejected {
             report_pushback(shell, send, headers);
@@ -255,10 +254,28 @@
     }
 }
 
-/// Reports the rate limit that a backend server announces. The absence of a limit is reported only
-/// if the request `ran` successfully: refusals and errors may be produced before the component that
-/// sets the limit header has seen the request.
-fn report_limit(shell: &Shell, send: &Send, headers: &HeaderMap, sent: Time, ran: bool) {
+/// Returns what the header `name` announces, if that is to be reported; `is_known` tells whether the
+/// server is known to announce something. The absence of an announcement is reported only if the
+/// request `ran` successfully: refusals and errors may be produced before the component that sets the
+/// header has seen the request.
+fn announcement(
+    headers: &HeaderMap,
+    name: Option<&String>,
+    is_known: bool,
+    ran: bool,
+) -> Option<Announcement> {
+    let word = Announcement::read(fields(headers, name));
+    let is_due = match word {
+        Announcement::Rate(_) => true,
+        Announcement::Unreadable => ran,
+        Announcement::Absent => ran && is_known,
+    };
+    is_due.then_some(word)
+}
+
+/// Reports the limits that a backend server announces: on requests, and on rejections while it is
+/// brittle.
+fn report_limits(shell: &Shell, send: &Send, headers: &HeaderMap, sent: Time, ran: bool) {
     let Target::Backend {
         name,
         headers: names,
@@ -267,9 +284,8 @@
     else {
         return;
     };
-    let word = Announcement::read(fields(headers, names.limit.as_ref()));
-    let limited = send.basis.limit.is_some();
-    if word.rate().is_some() || ran && (limited || word == Announcement::Unreadable) {
+    let is_known = send.basis.limit.is_some();
+    if let Some(word) = announcement(headers, names.limit.as_ref(), is_known, ran) {
         let backend = name.clone();
         shell.core.tell(Event::Limited {
             backend,
@@ -277,22 +293,8 @@
             sent,
         });
     }
-}
-
-/// Reports whether a backend server announces that it is brittle, under the same conditions as a
-/// limit.
-fn report_brittleness(shell: &Shell, send: &Send, headers: &HeaderMap, sent: Time, ran: bool) {
-    let Target::Backend {
-        name,
-        headers: names,
-        ..
-    } = &send.target
-    else {
-        return;
-    };
-    let word = Announcement::read(fields(headers, names.brittle.as_ref()));
-    let brittle = send.basis.brittle.is_some();
-    if word.rate().is_some() || ran && (brittle || word == Announcement::Unreadable) {
+    let is_known = send.basis.brittle.is_some();
+    if let Some(word) = announcement(headers, names.brittle.as_ref(), is_known, ran) {
         let backend = name.clone();
         shell.core.tell(Event::Brittle {
             backend,
--- a/src/reducer/brittle.rs
+++ b/src/reducer/brittle.rs
@@ -8,8 +8,7 @@
     config::Backend,
     id::{self, BoxName, Service},
     limit::{Announcement, Freshness},
-    policy::Place,
-    policy::Policy,
+    policy::{Place, Policy},
     reducer::{
         State,
         effect::{Effect, Note},
