--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -508,6 +509,8 @@
             self.boxes.append(Box(self, name, zone))
 
     def __enter__(self):
+        # A script that is stopped ends its boxes first.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         return self
 
     def start(self, timeout=20):
