Keep connections of callers that pause while they read

Cause: TCP_USER_TIMEOUT of 1.5 s on accepted connections. The kernel applies it to a receive window that stays closed too, though the peer answers its probes. The listener for boxes had it as well, so a relayed answer was cut while the other box waited for the caller.

Connections that boxes open keep the timeout, which finds lost paths.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -179,17 +179,24 @@
     })
 }
 
-/// Disables Nagle's algorithm, and enables keepalive probes and the acknowledgement timeout, so
-/// that the loss of a peer is detected.
+/// Configures a connection to a peer that reads what it is sent as soon as it arrives: as
+/// [`configure_accepted`] does, and with the acknowledgement timeout.
 pub(crate) fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
+    configure_accepted(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(ACKNOWLEDGE_TIMEOUT))
+}
+
+/// Disables Nagle's algorithm, and enables keepalive probes, so that the loss of a peer is detected.
+///
+/// The acknowledgement timeout also ends a connection whose peer is alive and reads nothing for that
+/// long, as a caller may, or a box that passes an answer on to such a caller.
+pub(crate) fn configure_accepted(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(ACKNOWLEDGE_TIMEOUT))
+    SockRef::from(stream).set_tcp_keepalive(&probes)
 }
 
 impl Pool {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -159,7 +159,7 @@
             metrics.refused_connections.inc();
             continue;
         };
-        if let Err(error) = dial::configure_socket(&stream) {
+        if let Err(error) = dial::configure_accepted(&stream) {
             log::debug!("http: connection: {error}");
         }
         let handler = handler.clone();
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -28,6 +28,8 @@
 /// The mode in which the request body is the [`Script`] of the answer.
 pub const SCRIPTED: &str = "scripted";
 
+/// Size of the answer in mode `long`: more than the buffers of a connection hold.
+pub const LONG_ANSWER_BYTES: usize = 8 << 20;
 /// Beginning of the request line of a liveness check.
 const LIVENESS_CHECK: &str = "GET /health ";
 /// Time that a request runs before it crashes its server.
@@ -324,6 +326,11 @@
                 true,
             ),
             "surplus" => (success.clone() + &success.replace(id, "surplus"), true),
+            "long" => {
+                let body = "x".repeat(LONG_ANSWER_BYTES);
+                let length = format!("Content-Length: {LONG_ANSWER_BYTES}\r\n\r\n");
+                (head("200 OK", signed) + &length + &body, true)
+            }
             "unframed" => (head("200 OK", signed) + "\r\n" + &body, false),
             "bodiless" => (
                 success
