Drop a length that the chunks of an answer override

Cause: Transfer-Encoding was removed as a header of one connection, and the Content-Length beside it was passed on and framed the decoded body. Between boxes the record framing is left out where there is a length.

Change: the connection pool removes such a length from each answer as it arrives (RFC 9112, section 6.3), before anything is decided by it, and does not use the connection again.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -11,7 +11,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{
+    HeaderMap, Request, Response,
+    body::Incoming,
+    client::conn::http1,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -199,6 +204,13 @@
     SockRef::from(stream).set_tcp_keepalive(&probes)
 }
 
+/// Removes a `Content-Length` beside a `Transfer-Encoding`, which overrides it (RFC 9112, section 6.3);
+/// returns whether there was one.
+fn remove_overridden_length(headers: &mut HeaderMap) -> bool {
+    let is_overridden = headers.contains_key(TRANSFER_ENCODING);
+    is_overridden && headers.remove(CONTENT_LENGTH).is_some()
+}
+
 impl Pool {
     /// Sends `request` to `address`. With `fresh` it gets a new connection: on a pooled one that
     /// the peer closes while it is idle, whether the request ran would be unknown.
@@ -236,12 +248,18 @@
         self: &Arc<Self>,
         address: SocketAddr,
         connection: PooledConnection,
-        response: Response<Incoming>,
+        mut response: Response<Incoming>,
     ) -> (Response<Incoming>, Lease) {
+        let has_two_lengths = remove_overridden_length(response.headers_mut());
         let advertised = platform::head::keep_alive(response.headers());
         let idle = advertised.map_or(DEFAULT_IDLE_TIMEOUT, |advertised| {
             advertised.saturating_sub(IDLE_MARGIN)
         });
+        // Where the body ends is in doubt, and so is where the next answer begins.
+        let idle = match has_two_lengths {
+            true => Duration::ZERO,
+            false => idle,
+        };
         let lease = Lease {
             pool: self.clone(),
             address,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -326,6 +326,12 @@
                 true,
             ),
             "surplus" => (success.clone() + &success.replace(id, "surplus"), true),
+            // A length beside chunks, which override it.
+            "two-lengths" => {
+                let chunk = format!("{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+                let lengths = "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n";
+                (head("200 OK", signed) + lengths + &chunk, true)
+            }
             "long" => {
                 let body = "x".repeat(LONG_ANSWER_BYTES);
                 let length = format!("Content-Length: {LONG_ANSWER_BYTES}\r\n\r\n");
