--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -42,8 +42,8 @@
 /// The same at a hub. It is shorter because other boxes follow the store themselves soon after a
 /// hub's last update gets old.
 const HUB_WATCH_HOLD: Duration = Duration::from_secs(1);
-/// The same at the box of a small region that notices first when the store falls silent: a server
-/// becomes cold 2 s after the start of an evacuation at the soonest.
+/// The same at the box of a small region that notices first when the store falls silent, and tells
+/// the others, whose watches are longer.
 const LEAD_WATCH_HOLD: Duration = Duration::from_secs(1);
 /// Time beyond the watch time after which a call counts as overdue: two round trips to the store's
 /// region, and a slow store. The call itself goes on.
