Keep a lone box to long watches, and say apart who watches closely

Cause: the box that keeps its watches to 1 s was any first one, also one without neighbours whom it could tell, and the order was a mode of following the store.

--- a/src/gateway/core.rs
+++ b/src/gateway/core.rs
@@ -89,6 +89,8 @@
     pub(crate) boxes: watch::Sender<usize>,
     /// The mode in which the platform's store is followed.
     pub(crate) follow: watch::Sender<Follow>,
+    /// Whether watches of the platform's store are kept short.
+    pub(crate) watch_closely: watch::Sender<bool>,
     /// Wakes the task that follows the store if it waits for a change.
     pub(crate) recheck_store: Arc<Notify>,
     pub(crate) current: watch::Sender<Option<Current>>,
@@ -400,6 +402,10 @@
                 incarnation,
                 path,
             } => self.check_liveness(backend, address, incarnation, path),
+            Effect::WatchClosely(closely) => {
+                log::info!("store: watched closely: {closely}.");
+                self.parts.watch_closely.send_replace(closely);
+            }
             Effect::RecheckStore => self.parts.recheck_store.notify_one(),
             Effect::StoreHeld(held) => self.write_quarantine(QuarantineWrite::Add(held)),
             Effect::RemoveHeld(content) => self.write_quarantine(QuarantineWrite::Remove(content)),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -228,6 +228,7 @@
         let (watch_store, watch_store_rx) = watch::channel(false);
         let (boxes, boxes_rx) = watch::channel(1);
         let (follow, follow_rx) = watch::channel(Follow::default());
+        let (watch_closely, watch_closely_rx) = watch::channel(false);
         let recheck_store = Arc::new(Notify::new());
         let (current, current_rx) = watch::channel(None);
         let secret = settings.cluster_secret.clone();
@@ -248,6 +249,7 @@
             watch_store,
             boxes,
             follow,
+            watch_closely,
             recheck_store: recheck_store.clone(),
             current,
             identity: identity.clone(),
@@ -263,6 +265,7 @@
                 let duty = sync::Role {
                     boxes: boxes_rx,
                     follow: follow_rx,
+                    closely: watch_closely_rx,
                     recheck: recheck_store,
                 };
                 sync::start(&pool, &core, &settings, &metrics, duty);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -44,7 +44,7 @@
 const HUB_WATCH_HOLD: Duration = Duration::from_secs(1);
 /// The same at the box of a small region that notices first when the store falls silent, and tells
 /// the others, whose watches are longer.
-const LEAD_WATCH_HOLD: Duration = Duration::from_secs(1);
+const CLOSE_WATCH_HOLD: Duration = Duration::from_secs(1);
 /// Time beyond the watch time after which a call counts as overdue: two round trips to the store's
 /// region, and a slow store. The call itself goes on.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(400);
@@ -83,6 +83,8 @@
     pub(crate) boxes: watch::Receiver<usize>,
     /// Whether to follow the store, and for whom.
     pub(crate) follow: watch::Receiver<Follow>,
+    /// Whether watches are kept short.
+    pub(crate) closely: watch::Receiver<bool>,
     /// Set to ask the store at once whether it still answers.
     pub(crate) recheck: Arc<Notify>,
 }
@@ -169,10 +171,11 @@
     async fn watch(&mut self, revision: Revision) -> Result<(), Error> {
         let follow = *self.control.follow.borrow();
         let hub = follow == Follow::Hub;
+        let closely = *self.control.closely.borrow();
         let hold = match follow {
             _ if self.failures > 0 || self.recheck => RETRY_WATCH_HOLD,
             Follow::Hub => HUB_WATCH_HOLD,
-            Follow::Lead => LEAD_WATCH_HOLD,
+            Follow::Direct | Follow::Forwarded if closely => CLOSE_WATCH_HOLD,
             Follow::Direct | Follow::Forwarded => WATCH_HOLD,
         };
         self.recheck = false;
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -74,6 +74,8 @@
     pub(super) absences: HashMap<Region, Time>,
     /// How this box currently follows the store.
     pub(super) follow: Follow,
+    /// Whether this box keeps its watches of the store short.
+    pub(super) watches_closely: bool,
     /// Changes from the store that have not been forwarded yet.
     pub(super) pending_changes: PendingChanges,
     /// When this box last received an answer from the store itself.
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -308,8 +308,6 @@
     /// For itself only.
     #[default]
     Direct,
-    /// For itself, with short watches, to notice for its region that the store falls silent.
-    Lead,
     /// As a hub, for the boxes of its failure domain.
     Hub,
     /// Not at all; hubs forward the changes.
@@ -320,7 +318,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Direct => "alone",
-            Self::Lead => "lead",
             Self::Hub => "hub",
             Self::Forwarded => "rest",
         })
@@ -429,6 +426,9 @@
         /// Path of the liveness check.
         path: Arc<str>,
     },
+    /// Keep watches of the store short (`true`), to notice for the region when it falls silent, or as
+    /// long as usual (`false`).
+    WatchClosely(bool),
     /// Ask the platform's store at once whether it still answers, in place of a pending watch.
     RecheckStore,
     /// Record in the platform's store that a content is held back, for boxes that start after all
--- a/src/reducer/news.rs
+++ b/src/reducer/news.rs
@@ -28,7 +28,8 @@
 /// Minimum time between two requests to a hub for missed changes.
 const FETCH_RETRY_INTERVAL: Millis = Millis(300);
 
-/// Role of the box of a small region that notices first when the store falls silent.
+/// Role of the box of a small region that notices first when the store falls silent. A box without
+/// neighbours does not take it: its short watches would cost three times the calls at rest.
 const SENTINEL_ROLE: &str = "sentinel";
 
 /// Changes from the store since the last revision that was forwarded.
@@ -50,14 +51,23 @@
             self.control.follow = follow;
             out.push(Effect::Follow(follow));
         }
+        let closely = self.watches_closely(now);
+        if closely != self.control.watches_closely {
+            self.control.watches_closely = closely;
+            out.push(Effect::WatchClosely(closely));
+        }
+    }
+
+    /// Reports whether this box notices for a small region when the store falls silent; hubs do so for
+    /// a large one.
+    fn watches_closely(&self, now: Time) -> bool {
+        let has_neighbours = || self.table.live(now).next().is_some();
+        !self.table.has_hubs() && has_neighbours() && self.table.leads(SENTINEL_ROLE, now)
     }
 
     fn follow_mode(&self, now: Time) -> Follow {
         if !self.table.has_hubs() {
-            return match self.table.leads(SENTINEL_ROLE, now) {
-                true => Follow::Lead,
-                false => Follow::Direct,
-            };
+            return Follow::Direct;
         }
         let ready = self.phase(now) == Phase::Ready;
         if self.table.hubs(ready, now).mine {
--- a/tests/harness/oracle.rs
+++ b/tests/harness/oracle.rs
@@ -288,6 +288,7 @@
             | Effect::MoveEnded(_)
             | Effect::CheckLiveness { .. }
             | Effect::RecheckStore
+            | Effect::WatchClosely(_)
             | Effect::Alarm(_) => {}
         }
     }
