Drop the rest of refused bodies while it is read

What callers saw: a crowd of clients with bodies over the limit ended a box; all others lost their connections. Cause: after a refusal the rest of the body was collected in memory, up to 16 MiB a connection for two seconds, reserved nowhere. The admin and the optional listeners closed instead, and could lose their answer to a reset. Change: one `Discard` for all HTTP listeners reads the rest frame by frame and keeps nothing: 64 bodies at once, 16 MiB and 2 s each. A 413 closes its connection. Why it holds: memory no longer depends on what a refused client sends, and the number of readers is bounded over all connections.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -4,7 +4,9 @@
 use std::{sync::Arc, time::Duration};
 
 use http_body_util::{BodyExt as _, Limited};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, body::Incoming, http::request::Parts,
+};
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -102,7 +104,13 @@
 
 /// Serves one request to the admin API.
 pub(crate) async fn serve(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
+    let response = respond(&shell, &parts, &mut body).await;
+    shell.discard.rest(body);
+    response
+}
+
+async fn respond(shell: &Arc<Shell>, parts: &Parts, body: &mut Incoming) -> Response<Body> {
     match (&parts.method, parts.uri.path()) {
         (&Method::GET, "/health") => return text_response(StatusCode::OK, "alive"),
         (&Method::GET, "/ready") => return shell.readiness().await,
@@ -127,12 +135,12 @@
             Some(status) => head::json_response(StatusCode::OK, &status),
             None => text_response(StatusCode::SERVICE_UNAVAILABLE, "the box is stopping"),
         },
-        (&Method::GET, "/config") => get_config(&shell).await,
-        (&Method::PUT, "/config") => put_config(&shell, &parts.headers, &body).await,
-        (&Method::POST, "/explain") => explain(&shell, &body).await,
-        (&Method::POST, ROLLOUT_PATH) => start_rollout(&shell, &parts.headers, &body).await,
-        (&Method::DELETE, ROLLOUT_PATH) => stop_rollout(&shell, &parts.headers, &body).await,
-        (&Method::POST, "/pardon") => pardon(&shell, &body),
+        (&Method::GET, "/config") => get_config(shell).await,
+        (&Method::PUT, "/config") => put_config(shell, &parts.headers, &body).await,
+        (&Method::POST, "/explain") => explain(shell, &body).await,
+        (&Method::POST, ROLLOUT_PATH) => start_rollout(shell, &parts.headers, &body).await,
+        (&Method::DELETE, ROLLOUT_PATH) => stop_rollout(shell, &parts.headers, &body).await,
+        (&Method::POST, "/pardon") => pardon(shell, &body),
         (&Method::POST, "/drain") => {
             shell.stop();
             text_response(
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -92,16 +92,17 @@
 }
 
 async fn answer(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
-    match request.uri().path() {
+    let (parts, body) = request.into_parts();
+    shell.discard.rest(body);
+    match parts.uri.path() {
         METRICS_PATH => head::full_response(StatusCode::OK, METRICS_TYPE, shell.metrics.text()),
         lookup::READY_PATH => shell.readiness().await,
-        lookup::RESOLVE_PATH => resolve(&shell, &request).await,
+        lookup::RESOLVE_PATH => resolve(&shell, parts.uri.query()).await,
         _ => head::full_response(StatusCode::NOT_FOUND, "text/plain", "no such call\n"),
     }
 }
 
-async fn resolve(shell: &Arc<Shell>, request: &Request<Incoming>) -> Response<Body> {
-    let query = request.uri().query();
+async fn resolve(shell: &Arc<Shell>, query: Option<&str>) -> Response<Body> {
     let host = lookup::host(query);
     let region = lookup::region(query);
     let region = region.unwrap_or_else(|| shell.settings.region.clone());
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,16 +1,13 @@
 //! Handles one request: reads it, carries out the reducer's orders and streams the response back.
 
-use std::{future::poll_fn, sync::Arc, time::Duration};
+use std::{future::poll_fn, sync::Arc};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode, Uri,
-    body::{Body as _, Incoming},
-    header::CONTENT_LENGTH,
+    Method, Request, Response, StatusCode, Uri, body::Incoming, header::CONTENT_LENGTH,
     http::request::Parts,
 };
-use tokio::{sync::mpsc, time::timeout};
+use tokio::sync::mpsc;
 
 use crate::{
     config::KeyHash,
@@ -37,9 +34,6 @@
     verdict::Verdict,
 };
 
-/// Limits on the bytes of a refused body that are read, and on the time for that.
-const DISCARD_BYTES: usize = 16 << 20;
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of response pieces queued for a slow caller.
 const ANSWER_QUEUE_PIECES: usize = 8;
 
@@ -56,13 +50,6 @@
     body: Incoming,
 }
 
-/// Reads the rest of a refused request's body. Closing a connection while its peer still writes
-/// resets it, and the response would be lost.
-async fn discard(body: Incoming) {
-    let rest = Limited::new(body, DISCARD_BYTES).collect();
-    let _ = timeout(DISCARD_TIMEOUT, rest).await;
-}
-
 /// Notifies the reducer if the sender of a request disconnects before the response.
 struct DisconnectGuard {
     core: Handle,
@@ -95,9 +82,7 @@
         Ingress::Public => serve_public(&shell, &mut incoming, &span).await,
         Ingress::Peer => serve_peer(&shell, &mut incoming, &span).await,
     };
-    if !incoming.body.is_end_stream() {
-        tokio::spawn(discard(incoming.body));
-    }
+    shell.discard.rest(incoming.body);
     let mut response = result.unwrap_or_else(|reply| {
         // The request was refused before it reached the reducer: an earlier request with the same
         // key may have run.
@@ -112,7 +97,12 @@
         } else {
             reply.verdict
         };
-        answer_reply(&shell, &Reply { verdict, ..reply })
+        let mut response = answer_reply(&shell, &Reply { verdict, ..reply });
+        if response.status() == StatusCode::PAYLOAD_TOO_LARGE {
+            // The rest of the body is not worth reading for the next request.
+            platform::head::close(response.headers_mut());
+        }
+        response
     });
     span.set_attribute("http.response.status_code", response.status().as_u16());
     let checked = door == Ingress::Peer && incoming.parts.headers.contains_key(head::CHECKED);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! | `core` | the actor that owns the reducer and applies its effects |
 //! | `exchange`, `read`, `attempt`, `resume` | handling of one request and its response |
 //! | `stream`, `delimiter`, [`events`], [`records`], [`checksum`] | response streams |
-//! | `serve`, `framing`, `dial`, `body`, `head` | HTTP to callers, backend servers and boxes |
+//! | `serve`, `framing`, `dial`, `body`, `head`, `discard` | HTTP to callers, backend servers and boxes |
 //! | `gossip` | messages between boxes over nng |
 //! | `store`, `follow`, `list` | the platform, through the gateway's own interface |
 //! | [`sync`], `directory` | the platform, through the users' interface |
@@ -28,6 +28,7 @@
 mod delimiter;
 pub(crate) mod dial;
 mod directory;
+mod discard;
 pub mod engine_news;
 pub mod events;
 mod exchange;
@@ -287,6 +288,7 @@
             .div_ceil(read::BODY_MEMORY_UNIT_BYTES);
         let shell = Arc::new(Shell {
             bodies: Arc::new(Semaphore::new(body_permits as usize)),
+            discard: Default::default(),
             settings,
             identity,
             clock,
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -22,6 +22,7 @@
         clock::{BootInstant, Clock},
         core::{Current, Handle},
         dial::Pool,
+        discard::Discard,
         head,
         liveness::Liveness,
         metrics::Metrics,
@@ -56,6 +57,8 @@
     pub(super) tracer: Tracer,
     pub(super) current: watch::Receiver<Option<Current>>,
     pub(super) bodies: Arc<Semaphore>,
+    /// Reads what clients still send after they were refused.
+    pub(super) discard: Discard,
     pub(super) requests: AtomicU64,
     pub(super) stop: watch::Sender<bool>,
     /// Recently packed lists of backend servers, complete or limited to the changes after a
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod brittle;
+pub mod clients;
 pub mod cloud;
 pub mod cold;
 pub mod crashes;
