Reserve memory for a body as it arrives

What callers saw: sixteen callers who sent one byte each fifth of a second made everybody else hear 503 for as long as they went on. Cause: the whole announced length, or `max_body` for chunks, was reserved before a byte had come. The pieces of a body were also kept one by one, so that chunks of one byte cost a hundred times their size. Change: `Bodies` reads into one buffer that doubles and reserves what it holds. When memory is short, bodies that have been arriving for 2 s give way, the oldest first, and hear 408; without such a body the newcomer hears 503 at once. Nobody waits for another incomplete body, so half-read bodies cannot block each other. `refused_bodies_total{reason}` counts. Why it holds: what a body holds is bounded by what its caller sent, and only bodies slower than any link between regions are evicted, and only when memory is short.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -9,11 +9,11 @@
     body::Incoming,
     header::{AUTHORIZATION, HOST, HeaderName, HeaderValue, RETRY_AFTER},
 };
-use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
     gateway::{
         Shell,
+        bodies::Reservation,
         checksum::Checksum,
         clock::BootInstant,
         delimiter::{Delimiter, Sender},
@@ -45,7 +45,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     /// The memory reserved for the body, released with it.
-    pub(crate) _memory: Option<OwnedSemaphorePermit>,
+    pub(crate) _memory: Option<Reservation>,
     pub(crate) span: Span,
     pub(crate) received_at: BootInstant,
     /// The listener that received the request.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -88,6 +88,8 @@
     pub gossip: IntCounterVec,
     /// Calls to the platform's store, by kind and outcome.
     pub store: IntCounterVec,
+    /// Request bodies that were not read, by reason.
+    pub refused_bodies: IntCounterVec,
     /// Connections refused because too many were open.
     pub refused_connections: IntCounter,
     /// Version of the active configuration.
@@ -387,6 +389,11 @@
                 "Calls to the platform's store.",
                 &["call", "outcome"],
             )?,
+            refused_bodies: counters(
+                "refused_bodies_total",
+                "Request bodies that were not read, by reason.",
+                &["reason"],
+            )?,
             refused_connections: counter(
                 "refused_connections_total",
                 "Connections refused because too many were open.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | `shell` | state shared by all tasks of one box |
 //! | `core` | the actor that owns the reducer and applies its effects |
-//! | `exchange`, `read`, `attempt`, `resume` | handling of one request and its response |
+//! | `exchange`, `bodies`, `read`, `attempt`, `resume` | handling of one request and its response |
 //! | `stream`, `delimiter`, [`events`], [`records`], [`checksum`] | response streams |
 //! | `serve`, `framing`, `dial`, `body`, `head`, `discard` | HTTP to callers, backend servers and boxes |
 //! | `gossip` | messages between boxes over nng |
@@ -20,6 +20,7 @@
 pub mod admin;
 mod ask;
 mod attempt;
+mod bodies;
 mod body;
 mod carry;
 pub mod checksum;
@@ -66,7 +67,7 @@
 };
 
 use tokio::{
-    sync::{Notify, Semaphore, watch},
+    sync::{Notify, watch},
     task::JoinHandle,
     time::{MissedTickBehavior, interval, sleep},
 };
@@ -78,6 +79,7 @@
 };
 
 use self::{
+    bodies::Bodies,
     clock::Clock,
     core::{Handle, Parts},
     dial::Pool,
@@ -282,12 +284,8 @@
         }
         let signs = Arc::<Liveness>::default();
         tokio::spawn(tick(core.clone(), signs.clone()));
-        let body_permits = settings
-            .body_memory
-            .0
-            .div_ceil(read::BODY_MEMORY_UNIT_BYTES);
         let shell = Arc::new(Shell {
-            bodies: Arc::new(Semaphore::new(body_permits as usize)),
+            bodies: Bodies::new(settings.body_memory),
             discard: Default::default(),
             settings,
             identity,
--- a/src/gateway/read.rs
+++ b/src/gateway/read.rs
@@ -1,22 +1,19 @@
 //! Reads the parts of a request: its body, the model that it names, and its idempotency key.
 
-use std::time::Duration;
-
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::{
-    HeaderMap, Method, Uri,
-    body::{Body as _, Incoming},
-    http::request::Parts,
-};
+use hyper::{HeaderMap, Method, Uri, body::Incoming, http::request::Parts};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use tokio::{sync::OwnedSemaphorePermit, time::timeout};
 
 use crate::{
     config::Kind,
     content::Content,
-    gateway::{Shell, exchange::Ingress, head},
+    gateway::{
+        Shell,
+        bodies::{Failure, Reservation},
+        exchange::Ingress,
+        head,
+    },
     id::Service,
     memory::prompt::Prompt,
     pin::{self, Pin},
@@ -27,12 +24,10 @@
     verdict::Verdict,
 };
 
-/// Time limit for the arrival of a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a caller waits after it found no memory for its body.
+const FULL_RETRY_AFTER: Millis = Millis(1000);
 /// Number of bytes at the start of a prompt that identify its prefix.
 const MAX_PREFIX_BYTES: usize = 1024;
-/// Bytes of body memory per semaphore permit.
-pub(crate) const BODY_MEMORY_UNIT_BYTES: u64 = 1024;
 
 /// Builds a refusal of a request that was not sent anywhere.
 pub(crate) fn deny(status: u16, reason: &str) -> Reply {
@@ -43,31 +38,20 @@
 pub(crate) async fn read_body(
     shell: &Shell,
     body: &mut Incoming,
-) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Reply> {
-    let limit = shell.settings.max_body.0;
-    let hint = body.size_hint();
-    if hint.lower() > limit {
-        return Err(deny(413, "the body is too large"));
-    }
-    if hint.exact() == Some(0) {
-        return Ok((Bytes::new(), None));
-    }
-    let permits = hint
-        .exact()
-        .unwrap_or(limit)
-        .div_ceil(BODY_MEMORY_UNIT_BYTES);
-    let memory = shell.bodies.clone().try_acquire_many_owned(permits as u32);
-    let full = || deny(503, "this box holds too many bodies").with_retry_after(Millis(1000));
-    let memory = memory.map_err(|_| full())?;
-    let read = Limited::new(body, limit as usize).collect();
-    let collected = timeout(BODY_TIMEOUT, read)
-        .await
-        .map_err(|_| deny(408, "the body did not arrive in time"))?;
-    match collected {
-        Ok(body) => Ok((body.to_bytes(), Some(memory))),
-        Err(error) if error.is::<LengthLimitError>() => Err(deny(413, "the body is too large")),
-        Err(_) => Err(deny(400, "the body does not read")),
-    }
+) -> Result<(Bytes, Option<Reservation>), Reply> {
+    let read = shell.bodies.read(body, shell.settings.max_body).await;
+    read.map_err(|failure| {
+        let refused = &shell.metrics.refused_bodies;
+        refused.with_label_values(&[failure.as_str()]).inc();
+        match failure {
+            Failure::TooLarge => deny(413, "the body is too large"),
+            Failure::Full => {
+                deny(503, "this box holds too many bodies").with_retry_after(FULL_RETRY_AFTER)
+            }
+            Failure::Slow => deny(408, "the body did not arrive in time"),
+            Failure::Broken => deny(400, "the body does not read"),
+        }
+    })
 }
 
 #[derive(Deserialize)]
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -12,12 +12,13 @@
 use bytes::Bytes;
 use hyper::{Response, StatusCode};
 use subtle::ConstantTimeEq;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 
 use crate::{
     config::Version,
     fleet::Revision,
     gateway::{
+        bodies::Bodies,
         body::Body,
         clock::{BootInstant, Clock},
         core::{Current, Handle},
@@ -56,7 +57,7 @@
     pub(super) metrics: Arc<Metrics>,
     pub(super) tracer: Tracer,
     pub(super) current: watch::Receiver<Option<Current>>,
-    pub(super) bodies: Arc<Semaphore>,
+    pub(super) bodies: Bodies,
     /// Reads what clients still send after they were refused.
     pub(super) discard: Discard,
     pub(super) requests: AtomicU64,
--- a/tests/refused_bodies.rs
+++ b/tests/refused_bodies.rs
@@ -61,6 +61,16 @@
     }
 }
 
+// The pieces of a body in small chunks took many times the memory of its bytes.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_with_small_chunks() {
+    let _turn = TURN.lock().await;
+    let lone = Lone::start(LIMITS).await;
+    let start = head("/slots/all", CHUNKED);
+    let sent = ("small chunks", start, b"1\r\na\r\n".repeat(8 << 10));
+    assert_bounded(&lone, lone.process().public, sent).await;
+}
+
 // Whoever reaches the listener for boxes or operators was read in full, without a secret.
 #[tokio::test(flavor = "multi_thread")]
 async fn strangers_at_inner_listeners() {
