Limit messages between boxes before they are in memory

What callers saw: whoever reached the gossip port could end a box, and its callers lost their connections. Cause: nng's PULL socket keeps a message of any announced size from anybody until it is complete; the signature is checked only then. The safe binding has no limit on the size or on connections, and our code forbids unsafe. Change: the listener speaks nng's protocol itself, as the links have done before: at most 1 MiB a message, read as it arrives, 8 MiB for all unfinished long ones, 2 s for a greeting and for a message. Why it holds: a connection keeps 16 KiB, and all of them together 8 MiB more, whatever they announce.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,23 +1,27 @@
-//! Messages between boxes over nng: one PULL listener, and one PUSH connection per addressee.
+//! Messages between boxes over nng's protocol: one PULL listener, and one PUSH connection per
+//! addressee.
 //!
 //! Each link has a short queue and drops messages that do not fit, so that a silent addressee never
-//! delays the others. Links implement nng's framing themselves: nng's own PUSH socket sends from
+//! delays the others. Both sides implement nng's framing themselves: nng's own PUSH socket sends from
 //! freed memory if a peer closes while the connection is set up, and panics if that happens during
-//! the handshake.
+//! the handshake; its PULL socket has no limits (see [`pull`]).
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use anng::{Socket, pipes::TcpOptions, protocols::pipeline0};
-use eyre::WrapErr;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc},
     time::{sleep, timeout},
 };
 
 use crate::{
-    gateway::{core::Handle, dial::configure_socket, metrics::Metrics},
+    gateway::{
+        core::Handle,
+        dial::configure_socket,
+        metrics::Metrics,
+        pull::{self, PULL_GREETING, PUSH_GREETING},
+    },
     reducer::event::Event,
     settings::Secret,
     wire::Frame,
@@ -42,52 +46,19 @@
 /// A link without a message for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// The greetings that the two sides of a connection exchange first: the protocol's magic bytes and
-/// the type of the socket.
-const PUSH_GREETING: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
-const PULL_GREETING: [u8; 8] = [0, b'S', b'P', 0, 0, 0x51, 0, 0];
-
-/// A bound listener for messages from other boxes.
-pub(crate) struct Listener {
-    socket: Socket<pipeline0::Pull0>,
-    /// The address that it is bound to.
-    pub(crate) address: SocketAddr,
-}
-
-/// Binds a listener to `address`.
-pub(crate) async fn bind(address: SocketAddr) -> eyre::Result<Listener> {
-    let socket = pipeline0::Pull0::socket().wrap_err("cannot create an nng PULL socket")?;
-    let bound = socket.listen_tcp(address, &TcpOptions::default()).await;
-    let bound = bound.and_then(|listener| listener.local_addr());
-    let address = bound.wrap_err_with(|| format!("cannot listen for gossip on {address}"))?;
-    Ok(Listener { socket, address })
-}
-
 /// Receives messages and passes each frame with a valid signature to `core`.
-pub(crate) fn listen(listener: Listener, secret: Secret, core: Handle, metrics: Arc<Metrics>) {
-    let mut socket = listener.socket;
-    tokio::spawn(async move {
-        loop {
-            let message = match socket.pull().await {
-                Ok(message) => message,
-                Err(error) => {
-                    log::warn!("gossip: receive failed: {error:?}");
-                    sleep(BACKOFF.0).await;
-                    continue;
-                }
-            };
-            match Frame::decode(&secret, message.as_slice()) {
-                Ok(frame) => {
-                    metrics.count_received(frame.body.kind(), message.len());
-                    core.tell(Event::Received(frame));
-                }
-                Err(error) => {
-                    metrics.count_received("unreadable", message.len());
-                    log::debug!("gossip: discarded an invalid message: {error}");
-                }
-            }
+pub(crate) fn listen(listener: TcpListener, secret: Secret, core: Handle, metrics: Arc<Metrics>) {
+    let handle = move |message: &[u8]| match Frame::decode(&secret, message) {
+        Ok(frame) => {
+            metrics.count_received(frame.body.kind(), message.len());
+            core.tell(Event::Received(frame));
+        }
+        Err(error) => {
+            metrics.count_received("unreadable", message.len());
+            log::debug!("gossip: discarded an invalid message: {error}");
         }
-    });
+    };
+    tokio::spawn(pull::run(listener, handle));
 }
 
 /// Limits on concurrent dials; further dials wait for a permit.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! | `exchange`, `bodies`, `read`, `attempt`, `resume` | handling of one request and its response |
 //! | `stream`, `delimiter`, [`events`], [`records`], [`checksum`] | response streams |
 //! | `serve`, `framing`, `dial`, `body`, `head`, `discard` | HTTP to callers, backend servers and boxes |
-//! | `gossip` | messages between boxes over nng |
+//! | `gossip`, `pull` | messages between boxes over nng's protocol |
 //! | `store`, `follow`, `list` | the platform, through the gateway's own interface |
 //! | [`sync`], `directory` | the platform, through the users' interface |
 //! | `liveness` | liveness of backend servers, observed on response streams |
@@ -44,6 +44,7 @@
 pub mod order;
 mod outbound;
 pub mod pack;
+mod pull;
 mod read;
 pub mod records;
 mod repeats;
@@ -214,12 +215,12 @@
         let public = serve::bind(settings.public, "callers").await?;
         let peer = serve::bind(settings.peer, "boxes").await?;
         let admin = serve::bind(settings.admin, "operators").await?;
-        let gossip = gossip::bind(settings.gossip).await?;
+        let gossip = serve::bind(settings.gossip, "messages").await?;
         let optional = directory::bind(&settings).await?;
         let bound = Bound {
             public: public.local_addr()?,
             peer: peer.local_addr()?,
-            gossip: gossip.address,
+            gossip: gossip.local_addr()?,
             admin: admin.local_addr()?,
             ready: optional.ready_address(),
             directory: optional.directory_address(),
