Let connections without a request give way to new ones

What callers saw: beside connections that carried no request, ordinary callers, operators and readiness checks waited without any answer, and the box could open no connection itself. Cause: a constant of 4,096 connections a listener, not related to what the process may open and shared with nobody: one listener could take the descriptors of all. Change: `Connections` admits by descriptors (the kernel's limit, or `descriptors` in the settings if less): a guaranteed part for each listener, the rest shared, a quarter left for outgoing connections. At the limit the connection that has waited longest for a complete request is closed. One that carries a complete request or an answer, also one that its client does not read, is never closed for another. Fairness: no rule goes by address, so a NAT or a proxy of callers is treated as one caller a connection. Why it holds: what gives way has cost its client nothing yet, and a request that was read completely stays.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -15,6 +15,7 @@
     gateway::{
         Shell,
         body::Body,
+        connections,
         directory::{METRICS_PATH, METRICS_TYPE},
         follow, head,
         order::{Writer, newer_record, write_id},
@@ -130,6 +131,7 @@
         Ok(body) => body.to_bytes(),
         Err(_) => return text_response(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
     };
+    connections::begin_answer(parts);
     match (&parts.method, parts.uri.path()) {
         (&Method::GET, "/status") => match shell.core.status().await {
             Some(status) => head::json_response(StatusCode::OK, &status),
--- /dev/null
+++ b/src/gateway/connections.rs
@@ -0,0 +1,257 @@
+//! The connections that clients open to a box.
+//!
+//! Their number follows from the descriptors of the process: each listener has a guaranteed part and
+//! all share the rest, so that callers cannot take what boxes, operators and outgoing connections
+//! need. At the limit the connection that has waited longest for a complete request gives way to a
+//! new one. One that carries a request or a response never does.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use hyper::http::request::Parts;
+use nix::sys::resource::{Resource, getrlimit};
+use tokio::{
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
+    time::Instant,
+};
+
+use crate::gateway::metrics::Metrics;
+
+/// Descriptors that are assumed where neither the settings nor the kernel tell a limit.
+const DEFAULT_DESCRIPTORS: usize = 1024;
+/// Maximum number of descriptors that are counted on; more connections would not fit the memory of a
+/// box.
+const MAX_DESCRIPTORS: usize = 8192;
+/// Descriptors for files, listeners and the runtime; at most a tenth of all.
+const FILES: usize = 200;
+
+/// The clients of a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Clients {
+    Callers,
+    Boxes,
+    /// Boxes that send messages.
+    Senders,
+    /// Callers that look up boxes.
+    Lookups,
+    Operators,
+    /// The platform's readiness checks.
+    Checks,
+    /// Collectors of metrics.
+    Collectors,
+}
+
+impl Clients {
+    const ALL: [Self; 7] = [
+        Self::Callers,
+        Self::Boxes,
+        Self::Senders,
+        Self::Lookups,
+        Self::Operators,
+        Self::Checks,
+        Self::Collectors,
+    ];
+
+    /// Returns the guaranteed part of `all` connections.
+    fn guaranteed(self, all: usize) -> usize {
+        let (divisor, least) = match self {
+            Self::Callers => (4, 16),
+            Self::Boxes | Self::Senders | Self::Lookups => (16, 8),
+            Self::Operators | Self::Checks | Self::Collectors => (64, 4),
+        };
+        (all / divisor).max(least)
+    }
+}
+
+/// The connections of a box that its listeners share.
+#[derive(Clone, Debug)]
+pub(crate) struct Budget {
+    all: usize,
+    shared: Arc<Semaphore>,
+    metrics: Arc<Metrics>,
+}
+
+impl Budget {
+    /// Creates the budget of a process that may hold `descriptors`, or as many as the kernel allows
+    /// if that is less. A quarter is left for connections that the box opens itself.
+    pub(crate) fn new(descriptors: Option<u32>, metrics: Arc<Metrics>) -> Self {
+        let stated = descriptors.map_or(MAX_DESCRIPTORS, |descriptors| descriptors as usize);
+        let allowed = getrlimit(Resource::RLIMIT_NOFILE);
+        let allowed = allowed.map_or(DEFAULT_DESCRIPTORS, |(soft, _)| {
+            usize::try_from(soft).unwrap_or(usize::MAX)
+        });
+        let descriptors = stated.min(allowed).min(MAX_DESCRIPTORS);
+        let usable = descriptors - FILES.min(descriptors / 10);
+        let all = usable - usable / 4;
+        log::info!("connections: {all} for clients, of {descriptors} descriptors.");
+        let guaranteed: usize = Clients::ALL.iter().map(|c| c.guaranteed(all)).sum();
+        Self {
+            all,
+            shared: Arc::new(Semaphore::new(all.saturating_sub(guaranteed))),
+            metrics,
+        }
+    }
+
+    /// Returns the connections of one listener.
+    pub(crate) fn listener(&self, clients: Clients) -> Arc<Connections> {
+        Arc::new(Connections {
+            guaranteed: Arc::new(Semaphore::new(clients.guaranteed(self.all))),
+            shared: self.shared.clone(),
+            metrics: self.metrics.clone(),
+            start: Instant::now(),
+            open: Mutex::default(),
+        })
+    }
+}
+
+/// The open connections of one listener.
+#[derive(Debug)]
+pub(crate) struct Connections {
+    guaranteed: Arc<Semaphore>,
+    shared: Arc<Semaphore>,
+    metrics: Arc<Metrics>,
+    start: Instant,
+    open: Mutex<Open>,
+}
+
+#[derive(Debug, Default)]
+struct Open {
+    next: u64,
+    entries: BTreeMap<u64, Entry>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    state: Arc<State>,
+    permit: OwnedSemaphorePermit,
+}
+
+/// What a connection is doing.
+#[derive(Debug, Default)]
+struct State {
+    /// When it began to wait for its next request, in milliseconds since the start of the listener.
+    since: AtomicU64,
+    /// Whether a complete request is being answered.
+    serving: AtomicBool,
+    /// Whether the client does not take the bytes of a response.
+    blocked: AtomicBool,
+    evicted: Notify,
+}
+
+impl State {
+    fn is_waiting(&self) -> bool {
+        !self.serving.load(Ordering::Acquire) && !self.blocked.load(Ordering::Acquire)
+    }
+}
+
+impl Connections {
+    fn open(&self) -> MutexGuard<'_, Open> {
+        // Entries are inserted and removed whole, so a panic with the lock leaves the map consistent.
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    /// Admits a new connection, at the expense of one that waits if need be.
+    pub(crate) fn admit(self: &Arc<Self>) -> Option<Connection> {
+        let free = self.guaranteed.clone().try_acquire_owned();
+        let free = free.or_else(|_| self.shared.clone().try_acquire_owned());
+        let mut open = self.open();
+        let permit = free.ok().or_else(|| self.evict(&mut open));
+        let Some(permit) = permit else {
+            self.metrics.refused_connections.inc();
+            return None;
+        };
+        let state = Arc::new(State::default());
+        state.since.store(self.now(), Ordering::Relaxed);
+        let number = open.next;
+        open.next += 1;
+        let entry = Entry {
+            state: state.clone(),
+            permit,
+        };
+        open.entries.insert(number, entry);
+        drop(open);
+        self.metrics.connections.inc();
+        Some(Connection(Arc::new(Guard {
+            connections: self.clone(),
+            number,
+            state,
+        })))
+    }
+
+    /// Evicts the connection that has waited longest, and returns its permit.
+    fn evict(&self, open: &mut Open) -> Option<OwnedSemaphorePermit> {
+        let waiting = open.entries.iter().filter(|(_, e)| e.state.is_waiting());
+        let (number, _) = waiting.min_by_key(|(_, e)| e.state.since.load(Ordering::Relaxed))?;
+        let number = *number;
+        let entry = open.entries.remove(&number)?;
+        entry.state.evicted.notify_one();
+        self.metrics.evicted_connections.inc();
+        Some(entry.permit)
+    }
+}
+
+/// Marks the start of the answer to a request, which was read completely.
+pub(crate) fn begin_answer(request: &Parts) {
+    if let Some(connection) = request.extensions.get::<Connection>() {
+        connection.begin_answer();
+    }
+}
+
+/// An admitted connection; its last clone ends the entry.
+#[derive(Clone, Debug)]
+pub(crate) struct Connection(Arc<Guard>);
+
+#[derive(Debug)]
+struct Guard {
+    connections: Arc<Connections>,
+    number: u64,
+    state: Arc<State>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.connections.open().entries.remove(&self.number);
+        self.connections.metrics.connections.dec();
+    }
+}
+
+impl Connection {
+    /// Marks the start of an answer: a complete request was read.
+    pub(crate) fn begin_answer(&self) {
+        self.0.state.serving.store(true, Ordering::Release);
+    }
+
+    /// Marks the end of an answer: the connection waits for its next request or message.
+    pub(crate) fn end_answer(&self) {
+        let state = &self.0.state;
+        state
+            .since
+            .store(self.0.connections.now(), Ordering::Relaxed);
+        state.serving.store(false, Ordering::Release);
+    }
+
+    /// Tells whether the client takes the bytes that it is sent.
+    pub(crate) fn set_blocked(&self, blocked: bool) {
+        self.0.state.blocked.store(blocked, Ordering::Release);
+    }
+
+    /// Waits until the connection has to be closed for another one.
+    pub(crate) async fn evicted(&self) {
+        let state = &self.0.state;
+        state.evicted.notified().await;
+        if !state.is_waiting() {
+            // A request became complete in the meantime: it is answered, and the box holds one
+            // connection more than its limit until then.
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -7,7 +7,7 @@
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 use crate::{
-    gateway::{Shell, body::Body, core::Command, head, serve},
+    gateway::{Shell, body::Body, connections::Clients, core::Command, head, serve},
     platform::lookup,
     reducer::event::Event,
     settings::Settings,
@@ -74,21 +74,25 @@
     listeners: Listeners,
     closing: &watch::Sender<bool>,
 ) -> Vec<JoinHandle<()>> {
-    let all = [listeners.ready, listeners.directory, listeners.metrics];
-    let serve = |listener| {
+    let all = [
+        (listeners.ready, Clients::Checks),
+        (listeners.directory, Clients::Lookups),
+        (listeners.metrics, Clients::Collectors),
+    ];
+    let serve = |(listener, clients): (Option<TcpListener>, Clients)| {
+        let listener = listener?;
         let shared = shell.clone();
         let handler = move |request| answer(shared.clone(), request);
         let max_head = shell.settings.max_head.0 as usize;
-        let metrics = shell.metrics.clone();
-        tokio::spawn(serve::run(
+        Some(tokio::spawn(serve::run(
             listener,
             max_head,
-            metrics,
+            shell.budget.listener(clients),
             closing.subscribe(),
             handler,
-        ))
+        )))
     };
-    all.into_iter().flatten().map(serve).collect()
+    all.into_iter().filter_map(serve).collect()
 }
 
 async fn answer(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,6 +17,7 @@
         body::Body,
         checksum::Checksum,
         clock::BootInstant,
+        connections,
         core::{Command, Handle},
         head, pack,
         read::{self, deny},
@@ -231,6 +232,7 @@
         return Err(deny(405, "CONNECT is not served"));
     }
     let (body, memory) = read::read_body(shell, &mut inbound.body).await?;
+    connections::begin_answer(parts);
     let path = parts.uri.path().to_owned();
     let uri = parts
         .uri
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     gateway::{
+        connections::Connections,
         core::Handle,
         dial::configure_socket,
         metrics::Metrics,
@@ -47,7 +48,13 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Receives messages and passes each frame with a valid signature to `core`.
-pub(crate) fn listen(listener: TcpListener, secret: Secret, core: Handle, metrics: Arc<Metrics>) {
+pub(crate) fn listen(
+    listener: TcpListener,
+    connections: Arc<Connections>,
+    secret: Secret,
+    core: Handle,
+    metrics: Arc<Metrics>,
+) {
     let handle = move |message: &[u8]| match Frame::decode(&secret, message) {
         Ok(frame) => {
             metrics.count_received(frame.body.kind(), message.len());
@@ -58,7 +65,7 @@
             log::debug!("gossip: discarded an invalid message: {error}");
         }
     };
-    tokio::spawn(pull::run(listener, handle));
+    tokio::spawn(pull::run(listener, connections, handle));
 }
 
 /// Limits on concurrent dials; further dials wait for a permit.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -90,6 +90,8 @@
     pub store: IntCounterVec,
     /// Request bodies that were not read, by reason.
     pub refused_bodies: IntCounterVec,
+    /// Connections without a complete request that gave way to new ones.
+    pub evicted_connections: IntCounter,
     /// Connections refused because too many were open.
     pub refused_connections: IntCounter,
     /// Version of the active configuration.
@@ -394,6 +396,10 @@
                 "Request bodies that were not read, by reason.",
                 &["reason"],
             )?,
+            evicted_connections: counter(
+                "evicted_connections_total",
+                "Connections without a complete request that gave way to new ones.",
+            )?,
             refused_connections: counter(
                 "refused_connections_total",
                 "Connections refused because too many were open.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! | `core` | the actor that owns the reducer and applies its effects |
 //! | `exchange`, `bodies`, `read`, `attempt`, `resume` | handling of one request and its response |
 //! | `stream`, `delimiter`, [`events`], [`records`], [`checksum`] | response streams |
-//! | `serve`, `framing`, `dial`, `body`, `head`, `discard` | HTTP to callers, backend servers and boxes |
+//! | `serve`, `framing`, `dial`, `body`, `head`, `discard`, `connections` | HTTP to callers, backend servers and boxes |
 //! | `gossip`, `pull` | messages between boxes over nng's protocol |
 //! | `store`, `follow`, `list` | the platform, through the gateway's own interface |
 //! | [`sync`], `directory` | the platform, through the users' interface |
@@ -25,6 +25,7 @@
 mod carry;
 pub mod checksum;
 pub mod clock;
+mod connections;
 mod core;
 mod delimiter;
 pub(crate) mod dial;
@@ -82,6 +83,7 @@
 use self::{
     bodies::Bodies,
     clock::Clock,
+    connections::{Budget, Clients},
     core::{Handle, Parts},
     dial::Pool,
     liveness::Liveness,
@@ -262,7 +264,9 @@
         .await;
         log::info!("settings: size {}.", settings.size);
         core.tell(Event::WeightChanged(settings.size.weight()));
-        gossip::listen(gossip, secret, core.clone(), metrics.clone());
+        let budget = Budget::new(settings.descriptors, metrics.clone());
+        let senders = budget.listener(Clients::Senders);
+        gossip::listen(gossip, senders, secret, core.clone(), metrics.clone());
         match settings.interface {
             Interface::Own => start_store_follower(&settings, &store, &core, &watch_store_rx),
             Interface::Platform => {
@@ -288,6 +292,7 @@
         let shell = Arc::new(Shell {
             bodies: Bodies::new(settings.body_memory),
             discard: Default::default(),
+            budget,
             settings,
             identity,
             clock,
@@ -433,7 +438,7 @@
     tokio::spawn(serve::run(
         peer,
         shell.settings.max_head.0 as usize,
-        shell.metrics.clone(),
+        shell.budget.listener(Clients::Boxes),
         closing.subscribe(),
         boxes,
     ))
@@ -447,7 +452,6 @@
     closing: &watch::Sender<bool>,
 ) -> Vec<JoinHandle<()>> {
     let max_head = shell.settings.max_head.0 as usize;
-    let metrics = shell.metrics.clone();
     let callers = {
         let shell = shell.clone();
         move |request| exchange::serve(shell.clone(), request, exchange::Ingress::Public)
@@ -460,14 +464,14 @@
         tokio::spawn(serve::run(
             public,
             max_head,
-            metrics.clone(),
+            shell.budget.listener(Clients::Callers),
             closing.subscribe(),
             callers,
         )),
         tokio::spawn(serve::run(
             admin,
             max_head,
-            metrics,
+            shell.budget.listener(Clients::Operators),
             closing.subscribe(),
             operators,
         )),
--- a/src/gateway/pull.rs
+++ b/src/gateway/pull.rs
@@ -9,9 +9,12 @@
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
     sync::Semaphore,
+    task::yield_now,
     time::{sleep, timeout},
 };
 
+use crate::gateway::connections::{Connection, Connections};
+
 /// The greetings that the two sides of a connection exchange first: the protocol's magic bytes and
 /// the type of the socket.
 pub(crate) const PUSH_GREETING: [u8; 8] = [0, b'S', b'P', 0, 0, 0x50, 0, 0];
@@ -37,7 +40,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Accepts connections and passes each message to `handle`.
-pub(crate) async fn run<H>(listener: TcpListener, handle: H)
+pub(crate) async fn run<H>(listener: TcpListener, connections: Arc<Connections>, handle: H)
 where
     H: Fn(&[u8]) + Clone + Send + Sync + 'static,
 {
@@ -51,18 +54,29 @@
                 continue;
             }
         };
+        let Some(connection) = connections.admit() else {
+            continue;
+        };
         let (long, handle) = (long.clone(), handle.clone());
         tokio::spawn(async move {
-            if let Err(error) = receive(stream, &long, handle).await {
-                log::debug!("gossip: connection: {error}");
+            tokio::select! {
+                result = receive(stream, &connection, &long, handle) => {
+                    if let Err(error) = result {
+                        log::debug!("gossip: connection: {error}");
+                    }
+                }
+                () = connection.evicted() => log::debug!("gossip: connection evicted"),
             }
         });
+        // Lets an evicted connection close before the next one is accepted.
+        yield_now().await;
     }
 }
 
 /// Receives the messages of one connection until it ends.
 async fn receive(
     mut stream: TcpStream,
+    connection: &Connection,
     long: &Arc<Semaphore>,
     handle: impl Fn(&[u8]) + Sync,
 ) -> io::Result<()> {
@@ -75,6 +89,7 @@
         }
         let message = read_message(&mut stream, length, long);
         handle(&timeout(MESSAGE_TIMEOUT, message).await??);
+        connection.end_answer();
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -11,8 +11,14 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use eyre::WrapErr;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request, Response,
+    body::{Body as HttpBody, Frame, Incoming, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
@@ -20,20 +26,20 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::watch,
+    task::yield_now,
     time::{Instant, Sleep, sleep},
 };
 
 use crate::gateway::{
     body::Body,
+    connections::{Connection, Connections},
     dial,
     framing::{Flags, Scanner},
     head,
-    metrics::Metrics,
+    stream::Truncated,
 };
 
-/// Maximum number of open connections per listener.
-const MAX_CONNECTIONS: usize = 4096;
 /// Time limit for an idle connection, and for the arrival of a request's head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection whose peer accepts no bytes for this long is closed.
@@ -51,6 +57,7 @@
     stream: TcpStream,
     timer: Option<Pin<Box<Sleep>>>,
     scanner: Scanner,
+    connection: Connection,
 }
 
 impl WriteTimeoutStream {
@@ -59,6 +66,7 @@
         cx: &mut Context<'_>,
         polled: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
+        self.connection.set_blocked(polled.is_pending());
         if polled.is_ready() {
             self.timer = None;
             return polled;
@@ -122,6 +130,38 @@
     }
 }
 
+/// The body of an answer; its end is the end of the answer.
+struct Answer {
+    body: Body,
+    connection: Connection,
+}
+
+impl HttpBody for Answer {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+}
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        self.connection.end_answer();
+    }
+}
+
 /// Binds a listener to `address`; `name` describes its clients in the error message.
 pub(crate) async fn bind(address: SocketAddr, name: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
@@ -133,7 +173,7 @@
 pub(crate) async fn run<F, Fut>(
     listener: TcpListener,
     max_head: usize,
-    metrics: Arc<Metrics>,
+    connections: Arc<Connections>,
     mut stop: watch::Receiver<bool>,
     handler: F,
 ) where
@@ -141,7 +181,6 @@
     Fut: Future<Output = Response<Body>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -155,8 +194,7 @@
                 continue;
             }
         };
-        let Ok(permit) = permits.clone().try_acquire_owned() else {
-            metrics.refused_connections.inc();
+        let Some(admitted) = connections.admit() else {
             continue;
         };
         if let Err(error) = dial::configure_accepted(&stream) {
@@ -165,8 +203,14 @@
         let handler = handler.clone();
         let flags = Flags::default();
         let scanner = Scanner::new(flags.clone());
-        let service = service_fn(move |request| {
+        let served = admitted.clone();
+        let service = service_fn(move |mut request: Request<Incoming>| {
             let flags = flags.clone();
+            let connection = served.clone();
+            if request.body().is_end_stream() {
+                connection.begin_answer();
+            }
+            request.extensions_mut().insert(connection.clone());
             let answer = (!flags.is_ambiguous()).then(|| handler(request));
             async move {
                 let response = match answer {
@@ -174,13 +218,14 @@
                     None => head::ambiguous_length(),
                 };
                 flags.mark_answered();
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| Answer { body, connection }))
             }
         });
         let stream = WriteTimeoutStream {
             stream,
             timer: None,
             scanner,
+            connection: admitted.clone(),
         };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -188,15 +233,20 @@
             .max_buf_size(max_head)
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
-        let open = metrics.connections.clone();
-        open.inc();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("http: connection: {error}");
+            tokio::select! {
+                // A request that is complete is answered, even if the connection is to be closed.
+                biased;
+                result = connection => {
+                    if let Err(error) = result {
+                        log::debug!("http: connection: {error}");
+                    }
+                }
+                () = admitted.evicted() => log::debug!("http: connection evicted"),
             }
-            open.dec();
-            drop(permit);
         });
+        // Lets an evicted connection close before the next one is accepted.
+        yield_now().await;
     }
     drop(listener);
     graceful.shutdown().await;
--- a/src/gateway/shell.rs
+++ b/src/gateway/shell.rs
@@ -21,6 +21,7 @@
         bodies::Bodies,
         body::Body,
         clock::{BootInstant, Clock},
+        connections::Budget,
         core::{Current, Handle},
         dial::Pool,
         discard::Discard,
@@ -58,6 +59,8 @@
     pub(super) tracer: Tracer,
     pub(super) current: watch::Receiver<Option<Current>>,
     pub(super) bodies: Bodies,
+    /// The connections that clients may open.
+    pub(super) budget: Budget,
     /// Reads what clients still send after they were refused.
     pub(super) discard: Discard,
     pub(super) requests: AtomicU64,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -126,6 +126,9 @@
 /// Divisor of a box's memory that limits request bodies: the remainder is for everything else.
 const BODY_MEMORY_DIVISOR: u64 = 2;
 
+/// The fewest descriptors with which a box can serve.
+const MIN_DESCRIPTORS: u32 = 128;
+
 /// The settings of one box.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -180,6 +183,8 @@
     /// Memory for all request bodies held at once: limited to half of the box's memory, but at
     /// least `max_body`.
     pub body_memory: Bytes,
+    /// Descriptors that the process may hold; the kernel's limit holds as well.
+    pub descriptors: Option<u32>,
     /// How long a planned stop keeps the listener open.
     pub linger: Millis,
     /// Limits on the attempts of requests beyond the first.
@@ -293,6 +298,11 @@
     if body_memory < max_body {
         section.fault("body_memory", "is smaller than max_body");
     }
+    let descriptors = section.optional("descriptors");
+    if descriptors.is_some_and(|descriptors| descriptors < MIN_DESCRIPTORS) {
+        let fault = format!("is smaller than {MIN_DESCRIPTORS}");
+        section.fault("descriptors", &fault);
+    }
     let linger = section.or("linger", Millis(3000));
     let retry = retry::Limits {
         ratio: section.or("retry_ratio", retry::Limits::RATIO),
@@ -356,6 +366,7 @@
         max_body,
         size,
         body_memory,
+        descriptors,
         linger,
         retry,
         tolerance,
