Find two lengths in heads whose lines end without a return

What callers saw: none has reported it. A request with a length and a transfer coding was served if its lines end in a line feed alone, which the HTTP library accepts; a proxy in front that goes by the length sees another request in its body. Cause: the scanner of request heads looked for CR LF CR LF. It found no end of such a head, and judged it only with the bytes that came later. Change: the scanner reads line by line, ends a head at an empty line of either kind, and keeps only the name of the current line, where it kept a copy of the whole head. Why it holds: the scanner and the library now agree on where a head ends. Besides: clients of the tests wait for the close instead of closing their side, which ends a request before its answer.

--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -9,9 +9,8 @@
     atomic::{AtomicBool, Ordering},
 };
 
-/// Maximum size of a scanned head; the HTTP library refuses longer ones.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-const HEAD_END: &[u8] = b"\r\n\r\n";
+/// Length of the longest name that the scanner looks for.
+const MAX_NAME_BYTES: usize = "transfer-encoding".len();
 
 /// State shared by a connection's scanner and its request handler.
 #[derive(Clone, Debug, Default)]
@@ -36,12 +35,30 @@
     }
 }
 
-/// Scans the request heads on one connection.
+/// The start of a line, up to its colon.
+#[derive(Debug, Default)]
+struct Line {
+    name: Vec<u8>,
+    /// Whether the name is complete.
+    named: bool,
+    /// Whether the name is longer than those that are looked for.
+    too_long: bool,
+    /// Whether the line has any bytes.
+    begun: bool,
+}
+
+/// Scans the request heads on one connection without keeping them.
 #[derive(Debug)]
 pub(crate) struct Scanner {
     flags: Flags,
-    head: Vec<u8>,
     in_head: bool,
+    /// Bytes of the current head so far.
+    length: usize,
+    line: Line,
+    /// Whether a line of the head was read; empty lines before it are skipped.
+    begun: bool,
+    has_length: bool,
+    has_coding: bool,
 }
 
 impl Scanner {
@@ -49,47 +66,80 @@
     pub(crate) fn new(flags: Flags) -> Self {
         Self {
             flags,
-            head: Vec::new(),
             in_head: true,
+            length: 0,
+            line: Line::default(),
+            begun: false,
+            has_length: false,
+            has_coding: false,
         }
     }
 
-    /// Scans the bytes that were read from the connection.
-    pub(crate) fn read(&mut self, bytes: &[u8]) {
+    /// Scans the bytes that were read from the connection. Returns how many bytes of an unfinished
+    /// head were read.
+    pub(crate) fn read(&mut self, bytes: &[u8]) -> usize {
         if self.flags.0.answered.swap(false, Ordering::Relaxed) {
-            self.in_head = true;
-            self.head.clear();
+            self.start_head(true);
+        }
+        for &byte in bytes {
+            if !self.in_head {
+                break;
+            }
+            self.length += 1;
+            match byte {
+                b'\n' => self.end_line(),
+                b'\r' => {}
+                _ => self.line.push(byte),
+            }
         }
-        if !self.in_head || bytes.is_empty() {
+        self.length
+    }
+
+    fn start_head(&mut self, in_head: bool) {
+        self.in_head = in_head;
+        self.length = 0;
+        self.begun = false;
+        self.has_length = false;
+        self.has_coding = false;
+    }
+
+    fn end_line(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        if !line.is_empty() {
+            self.begun = true;
+            self.has_length |= line.is_named(b"content-length");
+            self.has_coding |= line.is_named(b"transfer-encoding");
             return;
         }
-        let from = self.head.len().saturating_sub(HEAD_END.len());
-        self.head.extend_from_slice(bytes);
-        let end = self.head[from..]
-            .windows(HEAD_END.len())
-            .position(|w| w == HEAD_END);
-        if let Some(end) = end {
-            let head = &self.head[..from + end];
-            if has_two_lengths(head) {
-                self.flags.0.ambiguous.store(true, Ordering::Relaxed);
-            }
-            self.in_head = false;
-            self.head.clear();
-        } else if self.head.len() > MAX_HEAD_BYTES {
-            self.in_head = false;
-            self.head.clear();
+        if !self.begun {
+            return;
+        }
+        if self.has_length && self.has_coding {
+            self.flags.0.ambiguous.store(true, Ordering::Relaxed);
         }
+        self.start_head(false);
     }
 }
 
-/// Reports whether `head` has both a length and a transfer coding.
-fn has_two_lengths(head: &[u8]) -> bool {
-    let (mut length, mut coding) = (false, false);
-    for line in head.split(|b| *b == b'\n') {
-        let name = line.split(|b| *b == b':').next().unwrap_or_default();
-        let name = name.trim_ascii();
-        length |= name.eq_ignore_ascii_case(b"content-length");
-        coding |= name.eq_ignore_ascii_case(b"transfer-encoding");
+impl Line {
+    fn push(&mut self, byte: u8) {
+        self.begun = true;
+        if self.named || byte.is_ascii_whitespace() {
+            return;
+        }
+        if byte == b':' || self.name.len() == MAX_NAME_BYTES {
+            self.named = true;
+            self.too_long = byte != b':';
+            return;
+        }
+        self.name.push(byte);
+    }
+
+    fn is_empty(&self) -> bool {
+        !self.begun
+    }
+
+    fn is_named(&self, name: &[u8]) -> bool {
+        !self.too_long && self.name.eq_ignore_ascii_case(name)
     }
-    length && coding
 }
--- a/tests/harness/clients.rs
+++ b/tests/harness/clients.rs
@@ -179,9 +179,8 @@
         self.write(bytes).await && self.heard.try_join_next().is_none()
     }
 
-    /// Closes the connection and returns the start of what was heard.
-    pub async fn close(mut self) -> String {
-        let _ = self.writer.shutdown().await;
+    /// Waits until the other side closes, and returns the start of what was heard.
+    pub async fn hear(&mut self) -> String {
         let heard = self.heard.join_next().await;
         let heard = heard.and_then(Result::ok).unwrap_or_default();
         String::from_utf8_lossy(&heard).into_owned()
--- a/tests/refused_bodies.rs
+++ b/tests/refused_bodies.rs
@@ -114,7 +114,7 @@
     let _turn = TURN.lock().await;
     let lone = Lone::start(LIMITS).await;
     let process = lone.process();
-    let over = "content-length: 4194304\r\n";
+    let over = "connection: close\r\ncontent-length: 4194304\r\n";
     let wrong = format!("PUT /config HTTP/1.1\r\nhost: x\r\nauthorization: Bearer x\r\n{over}\r\n");
     for (address, start, status) in [
         (process.public, head("/slots/all", over), "413"),
@@ -126,7 +126,7 @@
         for _ in 0..64 {
             client.write(&plain()).await;
         }
-        let heard = client.close().await;
+        let heard = client.hear().await;
         let expected = format!("HTTP/1.1 {status} ");
         assert!(heard.starts_with(&expected), "{start}: {heard}");
     }
