Bound the unfinished request heads of all connections

What callers saw: a crowd whose heads never end takes memory with each connection, and a box of 260 MB ends at some thousand of them. Evidence, on the code before: 512 clients with 60 KiB of a head: +72,792 KiB, 36,864 allowed (16 MiB for all heads, and 40 KiB a connection). Change: connections count the bytes of their unfinished head. When all of them pass 8 MiB, the one that has waited longest with such a head is closed. A head that arrives in one read is never counted. Why it holds: the sum is bounded over all listeners, and a head within the limits is unfinished for milliseconds, so it is not the oldest.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -9,7 +9,7 @@
     collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -30,6 +30,10 @@
 /// Descriptors for files, listeners and the runtime; at most a tenth of all.
 const FILES: usize = 200;
 
+/// Memory for the unfinished request heads of all connections. A head within the limits is unfinished
+/// for a few milliseconds.
+const MAX_HEAD_BYTES: usize = 8 << 20;
+
 /// The clients of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Clients {
@@ -73,6 +77,8 @@
 pub(crate) struct Budget {
     all: usize,
     shared: Arc<Semaphore>,
+    /// Bytes of unfinished request heads.
+    heads: Arc<AtomicUsize>,
     metrics: Arc<Metrics>,
 }
 
@@ -93,6 +99,7 @@
         Self {
             all,
             shared: Arc::new(Semaphore::new(all.saturating_sub(guaranteed))),
+            heads: Arc::default(),
             metrics,
         }
     }
@@ -102,6 +109,7 @@
         Arc::new(Connections {
             guaranteed: Arc::new(Semaphore::new(clients.guaranteed(self.all))),
             shared: self.shared.clone(),
+            heads: self.heads.clone(),
             metrics: self.metrics.clone(),
             start: Instant::now(),
             open: Mutex::default(),
@@ -114,6 +122,7 @@
 pub(crate) struct Connections {
     guaranteed: Arc<Semaphore>,
     shared: Arc<Semaphore>,
+    heads: Arc<AtomicUsize>,
     metrics: Arc<Metrics>,
     start: Instant,
     open: Mutex<Open>,
@@ -140,6 +149,8 @@
     serving: AtomicBool,
     /// Whether the client does not take the bytes of a response.
     blocked: AtomicBool,
+    /// Bytes of its request head, while that is unfinished.
+    head: AtomicUsize,
     evicted: Notify,
 }
 
@@ -164,7 +175,7 @@
         let free = self.guaranteed.clone().try_acquire_owned();
         let free = free.or_else(|_| self.shared.clone().try_acquire_owned());
         let mut open = self.open();
-        let permit = free.ok().or_else(|| self.evict(&mut open));
+        let permit = free.ok().or_else(|| self.evict(&mut open, 0));
         let Some(permit) = permit else {
             self.metrics.refused_connections.inc();
             return None;
@@ -187,16 +198,28 @@
         })))
     }
 
-    /// Evicts the connection that has waited longest, and returns its permit.
-    fn evict(&self, open: &mut Open) -> Option<OwnedSemaphorePermit> {
-        let waiting = open.entries.iter().filter(|(_, e)| e.state.is_waiting());
+    /// Evicts the connection that has waited longest among those with a request head of at least
+    /// `head` bytes, and returns its permit.
+    fn evict(&self, open: &mut Open, head: usize) -> Option<OwnedSemaphorePermit> {
+        let is_candidate =
+            |state: &State| state.is_waiting() && state.head.load(Ordering::Relaxed) >= head;
+        let waiting = open.entries.iter().filter(|(_, e)| is_candidate(&e.state));
         let (number, _) = waiting.min_by_key(|(_, e)| e.state.since.load(Ordering::Relaxed))?;
         let number = *number;
         let entry = open.entries.remove(&number)?;
         entry.state.evicted.notify_one();
+        self.set_head(&entry.state, 0);
         self.metrics.evicted_connections.inc();
         Some(entry.permit)
     }
+
+    /// Counts the bytes of an unfinished request head; returns whether all heads are too long.
+    fn set_head(&self, state: &State, bytes: usize) -> bool {
+        let before = state.head.swap(bytes, Ordering::Relaxed);
+        let all = self.heads.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        self.heads.fetch_sub(before, Ordering::Relaxed);
+        bytes > before && all - before > MAX_HEAD_BYTES
+    }
 }
 
 /// Marks the start of the answer to a request, which was read completely.
@@ -220,6 +243,7 @@
 impl Drop for Guard {
     fn drop(&mut self) {
         self.connections.open().entries.remove(&self.number);
+        self.connections.set_head(&self.state, 0);
         self.connections.metrics.connections.dec();
     }
 }
@@ -239,6 +263,20 @@
         state.serving.store(false, Ordering::Release);
     }
 
+    /// Tells how many bytes of an unfinished request head the connection holds. If all heads together
+    /// are too long, the one that has been waiting longest gives way.
+    pub(crate) fn set_head(&self, bytes: usize) {
+        let Guard {
+            connections, state, ..
+        } = &*self.0;
+        if bytes == 0 && state.head.load(Ordering::Relaxed) == 0 {
+            return;
+        }
+        if connections.set_head(state, bytes) {
+            drop(connections.evict(&mut connections.open(), 1));
+        }
+    }
+
     /// Tells whether the client takes the bytes that it is sent.
     pub(crate) fn set_blocked(&self, blocked: bool) {
         self.0.state.blocked.store(blocked, Ordering::Release);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -91,7 +91,8 @@
         let most = MAX_READ_BYTES.min(buffer.remaining());
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
         let polled = Pin::new(&mut self.stream).poll_read(cx, &mut part);
-        self.scanner.read(part.filled());
+        let head = self.scanner.read(part.filled());
+        self.connection.set_head(head);
         let read = part.filled().len();
         buffer.advance(read);
         polled
