Leave what callers do not read with the backend server

What callers saw: callers that ask for long answers and do not read cost about 1 MiB each; some 250 of them end a box of 260 MB. Cause: three places, none bounded over all callers. The HTTP client reads up to 400 KiB at once and passes it on as one piece; the server queues up to `max_head` and one such piece for its client; answers to keyed requests are recorded outside the cache's limit, up to 512 KiB each, beside a queue of eight pieces. Change: answers are read 16 KiB at a time; 16 KiB and one piece are queued for a client, after which the body is not read until bytes were written; recordings reserve their memory from the cache. Why it holds: a stalled answer holds some 80 KiB whatever its length, and the number of answers is bounded by the descriptors left for outgoing connections.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -11,6 +11,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
+    task::{Context, Poll, Waker},
 };
 
 use hyper::http::request::Parts;
@@ -34,6 +35,9 @@
 /// for a few milliseconds.
 const MAX_HEAD_BYTES: usize = 8 << 20;
 
+/// Bytes of a response that are queued for a client that does not read; one more piece may follow.
+const MAX_QUEUED_BYTES: usize = 16 << 10;
+
 /// The clients of a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Clients {
@@ -151,10 +155,18 @@
     blocked: AtomicBool,
     /// Bytes of its request head, while that is unfinished.
     head: AtomicUsize,
+    /// Bytes of response bodies that were queued and are not written yet.
+    queued: AtomicUsize,
+    /// The task that waits until more may be queued.
+    writer: Mutex<Option<Waker>>,
     evicted: Notify,
 }
 
 impl State {
+    fn writer(&self) -> MutexGuard<'_, Option<Waker>> {
+        self.writer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn is_waiting(&self) -> bool {
         !self.serving.load(Ordering::Acquire) && !self.blocked.load(Ordering::Acquire)
     }
@@ -277,6 +289,40 @@
         }
     }
 
+    /// Checks whether more of a response may be queued; if not, the task is woken when it may. What a
+    /// client does not read stays with the backend server, as far as its connection holds it.
+    pub(crate) fn poll_queue(&self, cx: &Context<'_>) -> Poll<()> {
+        let state = &self.0.state;
+        let is_full = || state.queued.load(Ordering::Acquire) >= MAX_QUEUED_BYTES;
+        if !is_full() {
+            return Poll::Ready(());
+        }
+        *state.writer() = Some(cx.waker().clone());
+        // Bytes may have been written before the waker was there.
+        match is_full() {
+            true => Poll::Pending,
+            false => Poll::Ready(()),
+        }
+    }
+
+    /// Records bytes of a response body that were queued.
+    pub(crate) fn record_queued(&self, bytes: usize) {
+        self.0.state.queued.fetch_add(bytes, Ordering::AcqRel);
+    }
+
+    /// Records bytes that were written; heads and framing count as well, so the queue may be a little
+    /// longer than it is taken for.
+    pub(crate) fn record_written(&self, bytes: usize) {
+        let state = &self.0.state;
+        let rest = |queued: usize| Some(queued.saturating_sub(bytes));
+        let _ = state
+            .queued
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, rest);
+        if let Some(writer) = state.writer().take() {
+            writer.wake();
+        }
+    }
+
     /// Tells whether the client takes the bytes that it is sent.
     pub(crate) fn set_blocked(&self, blocked: bool) {
         self.0.state.blocked.store(blocked, Ordering::Release);
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -3,9 +3,11 @@
 
 use std::{
     collections::HashMap,
-    io::ErrorKind,
+    io::{self, ErrorKind},
     net::SocketAddr,
+    pin::Pin,
     sync::{Arc, Mutex},
+    task::{Context, Poll},
     time::Duration,
 };
 
@@ -20,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     task::JoinHandle,
     time::{sleep, timeout},
@@ -63,6 +66,9 @@
 /// after their connections. A crashed server takes at least a second to start again, so its port is
 /// still closed at the second check.
 const RECHECK_DELAY: Duration = Duration::from_millis(100);
+/// Maximum number of bytes per read of an answer: one less than twice hyper's first buffer, which
+/// therefore doubles once at most.
+const MAX_READ_BYTES: usize = (16 << 10) - 1;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 16;
 
@@ -161,6 +167,65 @@
     matches!(connected, Ok(Err(error)) if closed.contains(&error.kind()))
 }
 
+/// Reads at most `most` bytes. hyper doubles a connection's buffer each time a read fills it, up to
+/// 400 KiB, keeps it while the connection is open, and passes it on as one piece.
+pub(crate) fn read_part(
+    stream: &mut TcpStream,
+    cx: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+    most: usize,
+) -> Poll<io::Result<()>> {
+    let most = most.min(buffer.remaining());
+    let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
+    let polled = Pin::new(stream).poll_read(cx, &mut part);
+    let read = part.filled().len();
+    buffer.advance(read);
+    polled
+}
+
+/// A connection to a backend server, a box or the platform, which is read in short parts.
+struct PartStream(TcpStream);
+
+impl AsyncRead for PartStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        read_part(&mut self.0, cx, buffer, MAX_READ_BYTES)
+    }
+}
+
+impl AsyncWrite for PartStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write_vectored(cx, bytes)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.is_write_vectored()
+    }
+}
+
 async fn connect(address: SocketAddr, distance: Distance) -> Result<PooledConnection, Failure> {
     let connected = timeout(distance.connect_timeout(), TcpStream::connect(address)).await;
     let stream = match connected {
@@ -170,7 +235,7 @@
     if let Err(error) = configure_socket(&stream) {
         log::debug!("dial: {address}: {error}");
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::handshake(TokioIo::new(PartStream(stream))).await;
     let (sender, connection) = handshake.map_err(|_| Failure::Unreachable)?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,7 +21,7 @@
         core::{Command, Handle},
         head, pack,
         read::{self, deny},
-        replay::{Answer, MAX_ANSWER_BYTES},
+        replay::Answer,
         resume::Resume,
         stream::{Piece, STALL_TIMEOUT, Source, Stream, Truncated},
         trace::Span,
@@ -35,8 +35,8 @@
     verdict::Verdict,
 };
 
-/// Maximum number of response pieces queued for a slow caller.
-const ANSWER_QUEUE_PIECES: usize = 8;
+/// Maximum number of response pieces queued for a slow caller, of up to 16 KiB each.
+const ANSWER_QUEUE_PIECES: usize = 2;
 
 /// The listener that received a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -421,31 +421,26 @@
     shell: Arc<Shell>,
     mut stream: Stream,
     request: id::Request,
-    mut answer: Answer,
+    answer: Answer,
 ) -> mpsc::Receiver<Result<Bytes, Truncated>> {
     let (sender, receiver) = mpsc::channel(ANSWER_QUEUE_PIECES);
     tokio::spawn(async move {
         let mut caller = Some(sender);
-        let mut buffered = Some(Vec::new());
+        let mut recording = Some(shell.replay.record());
         loop {
             match poll_fn(|cx| stream.poll_piece(cx)).await {
                 Piece::Data(bytes) => {
-                    if let Some(all) = buffered.as_mut() {
-                        all.extend_from_slice(&bytes);
-                    }
-                    buffered = buffered.filter(|all| all.len() <= MAX_ANSWER_BYTES);
+                    recording = recording.and_then(|mut r| r.push(&bytes).then_some(r));
                     caller = send_piece(caller, Ok(bytes)).await;
-                    if caller.is_none() && buffered.is_none() {
-                        // Too long to be replayed: nobody can be given the rest, which may be
-                        // endless.
+                    if caller.is_none() && recording.is_none() {
+                        // It cannot be replayed: nobody can be given the rest, which may be endless.
                         return stream.end(false);
                     }
                 }
                 Piece::End => {
                     // Stored before the end is reported, so that a re-send always finds it.
-                    if let Some(all) = buffered {
-                        answer.body = all.into();
-                        shell.replay.insert(request, answer);
+                    if let Some(recording) = recording {
+                        recording.finish(request, answer);
                     }
                     return stream.end(true);
                 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -7,7 +7,7 @@
     net::SocketAddr,
     pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -44,10 +44,8 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection whose peer accepts no bytes for this long is closed.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(60);
-/// Maximum number of bytes per read. hyper doubles a connection's buffer, up to the longest head,
-/// each time a read fills it, and keeps it while the connection is open: after one long body each
-/// caller's idle connection held 120 KiB. Reads one byte shorter than hyper's first buffer (8192
-/// bytes) never fill it.
+/// Maximum number of bytes per read; see [`dial::read_part`]. After one long body each caller's idle
+/// connection held 120 KiB. One byte less than hyper's first buffer never fills it.
 const MAX_READ_BYTES: usize = 8191;
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -61,12 +59,15 @@
 }
 
 impl WriteTimeoutStream {
-    fn check_stall<T>(
+    fn check_stall(
         &mut self,
         cx: &mut Context<'_>,
-        polled: Poll<io::Result<T>>,
-    ) -> Poll<io::Result<T>> {
+        polled: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
         self.connection.set_blocked(polled.is_pending());
+        if let Poll::Ready(Ok(written)) = polled {
+            self.connection.record_written(written);
+        }
         if polled.is_ready() {
             self.timer = None;
             return polled;
@@ -88,13 +89,10 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let most = MAX_READ_BYTES.min(buffer.remaining());
-        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
-        let polled = Pin::new(&mut self.stream).poll_read(cx, &mut part);
-        let head = self.scanner.read(part.filled());
+        let before = buffer.filled().len();
+        let polled = dial::read_part(&mut self.stream, cx, buffer, MAX_READ_BYTES);
+        let head = self.scanner.read(&buffer.filled()[before..]);
         self.connection.set_head(head);
-        let read = part.filled().len();
-        buffer.advance(read);
         polled
     }
 }
@@ -145,7 +143,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        ready!(self.connection.poll_queue(cx));
+        let next = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &next {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.connection.record_queued(bytes);
+        }
+        Poll::Ready(next)
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/tests/harness/clients.rs
+++ b/tests/harness/clients.rs
@@ -116,7 +116,7 @@
         let mut world = World::start(&[], 0).await;
         world.start_box_with("perth-1", "perth", limits).await;
         let text = preamble(&["perth"], "perth")
-            + &backend("app", server, "perth", "slots", "slots = 512")
+            + &backend("app", server, "perth", "booking, slots", "slots = 512")
             + "[selector rest]\n";
         world.configure("perth-1", 0, &text).await;
         world.places("/slots/all", None).await;
