Take statuses that are not final for a broken answer

What callers saw: a backend server's status 600, 700 or 999 reached them as it was, and 101 as a switch of protocols that nobody had asked for. Cause: the HTTP library passes on any three digits from 100, and takes 101 for a final answer; nothing checked them. Evidence, on the code before: tests/odd_statuses.rs gets 101 for 101, on both interfaces. 000, 001, 099, 0, 20, 1000 and 2OO already ended in 502, and 100, 103 and 199 were followed to their final answer: they are in the test so that it stays so. Change: the pool, which carries every request to backend servers, boxes and the platform, takes an answer outside 200 to 599 for a broken one: it may have run, its connection is closed, and the caller hears 502. After: the test passes, for requests that may run once and for streams, over one box and over two (it failed before). Why it holds: no answer reaches a caller but through the pool.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Request, Response,
+    HeaderMap, Request, Response, StatusCode,
     body::Incoming,
     client::conn::http1,
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
@@ -276,6 +276,12 @@
     is_overridden && headers.remove(CONTENT_LENGTH).is_some()
 }
 
+/// Reports whether `status` is one of a final answer (RFC 9110, section 15). The HTTP library reads
+/// the final answer after others of 100 to 199, but for 101, and passes on those over 599.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl Pool {
     /// Sends `request` to `address`. With `fresh` it gets a new connection: on a pooled one that
     /// the peer closes while it is idle, whether the request ran would be unknown.
@@ -291,7 +297,7 @@
                 continue;
             }
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.lease(address, connection, response)),
+                Ok(response) => return self.lease(address, connection, response),
                 Err(mut error) => match error.take_message() {
                     // hyper returned the request without having written it.
                     Some(unsent) => request = unsent,
@@ -301,7 +307,7 @@
         }
         let mut connection = connect(address, distance).await?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => Ok(self.lease(address, connection, response)),
+            Ok(response) => self.lease(address, connection, response),
             Err(mut error) => Err(match error.take_message() {
                 Some(_) => Failure::Unreachable,
                 None => Failure::Broken,
@@ -314,7 +320,11 @@
         address: SocketAddr,
         connection: PooledConnection,
         mut response: Response<Incoming>,
-    ) -> (Response<Incoming>, Lease) {
+    ) -> Result<(Response<Incoming>, Lease), Failure> {
+        if !is_final(response.status()) {
+            log::debug!("dial: {address}: status {}", response.status().as_u16());
+            return Err(Failure::Broken);
+        }
         let has_two_lengths = remove_overridden_length(response.headers_mut());
         let advertised = platform::head::keep_alive(response.headers());
         let idle = advertised.map_or(DEFAULT_IDLE_TIMEOUT, |advertised| {
@@ -331,7 +341,7 @@
             connection,
             idle,
         };
-        (response, lease)
+        Ok((response, lease))
     }
 
     /// Closes the idle connections to `address`, because requests sent on them might never be
