Count heads until their requests are answered

What callers saw: as with heads that never end, a crowd whose complete heads wait for their bodies takes memory with each connection. Cause: only unfinished heads were counted; a complete one is held until its request is answered. Change: the count of a head lasts until the answer ends. When all pass 8 MiB, the oldest incomplete request with a head over 8 KiB gives way; without one, a request with such a head hears 503, before it has run. After: `heads_that_wait_for_their_body` passes (it failed before). Why it holds: requests with heads up to 8 KiB are never refused for it, and 8 MiB carry 500 requests of 16 KiB in hand.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -31,9 +31,10 @@
 /// Descriptors for files, listeners and the runtime; at most a tenth of all.
 const FILES: usize = 200;
 
-/// Memory for the unfinished request heads of all connections. A head within the limits is unfinished
-/// for a few milliseconds.
+/// Memory for the heads of all requests that arrive or are answered: those of 500 requests of 16 KiB.
 const MAX_HEAD_BYTES: usize = 8 << 20;
+/// A head longer than this, which takes more than one read, gives way when memory for heads is short.
+const LONG_HEAD_BYTES: usize = 8 << 10;
 
 /// Bytes of a response that are queued for a client that does not read; one more piece may follow.
 const MAX_QUEUED_BYTES: usize = 16 << 10;
@@ -81,7 +82,7 @@
 pub(crate) struct Budget {
     all: usize,
     shared: Arc<Semaphore>,
-    /// Bytes of unfinished request heads.
+    /// Bytes of the heads of all requests.
     heads: Arc<AtomicUsize>,
     metrics: Arc<Metrics>,
 }
@@ -153,8 +154,10 @@
     serving: AtomicBool,
     /// Whether the client does not take the bytes of a response.
     blocked: AtomicBool,
-    /// Bytes of its request head, while that is unfinished.
+    /// Bytes of the head of its request, until that is answered.
     head: AtomicUsize,
+    /// Whether there was no memory for that head.
+    overdrawn: AtomicBool,
     /// Bytes of response bodies that were queued and are not written yet.
     queued: AtomicUsize,
     /// The task that waits until more may be queued.
@@ -225,7 +228,7 @@
         Some(entry.permit)
     }
 
-    /// Counts the bytes of an unfinished request head; returns whether all heads are too long.
+    /// Counts the bytes of a request head; returns whether all heads together are too long.
     fn set_head(&self, state: &State, bytes: usize) -> bool {
         let before = state.head.swap(bytes, Ordering::Relaxed);
         let all = self.heads.fetch_add(bytes, Ordering::Relaxed) + bytes;
@@ -269,24 +272,35 @@
     /// Marks the end of an answer: the connection waits for its next request or message.
     pub(crate) fn end_answer(&self) {
         let state = &self.0.state;
+        self.0.connections.set_head(state, 0);
         state
             .since
             .store(self.0.connections.now(), Ordering::Relaxed);
         state.serving.store(false, Ordering::Release);
     }
 
-    /// Tells how many bytes of an unfinished request head the connection holds. If all heads together
-    /// are too long, the one that has been waiting longest gives way.
+    /// Tells how many bytes the head of the request has. If all heads together are too long, a long one
+    /// of a request that is not complete gives way, the oldest first; without one, this request is not
+    /// to be served if its head is long.
     pub(crate) fn set_head(&self, bytes: usize) {
         let Guard {
             connections, state, ..
         } = &*self.0;
-        if bytes == 0 && state.head.load(Ordering::Relaxed) == 0 {
+        if bytes == state.head.load(Ordering::Relaxed) {
             return;
         }
-        if connections.set_head(state, bytes) {
-            drop(connections.evict(&mut connections.open(), 1));
-        }
+        let is_short = connections.set_head(state, bytes);
+        let evicted = is_short && {
+            let mut open = connections.open();
+            connections.evict(&mut open, LONG_HEAD_BYTES).is_some()
+        };
+        let overdrawn = is_short && !evicted && bytes > LONG_HEAD_BYTES;
+        state.overdrawn.store(overdrawn, Ordering::Relaxed);
+    }
+
+    /// Reports whether there was no memory for the head of the request.
+    pub(crate) fn is_overdrawn(&self) -> bool {
+        self.0.state.overdrawn.load(Ordering::Relaxed)
     }
 
     /// Checks whether more of a response may be queued; if not, the task is woken when it may. What a
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -231,6 +231,7 @@
     if parts.method == Method::CONNECT {
         return Err(deny(405, "CONNECT is not served"));
     }
+    read::check_head(parts)?;
     let (body, memory) = read::read_body(shell, &mut inbound.body).await?;
     connections::begin_answer(parts);
     let path = parts.uri.path().to_owned();
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -75,11 +75,11 @@
         }
     }
 
-    /// Scans the bytes that were read from the connection. Returns how many bytes of an unfinished
-    /// head were read.
+    /// Scans the bytes that were read from the connection. Returns how many bytes the head of the
+    /// current request has so far.
     pub(crate) fn read(&mut self, bytes: &[u8]) -> usize {
         if self.flags.0.answered.swap(false, Ordering::Relaxed) {
-            self.start_head(true);
+            self.start_head();
         }
         for &byte in bytes {
             if !self.in_head {
@@ -95,8 +95,8 @@
         self.length
     }
 
-    fn start_head(&mut self, in_head: bool) {
-        self.in_head = in_head;
+    fn start_head(&mut self) {
+        self.in_head = true;
         self.length = 0;
         self.begun = false;
         self.has_length = false;
@@ -117,7 +117,7 @@
         if self.has_length && self.has_coding {
             self.flags.0.ambiguous.store(true, Ordering::Relaxed);
         }
-        self.start_head(false);
+        self.in_head = false;
     }
 }
 
--- a/src/gateway/read.rs
+++ b/src/gateway/read.rs
@@ -11,6 +11,7 @@
     gateway::{
         Shell,
         bodies::{Failure, Reservation},
+        connections::Connection,
         exchange::Ingress,
         head,
     },
@@ -24,7 +25,7 @@
     verdict::Verdict,
 };
 
-/// How long a caller waits after it found no memory for its body.
+/// How long a caller waits after it found no memory for its request.
 const FULL_RETRY_AFTER: Millis = Millis(1000);
 /// Number of bytes at the start of a prompt that identify its prefix.
 const MAX_PREFIX_BYTES: usize = 1024;
@@ -34,6 +35,16 @@
     Reply::new(status, Verdict::NotRun, reason)
 }
 
+/// Rejects a request with a long head if there is no memory for it.
+pub(crate) fn check_head(request: &Parts) -> Result<(), Reply> {
+    let connection = request.extensions.get::<Connection>();
+    if connection.is_some_and(Connection::is_overdrawn) {
+        let reply = deny(503, "this box holds too many long heads");
+        return Err(reply.with_retry_after(FULL_RETRY_AFTER));
+    }
+    Ok(())
+}
+
 /// Reads a request body within the size and time limits, and reserves memory for it.
 pub(crate) async fn read_body(
     shell: &Shell,
--- a/tests/open_heads.rs
+++ b/tests/open_heads.rs
@@ -17,14 +17,9 @@
 /// Time in which the heads have arrived.
 const PAUSE: Duration = Duration::from_secs(3);
 
-// Each unfinished head cost up to twice the longest head, over all connections.
-#[tokio::test(flavor = "multi_thread")]
-async fn heads_without_end() {
-    let _turn = TURN.lock().await;
+async fn assert_bounded(start: &str) {
     let lone = Lone::start(LIMITS).await;
     let usage = Usage::of(lone.process().pid());
-    let start = head("/slots/all", "");
-    let start = format!("{}\r\nx-long: {}", start.trim_end(), "a".repeat(HEAD_BYTES));
     let crowd = trickle(lone.process().public, CROWD, start.as_bytes(), b"a");
     sleep(PAUSE).await;
     usage.assert_memory(HEADS_KIB + CROWD as u64 * CONNECTION_KIB, "heads");
@@ -32,3 +27,21 @@
     drop(crowd);
     usage.assert_descriptors("heads").await;
 }
+
+// Each unfinished head cost up to twice the longest head, over all connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_without_end() {
+    let _turn = TURN.lock().await;
+    let start = head("/slots/all", "");
+    let long = "a".repeat(HEAD_BYTES);
+    assert_bounded(&format!("{}\r\nx-long: {long}", start.trim_end())).await;
+}
+
+// A complete head was held as well, for as long as its body took to arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn heads_that_wait_for_their_body() {
+    let _turn = TURN.lock().await;
+    let long = "a".repeat(HEAD_BYTES);
+    let lines = format!("content-length: 60000\r\nx-long: {long}\r\n");
+    assert_bounded(&head("/slots/all", &lines)).await;
+}
