Close the connection after a refused body

What callers saw: none has reported it. A request with two lengths was served behind a refused request whose body came after the refusal. Cause: after an answer the scanner takes the next bytes for a head. Here they are the rest of the body, and an empty line in it hides the head that follows. Its bytes would now also count as a head's. Evidence: on the code before, tests/request_lengths.rs hears 401 and then 200 on one connection. Change: an answer to a request whose body was not read to its end says `Connection: close`, at all HTTP listeners, and nothing is scanned after the last answer of a connection. This takes in the close after a 413. After: `two_lengths_are_not_served_after_a_refused_body` passes (it failed before), and so does refused_bodies. Why it holds: no request follows on a connection whose position is in doubt.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -106,8 +106,8 @@
 /// Serves one request to the admin API.
 pub(crate) async fn serve(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
     let (parts, mut body) = request.into_parts();
-    let response = respond(&shell, &parts, &mut body).await;
-    shell.discard.rest(body);
+    let mut response = respond(&shell, &parts, &mut body).await;
+    shell.discard.rest(body, response.headers_mut());
     response
 }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -3,7 +3,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, Uri, body::Incoming};
 use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
 
 use crate::{
@@ -97,11 +97,16 @@
 
 async fn answer(shell: Arc<Shell>, request: Request<Incoming>) -> Response<Body> {
     let (parts, body) = request.into_parts();
-    shell.discard.rest(body);
-    match parts.uri.path() {
+    let mut response = respond(&shell, &parts.uri).await;
+    shell.discard.rest(body, response.headers_mut());
+    response
+}
+
+async fn respond(shell: &Arc<Shell>, uri: &Uri) -> Response<Body> {
+    match uri.path() {
         METRICS_PATH => head::full_response(StatusCode::OK, METRICS_TYPE, shell.metrics.text()),
         lookup::READY_PATH => shell.readiness().await,
-        lookup::RESOLVE_PATH => resolve(&shell, parts.uri.query()).await,
+        lookup::RESOLVE_PATH => resolve(shell, uri.query()).await,
         _ => head::full_response(StatusCode::NOT_FOUND, "text/plain", "no such call\n"),
     }
 }
--- a/src/gateway/discard.rs
+++ b/src/gateway/discard.rs
@@ -4,9 +4,14 @@
 use std::{sync::Arc, time::Duration};
 
 use http_body_util::{BodyExt as _, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::{
+    HeaderMap,
+    body::{Body as _, Incoming},
+};
 use tokio::{sync::Semaphore, time::timeout};
 
+use crate::platform;
+
 /// Limits on the bytes of one body that are read, and on the time for that.
 const MAX_BYTES: usize = 16 << 20;
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -25,11 +30,13 @@
 }
 
 impl Discard {
-    /// Reads the rest of `body` in the background; nothing of it is kept.
-    pub(crate) fn rest(&self, body: Incoming) {
+    /// Reads the rest of `body` in the background; nothing of it is kept. The connection is closed after
+    /// the response: where the next request would begin depends on what the client still sends.
+    pub(crate) fn rest(&self, body: Incoming, response: &mut HeaderMap) {
         if body.is_end_stream() {
             return;
         }
+        platform::head::close(response);
         let Ok(permit) = self.0.clone().try_acquire_owned() else {
             return;
         };
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -83,7 +83,6 @@
         Ingress::Public => serve_public(&shell, &mut incoming, &span).await,
         Ingress::Peer => serve_peer(&shell, &mut incoming, &span).await,
     };
-    shell.discard.rest(incoming.body);
     let mut response = result.unwrap_or_else(|reply| {
         // The request was refused before it reached the reducer: an earlier request with the same
         // key may have run.
@@ -98,12 +97,7 @@
         } else {
             reply.verdict
         };
-        let mut response = answer_reply(&shell, &Reply { verdict, ..reply });
-        if response.status() == StatusCode::PAYLOAD_TOO_LARGE {
-            // The rest of the body is not worth reading for the next request.
-            platform::head::close(response.headers_mut());
-        }
-        response
+        answer_reply(&shell, &Reply { verdict, ..reply })
     });
     span.set_attribute("http.response.status_code", response.status().as_u16());
     let checked = door == Ingress::Peer && incoming.parts.headers.contains_key(head::CHECKED);
@@ -111,6 +105,7 @@
         response = head::with_records(response, &incoming.parts.method);
     }
     let headers = response.headers_mut();
+    shell.discard.rest(incoming.body, headers);
     if shell.settings.interface == Interface::Own {
         headers.insert(head::BOX, head::value(&shell.settings.name));
     }
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -20,6 +20,7 @@
 struct Shared {
     ambiguous: AtomicBool,
     answered: AtomicBool,
+    last: AtomicBool,
 }
 
 impl Flags {
@@ -29,9 +30,10 @@
     }
 
     /// Marks the current request as answered: the scanner takes the next bytes as the start of a
-    /// head.
-    pub(crate) fn mark_answered(&self) {
-        self.0.answered.store(true, Ordering::Relaxed);
+    /// head, unless the answer is the `last` on its connection.
+    pub(crate) fn mark_answered(&self, last: bool) {
+        self.0.last.store(last, Ordering::Relaxed);
+        self.0.answered.store(true, Ordering::Release);
     }
 }
 
@@ -78,8 +80,9 @@
     /// Scans the bytes that were read from the connection. Returns how many bytes the head of the
     /// current request has so far.
     pub(crate) fn read(&mut self, bytes: &[u8]) -> usize {
-        if self.flags.0.answered.swap(false, Ordering::Relaxed) {
+        if self.flags.0.answered.swap(false, Ordering::Acquire) {
             self.start_head();
+            self.in_head = !self.flags.0.last.load(Ordering::Relaxed);
         }
         for &byte in bytes {
             if !self.in_head {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,6 +16,7 @@
 use hyper::{
     Request, Response,
     body::{Body as HttpBody, Frame, Incoming, SizeHint},
+    header::CONNECTION,
     server::conn::http1,
     service::service_fn,
 };
@@ -222,7 +223,8 @@
                     Some(answer) => answer.await,
                     None => head::ambiguous_length(),
                 };
-                flags.mark_answered();
+                let closes = response.headers().get(CONNECTION);
+                flags.mark_answered(closes.is_some_and(|value| value == "close"));
                 Ok::<_, Infallible>(response.map(|body| Answer { body, connection }))
             }
         });
--- a/tests/request_lengths.rs
+++ b/tests/request_lengths.rs
@@ -30,3 +30,21 @@
         assert!(heard.starts_with("HTTP/1.1 400 "), "{start:?}: {heard}");
     }
 }
+
+// The body of a refused request hid the start of the next head, whose two lengths went unnoticed.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_lengths_are_not_served_after_a_refused_body() {
+    let _turn = TURN.lock().await;
+    let lone = Lone::start("").await;
+    let refused = "POST /slots/all HTTP/1.1\r\nhost: x\r\ncontent-length: 8\r\n\r\n";
+    let mut client = Client::open(lone.process().public).await;
+    let client = client.as_mut().expect("the box accepts");
+    let next = head("/slots/all", LENGTHS);
+    for part in [refused, "aa\r\n\r\naa", &next, BODY] {
+        client.write(part.as_bytes()).await;
+        sleep(PAUSE).await;
+    }
+    let heard = client.hear().await;
+    assert!(heard.starts_with("HTTP/1.1 401 "), "{heard}");
+    assert!(!heard.contains("HTTP/1.1 200 "), "{heard}");
+}
