Refuse chunks in requests whose head was not looked at

What callers saw: none has reported it. A request with two lengths was served if it arrived in one packet with the request before it. Cause: the scanner looks at the bytes of a read up to the end of a head; what follows in the same read is not looked at as a head. Evidence: on the code before, two answers of 200. Change: heads that were scanned and requests are counted. A request with chunks that was not scanned is refused with 400 before it has run, and its connection is closed; one with a length alone is served as before. After: `two_lengths_are_not_served_behind_another_request` passes (it failed before). Why it holds: the library drops a length only beside chunks, so a request without chunks has one length. Cost: a caller that sends requests with chunks without waiting for the answer before hears 400. No caller of ours does.

--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -6,9 +6,11 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, Ordering},
+    atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
+use hyper::{HeaderMap, header::TRANSFER_ENCODING};
+
 /// Length of the longest name that the scanner looks for.
 const MAX_NAME_BYTES: usize = "transfer-encoding".len();
 
@@ -19,14 +21,22 @@
 #[derive(Debug, Default)]
 struct Shared {
     ambiguous: AtomicBool,
+    /// Heads that were scanned, and requests that were counted.
+    heads: AtomicUsize,
+    requests: AtomicUsize,
     answered: AtomicBool,
     last: AtomicBool,
 }
 
 impl Flags {
-    /// Reports whether a request on this connection had an ambiguous length.
-    pub(crate) fn is_ambiguous(&self) -> bool {
-        self.0.ambiguous.load(Ordering::Relaxed)
+    /// Counts a request; reports whether its length, or that of an earlier one on this connection, is
+    /// ambiguous. That of a request with chunks is, if its head was not scanned because it arrived
+    /// together with the request before it.
+    pub(crate) fn is_ambiguous(&self, request: &HeaderMap) -> bool {
+        let requests = self.0.requests.fetch_add(1, Ordering::Relaxed) + 1;
+        let unscanned = self.0.heads.load(Ordering::Acquire) < requests;
+        let ambiguous = unscanned && request.contains_key(TRANSFER_ENCODING);
+        ambiguous || self.0.ambiguous.load(Ordering::Relaxed)
     }
 
     /// Marks the current request as answered: the scanner takes the next bytes as the start of a
@@ -120,6 +130,7 @@
         if self.has_length && self.has_coding {
             self.flags.0.ambiguous.store(true, Ordering::Relaxed);
         }
+        self.flags.0.heads.fetch_add(1, Ordering::Release);
         self.in_head = false;
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -217,7 +217,7 @@
                 connection.begin_answer();
             }
             request.extensions_mut().insert(connection.clone());
-            let answer = (!flags.is_ambiguous()).then(|| handler(request));
+            let answer = (!flags.is_ambiguous(request.headers())).then(|| handler(request));
             async move {
                 let response = match answer {
                     Some(answer) => answer.await,
--- a/tests/request_lengths.rs
+++ b/tests/request_lengths.rs
@@ -31,6 +31,22 @@
     }
 }
 
+// A head that came in one packet with the request before it was not looked at.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_lengths_are_not_served_behind_another_request() {
+    let _turn = TURN.lock().await;
+    let lone = Lone::start("").await;
+    let first = head("/slots/all", "content-length: 2\r\n");
+    let next = head("/slots/all", LENGTHS);
+    let mut client = Client::open(lone.process().public).await;
+    let client = client.as_mut().expect("the box accepts");
+    let sent = format!("{first}{{}}{next}{BODY}");
+    assert!(client.write(sent.as_bytes()).await);
+    let heard = client.hear().await;
+    assert_eq!(heard.matches("HTTP/1.1 200 ").count(), 1, "{heard}");
+    assert_eq!(heard.matches("HTTP/1.1 400 ").count(), 1, "{heard}");
+}
+
 // The body of a refused request hid the start of the next head, whose two lengths went unnoticed.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_lengths_are_not_served_after_a_refused_body() {
