Stop without waiting for requests that never become complete

What callers saw: while clients with unfinished heads or bodies hold on, a planned stop lasts until the process is killed, and requests in flight end with it. Cause: a stopping listener waited for every connection that had begun a request: 30 s for a head, 10 s for a body; the platform kills after 8 s. Change: 1 s after a listener has closed, connections without a complete request are closed. Requests that were read completely are answered as before. Why it holds: what is left after that second has been read, and ends by its deadline.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -228,6 +228,12 @@
         Some(entry.permit)
     }
 
+    /// Evicts all connections that wait for a complete request.
+    pub(crate) fn evict_waiting(&self) {
+        let mut open = self.open();
+        while self.evict(&mut open, 0).is_some() {}
+    }
+
     /// Counts the bytes of a request head; returns whether all heads together are too long.
     fn set_head(&self, state: &State, bytes: usize) -> bool {
         let before = state.head.swap(bytes, Ordering::Relaxed);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -5,7 +5,7 @@
     convert::Infallible,
     io,
     net::SocketAddr,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::Arc,
     task::{Context, Poll, ready},
     time::Duration,
@@ -29,7 +29,7 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::yield_now,
-    time::{Instant, Sleep, sleep},
+    time::{Instant, Sleep, sleep, timeout},
 };
 
 use crate::gateway::{
@@ -48,6 +48,9 @@
 /// Maximum number of bytes per read; see [`dial::read_part`]. After one long body each caller's idle
 /// connection held 120 KiB. One byte less than hyper's first buffer never fills it.
 const MAX_READ_BYTES: usize = 8191;
+/// Time that a stopping listener leaves requests to become complete; they may take much longer than a
+/// process is given to stop.
+const INCOMPLETE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -175,7 +178,7 @@
         .wrap_err_with(|| format!("cannot listen for {name} on {address}"))
 }
 
-/// Accepts connections until `stop` is true, then returns once all requests in flight are answered.
+/// Accepts connections until `stop` is true, then returns once all complete requests are answered.
 pub(crate) async fn run<F, Fut>(
     listener: TcpListener,
     max_head: usize,
@@ -256,5 +259,9 @@
         yield_now().await;
     }
     drop(listener);
-    graceful.shutdown().await;
+    let mut answered = pin!(graceful.shutdown());
+    if timeout(INCOMPLETE_TIMEOUT, &mut answered).await.is_err() {
+        connections.evict_waiting();
+        answered.await;
+    }
 }
