Keep scanned names in place, and name the state over budget

No change of behaviour: the scanner of heads no longer allocates for each line, and "overdrawn" becomes "over budget". request_lengths and open_heads pass.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -156,8 +156,8 @@
     blocked: AtomicBool,
     /// Bytes of the head of its request, until that is answered.
     head: AtomicUsize,
-    /// Whether there was no memory for that head.
-    overdrawn: AtomicBool,
+    /// Whether all heads together were too long for that head to be served.
+    over_budget: AtomicBool,
     /// Bytes of response bodies that were queued and are not written yet.
     queued: AtomicUsize,
     /// The task that waits until more may be queued.
@@ -300,13 +300,13 @@
             let mut open = connections.open();
             connections.evict(&mut open, LONG_HEAD_BYTES).is_some()
         };
-        let overdrawn = is_short && !evicted && bytes > LONG_HEAD_BYTES;
-        state.overdrawn.store(overdrawn, Ordering::Relaxed);
+        let over_budget = is_short && !evicted && bytes > LONG_HEAD_BYTES;
+        state.over_budget.store(over_budget, Ordering::Relaxed);
     }
 
     /// Reports whether there was no memory for the head of the request.
-    pub(crate) fn is_overdrawn(&self) -> bool {
-        self.0.state.overdrawn.load(Ordering::Relaxed)
+    pub(crate) fn is_over_budget(&self) -> bool {
+        self.0.state.over_budget.load(Ordering::Relaxed)
     }
 
     /// Checks whether more of a response may be queued; if not, the task is woken when it may. What a
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -50,8 +50,9 @@
 /// The start of a line, up to its colon.
 #[derive(Debug, Default)]
 struct Line {
-    name: Vec<u8>,
-    /// Whether the name is complete.
+    name: [u8; MAX_NAME_BYTES],
+    length: usize,
+    /// Whether the name is complete or too long.
     named: bool,
     /// Whether the name is longer than those that are looked for.
     too_long: bool,
@@ -141,12 +142,13 @@
         if self.named || byte.is_ascii_whitespace() {
             return;
         }
-        if byte == b':' || self.name.len() == MAX_NAME_BYTES {
+        if byte == b':' || self.length == MAX_NAME_BYTES {
             self.named = true;
             self.too_long = byte != b':';
             return;
         }
-        self.name.push(byte);
+        self.name[self.length] = byte;
+        self.length += 1;
     }
 
     fn is_empty(&self) -> bool {
@@ -154,6 +156,6 @@
     }
 
     fn is_named(&self, name: &[u8]) -> bool {
-        !self.too_long && self.name.eq_ignore_ascii_case(name)
+        !self.too_long && self.name[..self.length].eq_ignore_ascii_case(name)
     }
 }
--- a/src/gateway/read.rs
+++ b/src/gateway/read.rs
@@ -38,7 +38,7 @@
 /// Rejects a request with a long head if there is no memory for it.
 pub(crate) fn check_head(request: &Parts) -> Result<(), Reply> {
     let connection = request.extensions.get::<Connection>();
-    if connection.is_some_and(Connection::is_overdrawn) {
+    if connection.is_some_and(Connection::is_over_budget) {
         let reply = deny(503, "this box holds too many long heads");
         return Err(reply.with_retry_after(FULL_RETRY_AFTER));
     }
