--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -9,7 +9,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 const ANSWER_BYTES: usize = 16 << 20;
@@ -18,6 +18,8 @@
 const REPLAY_KIB: u64 = 16 << 10;
 /// Time in which the answers reach the box as far as it takes them.
 const PAUSE: Duration = Duration::from_secs(3);
+/// Requests that a caller sends without waiting.
+const PIPELINED: usize = 100_000;
 /// Callers that read on in the end.
 const READERS: usize = 4;
 
@@ -99,3 +101,40 @@
         usage.assert_descriptors(what).await;
     }
 }
+
+// Requests that are sent without waiting are answered into a queue that nobody reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_requests_that_nobody_reads() {
+    let _turn = TURN.lock().await;
+    let lone = Lone::start("").await;
+    let process = lone.process();
+    let admin = process.admin;
+    for (what, address, path) in [
+        ("health", process.public, "/petreldrum/health"),
+        ("metrics", admin, "/metrics"),
+        ("no key", process.public, "/slots/all"),
+    ] {
+        let usage = Usage::of(process.pid());
+        let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n");
+        let requests: std::sync::Arc<str> = request.repeat(PIPELINED).into();
+        let mut callers = Vec::new();
+        for _ in 0..CROWD {
+            let stream = TcpStream::connect(address).await;
+            let mut stream = stream.expect("the box accepts");
+            let requests = requests.clone();
+            let sending = tokio::spawn(async move {
+                let sent = timeout(PAUSE, stream.write_all(requests.as_bytes())).await;
+                drop(sent);
+                sleep(PAUSE).await;
+            });
+            callers.push(sending);
+        }
+        sleep(PAUSE).await;
+        usage.assert_memory(CROWD as u64 * CONNECTION_KIB, what);
+        for caller in callers {
+            caller.abort();
+        }
+        usage.assert_descriptors(what).await;
+        lone.assert_serves(what).await;
+    }
+}
