Log how often clients met a limit

An operator saw evictions and refused bodies in the metrics alone. A line each ten seconds, where there were any, names them in the log; a line for each client would be as many as the crowd. open_connections now also asserts that evictions are counted.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -526,6 +526,16 @@
         format_counts(&self.lookups)
     }
 
+    /// Formats how often clients met a limit of the box since the start, for the log; none if they
+    /// did not.
+    pub fn limited_clients(&self) -> Option<String> {
+        let evicted = self.evicted_connections.get();
+        let refused = self.refused_connections.get();
+        let bodies = format_counts(&self.refused_bodies);
+        let any = evicted > 0 || refused > 0 || !bodies.is_empty();
+        any.then(|| format!("evicted={evicted} refused={refused} bodies: {bodies}"))
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -145,6 +145,9 @@
             self.traffic_logged_at = now;
             log::info!("peers: bytes {}", metrics.traffic());
             log::info!("look-ups: {}", metrics.lookup_counts());
+            if let Some(counts) = metrics.limited_clients() {
+                log::info!("clients: {counts}");
+            }
         }
         let revision = self.state.revision();
         metrics.store_lag.set(self.state.store_lag(now).0 as i64);
--- a/tests/open_connections.rs
+++ b/tests/open_connections.rs
@@ -23,6 +23,8 @@
     sleep(OPEN).await;
     let served = timeout(PATIENCE, lone.assert_serves(what)).await;
     assert!(served.is_ok(), "{what}: no answer beside the crowd");
+    let evicted = lone.process().metric("evicted_connections_total").await;
+    assert!(evicted > 0.0, "{what}: no connection was counted");
     drop(crowd);
     usage.assert_descriptors(what).await;
     lone.assert_serves(what).await;
