Pass messages between boxes on through one short queue

Cause: since the listener reads messages itself, each connection passed its messages to the reducer's queue, which has no end. A box short of processor time worked through those of all its neighbours before it turned to the next request, and its neighbours were not held up. nng's socket had handed over one message at a time. Change: all connections pass messages to one task through a queue of one. Why it holds: as with nng, a full queue holds up the senders, who drop what they cannot send.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -28,6 +28,9 @@
     wire::Frame,
 };
 
+/// Received messages that may be queued. With more, a box that is short of processor time would work
+/// through messages of many senders before it turns to the next request.
+const RECEIVE_QUEUE_CAPACITY: usize = 1;
 /// Messages that may be queued for one addressee.
 const QUEUE_CAPACITY: usize = 16;
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -55,17 +58,22 @@
     core: Handle,
     metrics: Arc<Metrics>,
 ) {
-    let handle = move |message: &[u8]| match Frame::decode(&secret, message) {
-        Ok(frame) => {
-            metrics.count_received(frame.body.kind(), message.len());
-            core.tell(Event::Received(frame));
-        }
-        Err(error) => {
-            metrics.count_received("unreadable", message.len());
-            log::debug!("gossip: discarded an invalid message: {error}");
+    let (sender, mut messages) = mpsc::channel::<Vec<u8>>(RECEIVE_QUEUE_CAPACITY);
+    tokio::spawn(pull::run(listener, connections, sender));
+    tokio::spawn(async move {
+        while let Some(message) = messages.recv().await {
+            match Frame::decode(&secret, &message) {
+                Ok(frame) => {
+                    metrics.count_received(frame.body.kind(), message.len());
+                    core.tell(Event::Received(frame));
+                }
+                Err(error) => {
+                    metrics.count_received("unreadable", message.len());
+                    log::debug!("gossip: discarded an invalid message: {error}");
+                }
+            }
         }
-    };
-    tokio::spawn(pull::run(listener, connections, handle));
+    });
 }
 
 /// Limits on concurrent dials; further dials wait for a permit.
--- a/src/gateway/pull.rs
+++ b/src/gateway/pull.rs
@@ -8,7 +8,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
+    sync::{Semaphore, mpsc},
     task::yield_now,
     time::{sleep, timeout},
 };
@@ -39,11 +39,13 @@
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Accepts connections and passes each message to `handle`.
-pub(crate) async fn run<H>(listener: TcpListener, connections: Arc<Connections>, handle: H)
-where
-    H: Fn(&[u8]) + Clone + Send + Sync + 'static,
-{
+/// Accepts connections and passes their messages to `messages`. A full channel holds up the senders,
+/// who drop what they cannot send.
+pub(crate) async fn run(
+    listener: TcpListener,
+    connections: Arc<Connections>,
+    messages: mpsc::Sender<Vec<u8>>,
+) {
     let long = Arc::new(Semaphore::new(MAX_LONG_BYTES / UNIT_BYTES));
     loop {
         let stream = match listener.accept().await {
@@ -57,10 +59,10 @@
         let Some(connection) = connections.admit() else {
             continue;
         };
-        let (long, handle) = (long.clone(), handle.clone());
+        let (long, messages) = (long.clone(), messages.clone());
         tokio::spawn(async move {
             tokio::select! {
-                result = receive(stream, &connection, &long, handle) => {
+                result = receive(stream, &connection, &long, &messages) => {
                     if let Err(error) = result {
                         log::debug!("gossip: connection: {error}");
                     }
@@ -78,7 +80,7 @@
     mut stream: TcpStream,
     connection: &Connection,
     long: &Arc<Semaphore>,
-    handle: impl Fn(&[u8]) + Sync,
+    messages: &mpsc::Sender<Vec<u8>>,
 ) -> io::Result<()> {
     timeout(GREETING_TIMEOUT, greet(&mut stream)).await??;
     loop {
@@ -88,7 +90,8 @@
             return Err(io::Error::other("the message is too long"));
         }
         let message = read_message(&mut stream, length, long);
-        handle(&timeout(MESSAGE_TIMEOUT, message).await??);
+        let message = timeout(MESSAGE_TIMEOUT, message).await??;
+        messages.send(message).await.map_err(io::Error::other)?;
         connection.end_answer();
     }
 }
