--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -14,6 +14,7 @@
 
 use harness::{
     API_KEY, World, backend,
+    clients::peak_memory,
     cloud::{Cloud, NEWS},
     eventually, preamble,
 };
@@ -105,15 +106,6 @@
     cloud
 }
 
-/// Returns the peak memory of a process, in KiB.
-fn peak_memory(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status"));
-    let status = status.expect("the process runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let number = line.and_then(|line| line.split_whitespace().next());
-    number.and_then(|n| n.parse().ok()).expect("a number")
-}
-
 const HEAD: &str = "HTTP/1.1 200 OK\r\n";
 
 #[tokio::test]
