Press brittle engines only once boxes know their region

Cause: the test presses for 1.2 s right after its boxes started. By docs/design/brittle.md, boxes that started have no share of a brittle server for 2 s. Where the first answers of all boxes come from one engine, the other is never asked, no traffic follows, and what the test waits for cannot come. Ruled out: lost messages between boxes (each box knew all that any knew). Change: the press begins after the join grace, and the test now also checks that both engines were asked. All checks and bounds stay.

--- a/tests/brittle_header.rs
+++ b/tests/brittle_header.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::join_all;
 use harness::{Standin, World, backend, eventually, preamble};
+use petreldrum::reducer::JOIN_GRACE;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -50,7 +51,14 @@
     for engine in &engines {
         engine.post("/_behave", behave(16, Some(1.0))).await;
     }
+    // Boxes that do not know their region yet have no share of brittle engines, and may never ask one
+    // of the two.
+    sleep(Duration::from_millis(JOIN_GRACE.0)).await;
     press(&world, 60).await;
+    for engine in &engines {
+        let started = engine.counts().await["started"].as_u64();
+        assert!(started > Some(0), "an engine was not asked");
+    }
     for process in world.boxes.values() {
         eventually("all boxes know that both are brittle", async || {
             process.metric("brittle_backends").await == 2.0
