Count messages between boxes until they are checked

What a box would see: strangers at the listener for messages who send complete messages of up to 1 MiB, faster than signatures are checked, took memory without a bound over all connections. Cause: the share of the 8 MiB for long messages was given back when a message was complete. It then waited for the queue of one, each connection with one message. Change: a message carries its share through the queue, until its signature is checked. Why it holds: what is read, what waits and what is checked hold shares of one budget; without one left, nothing more is read.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -58,17 +58,18 @@
     core: Handle,
     metrics: Arc<Metrics>,
 ) {
-    let (sender, mut messages) = mpsc::channel::<Vec<u8>>(RECEIVE_QUEUE_CAPACITY);
+    let (sender, mut messages) = mpsc::channel(RECEIVE_QUEUE_CAPACITY);
     tokio::spawn(pull::run(listener, connections, sender));
     tokio::spawn(async move {
         while let Some(message) = messages.recv().await {
-            match Frame::decode(&secret, &message) {
+            let bytes = &message.bytes;
+            match Frame::decode(&secret, bytes) {
                 Ok(frame) => {
-                    metrics.count_received(frame.body.kind(), message.len());
+                    metrics.count_received(frame.body.kind(), bytes.len());
                     core.tell(Event::Received(frame));
                 }
                 Err(error) => {
-                    metrics.count_received("unreadable", message.len());
+                    metrics.count_received("unreadable", bytes.len());
                     log::debug!("gossip: discarded an invalid message: {error}");
                 }
             }
--- a/src/gateway/pull.rs
+++ b/src/gateway/pull.rs
@@ -8,7 +8,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
     task::yield_now,
     time::{sleep, timeout},
 };
@@ -26,7 +26,7 @@
 /// Bytes of a message that are read without a share of [`MAX_LONG_BYTES`], so that ordinary messages
 /// never wait for it.
 const SHORT_MESSAGE_BYTES: usize = 16 << 10;
-/// Memory for the unfinished messages of all connections beyond [`SHORT_MESSAGE_BYTES`].
+/// Memory for the messages of all connections beyond [`SHORT_MESSAGE_BYTES`], until they are checked.
 const MAX_LONG_BYTES: usize = 8 << 20;
 /// Bytes of message memory per semaphore permit.
 const UNIT_BYTES: usize = 1024;
@@ -39,12 +39,18 @@
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// A complete message; it holds its share of the memory for long messages until it is dropped.
+pub(crate) struct Message {
+    pub(crate) bytes: Vec<u8>,
+    _reserved: Vec<OwnedSemaphorePermit>,
+}
+
 /// Accepts connections and passes their messages to `messages`. A full channel holds up the senders,
 /// who drop what they cannot send.
 pub(crate) async fn run(
     listener: TcpListener,
     connections: Arc<Connections>,
-    messages: mpsc::Sender<Vec<u8>>,
+    messages: mpsc::Sender<Message>,
 ) {
     let long = Arc::new(Semaphore::new(MAX_LONG_BYTES / UNIT_BYTES));
     loop {
@@ -80,7 +86,7 @@
     mut stream: TcpStream,
     connection: &Connection,
     long: &Arc<Semaphore>,
-    messages: &mpsc::Sender<Vec<u8>>,
+    messages: &mpsc::Sender<Message>,
 ) -> io::Result<()> {
     timeout(GREETING_TIMEOUT, greet(&mut stream)).await??;
     loop {
@@ -111,18 +117,21 @@
     stream: &mut TcpStream,
     length: usize,
     long: &Arc<Semaphore>,
-) -> io::Result<Vec<u8>> {
-    let mut message = Vec::new();
+) -> io::Result<Message> {
+    let mut bytes = Vec::new();
     let mut reserved = Vec::new();
     let mut room = length.min(SHORT_MESSAGE_BYTES);
     loop {
-        message.reserve_exact(room - message.len());
-        let missing = (room - message.len()) as u64;
-        if stream.take(missing).read_to_end(&mut message).await? < missing as usize {
+        bytes.reserve_exact(room - bytes.len());
+        let missing = (room - bytes.len()) as u64;
+        if stream.take(missing).read_to_end(&mut bytes).await? < missing as usize {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         if room == length {
-            return Ok(message);
+            return Ok(Message {
+                bytes,
+                _reserved: reserved,
+            });
         }
         let next = (2 * room).min(length);
         let units = (next - room).div_ceil(UNIT_BYTES) as u32;
--- a/tests/gossip_frames.rs
+++ b/tests/gossip_frames.rs
@@ -2,11 +2,18 @@
 
 mod harness;
 
-use harness::clients::{CONNECTION_KIB, CROWD, Lone, TURN, Usage, flood_all};
+use harness::clients::{CONNECTION_KIB, CROWD, Lone, TURN, Usage, flood_all, flood_by};
 
 /// The greeting of a PUSH socket, then a message that announces 1 GiB.
 const GREETING: &[u8] = &[0, b'S', b'P', 0, 0, 0x50, 0, 0];
 const LENGTH: u64 = 1 << 30;
+/// Length of a complete message, below the longest that a box accepts.
+const LONG_MESSAGE_BYTES: usize = 256 << 10;
+/// Senders of complete messages.
+const SENDERS: usize = 512;
+/// Memory for the long messages of all connections, and for a connection beside them, in KiB.
+const MESSAGES_KIB: u64 = 8 << 10;
+const SENDER_KIB: u64 = 40;
 
 // A box kept messages of any size from anybody in memory until they were complete.
 #[tokio::test(flavor = "multi_thread")]
@@ -25,3 +32,20 @@
     lone.world.start_box("bunbury-1", "bunbury").await;
     lone.world.hears("perth", 1).await;
 }
+
+// Complete messages that waited for the check of their signature were outside the budget.
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_send_long_messages() {
+    let _turn = TURN.lock().await;
+    let mut lone = Lone::start("").await;
+    let (pid, gossip) = (lone.process().pid(), lone.process().gossip);
+    let length = (LONG_MESSAGE_BYTES as u64).to_be_bytes();
+    let message = [&length[..], &vec![b'a'; LONG_MESSAGE_BYTES]].concat();
+    let usage = Usage::of(pid);
+    flood_by(SENDERS, gossip, GREETING, &message).await;
+    usage.assert_memory(MESSAGES_KIB + SENDERS as u64 * SENDER_KIB, "long messages");
+    usage.assert_descriptors("long messages").await;
+    lone.assert_serves("long messages").await;
+    lone.world.start_box("bunbury-1", "bunbury").await;
+    lone.world.hears("perth", 1).await;
+}
--- a/tests/harness/clients.rs
+++ b/tests/harness/clients.rs
@@ -207,8 +207,13 @@
 
 /// Lets a crowd flood `address` at once.
 pub async fn flood_all(address: SocketAddr, start: &[u8], piece: &[u8]) {
+    flood_by(CROWD, address, start, piece).await;
+}
+
+/// Lets `count` clients flood `address` at once.
+pub async fn flood_by(count: usize, address: SocketAddr, start: &[u8], piece: &[u8]) {
     let mut crowd = JoinSet::new();
-    for _ in 0..CROWD {
+    for _ in 0..count {
         crowd.spawn(flood(address, start.to_vec(), piece.to_vec()));
     }
     crowd.join_all().await;
