Accept connections in one place

The listener for messages between boxes and those for HTTP had the same loop: accept, wait after a failure, admit, let an evicted connection close. `Connections::accept` serves both. A listener for HTTP that waits after a failed `accept` now also ends at once when it is to stop. Beside it, the length of a body no longer adds a part that is always empty there. Behaviour stays: gossip_frames, nng_peers, open_connections, slow_bodies, stopping_crowd and unread_answers pass.

--- a/src/gateway/bodies.rs
+++ b/src/gateway/bodies.rs
@@ -207,7 +207,7 @@
             let Ok(piece) = frame.into_data() else {
                 continue;
             };
-            let length = self.whole.len() + self.pieces.len() + piece.len();
+            let length = self.pieces.len() + piece.len();
             if length > limit {
                 return Err(Failure::TooLarge);
             }
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -12,13 +12,16 @@
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     task::{Context, Poll, Waker},
+    time::Duration,
 };
 
 use hyper::http::request::Parts;
 use nix::sys::resource::{Resource, getrlimit};
 use tokio::{
+    net::{TcpListener, TcpStream},
     sync::{Notify, OwnedSemaphorePermit, Semaphore},
-    time::Instant,
+    task::yield_now,
+    time::{Instant, sleep},
 };
 
 use crate::gateway::metrics::Metrics;
@@ -36,6 +39,9 @@
 /// A head longer than this, which takes more than one read, gives way when memory for heads is short.
 const LONG_HEAD_BYTES: usize = 8 << 10;
 
+/// Delay before the next `accept` after one failed.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// Bytes of a response that are queued for a client that does not read; one more piece may follow.
 const MAX_QUEUED_BYTES: usize = 16 << 10;
 
@@ -185,8 +191,31 @@
         self.start.elapsed().as_millis() as u64
     }
 
+    /// Accepts and admits the next connection; `name` stands in the log line of a failed `accept`.
+    pub(crate) async fn accept(
+        self: &Arc<Self>,
+        listener: &TcpListener,
+        name: &str,
+    ) -> (TcpStream, Connection) {
+        loop {
+            // Lets an evicted connection close before the next one is accepted.
+            yield_now().await;
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log::warn!("{name}: accept: {error}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
+                }
+            };
+            if let Some(connection) = self.admit() {
+                return (stream, connection);
+            }
+        }
+    }
+
     /// Admits a new connection, at the expense of one that waits if need be.
-    pub(crate) fn admit(self: &Arc<Self>) -> Option<Connection> {
+    fn admit(self: &Arc<Self>) -> Option<Connection> {
         let free = self.guaranteed.clone().try_acquire_owned();
         let free = free.or_else(|_| self.shared.clone().try_acquire_owned());
         let mut open = self.open();
--- a/src/gateway/pull.rs
+++ b/src/gateway/pull.rs
@@ -9,8 +9,7 @@
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, mpsc},
-    task::yield_now,
-    time::{sleep, timeout},
+    time::timeout,
 };
 
 use crate::gateway::connections::{Connection, Connections};
@@ -36,8 +35,6 @@
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection without a message for this long is closed; senders close theirs sooner.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
-/// Delay before the next `accept` after one failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// A complete message; it holds its share of the memory for long messages until it is dropped.
 pub(crate) struct Message {
@@ -54,17 +51,7 @@
 ) {
     let long = Arc::new(Semaphore::new(MAX_LONG_BYTES / UNIT_BYTES));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("gossip: accept: {error}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let Some(connection) = connections.admit() else {
-            continue;
-        };
+        let (stream, connection) = connections.accept(&listener, "gossip").await;
         let (long, messages) = (long.clone(), messages.clone());
         tokio::spawn(async move {
             tokio::select! {
@@ -76,8 +63,6 @@
                 () = connection.evicted() => log::debug!("gossip: connection evicted"),
             }
         });
-        // Lets an evicted connection close before the next one is accepted.
-        yield_now().await;
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -28,8 +28,7 @@
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::watch,
-    task::yield_now,
-    time::{Instant, Sleep, sleep, timeout},
+    time::{Instant, Sleep, timeout},
 };
 
 use crate::gateway::{
@@ -51,8 +50,6 @@
 /// Time that a stopping listener leaves requests to become complete; they may take much longer than a
 /// process is given to stop.
 const INCOMPLETE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Delay before the next `accept` after one failed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// A TCP stream whose writes fail after [`WRITE_STALL_TIMEOUT`] without progress.
 struct WriteTimeoutStream {
@@ -191,21 +188,10 @@
 {
     let graceful = GracefulShutdown::new();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, admitted) = tokio::select! {
+            accepted = connections.accept(&listener, "http") => accepted,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("http: accept: {error}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let Some(admitted) = connections.admit() else {
-            continue;
-        };
         if let Err(error) = dial::configure_accepted(&stream) {
             log::debug!("http: connection: {error}");
         }
@@ -255,8 +241,6 @@
                 () = admitted.evicted() => log::debug!("http: connection evicted"),
             }
         });
-        // Lets an evicted connection close before the next one is accepted.
-        yield_now().await;
     }
     drop(listener);
     let mut answered = pin!(graceful.shutdown());
