--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -11,6 +11,7 @@
 pub mod limits;
 pub mod oracle;
 pub mod solo;
+pub mod unread;
 
 use std::{
     collections::BTreeMap,
