Let what clients may take follow the memory of the box

What could end a process: on the users' platform boxes have from 160 MB, and by docs/CAPACITY.md all limits together came to 198 MB there: 64 MiB of bodies and 2,925 connections, whatever the box's memory. Cause: the number of connections went by descriptors alone, and the template did not tell the memory, so the limit on bodies was not lowered either; half of the memory would have been too much beside the other limits. Connections of clients take a quarter of it at most, at 40 KiB each, and request bodies another, where it was half. Memory alone gives no weight, so boxes still count alike. The figure in box_sizes follows the new limit, as exact as before. Why it holds: both limits that grow with clients are shares of the memory; by the sum of all, 132 MB of 160 MB, 168 MB of 260 MB. Open still: long answers that nobody reads, 280 and 900 of them fit.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -24,7 +24,7 @@
     time::{Instant, sleep},
 };
 
-use crate::gateway::metrics::Metrics;
+use crate::{gateway::metrics::Metrics, size::Memory};
 
 /// Descriptors that are assumed where neither the settings nor the kernel tell a limit.
 const DEFAULT_DESCRIPTORS: usize = 1024;
@@ -34,6 +34,11 @@
 /// Descriptors for files, listeners and the runtime; at most a tenth of all.
 const FILES: usize = 200;
 
+/// Memory that is counted on for a connection of a client: its buffers, and those of its task.
+const CONNECTION_BYTES: u64 = 40 << 10;
+/// Divisor of a box's memory that limits its connections; request bodies take as much at most.
+const MEMORY_DIVISOR: u64 = 4;
+
 /// Memory for the heads of all requests that arrive or are answered: those of 500 requests of 16 KiB.
 const MAX_HEAD_BYTES: usize = 8 << 20;
 /// A head longer than this, which takes more than one read, gives way when memory for heads is short.
@@ -95,8 +100,13 @@
 
 impl Budget {
     /// Creates the budget of a process that may hold `descriptors`, or as many as the kernel allows
-    /// if that is less. A quarter is left for connections that the box opens itself.
-    pub(crate) fn new(descriptors: Option<u32>, metrics: Arc<Metrics>) -> Self {
+    /// if that is less. A quarter is left for connections that the box opens itself. Where the
+    /// memory of the box is known, its connections take a quarter of it at most.
+    pub(crate) fn new(
+        descriptors: Option<u32>,
+        memory: Option<Memory>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         let stated = descriptors.map_or(MAX_DESCRIPTORS, |descriptors| descriptors as usize);
         let allowed = getrlimit(Resource::RLIMIT_NOFILE);
         let allowed = allowed.map_or(DEFAULT_DESCRIPTORS, |(soft, _)| {
@@ -104,7 +114,10 @@
         });
         let descriptors = stated.min(allowed).min(MAX_DESCRIPTORS);
         let usable = descriptors - FILES.min(descriptors / 10);
-        let all = usable - usable / 4;
+        let fitting = memory.map_or(u64::MAX, |memory| {
+            memory.bytes().0 / MEMORY_DIVISOR / CONNECTION_BYTES
+        });
+        let all = (usable - usable / 4).min(usize::try_from(fitting).unwrap_or(usize::MAX));
         log::info!("connections: {all} for clients, of {descriptors} descriptors.");
         let guaranteed: usize = Clients::ALL.iter().map(|c| c.guaranteed(all)).sum();
         Self {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -264,7 +264,7 @@
         .await;
         log::info!("settings: size {}.", settings.size);
         core.tell(Event::WeightChanged(settings.size.weight()));
-        let budget = Budget::new(settings.descriptors, metrics.clone());
+        let budget = Budget::new(settings.descriptors, settings.size.memory, metrics.clone());
         let senders = budget.listener(Clients::Senders);
         gossip::listen(gossip, senders, secret, core.clone(), metrics.clone());
         match settings.interface {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -123,8 +123,9 @@
     }
 }
 
-/// Divisor of a box's memory that limits request bodies: the remainder is for everything else.
-const BODY_MEMORY_DIVISOR: u64 = 2;
+/// Divisor of a box's memory that limits request bodies: connections take as much at most, and the
+/// remainder is for everything else.
+const BODY_MEMORY_DIVISOR: u64 = 4;
 
 /// The fewest descriptors with which a box can serve.
 const MIN_DESCRIPTORS: u32 = 128;
@@ -180,7 +181,7 @@
     pub max_body: Bytes,
     /// The resources of the machine that are available to the box.
     pub size: Size,
-    /// Memory for all request bodies held at once: limited to half of the box's memory, but at
+    /// Memory for all request bodies held at once: limited to a quarter of the box's memory, but at
     /// least `max_body`.
     pub body_memory: Bytes,
     /// Descriptors that the process may hold; the kernel's limit holds as well.
--- a/tests/box_sizes.rs
+++ b/tests/box_sizes.rs
@@ -36,7 +36,11 @@
         parsed.size.to_string(),
         "core=0.5 memory=120MiB link=10Mbps weight=40"
     );
-    assert_eq!(parsed.body_memory.0, 60 << 20, "half of the box's memory");
+    assert_eq!(
+        parsed.body_memory.0,
+        30 << 20,
+        "a quarter of the box's memory"
+    );
     let defaults = settings("").expect("valid settings");
     assert_eq!(
         (defaults.size, defaults.body_memory.0),
