Build the crowds' long heads and messages in one place

Found on the last read of the change: the greeting of nng's PUSH socket, a long message and a head without end were written out in three tests each; the harness now has them. The bytes that the crowds send, their numbers, the bounds and the checks stay.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -1,9 +1,9 @@
 //! The connections that clients open to a box.
 //!
-//! Their number follows from the descriptors of the process: each listener has a guaranteed part and
-//! all share the rest, so that callers cannot take what boxes, operators and outgoing connections
-//! need. At the limit the connection that has waited longest for a complete request gives way to a
-//! new one. One that carries a request or a response never does.
+//! Their number follows from the descriptors of the process and the memory of the box: each listener
+//! has a guaranteed part and all share the rest, so that callers cannot take what boxes, operators and
+//! outgoing connections need. At the limit the connection that has waited longest for a complete
+//! request gives way to a new one. One that carries a request or a response never does.
 
 use std::{
     collections::BTreeMap,
--- a/tests/gossip_frames.rs
+++ b/tests/gossip_frames.rs
@@ -2,10 +2,11 @@
 
 mod harness;
 
-use harness::clients::{CONNECTION_KIB, CROWD, Lone, TURN, Usage, flood_all, flood_by};
+use harness::clients::{
+    CONNECTION_KIB, CROWD, Lone, PUSH_GREETING, TURN, Usage, flood_all, flood_by, message,
+};
 
-/// The greeting of a PUSH socket, then a message that announces 1 GiB.
-const GREETING: &[u8] = &[0, b'S', b'P', 0, 0, 0x50, 0, 0];
+/// What a message announces, 1 GiB.
 const LENGTH: u64 = 1 << 30;
 /// Length of a complete message, below the longest that a box accepts.
 const LONG_MESSAGE_BYTES: usize = 256 << 10;
@@ -21,7 +22,7 @@
     let _turn = TURN.lock().await;
     let mut lone = Lone::start("").await;
     let (pid, gossip) = (lone.process().pid(), lone.process().gossip);
-    let greeted = [GREETING, &LENGTH.to_be_bytes()].concat();
+    let greeted = [PUSH_GREETING, &LENGTH.to_be_bytes()].concat();
     for (what, start) in [("greeted", greeted), ("no greeting", vec![])] {
         let usage = Usage::of(pid);
         flood_all(gossip, &start, &[b'a'; 64 << 10]).await;
@@ -39,10 +40,8 @@
     let _turn = TURN.lock().await;
     let mut lone = Lone::start("").await;
     let (pid, gossip) = (lone.process().pid(), lone.process().gossip);
-    let length = (LONG_MESSAGE_BYTES as u64).to_be_bytes();
-    let message = [&length[..], &vec![b'a'; LONG_MESSAGE_BYTES]].concat();
     let usage = Usage::of(pid);
-    flood_by(SENDERS, gossip, GREETING, &message).await;
+    flood_by(SENDERS, gossip, PUSH_GREETING, &message(LONG_MESSAGE_BYTES)).await;
     usage.assert_memory(MESSAGES_KIB + SENDERS as u64 * SENDER_KIB, "long messages");
     usage.assert_descriptors("long messages").await;
     lone.assert_serves("long messages").await;
--- a/tests/harness/clients.rs
+++ b/tests/harness/clients.rs
@@ -146,6 +146,21 @@
     format!("POST {path} HTTP/1.1\r\nhost: x\r\nx-api-key: {API_KEY}\r\n{lines}\r\n")
 }
 
+/// Returns the start of a request whose head has `bytes` more bytes and does not end.
+pub fn unfinished_head(bytes: usize) -> String {
+    let start = head("/slots/all", "");
+    format!("{}\r\nx-long: {}", start.trim_end(), "a".repeat(bytes))
+}
+
+/// The greeting of nng's PUSH socket.
+pub const PUSH_GREETING: &[u8] = &[0, b'S', b'P', 0, 0, 0x50, 0, 0];
+
+/// Returns a message of nng's protocol with `bytes` of content.
+pub fn message(bytes: usize) -> Vec<u8> {
+    let length = (bytes as u64).to_be_bytes();
+    [&length[..], &vec![b'a'; bytes]].concat()
+}
+
 /// A connection that reads in the background and keeps the start of what it hears.
 pub struct Client {
     writer: WriteHalf<TcpStream>,
--- a/tests/open_heads.rs
+++ b/tests/open_heads.rs
@@ -2,7 +2,7 @@
 
 mod harness;
 
-use harness::clients::{Lone, TURN, Usage, head, trickle};
+use harness::clients::{Lone, TURN, Usage, head, trickle, unfinished_head};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -32,9 +32,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn heads_without_end() {
     let _turn = TURN.lock().await;
-    let start = head("/slots/all", "");
-    let long = "a".repeat(HEAD_BYTES);
-    assert_bounded(&format!("{}\r\nx-long: {long}", start.trim_end())).await;
+    assert_bounded(&unfinished_head(HEAD_BYTES)).await;
 }
 
 // A complete head was held as well, for as long as its body took to arrive.
--- a/tests/several_crowds.rs
+++ b/tests/several_crowds.rs
@@ -3,7 +3,10 @@
 mod harness;
 
 use harness::{
-    clients::{CONNECTION_KIB, CROWD, Lone, TURN, Usage, flood_all, head, trickle},
+    clients::{
+        CONNECTION_KIB, CROWD, Lone, PUSH_GREETING, TURN, Usage, flood_all, head, trickle,
+        unfinished_head,
+    },
     unread::{ask_all, assert_whole, long_answers},
 };
 use std::time::Duration;
@@ -19,8 +22,8 @@
 const BEGUN: Duration = Duration::from_secs(1);
 
 const LONG_BODY: &str = "content-length: 1073741824\r\n";
-/// The greeting of a PUSH socket, and a message that announces 1 MiB.
-const MESSAGE: &[u8] = &[0, b'S', b'P', 0, 0, 0x50, 0, 0, 0, 0, 0, 0, 0, 0x10, 0, 0];
+/// What a message between boxes announces.
+const MESSAGE_BYTES: u64 = 1 << 20;
 
 // What each kind of client may take adds up to no more than the sum of the budgets.
 #[tokio::test(flavor = "multi_thread")]
@@ -30,9 +33,7 @@
     let process = lone.process();
     let usage = Usage::of(process.pid());
 
-    let long = "a".repeat(HEAD_BYTES);
-    let unfinished = head("/slots/all", "");
-    let unfinished = format!("{}\r\nx-long: {long}", unfinished.trim_end());
+    let unfinished = unfinished_head(HEAD_BYTES);
     let body = head("/slots/all", "content-length: 65536\r\n");
     let heads = trickle(process.public, CROWD, unfinished.as_bytes(), b"a");
     let bodies = trickle(process.public, CROWD, body.as_bytes(), b"a");
@@ -41,11 +42,12 @@
     let mut unread = ask_all(process.public, asked).await;
     sleep(BEGUN).await;
 
+    let message = [PUSH_GREETING, &MESSAGE_BYTES.to_be_bytes()].concat();
     let (refused, piece) = (head("/slots/all", LONG_BODY), [b'a'; 64 << 10]);
     join!(
         flood_all(process.public, refused.as_bytes(), &piece),
         flood_all(process.peer, refused.as_bytes(), &piece),
-        flood_all(process.gossip, MESSAGE, &piece),
+        flood_all(process.gossip, &message, &piece),
     );
     usage.assert_memory(BUDGETS_KIB + CROWDS * CROWD as u64 * CONNECTION_KIB, "all");
     lone.assert_serves("beside the slow crowds").await;
--- a/tests/small_boxes.rs
+++ b/tests/small_boxes.rs
@@ -2,7 +2,10 @@
 
 mod harness;
 
-use harness::clients::{Lone, TURN, Usage, flood_by, head, peak_memory, trickle};
+use harness::clients::{
+    Lone, PUSH_GREETING, TURN, Usage, flood_by, head, message, peak_memory, trickle,
+    unfinished_head,
+};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -16,8 +19,6 @@
 /// Time in which the bodies and heads have arrived.
 const PAUSE: Duration = Duration::from_secs(1);
 
-/// The greeting of a PUSH socket.
-const GREETING: &[u8] = &[0, b'S', b'P', 0, 0, 0x50, 0, 0];
 const MESSAGE_BYTES: usize = 256 << 10;
 
 // The limits on what clients can take did not follow the memory of the box, and exceeded it together.
@@ -31,14 +32,16 @@
     let start = head("/slots/all", "content-length: 65536\r\n");
     let start = [start.as_bytes(), &[b'a'; BODY_BYTES]].concat();
     let bodies = trickle(process.public, BODIES, &start, b"a");
-    let long = "a".repeat(BODY_BYTES);
-    let unfinished = head("/slots/all", "");
-    let unfinished = format!("{}\r\nx-long: {long}", unfinished.trim_end());
+    let unfinished = unfinished_head(BODY_BYTES);
     let heads = trickle(process.public, HEADS, unfinished.as_bytes(), b"a");
     sleep(PAUSE).await;
-    let length = (MESSAGE_BYTES as u64).to_be_bytes();
-    let message = [&length[..], &vec![b'a'; MESSAGE_BYTES]].concat();
-    flood_by(SENDERS, process.gossip, GREETING, &message).await;
+    flood_by(
+        SENDERS,
+        process.gossip,
+        PUSH_GREETING,
+        &message(MESSAGE_BYTES),
+    )
+    .await;
 
     let peak = peak_memory(process.pid());
     assert!(peak <= MEMORY_KIB, "{peak} KiB, {MEMORY_KIB} allowed");
--- a/tests/unread_answers.rs
+++ b/tests/unread_answers.rs
@@ -19,6 +19,7 @@
 const PAUSE: Duration = Duration::from_secs(3);
 /// Requests that a caller sends without waiting.
 const PIPELINED: usize = 100_000;
+
 // Each answer that was not read cost about 1 MiB, whatever the number of such callers.
 #[tokio::test(flavor = "multi_thread")]
 async fn long_answers_that_nobody_reads() {
