Log and count what engines answer to calls that move a run

A run that ended by itself and one that the box had stopped showed the same lines. Now each answer to a call, the close of a stream whose run is being stopped, and the decision that such a stream is whole have a line, and move_answers_total counts the answers by result. They replace a debug line.

--- a/src/gateway/carry.rs
+++ b/src/gateway/carry.rs
@@ -151,10 +151,6 @@
                 // moved.
                 None => Handover::Refused,
             };
-            log::debug!(
-                "move: box_id={request} from={} last={last} {result:?}",
-                from.name
-            );
             handle.tell(Event::Moved {
                 request,
                 attempt,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -48,6 +48,8 @@
     pub relay_gaps: IntCounter,
     /// Moves of runs to another engine, by outcome.
     pub moves: IntCounterVec,
+    /// Answers of engines to calls that move a run, by result.
+    pub move_answers: IntCounterVec,
     /// Prompt tokens of these runs, by outcome of the move.
     pub moved_tokens: IntCounterVec,
     /// Seconds from the decision to move a run until its stream continued.
@@ -320,6 +322,11 @@
                 "Runs that were to move to another engine, by how that ended.",
                 &["end"],
             )?,
+            move_answers: counters(
+                "move_answers_total",
+                "Answers of engines to calls that move a run.",
+                &["result"],
+            )?,
             moved_tokens: counters(
                 "moved_prompt_tokens_total",
                 "Tokens of the prompts of these runs.",
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -159,19 +159,25 @@
     }
 
     pub(super) fn record_event_metrics(&self, event: &Event) {
-        if let Event::Ended {
-            whole: true,
-            timing,
-            ..
-        } = event
-        {
-            let metrics = &self.parts.metrics;
-            metrics
-                .complete_response
-                .observe(timing.whole.duration().as_secs_f64());
-            metrics
-                .longest_pause
-                .observe(timing.pause.duration().as_secs_f64());
+        let metrics = &self.parts.metrics;
+        match event {
+            Event::Ended {
+                whole: true,
+                timing,
+                ..
+            } => {
+                metrics
+                    .complete_response
+                    .observe(timing.whole.duration().as_secs_f64());
+                metrics
+                    .longest_pause
+                    .observe(timing.pause.duration().as_secs_f64());
+            }
+            Event::Moved { result, .. } => {
+                let answers = &metrics.move_answers;
+                answers.with_label_values(&[result.name()]).inc();
+            }
+            _ => {}
         }
     }
 
@@ -257,6 +263,21 @@
             Event::StreamCut { request, attempt } => {
                 self.log_request(*request, format_args!("cut attempt={}", attempt.0));
             }
+            Event::Moved {
+                request,
+                attempt,
+                from,
+                result,
+            } => {
+                let number = attempt.0;
+                self.log_request(
+                    *request,
+                    format_args!("move-answer attempt={number} from={from} result={result}"),
+                );
+            }
+            Event::Closed { request, attempt } => {
+                self.log_request(*request, format_args!("closed attempt={}", attempt.0));
+            }
             Event::Disconnected(request) if self.state.holds(*request) => {
                 self.log_request(*request, "abandoned by=caller");
             }
@@ -333,6 +354,13 @@
                 );
             }
             Effect::MoveEnded(carried) => self.log_request(carried.request, carried),
+            Effect::CompleteStream { request, attempt } => {
+                let number = attempt.0;
+                self.log_request(
+                    *request,
+                    format_args!("completed attempt={number} cause=run-ended"),
+                );
+            }
             Effect::DetachStream { request, attempt } => {
                 self.log_request(
                     *request,
--- a/src/memory/transfer.rs
+++ b/src/memory/transfer.rs
@@ -51,4 +51,27 @@
             Self::Refused | Self::Busy | Self::Absent | Self::Lost => None,
         }
     }
+
+    /// Returns the name used in the log and in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Copied { .. } => "copied",
+            Self::Kept(_) => "kept",
+            Self::Refused => "refused",
+            Self::Busy => "busy",
+            Self::Absent => "absent",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+impl fmt::Display for Handover {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())?;
+        match self {
+            Self::Copied { handle, events } => write!(f, " handle={handle} events={events}"),
+            Self::Kept(handle) => write!(f, " handle={handle}"),
+            Self::Refused | Self::Busy | Self::Absent | Self::Lost => Ok(()),
+        }
+    }
 }
