Show that a stopped run counts as ended after a lost answer

The stand-in engine answered a repeated call for a run that it had stopped with 200 and the same handle; the page says 404, no such run. It is now as strict, also loses answers by a reset, in half, or together with the copies, and sends streams with neither a length nor chunks.

--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -29,8 +29,33 @@
     LastRefused,
     /// The call that stops a run is handled 1.5 s late, when the run has long ended.
     LastLate,
-    /// The answer to the first call that stops a run is lost: it is answered with status 500.
+    /// The first call that stops a run takes effect, and is answered with status 500.
     LastLost,
+    /// The first call that stops a run takes effect; its connection is reset instead of an answer.
+    LastReset,
+    /// The first call that stops a run takes effect; its connection is reset inside the answer.
+    LastHalf,
+    /// As in [`Way::LastReset`], and the copies of the run expire at once.
+    LastExpired,
+}
+
+impl Way {
+    /// Reports whether the answer to a call that stops a run is lost.
+    fn loses_answer(self) -> bool {
+        matches!(
+            self,
+            Self::LastLost | Self::LastReset | Self::LastHalf | Self::LastExpired
+        )
+    }
+}
+
+/// What the engine sends in reply to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Reply {
+    /// A complete answer.
+    Answer(String),
+    /// These bytes and a reset of the connection.
+    Reset(String),
 }
 
 /// A copy of a run's memory.
@@ -135,7 +160,7 @@
     }
 
     /// Answers a call about runs; returns `None` for any other request.
-    pub(crate) async fn call(&self, engine: SocketAddr, request: &Seen) -> Option<String> {
+    pub(crate) async fn call(&self, engine: SocketAddr, request: &Seen) -> Option<Reply> {
         let path = request.line.split(' ').nth(1)?;
         if let Some(handle) = path.strip_prefix("/v1/kv-handle/") {
             let key = (engine, handle.to_owned());
@@ -157,17 +182,10 @@
         }
         let run = content["id"].as_str()?.to_owned();
         let handle = format!("h-{run}");
-        let Some(state) = self.lock().get(&run).cloned() else {
-            let known = COPIES.lock().expect("the lock is never poisoned");
-            // The copy of a stopped run remains available.
-            let stopped = known
-                .get(&(engine, handle.clone()))
-                .is_some_and(|c| c.stopped);
-            let content = json!({ "handle": handle, "created": 0 });
-            return Some(match stopped {
-                true => answer(200, &content),
-                false => answer(404, &json!({})),
-            });
+        let running = self.lock().get(&run).cloned();
+        // A run that was stopped is no longer running, even while its stream is being closed.
+        let Some(state) = running.filter(|state| !state.stopped.load(Relaxed)) else {
+            return Some(answer(404, &json!({})));
         };
         let refused = last && way == Way::LastRefused;
         let target = content["targetVersion"].as_str()?.parse().ok();
@@ -181,17 +199,38 @@
         let mut copies = COPIES.lock().expect("the lock is never poisoned");
         copies.insert(key, copy);
         drop(copies);
-        if last && way == Way::LastLost {
-            self.take(Way::Good);
-            return Some(answer(500, &json!({})));
-        }
         let events = state.events.load(Relaxed);
         let content = json!({ "handle": handle, "created": events });
+        if last && way.loses_answer() {
+            self.take(Way::Good);
+            return Some(self.lose_answer(engine, &handle, way, &content));
+        }
         Some(answer(if refused { 503 } else { 200 }, &content))
     }
+
+    /// Returns what is sent in place of the answer `content` to a call that took effect.
+    fn lose_answer(&self, engine: SocketAddr, handle: &str, way: Way, content: &Value) -> Reply {
+        match way {
+            Way::LastLost => return answer(500, &json!({})),
+            Way::LastHalf => {
+                let whole = text(200, content);
+                return Reply::Reset(whole[..whole.len() - 5].to_owned());
+            }
+            Way::LastExpired => {
+                let mut copies = COPIES.lock().expect("the lock is never poisoned");
+                copies.remove(&(engine, handle.to_owned()));
+            }
+            _ => {}
+        }
+        Reply::Reset(String::new())
+    }
+}
+
+fn answer(status: u16, content: &Value) -> Reply {
+    Reply::Answer(text(status, content))
 }
 
-fn answer(status: u16, content: &Value) -> String {
+fn text(status: u16, content: &Value) -> String {
     let content = content.to_string();
     let length = content.len();
     format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{content}")
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -13,7 +13,10 @@
     time::{Duration, Instant},
 };
 
-use crate::{runs::Runs, script::Script};
+use crate::{
+    runs::{Reply, Runs},
+    script::Script,
+};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -27,6 +30,9 @@
 pub const MODE: &str = "x-mode";
 /// The mode in which the request body is the [`Script`] of the answer.
 pub const SCRIPTED: &str = "scripted";
+/// The mode in which the answer is a stream with neither a length nor chunks, which ends with its
+/// connection.
+pub const UNFRAMED_STREAM: &str = "stream-unframed";
 
 /// Size of the answer in mode `long`: more than the buffers of a connection hold.
 pub const LONG_ANSWER_BYTES: usize = 8 << 20;
@@ -35,6 +41,9 @@
 /// Time that a request runs before it crashes its server.
 const CRASH_AFTER: Duration = Duration::from_millis(50);
 
+/// Pause after each event of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Delay between closing the connections and closing the port in mode `crash-slowly`.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(40);
 
@@ -212,9 +221,16 @@
                 self.record(request);
                 continue;
             }
-            if let Some(answer) = self.runs.call(self.address, &request).await {
-                stream.write_all(answer.as_bytes()).await?;
-                continue;
+            match self.runs.call(self.address, &request).await {
+                Some(Reply::Answer(bytes)) => {
+                    stream.write_all(bytes.as_bytes()).await?;
+                    continue;
+                }
+                Some(Reply::Reset(bytes)) => {
+                    stream.write_all(bytes.as_bytes()).await?;
+                    return stream.set_zero_linger();
+                }
+                None => {}
             }
             if request.line.starts_with(LIVENESS_CHECK) {
                 stream.write_all(self.liveness().as_bytes()).await?;
@@ -354,6 +370,10 @@
                     .stream(stream, id, &head("200 OK", signed), last, EVENTS)
                     .await;
             }
+            UNFRAMED_STREAM => {
+                let head = head("200 OK", signed);
+                return self.stream_unframed(stream, id, &head, last).await;
+            }
             "stream" | "break" | SCRIPTED => {
                 let end = if mode == "break" && last == 0 {
                     5
@@ -417,7 +437,7 @@
                 return Ok(false);
             }
             run.record_event(number);
-            sleep(Duration::from_millis(50)).await;
+            sleep(EVENT_INTERVAL).await;
         }
         if end < EVENTS {
             let half = format!("id: {}\nda", end + 1);
@@ -429,6 +449,33 @@
         Ok(true)
     }
 
+    /// Streams the events after `last` without a length or chunks; the close of the connection ends
+    /// the stream, whether the run is complete or was stopped.
+    async fn stream_unframed(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        head: &str,
+        last: u32,
+    ) -> std::io::Result<bool> {
+        let start = format!("{head}Content-Type: text/event-stream\r\n\r\n");
+        stream.write_all(start.as_bytes()).await?;
+        let run = self.runs.begin(id);
+        for number in last + 1..=EVENTS {
+            if run.is_stopped() {
+                return Ok(false);
+            }
+            let event = format!("id: {number}\ndata: {}\n\n", self.name);
+            if stream.write_all(event.as_bytes()).await.is_err() {
+                self.record_abandoned(id);
+                return Ok(false);
+            }
+            run.record_event(number);
+            sleep(EVENT_INTERVAL).await;
+        }
+        Ok(false)
+    }
+
     /// Keeps the request running without an answer until the client disconnects.
     async fn wait(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<bool> {
         let mut byte = [0; 1];
--- a/tests/moved_streams.rs
+++ b/tests/moved_streams.rs
@@ -13,7 +13,7 @@
 use petreldrum_standin::{
     http::{Answer, call},
     runs::Way,
-    worker::EVENTS,
+    worker::{EVENTS, UNFRAMED_STREAM},
 };
 use serde_json::json;
 use tokio::time::sleep;
@@ -61,8 +61,13 @@
 /// Starts a stream at `i-1`, adds `i-2` and withdraws `i-1`, which handles the calls of the move in
 /// the given `way`.
 async fn moved(way: Way) -> (Cloud, Answer) {
+    moved_in_mode("stream", way).await
+}
+
+/// Does the same as [`moved`] with a stream that the engines answer in `mode`.
+async fn moved_in_mode(mode: &str, way: Way) -> (Cloud, Answer) {
     let mut cloud = one_engine().await;
-    let begun = cloud.boxes[0].begin("/flow/x", "one", "stream").await;
+    let begun = cloud.boxes[0].begin("/flow/x", "one", mode).await;
     sleep(SOME_EVENTS).await;
     cloud.workers["i-1"].runs.take(way);
     cloud.add_worker("i-2", "atl").await;
@@ -162,3 +167,23 @@
     .await;
     assert!(cloud.workers["i-2"].seen("one").is_empty());
 }
+
+/// A stream without a length or chunks ended as complete with its first part: its engine had stopped
+/// the run, the answer to that call was lost, and the repeated call was answered with 404.
+#[tokio::test]
+async fn stopped_stream_is_not_complete_after_a_lost_answer() {
+    for way in [
+        Way::LastReset,
+        Way::LastHalf,
+        Way::LastLost,
+        Way::LastExpired,
+    ] {
+        let (_cloud, answer) = moved_in_mode(UNFRAMED_STREAM, way).await;
+        let delivered = events(&answer).len();
+        assert_eq!(
+            answer.whole,
+            delivered == EVENTS as usize,
+            "{way:?}: {delivered} events"
+        );
+    }
+}
