Resume a run whose stop is in doubt in place of calling it complete

Callers saw 200 and a complete answer that held only the first part of a stream (ORDER): an engine was leaving, the stream came with neither a length nor chunks, and the answer to the call that stops its run was lost.

Cause: the box repeated the call, the engine answered 404 because the first call had stopped the run, and the box took that for a run that had ended by itself. The step kept no trace of the lost answer.

Change: a transfer remembers that the answer to a stop was lost.

Why it holds: the only ways to a complete end without framing are a first stop answered with 404 and a close with no stop; both prove that no call of this box ended the run.

--- a/src/reducer/moving/mod.rs
+++ b/src/reducer/moving/mod.rs
@@ -3,7 +3,7 @@
 //! The box that handles the request decides, and owns the copy. A first copy is made while the run
 //! continues; then the run is stopped, the rest is copied, and the request resumes from the copy
 //! within the same answer. It is not sent elsewhere until the engine has confirmed that the run is
-//! stopped.
+//! stopped or, after a lost answer, that it no longer exists.
 
 mod choice;
 mod transfer;
@@ -182,6 +182,7 @@
             return;
         };
         let again = transfer.calls < MAX_CALLS;
+        transfer.stop_in_doubt |= result == Handover::Lost;
         match (result, stream) {
             (Handover::Copied { handle, .. }, _) => {
                 transfer.handle = Some(handle);
@@ -193,6 +194,10 @@
                 // part.
                 self.resume(now, request, Destination::Source, out);
             }
+            // The run is over, and the first copy can continue it if an earlier call stopped it.
+            (Handover::Absent, _) if transfer.stop_in_doubt => {
+                self.resume(now, request, Destination::Target, out);
+            }
             (Handover::Absent, Stream::Closed) => {
                 out.extend(job.end_transfer(request, MoveOutcome::Ended));
                 out.push(Effect::CompleteStream { request, attempt });
--- a/src/reducer/moving/transfer.rs
+++ b/src/reducer/moving/transfer.rs
@@ -55,6 +55,9 @@
     /// The handle of the copy, once there is one.
     pub(super) handle: Option<Handle>,
     pub(super) calls: u32,
+    /// Whether the answer to a call that stops the run was lost, so that an engine that does not
+    /// know the run may have stopped it.
+    pub(super) stop_in_doubt: bool,
     started: Time,
     /// When the step last changed.
     step_changed: Time,
@@ -68,6 +71,7 @@
             step: Step::Copying,
             handle: None,
             calls: 1,
+            stop_in_doubt: false,
             started: now,
             step_changed: now,
         }
--- a/tests/moved_runs.rs
+++ b/tests/moved_runs.rs
@@ -343,6 +343,37 @@
     assert_eq!(target(&continued), "b");
 }
 
+/// A stream without framing ended as complete with its first part: the engine no longer knew the
+/// run, because a call whose answer was lost had stopped it.
+#[test]
+fn a_stop_in_doubt_is_no_end_of_the_run() {
+    for closes_first in [true, false] {
+        let mut scene = Scene::with_one_stream();
+        let last = scene.stopping();
+        let Send {
+            request, attempt, ..
+        } = scene.streams[0];
+        let closed = Event::Closed { request, attempt };
+        scene.answer(&last, Handover::Lost);
+        let again = calls(&scene.world.step(Event::Tick)).remove(0);
+        if closes_first {
+            assert!(scene.world.step(closed).is_empty());
+        }
+        let effects = scene.answer(&again, Handover::Absent);
+        let complete = |e: &Effect| matches!(e, Effect::CompleteStream { .. });
+        assert!(!effects.iter().any(complete));
+        let continued = sends(&effects).remove(0);
+        let origin = continued.continues.clone().expect("the same run");
+        assert_eq!((target(&continued), origin.handle.0.as_str()), ("b", "h1"));
+        let back = scene.failed(&continued, Verdict::NotRun, Cause::Full);
+        let back = sends(&back).remove(0);
+        let effects = scene.failed(&back, Verdict::NotRun, Cause::Full);
+        assert!(sends(&effects).is_empty(), "it may have run to its end");
+        assert_eq!(replies(&effects)[0].verdict, Verdict::MayHaveRun);
+        assert_eq!(scene.world.state.busy(), 0);
+    }
+}
+
 /// The target refused the request that carried the handle.
 #[test]
 fn a_target_that_refuses_costs_nothing_but_the_way_back() {
--- a/tests/moved_streams.rs
+++ b/tests/moved_streams.rs
@@ -185,5 +185,7 @@
             delivered == EVENTS as usize,
             "{way:?}: {delivered} events"
         );
+        // The run continues from its first copy, unless that has expired.
+        assert_eq!(answer.whole, way != Way::LastExpired, "{way:?}");
     }
 }
