--- a/tests/harness/clients.rs
+++ b/tests/harness/clients.rs
@@ -135,7 +135,9 @@
 
     /// Asserts that callers and operators are answered.
     pub async fn assert_serves(&self, what: &str) {
-        assert_eq!(self.ordinary("after").await.status, 200, "{what}");
+        let answer = self.ordinary("after").await;
+        let heard = String::from_utf8_lossy(&answer.body);
+        assert_eq!(answer.status, 200, "{what}: {heard}");
         let admin = call(self.process().admin, Method::GET, "/health", &[], "").await;
         assert_eq!(admin.expect("an answer").status, 200, "{what}");
     }
