Keep refusals of relays by service, not by region

What callers saw: a request for a sound service of another region was refused with 503 "no allowed place can take it now", nothing else being wrong, while that region refused relays of another service whose server fails at once.

Cause: a relay that is refused as not run makes the box leave out the region for 300 ms (REFUSAL_COOLDOWN), so that it does not send the same load there again before the next digest. The pause was kept for the region, though a refusal only says that this service has no place there.

Change: `Remote` keeps the pause by service. It stays as it was for the service that was refused: 300 ms from its last refusal, also across digests. An entry point that can't be reached or is leaving is still left out for all services, since that is a fact of the box.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -50,7 +50,7 @@
 const DIGEST_DELAY: Millis = Millis(300);
 /// How long a silent box is remembered.
 pub const PEER_RETENTION: Millis = Millis(60_000);
-/// How long no requests are sent to a region after it refused one.
+/// How long no requests of a service are sent to a region after it refused one of them.
 const REFUSAL_COOLDOWN: Millis = Millis(300);
 
 #[derive(Clone, Copy, Debug)]
@@ -237,7 +237,7 @@
             sent: 0,
             unreachable: BTreeSet::new(),
             closed_since: closed.then(|| closed_before.unwrap_or(now)),
-            backoff_until: old.map_or(Time(0), |old| old.backoff_until),
+            backoffs: old.map_or_else(BTreeMap::new, |old| old.backoffs.clone()),
             digest,
         };
         let boxes = remote.digest.boxes as usize;
@@ -265,10 +265,12 @@
         }
     }
 
-    /// Records that `region` refused a request.
-    pub fn relay_refused(&mut self, region: &Region, now: Time) {
+    /// Records that `region` refused a request of `service`, which says nothing about the places of
+    /// its other services.
+    pub fn relay_refused(&mut self, region: &Region, service: NameHash, now: Time) {
         if let Some(remote) = self.regions.get_mut(region) {
-            remote.backoff_until = now + REFUSAL_COOLDOWN;
+            remote.backoffs.retain(|_, until| now < *until);
+            remote.backoffs.insert(service, now + REFUSAL_COOLDOWN);
         }
     }
 
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -1,6 +1,9 @@
 //! State of one other box, or of one other region.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use crate::{
     id::{BoxName, Incarnation},
@@ -89,8 +92,9 @@
     pub unreachable: BTreeSet<BoxName>,
     /// Since when the region has had no entry point that can be reached; `None` if it has one.
     pub closed_since: Option<Time>,
-    /// Until when no requests are relayed there because the region refused one.
-    pub backoff_until: Time,
+    /// Services of which the region refused a request, and until when none of theirs are relayed
+    /// there.
+    pub backoffs: BTreeMap<NameHash, Time>,
 }
 
 impl Remote {
@@ -105,6 +109,13 @@
         self.endpoints().next().is_some()
     }
 
+    /// Reports whether the region has just refused a request of `service`.
+    pub fn is_refusing(&self, service: NameHash, now: Time) -> bool {
+        self.backoffs
+            .get(&service)
+            .is_some_and(|until| now < *until)
+    }
+
     /// Returns the free slots for `service` at `now`: those of the digest, limited by the ramp-up,
     /// less the requests relayed since.
     pub fn free(&self, service: NameHash, now: Time) -> u32 {
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -16,6 +16,7 @@
     retry,
     unit::{Millis, Time},
     verdict::Verdict,
+    wire::NameHash,
 };
 
 /// The state of an attempt in flight: where it runs, and what was reserved for it.
@@ -181,7 +182,7 @@
             self.probe_after_close(now, &spot, out);
         }
         self.judge_failed(request, &spot, cause);
-        self.record_failure(now, &spot, cause);
+        self.record_failure(now, request, &spot, cause);
         if self.return_to_source(now, request, verdict, out) {
             return;
         }
@@ -270,7 +271,13 @@
         }
     }
 
-    pub(super) fn record_failure(&mut self, now: Time, spot: &Assignment, cause: Cause) {
+    pub(super) fn record_failure(
+        &mut self,
+        now: Time,
+        request: id::Request,
+        spot: &Assignment,
+        cause: Cause,
+    ) {
         match (spot, cause) {
             (_, Cause::Late) | (Assignment::Pinned, _) => {}
             (Assignment::Chosen(Place::Backend(name), _), Cause::Refused | Cause::Replaced) => {
@@ -316,7 +323,10 @@
                 self.table.record_unreachable(region, door, now);
             }
             (Assignment::Chosen(Place::Region(region), _), Cause::Refused) => {
-                self.table.relay_refused(region, now);
+                if let Some(job) = self.jobs.get(&request) {
+                    let service = NameHash::of(job.service.as_str());
+                    self.table.relay_refused(region, service, now);
+                }
             }
             (Assignment::Chosen(Place::Region(_), _), _) => {}
         }
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -338,7 +338,8 @@
             home,
         } = *wish;
         let place = Place::Region(region.clone());
-        let closed = !remote.is_open() || now < remote.backoff_until;
+        let short = NameHash::of(plan.service.as_str());
+        let closed = !remote.is_open() || remote.is_refusing(short, now);
         if closed || job.tried.contains(&place) {
             return None;
         }
@@ -346,7 +347,6 @@
         let servers = self.remote_sample(wish, region).into_iter();
         let usable: Vec<&Backend> = servers.filter(usable).collect();
         let price = usable.iter().map(|b| b.price).reduce(f64::min)?;
-        let short = NameHash::of(plan.service.as_str());
         let capacity = remote.digest.services.iter().find(|c| c.service == short)?;
         let (first, burden) = self.remote_prompt_cost(wish, &usable, capacity);
         let hop = config.hop(&self.table.me.region, region);
--- a/tests/harness/solo.rs
+++ b/tests/harness/solo.rs
@@ -158,6 +158,19 @@
         self.digest_from(slots, 0, names);
     }
 
+    /// Delivers a digest of Bunbury with free `slots` for each of these services.
+    pub fn digest_of(&mut self, services: &[&str], slots: u32) {
+        self.seq += 1;
+        let mut digest = self.bunbury_digest(slots, 0, &["far"]);
+        let capacity = digest.services[0];
+        let of = |service: &&str| Capacity {
+            service: NameHash::of(service),
+            ..capacity
+        };
+        digest.services = services.iter().map(of).collect();
+        self.receive(Body::Digest(digest));
+    }
+
     fn digest_from(&mut self, slots: u32, busy: u32, names: &[&str]) {
         self.digest_with(slots, busy, names, vec![], vec![]);
     }
