--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -326,7 +326,24 @@
 fn query(request: &Whole) -> HashMap<String, String> {
     let pairs = request.uri().query().unwrap_or_default().split('&');
     let pairs = pairs.filter_map(|pair| pair.split_once('='));
-    pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect()
+    pairs.map(|(k, v)| (k.to_owned(), decoded(v))).collect()
+}
+
+/// Decodes a value of a query (RFC 3986, section 2.1); `+` is a space in forms only.
+fn decoded(value: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = value.as_bytes();
+    while let Some((&first, after)) = rest.split_first() {
+        let code = after.get(..2).and_then(|code| str::from_utf8(code).ok());
+        let code = code.and_then(|code| u8::from_str_radix(code, 16).ok());
+        let (byte, length) = match (first, code) {
+            (b'%', Some(byte)) => (byte, 3),
+            _ => (first, 1),
+        };
+        bytes.push(byte);
+        rest = &rest[length..];
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
 }
 
 impl Service for Registry {
