Refuse what a stopping box cannot finish before it is killed

In a planned stop of one box, in calm, callers heard nothing: requests that may not be repeated were passed on late in the grace and cut by the kill.

Cause: a box did not know when it would be killed. A body that became complete after the listeners had closed, or a request that got its slot then, was passed on whatever time was left. Class: an attempt starts without a look at the time that this process has.

Once `linger` is over, an attempt starts only if the request's time limit ends half a second before the kill, or if it continues an answer in progress. Others hear 503, not run, with a Retry-After of some 0.1 s and a closing connection; those that wait hear it at that moment. One function of the reducer decides for arrivals, the queue, retries, stalled attempts and keys of other boxes (relays are refused from SIGTERM on, as before). Without the setting nothing changes. A refusal costs least there: most of those requests came shortly before, and other boxes serve. What the time limit leaves room for is done.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -71,6 +71,8 @@
     pub pushed_back: IntGauge,
     /// Requests refused because of the limits that backend servers report.
     pub limit_refusals: IntCounter,
+    /// Requests refused because this box stops too soon to finish them.
+    pub stop_refusals: IntCounter,
     /// Cache updates received from engines, by kind.
     pub engine_news: IntCounterVec,
     /// Prompts sent to engines, by whether the estimate of the cached part was based on the
@@ -366,6 +368,10 @@
                 "limit_refusals_total",
                 "Requests refused because backend servers say how many they take.",
             )?,
+            stop_refusals: counter(
+                "stop_refusals_total",
+                "Requests refused because this box stops too soon to finish them.",
+            )?,
             engine_news: counters(
                 "engine_news_total",
                 "What followed engines told of their memory: list, changes, gap; or failed.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -75,7 +75,7 @@
 };
 
 use crate::{
-    reducer::{Identity, TICK, effect::Follow, event::Event},
+    reducer::{Grace, Identity, TICK, effect::Follow, event::Event},
     settings::{Interface, Settings},
     wire::Contact,
 };
@@ -358,8 +358,11 @@
             () = self.shell.core.stopped() => eyre::bail!("the reducer failed; see the log"),
         }
         log::info!("box: stopping; new callers are redirected to other boxes.");
-        self.shell.core.tell(Event::Stop);
-        sleep(self.shell.settings.linger.duration()).await;
+        let linger = self.shell.settings.linger;
+        let grace = self.shell.settings.grace;
+        let grace = grace.map(|length| Grace { linger, length });
+        self.shell.core.tell(Event::Stop(grace));
+        sleep(linger.duration()).await;
         log::info!("box: closing the listeners; requests in flight continue.");
         self.closing.send_replace(true);
         for listener in self.listeners {
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -186,6 +186,7 @@
         let send = match effect {
             Effect::Send(send) => send,
             Effect::Reply { reply, .. } if reply.limited => return metrics.limit_refusals.inc(),
+            Effect::Reply { reply, .. } if reply.stopping => return metrics.stop_refusals.inc(),
             Effect::Broken { begun, .. } => {
                 let label = if begun.is_some() { "begun" } else { "waiting" };
                 return metrics.broken.with_label_values(&[label]).inc();
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -18,6 +18,7 @@
         effect::{Alarm, Effect, Follow, Note},
         era::Evacuations,
         event::Source,
+        grace::{Ending, Grace},
         heartbeat::GREETING_RETRY_INTERVAL,
         lag::Lag,
         news::PendingChanges,
@@ -90,6 +91,8 @@
     pub(super) digests: u64,
     heard_peer: bool,
     leaving: bool,
+    /// The last part of the planned stop, if the settings say how long it may take.
+    pub(super) ending: Option<Ending>,
     pub(super) watching: bool,
     fetching: Option<(Version, Time)>,
     unreadable: Option<Version>,
@@ -166,6 +169,7 @@
 
     pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.expire(now, out);
+        self.begin_ending(now, out);
         self.expire_evacuations(now, out);
         self.confirm_rollouts(now, out);
         if self.fleet.sweep(now) {
@@ -555,8 +559,9 @@
         out.push(Effect::Alarm(alarm));
     }
 
-    pub(super) fn stop(&mut self, now: Time, out: &mut Vec<Effect>) {
+    pub(super) fn stop(&mut self, now: Time, grace: Option<Grace>, out: &mut Vec<Effect>) {
         self.control.leaving = true;
+        self.control.ending = grace.map(|grace| Ending::new(now, grace));
         self.broadcast_heartbeat(now, out);
         self.announce_stop(now, out);
     }
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -29,6 +29,10 @@
         let Some(job) = self.jobs.get(&request) else {
             return true;
         };
+        if let Some(reply) = self.grace_refusal(now, job) {
+            self.finish(request, reply, out);
+            return true;
+        }
         if let Some(reply) = self.quarantine_refusal(now, job) {
             self.finish(request, reply, out);
             return true;
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -213,6 +213,8 @@
     pub retry_after: Option<Millis>,
     /// Whether a backend server could have taken the request but for the limit that it names.
     pub limited: bool,
+    /// Whether this box stops too soon to finish the request.
+    pub stopping: bool,
     /// Whether the reply carries a fresh key prefix.
     pub offer_key: bool,
 }
@@ -226,6 +228,7 @@
             reason: reason.to_string(),
             retry_after: None,
             limited: false,
+            stopping: false,
             offer_key: false,
         }
     }
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -117,6 +117,15 @@
         /// Length of the pause; `None` if the value cannot be parsed.
         span: Option<Millis>,
     },
+    /// The last part of a planned stop begins.
+    Ending {
+        /// Waiting requests that were refused, as no time is left for them.
+        refused: usize,
+        /// Requests that are still to be answered.
+        open: usize,
+        /// When the last answers are due.
+        left: Millis,
+    },
     /// The platform's store was restored from a copy.
     StoreRestored(Era),
     /// The platform's store reported a revision older than the known one, and it was dropped.
@@ -274,6 +283,14 @@
                 Some(span) => write!(f, "backend={backend} pushback={span}"),
                 None => write!(f, "backend={backend} pushback=unreadable"),
             },
+            Self::Ending {
+                refused,
+                open,
+                left,
+            } => write!(
+                f,
+                "box=self state=ending refused={refused} open={open} left={left}"
+            ),
             Self::StoreRestored(era) => write!(f, "store era={era} restored=copy"),
             Self::OutdatedUpdate { revision, known } => {
                 write!(f, "store news={revision} known={known} dropped=older")
--- a/src/reducer/event.rs
+++ b/src/reducer/event.rs
@@ -13,7 +13,9 @@
         report::Report,
         transfer::Handover,
     },
-    pin, pushback, retry,
+    pin, pushback,
+    reducer::Grace,
+    retry,
     settings::Seed,
     size::Weight,
     unit::{Millis, Time},
@@ -362,6 +364,6 @@
     },
     /// Capacity of this box according to its settings; `None` if they don't name it.
     WeightChanged(Option<Weight>),
-    /// A planned stop begins.
-    Stop,
+    /// A planned stop begins; `None` if the settings don't say how long it may take.
+    Stop(Option<Grace>),
 }
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -96,6 +96,8 @@
     pub(super) target: Option<Millis>,
     /// Whether the deadline applies to the whole answer rather than to its beginning only.
     pub(super) deadline_covers_answer: bool,
+    /// Whether an answer began, so that a further attempt can only continue it.
+    pub(super) answering: bool,
     pub(super) tried: Vec<Place>,
     pub(super) may_have_run: bool,
     /// Charge against the customer's allotment, if this box made it.
@@ -139,6 +141,7 @@
             priority: plan.priority(),
             target: route.target_latency,
             deadline_covers_answer: route.max_duration.is_some(),
+            answering: false,
             tried: vec![],
             may_have_run: false,
             charge: None,
--- a/src/reducer/key.rs
+++ b/src/reducer/key.rs
@@ -157,6 +157,9 @@
             let reason = "the key names another box than the one it was passed to";
             return Err(Reply::new(409, Verdict::MayHaveRun, reason));
         }
+        if let Some(reply) = self.grace_refusal(now, &job) {
+            return Err(reply);
+        }
         let peer = key.pin.peer;
         let attempt = self.next_attempt();
         job.may_have_run = true;
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -25,6 +25,7 @@
 //! | `detect` | backend servers that fail silently |
 //! | `suspect` | content that crashes backend servers, and how boxes inform each other of it |
 //! | `outcome` | results of attempts, and final answers |
+//! | `grace` | requests that a planned stop leaves no time for |
 //! | `repeat` | retry budget for attempts beyond the first |
 //! | `ask`, `demand` | boxes that a caller should use, by the routes in use |
 //! | `naming` | how often a look-up returns each box |
@@ -57,6 +58,7 @@
 mod era;
 mod estimate;
 pub mod event;
+mod grace;
 mod heartbeat;
 mod inventory;
 mod job;
@@ -113,6 +115,7 @@
     wire::{Contact, Phase},
 };
 
+pub use grace::Grace;
 pub use outage::CHECK_TIMEOUT;
 
 use effect::Effect;
@@ -362,7 +365,7 @@
                 self.budgets.set_limits(retry);
             }
             Event::WeightChanged(weight) => self.resize(now, weight, &mut out),
-            Event::Stop => self.stop(now, &mut out),
+            Event::Stop(grace) => self.stop(now, grace, &mut out),
         }
         out
     }
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -90,6 +90,7 @@
         if let Stage::Sent { begun, .. } = &mut job.stage {
             *begun = Some(now);
         }
+        job.answering = true;
         out.extend(job.complete_move(request, now));
         if !job.deadline_covers_answer {
             self.deadlines.remove(&(job.deadline, request));
@@ -220,7 +221,10 @@
             (true, true) => RetryKind::Owed,
             (true, false) => RetryKind::Ordinary,
         };
-        if may_retry && self.take_retry(now, request, &service, kind, out) {
+        let job = self.jobs.get(&request).filter(|_| may_retry);
+        if let Some(reply) = job.and_then(|job| self.grace_refusal(now, job)) {
+            self.finish(request, reply, out);
+        } else if may_retry && self.take_retry(now, request, &service, kind, out) {
             if !self.try_place(now, request, out) {
                 self.enqueue(request, out);
             }
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -111,7 +111,9 @@
     fn alternative_place(&self, now: Time, request: id::Request) -> Option<(Place, Basis)> {
         let job = self.jobs.get(&request)?;
         let spent = job.runs < 2 || job.attempts >= retry::MAX_ATTEMPTS;
-        if spent || self.awaits_probe(now, job) || self.quarantine_refusal(now, job).is_some() {
+        let refused =
+            self.quarantine_refusal(now, job).is_some() || self.grace_refusal(now, job).is_some();
+        if spent || refused || self.awaits_probe(now, job) {
             return None;
         }
         let decision = self.decide(now, job).ok()?;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -188,6 +188,8 @@
     pub descriptors: Option<u32>,
     /// How long a planned stop keeps the listener open.
     pub linger: Millis,
+    /// How long a planned stop may take before the process is killed, if there is a limit.
+    pub grace: Option<Millis>,
     /// Limits on the attempts of requests beyond the first.
     pub retry: retry::Limits,
     /// How far the platform allows a customer's use to exceed its allotment.
@@ -305,6 +307,10 @@
         section.fault("descriptors", &fault);
     }
     let linger = section.or("linger", Millis(3000));
+    let grace = section.optional("grace");
+    if grace.is_some_and(|grace| grace <= linger) {
+        section.fault("grace", "must be longer than linger");
+    }
     let retry = retry::Limits {
         ratio: section.or("retry_ratio", retry::Limits::RATIO),
         slack: section.optional("retry_slack"),
@@ -369,6 +375,7 @@
         body_memory,
         descriptors,
         linger,
+        grace,
         retry,
         tolerance,
         exposure,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -400,6 +400,11 @@
                 }
                 return Ok(false);
             }
+            mode if mode.starts_with("work-") => {
+                let work = mode.rsplit('-').next().and_then(|ms| ms.parse().ok());
+                sleep(Duration::from_millis(work.unwrap_or_default())).await;
+                (success, true)
+            }
             "silent" => return self.wait(stream, id).await,
             "slow" => {
                 sleep(Duration::from_millis(400)).await;
--- a/tests/allotments.rs
+++ b/tests/allotments.rs
@@ -345,7 +345,7 @@
     for seed in 0..SEEDS {
         let mut fleet = Fleet::new(seed);
         for number in 0..BOXES {
-            fleet.crowd.step(number, Event::Stop);
+            fleet.crowd.step(number, Event::Stop(None));
             fleet.advance(300, 0.6);
             fleet.running.retain(|(_, running, _)| *running != number);
             fleet.crowd.launch(number);
@@ -387,7 +387,7 @@
     for seed in 0..SEEDS {
         let mut fleet = Fleet::new(seed);
         for number in 0..BOXES {
-            fleet.crowd.step(number, Event::Stop);
+            fleet.crowd.step(number, Event::Stop(None));
             fleet.advance(300, 5.0);
             fleet.running.retain(|(_, running, _)| *running != number);
             fleet.crowd.launch(number);
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -141,7 +141,7 @@
         let mut region = Region::new(size, rate);
         region.pass(2000);
         for number in 0..size {
-            region.crowd.step(number, Event::Stop);
+            region.crowd.step(number, Event::Stop(None));
             region.pass(400);
         }
         region.pass(2000);
@@ -161,7 +161,7 @@
         region.pass(2000);
         for turn in 0..size + 4 {
             if turn < size {
-                region.crowd.step(turn, Event::Stop);
+                region.crowd.step(turn, Event::Stop(None));
             }
             if let Some(ended) = turn.checked_sub(1).filter(|n| *n < size) {
                 region.crowd.boxes[ended] = None;
@@ -331,7 +331,7 @@
 #[test]
 fn boxes_that_lost_the_store_alone_serve_at_full_speed() {
     let mut region = Region::warm(4, RATE);
-    region.crowd.step(3, Event::Stop);
+    region.crowd.step(3, Event::Stop(None));
     region.pass(1000);
     region.crowd.boxes[3] = None;
     region.pass(7000);
--- a/tests/fleet_budget.rs
+++ b/tests/fleet_budget.rs
@@ -107,7 +107,7 @@
     /// Stops a box as planned; it starts again after it has exited.
     fn stop(&mut self, number: usize) {
         if self.crowd.boxes[number].is_some() {
-            self.step(number, Event::Stop);
+            self.step(number, Event::Stop(None));
             let end = self.crowd.now + Millis(GRACE_MS);
             self.ends.push((end, number));
         }
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -113,6 +113,8 @@
     pub registry: Registry,
     pub boxes: Vec<CloudBox>,
     pub workers: BTreeMap<String, Worker>,
+    /// Lines of the section `limits` of boxes that start later.
+    pub limits: &'static str,
     store: SocketAddr,
     folder: TempDir,
     seeds: Vec<String>,
@@ -127,6 +129,7 @@
             registry,
             boxes: Vec::new(),
             workers: BTreeMap::new(),
+            limits: "linger = 300ms\n",
             store,
             folder: TempDir::new().expect("a folder"),
             seeds: Vec::new(),
@@ -306,9 +309,10 @@
              admin_token = {TOKEN}\n\
              [peers]\nsecret = {SECRET}\nseeds = {}\n\
              [platform]\nstore = {}\ndomains = atl-a/atl, mcn-a/mcn\nhop = 10ms\nbeat = 300ms\n\
-             [limits]\nlinger = 300ms\nmax_head = 64KiB\nretry_slack = 50\n",
+             [limits]\nmax_head = 64KiB\nretry_slack = 50\n{}",
             self.seeds.join(", "),
             self.store,
+            self.limits,
         );
         let path = self.settings(number);
         std::fs::write(&path, text).expect("the settings are written");
--- a/tests/home_regions.rs
+++ b/tests/home_regions.rs
@@ -123,7 +123,7 @@
 
     fn stop(&mut self, number: usize, drain: u64) {
         if self.crowd.boxes[number].is_some() && !self.ends.contains_key(&number) {
-            self.crowd.step(number, Event::Stop);
+            self.crowd.step(number, Event::Stop(None));
             self.ends.insert(number, self.crowd.now + Millis(drain));
         }
     }
@@ -285,7 +285,7 @@
 fn stopping_box_repeats_its_report() {
     let mut solo = Solo::new(&text(""));
     solo.digest(4, 0);
-    solo.step(Event::Stop);
+    solo.step(Event::Stop(None));
     let reports = digests(&solo.pass(3000));
     assert!(reports.len() >= 3, "{} reports in 3 s", reports.len());
     assert!(reports.iter().all(|digest| digest.stopping));
@@ -351,7 +351,7 @@
     }
     let in_region = |region: usize| (0..9).filter(move |number| number % REGIONS.len() == region);
     for number in in_region(0) {
-        restarts.crowd.step(number, Event::Stop);
+        restarts.crowd.step(number, Event::Stop(None));
     }
     restarts.crowd.pass(2000);
     for number in in_region(0).chain(in_region(1)) {
--- a/tests/stopping_box.rs
+++ b/tests/stopping_box.rs
@@ -58,7 +58,7 @@
 fn refuses_relays() {
     let mut solo = Solo::new(&text(""));
     assert_eq!(sends(&solo.step(relayed(900))).len(), 1);
-    solo.step(Event::Stop);
+    solo.step(Event::Stop(None));
     let effects = solo.step(relayed(901));
     assert!(sends(&effects).is_empty());
     assert_eq!(replies(&effects)[0].verdict, Verdict::NotRun);
@@ -73,7 +73,7 @@
 fn tells_other_regions() {
     let mut solo = Solo::new(&text(""));
     solo.digest(4, 0);
-    let effects = solo.step(Event::Stop);
+    let effects = solo.step(Event::Stop(None));
     let doors = effects.iter().find_map(|e| match e {
         Effect::Gossip { frame, .. } => match &frame.body {
             Body::Digest(digest) => Some(digest.endpoints.len()),
@@ -185,7 +185,7 @@
     solo.pass(1000);
     solo.digest(4, 0);
     assert_eq!(resolved(&mut solo, "perth", "h"), ["box"]);
-    solo.step(Event::Stop);
+    solo.step(Event::Stop(None));
     assert!(resolved(&mut solo, "perth", "h").is_empty());
 }
 
@@ -198,7 +198,7 @@
     solo.pass(1000);
     solo.step(direct(960, "/home/x"));
     solo.digest(4, 0);
-    solo.step(Event::Stop);
+    solo.step(Event::Stop(None));
     assert_eq!(resolved(&mut solo, "perth", "h"), ["far"], "a home");
 }
 
--- a/tests/unheard_news.rs
+++ b/tests/unheard_news.rs
@@ -117,7 +117,7 @@
         let mut region = Region::warm(size, RATE);
         pass_informed(&mut region, 8, 1);
         for number in 1..size {
-            region.crowd.step(number, Event::Stop);
+            region.crowd.step(number, Event::Stop(None));
         }
         region.pass(1000);
         (1..size).for_each(|number| region.crowd.boxes[number] = None);
@@ -149,7 +149,7 @@
             }
             region.pass(away_s * 1000);
             for number in 2..size {
-                region.crowd.step(number, Event::Stop);
+                region.crowd.step(number, Event::Stop(None));
                 region.pass(1000);
                 region.crowd.boxes[number] = None;
                 region.pass(1000);
@@ -191,7 +191,7 @@
 #[test]
 fn starting_box_gets_the_list_of_a_stopping_neighbour() {
     let mut region = Region::warm(2, RATE);
-    region.crowd.step(1, Event::Stop);
+    region.crowd.step(1, Event::Stop(None));
     region.crowd.launch(0);
     region.pass(2000);
     let clock = region.crowd.clock(0);
@@ -211,7 +211,7 @@
         pass_informed(&mut region, 2, 1);
         evacuate(&mut region, 2);
         for number in 1..size {
-            region.crowd.step(number, Event::Stop);
+            region.crowd.step(number, Event::Stop(None));
         }
         region.pass(WARM_MS);
         region.sent.clear();
