Answer what is unanswered shortly before a stopping box is killed

Requests that were passed on in time, and whose work lasts longer than the grace, heard a closed connection. Clients and their libraries may send such a request again by themselves, even one that has run and may not be repeated.

Change: 0.3 s before the end of `grace` a box answers what has no answer with 504, may have run. Answers in progress go on and are cut by the kill. What it costs: an answer that would have come in the last 0.3 s.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -73,6 +73,8 @@
     pub limit_refusals: IntCounter,
     /// Requests refused because this box stops too soon to finish them.
     pub stop_refusals: IntCounter,
+    /// Requests given up shortly before the kill, as their answers had not begun.
+    pub stop_unanswered: IntCounter,
     /// Cache updates received from engines, by kind.
     pub engine_news: IntCounterVec,
     /// Prompts sent to engines, by whether the estimate of the cached part was based on the
@@ -372,6 +374,10 @@
                 "stop_refusals_total",
                 "Requests refused because this box stops too soon to finish them.",
             )?,
+            stop_unanswered: counter(
+                "stop_unanswered_total",
+                "Requests without an answer shortly before this box was killed.",
+            )?,
             engine_news: counters(
                 "engine_news_total",
                 "What followed engines told of their memory: list, changes, gap; or failed.",
--- a/src/gateway/report.rs
+++ b/src/gateway/report.rs
@@ -4,7 +4,7 @@
     gateway::core::Core,
     id,
     reducer::{
-        effect::{Effect, Entry, Move, Reply, Send as SendOrder, Target},
+        effect::{Effect, Entry, Move, Note, Reply, Send as SendOrder, Target},
         event::{Event, Timing},
     },
     size::Weight,
@@ -191,6 +191,9 @@
                 let label = if begun.is_some() { "begun" } else { "waiting" };
                 return metrics.broken.with_label_values(&[label]).inc();
             }
+            Effect::Noted(Note::Ended { unanswered, .. }) => {
+                return metrics.stop_unanswered.inc_by(*unanswered as u64);
+            }
             Effect::MoveEnded(carried) => return metrics.count_move(carried),
             Effect::Boxes { boxes, detour, .. } => {
                 let source = Lookup::of(boxes, detour.is_some(), &self.parts.settings.region);
--- a/src/reducer/control.rs
+++ b/src/reducer/control.rs
@@ -170,6 +170,7 @@
     pub(super) fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.expire(now, out);
         self.begin_ending(now, out);
+        self.give_up_at_end(now, out);
         self.expire_evacuations(now, out);
         self.confirm_rollouts(now, out);
         if self.fleet.sweep(now) {
--- a/src/reducer/effect/note.rs
+++ b/src/reducer/effect/note.rs
@@ -126,6 +126,13 @@
         /// When the last answers are due.
         left: Millis,
     },
+    /// The grace of a planned stop is nearly over.
+    Ended {
+        /// Requests that were given up, as their answers had not begun.
+        unanswered: usize,
+        /// Requests whose answers are in progress.
+        open: usize,
+    },
     /// The platform's store was restored from a copy.
     StoreRestored(Era),
     /// The platform's store reported a revision older than the known one, and it was dropped.
@@ -291,6 +298,12 @@
                 f,
                 "box=self state=ending refused={refused} open={open} left={left}"
             ),
+            Self::Ended { unanswered, open } => {
+                write!(
+                    f,
+                    "box=self state=ended unanswered={unanswered} open={open}"
+                )
+            }
             Self::StoreRestored(era) => write!(f, "store era={era} restored=copy"),
             Self::OutdatedUpdate { revision, known } => {
                 write!(f, "store news={revision} known={known} dropped=older")
--- a/src/reducer/grace.rs
+++ b/src/reducer/grace.rs
@@ -1,5 +1,6 @@
 //! The end of a planned stop: requests that this box could not finish before it is killed are refused
-//! while they have not run, so that their callers go to another box.
+//! while they have not run, so that their callers go to another box. Those that are not answered
+//! shortly before the kill hear that, in place of a closed connection.
 
 use crate::{
     id,
@@ -10,11 +11,15 @@
         job::{self, Job, Stage},
     },
     unit::{Millis, Time},
+    verdict::Verdict,
 };
 
 /// Time between the last answer and the end of the grace: for the answer's way to the caller, perhaps
 /// through another region, and for the time that a busy box takes to notice the stop.
 const ANSWER_MARGIN: Millis = Millis(500);
+/// Time between the answers to requests that are still without one and the end of the grace: shorter,
+/// as their work may yet be done, but enough for a busy box to write them.
+const GIVE_UP_MARGIN: Millis = Millis(300);
 /// Retry delay of callers that are refused: other boxes can take the request at once.
 const ELSEWHERE_RETRY_AFTER: Millis = Millis(100);
 
@@ -34,8 +39,20 @@
     from: Time,
     /// When the last answers are due.
     answers_by: Time,
-    /// Whether the requests that waited at its beginning were examined.
-    begun: bool,
+    /// When requests without an answer are given up.
+    give_up_at: Time,
+    /// What was done already.
+    stage: EndingStage,
+}
+
+/// Progress of the last part of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndingStage {
+    Pending,
+    /// The requests that waited at its beginning were examined.
+    Begun,
+    /// The requests without an answer were given up.
+    GivenUp,
 }
 
 impl Ending {
@@ -44,7 +61,8 @@
         Self {
             from: (now + grace.linger).min(answers_by),
             answers_by,
-            begun: false,
+            give_up_at: (now + grace.length) - GIVE_UP_MARGIN,
+            stage: EndingStage::Pending,
         }
     }
 }
@@ -67,11 +85,11 @@
 
     /// Refuses the waiting requests for which no attempt may start any more.
     pub(super) fn begin_ending(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let due = |ending: &&mut Ending| now >= ending.from && !ending.begun;
+        let due = |ending: &&mut Ending| now >= ending.from && ending.stage == EndingStage::Pending;
         let Some(ending) = self.control.ending.as_mut().filter(due) else {
             return;
         };
-        ending.begun = true;
+        ending.stage = EndingStage::Begun;
         let left = ending.answers_by.since(now);
         let waiting = self
             .jobs
@@ -92,4 +110,28 @@
             left,
         }));
     }
+
+    /// Answers the requests that are still without an answer shortly before the end of the grace. A
+    /// client may send a request again by itself if its connection closes, even one that has run.
+    pub(super) fn give_up_at_end(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let due =
+            |ending: &&mut Ending| now >= ending.give_up_at && ending.stage == EndingStage::Begun;
+        let Some(ending) = self.control.ending.as_mut().filter(due) else {
+            return;
+        };
+        ending.stage = EndingStage::GivenUp;
+        let unanswered = self.jobs.iter().filter(|(_, job)| !job.answering);
+        let mut unanswered: Vec<id::Request> = unanswered.map(|(request, _)| *request).collect();
+        unanswered.sort_unstable();
+        for request in &unanswered {
+            self.withdraw(*request, out);
+            let reason = "this box stops and the answer has not begun";
+            let reply = Reply::new(504, Verdict::MayHaveRun, reason);
+            self.finish(*request, reply.with_retry_after(ELSEWHERE_RETRY_AFTER), out);
+        }
+        out.push(Effect::Noted(Note::Ended {
+            unanswered: unanswered.len(),
+            open: self.jobs.len(),
+        }));
+    }
 }
--- a/tests/late_grace.rs
+++ b/tests/late_grace.rs
@@ -201,6 +201,23 @@
     assert_answered(&cloud, &heard).await;
 }
 
+// Requests that were passed on in time and whose work lasts longer than the grace were cut by the kill.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_work_hears_before_the_kill() {
+    let cloud = cloud().await;
+    let requests = (0..4).map(|number| Request {
+        id: format!("long-{number}"),
+        head: 2200 + 100 * number,
+        whole: 2200 + 100 * number,
+        work: 10_000,
+        limit: 6000,
+    });
+    let heard = stop(&cloud, requests.collect()).await;
+    assert_answered(&cloud, &heard).await;
+    let statuses = heard.iter().map(|row| row.status);
+    assert!(statuses.eq([Some(504); 4]), "they may have run");
+}
+
 /// A box before `servers` with one slot each, with a route whose answers may take 6 s.
 fn solo(servers: &[&str], more: &str) -> Solo {
     let servers: String = servers
@@ -284,6 +301,20 @@
     assert_eq!(refusals(&failed).len(), 1);
 }
 
+#[test]
+fn unanswered_requests_are_given_up_before_the_kill() {
+    let mut solo = solo(&["one", "two"], "");
+    solo.step(stop_event());
+    solo.pass(2500);
+    sends(&solo.arrive("a", Some(6000))).remove(0);
+    let begun = sends(&solo.arrive("a", Some(6000))).remove(0);
+    solo.begun(&begun);
+    assert!(replies(&solo.pass(GRACE.0 - 3000)).is_empty());
+    let given_up = replies(&solo.pass(400));
+    assert_eq!(given_up.len(), 1, "an answer in progress goes on");
+    assert_eq!(given_up[0].verdict, Verdict::MayHaveRun);
+}
+
 #[test]
 fn streams_continue_elsewhere() {
     let mut solo = solo(&["one", "two"], "stream_gap=1s\nresumable=true");
