Survive idle times past the end of the clock

What callers saw: nothing by itself; a task of the box ended: the one that follows an engine's cache or the store, moves a run, checks a server, or serves the caller, whichever had made the call. Cause: `Keep-Alive: timeout=` in an answer; the time until the connection may be reused was added without a bound. Evidence: "overflow when adding durations", in optimised builds too, from a call for an engine's list. Change: a moment plus a span stays at the end of the clock, as it does for the reducer's times. `gateway::dial` is public, so that tests can make single calls.

Test: odd_idle_times_end_no_task failed before, with that panic.

--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -42,7 +42,7 @@
 impl Add<Duration> for BootInstant {
     type Output = Self;
     fn add(self, span: Duration) -> Self {
-        Self(self.0 + span)
+        Self(self.0.saturating_add(span))
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,7 +28,7 @@
 mod connections;
 mod core;
 mod delimiter;
-pub(crate) mod dial;
+pub mod dial;
 mod directory;
 mod discard;
 pub mod engine_news;
