Hold late bodies to the grace over a relay as well

The rule stands where attempts start, so relays needed none of their own; this shows it by processes.

--- a/tests/late_grace.rs
+++ b/tests/late_grace.rs
@@ -8,6 +8,7 @@
 use harness::{
     clients::Client,
     cloud::{Cloud, HOST},
+    eventually,
     solo::{Solo, caller, replies, sends, server},
 };
 use nix::sys::signal::Signal::{SIGKILL, SIGTERM};
@@ -90,8 +91,9 @@
     }
 }
 
-/// Starts two boxes of a region with one backend server and a route whose answers may take 6 s.
-async fn cloud() -> Cloud {
+/// Starts two boxes in atl, one in mcn, one backend server in `region`, and a route whose answers may
+/// take 6 s.
+async fn cloud(region: &str) -> Cloud {
     let mut cloud = Cloud::start().await;
     cloud.limits = "linger = 3s\ngrace = 8s\n";
     let content = json!({
@@ -104,10 +106,15 @@
         "services": [{ "name": "app", "healthPath": "/health" }],
     });
     cloud.registry.put("op/config", &content);
-    cloud.add_worker("app", "atl").await;
-    cloud.add_box("atl").await;
-    cloud.add_box("atl").await;
+    cloud.add_worker("app", region).await;
+    for region in ["atl", "atl", "mcn"] {
+        cloud.add_box(region).await;
+    }
     cloud.settled().await;
+    eventually("requests are served", || async {
+        cloud.boxes[0].send("/late/x", "first", "").await.status == 200
+    })
+    .await;
     cloud
 }
 
@@ -152,9 +159,8 @@
 }
 
 // Bodies that became complete after the listeners had closed were passed on and cut by the kill.
-#[tokio::test(flavor = "multi_thread")]
-async fn late_bodies() {
-    let cloud = cloud().await;
+async fn assert_late_bodies(region: &str) {
+    let cloud = cloud(region).await;
     let request = |number: usize, (work, limit): (u64, u64)| Request {
         id: format!("body-{work}-{limit}-{number}"),
         head: 800,
@@ -179,10 +185,20 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn late_bodies() {
+    assert_late_bodies("atl").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn late_bodies_for_another_region() {
+    assert_late_bodies("mcn").await;
+}
+
 // Requests that waited for a slot were passed on late in the grace and cut by the kill.
 #[tokio::test(flavor = "multi_thread")]
 async fn waiting_requests() {
-    let cloud = cloud().await;
+    let cloud = cloud("atl").await;
     let busy = (0..SLOTS).map(|number| Request {
         id: format!("busy-{number}"),
         head: -500,
@@ -204,7 +220,7 @@
 // Requests that were passed on in time and whose work lasts longer than the grace were cut by the kill.
 #[tokio::test(flavor = "multi_thread")]
 async fn long_work_hears_before_the_kill() {
-    let cloud = cloud().await;
+    let cloud = cloud("atl").await;
     let requests = (0..4).map(|number| Request {
         id: format!("long-{number}"),
         head: 2200 + 100 * number,
