Make the fuzzed model of moves as strict as the users' page

Callers saw streams end as complete with their first part while this test passed. Its engines answered a repeated call for a stopped run with the same handle and never with 404, its streams had framing, and it let the box complete any stream.

Change: a run that a lost call stopped is unknown to a repeated call, or is answered under the same or another handle; a copy serves once, may expire or get another handle, and a request whose copy cannot be used is refused as not run; streams may end by their connection, as an end of their own or by a stop; a stream may only be completed where its run ended on its own. A start with runs whose engine leaves is one of the choices, without which the case is too rare to be hit. The check that the run was stopped before it is sent on now also admits a lost answer to a stop, which an engine refuses if the run was not stopped.

--- a/tests/moved_fuzz.rs
+++ b/tests/moved_fuzz.rs
@@ -1,6 +1,7 @@
 //! Fuzzes moves of runs between engines while engines, callers and calls fail at any step.
 //!
-//! At most one copy of a run is live, no copy is used twice, and no copy is left behind.
+//! At most one copy of a run is live, no copy is used twice, no copy is left behind, and a stream is
+//! never complete unless its run ended on its own.
 
 mod harness;
 
@@ -59,18 +60,49 @@
     stopped: Option<String>,
     /// Handle of its copies at the engine that runs it.
     handle: Option<String>,
+    /// The engine and the handle of the copy with which it was sent to continue.
+    continues: Option<(String, String)>,
     /// Whether an engine was asked to stop it.
     stop_requested: bool,
+    /// Whether the answer to such a call was lost.
+    stop_lost: bool,
+    /// Whether the close of its connection ends its stream.
+    unframed: bool,
+    /// Whether it ended on its own, with all its events.
+    whole: bool,
     /// Whether the box was notified that its stream closed.
     closed: bool,
 }
 
+/// Why a copy cannot be used any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyEnd {
+    /// The box freed it.
+    Freed,
+    /// A run continued from it.
+    Used,
+    /// The engine gave the copy another handle.
+    Replaced,
+    Expired,
+}
+
 /// A copy that was reported to the box.
 #[derive(Debug)]
 struct Copy {
     run: Request,
     engines: BTreeSet<String>,
-    released: bool,
+    end: Option<CopyEnd>,
+}
+
+impl Copy {
+    fn of(call: &Move) -> Self {
+        let engines = [call.from.name.to_string(), call.to.name.to_string()];
+        Self {
+            run: call.request,
+            engines: engines.into(),
+            end: None,
+        }
+    }
 }
 
 struct Model {
@@ -80,6 +112,8 @@
     calls: Vec<Move>,
     copies: BTreeMap<String, Copy>,
     handles: u32,
+    /// Streams that the box ended as complete.
+    completed: Vec<(Request, Attempt)>,
 }
 
 impl Model {
@@ -98,6 +132,7 @@
             calls: vec![],
             copies: BTreeMap::new(),
             handles: 0,
+            completed: vec![],
         }
     }
 
@@ -105,6 +140,14 @@
         for effect in self.world.step(event) {
             self.apply(effect);
         }
+        for (request, attempt) in std::mem::take(&mut self.completed) {
+            self.step(Event::Ended {
+                request,
+                attempt,
+                whole: true,
+                timing: Default::default(),
+            });
+        }
     }
 
     fn apply(&mut self, effect: Effect) {
@@ -117,18 +160,22 @@
                 self.calls.push(call);
             }
             Effect::FreeCopy(origin) => {
-                if let Some(copy) = self.copies.get_mut(&origin.handle.0) {
-                    copy.released = true;
-                }
+                self.end_copy(&origin.handle.0, CopyEnd::Freed);
             }
             Effect::Abort { request, .. } | Effect::DetachStream { request, .. } => {
                 if let Some(run) = self.runs.get_mut(&request) {
                     (run.live, run.closed) = (false, true);
                 }
             }
-            Effect::Reply { request, .. } | Effect::CompleteStream { request, .. } => {
+            Effect::Reply { request, .. } => {
                 self.runs.remove(&request);
             }
+            Effect::CompleteStream { request, attempt } => {
+                self.completed.push((request, attempt));
+                let run = self.runs.remove(&request);
+                let is_whole = run.as_ref().is_some_and(|run| run.whole);
+                assert!(is_whole, "an incomplete stream ends as complete: {run:?}");
+            }
             _ => {}
         }
     }
@@ -142,14 +189,16 @@
         );
         match (&send.continues, before) {
             (Some(origin), Some(run)) => {
-                let copy = &self.copies[&origin.handle.0];
-                assert_eq!(
-                    run.stopped.as_ref(),
-                    Some(&origin.handle.0),
+                let handle = &origin.handle.0;
+                let copy = &self.copies[handle];
+                // An engine that knows no such run after a lost answer may have stopped it.
+                assert!(
+                    run.stopped.as_ref() == Some(handle) || run.stop_lost,
                     "the run was not stopped"
                 );
                 assert!(
-                    !copy.released && copy.run == send.request,
+                    !matches!(copy.end, Some(CopyEnd::Freed | CopyEnd::Used))
+                        && copy.run == send.request,
                     "a released copy, or one of another run: {copy:?}"
                 );
                 assert!(
@@ -161,23 +210,42 @@
             (None, Some(run)) => assert!(self.resumable || !run.ran, "it may have run before"),
             (None, None) => {}
         }
-        let stopped = send
-            .continues
-            .as_ref()
-            .map(|origin| origin.handle.0.clone());
+        let name = target(&send).to_owned();
+        let continues = send.continues.as_ref().map(|o| (name, o.handle.0.clone()));
+        let same_run = before.filter(|_| continues.is_some());
         let run = Run {
             attempt: send.attempt,
             begun: false,
             live: false,
-            stopped,
+            stopped: same_run.and_then(|run| run.stopped.clone()),
             handle: None,
+            continues,
             stop_requested: false,
+            stop_lost: same_run.is_some_and(|run| run.stop_lost),
+            unframed: false,
+            whole: false,
             closed: false,
             ran: before.is_some_and(|run| run.ran),
         };
         self.runs.insert(send.request, run);
     }
 
+    fn end_copy(&mut self, handle: &str, end: CopyEnd) {
+        if let Some(copy) = self.copies.get_mut(handle) {
+            copy.end.get_or_insert(end);
+        }
+    }
+
+    /// Reports whether the engine that a request was sent to runs it: a copy serves once, for a run
+    /// that was stopped.
+    fn is_admitted(&self, run: &Run) -> bool {
+        run.continues.as_ref().is_none_or(|(engine, handle)| {
+            let copy = &self.copies[handle];
+            let usable = copy.end.is_none() && copy.engines.contains(engine);
+            usable && run.stopped.as_ref() == Some(handle)
+        })
+    }
+
     fn pick(&self, choice: u8, fit: impl Fn(&Run) -> bool) -> Option<Request> {
         let fit: Vec<Request> = self
             .runs
@@ -196,72 +264,11 @@
         let call = self
             .calls
             .remove(usize::from(choice >> 4) % self.calls.len());
-        let gone = !self.runs.contains_key(&call.request);
-        let run = self
-            .runs
-            .get_mut(&call.request)
-            .filter(|run| run.attempt == call.attempt);
-        let known = run.filter(|run| run.begun && (run.live || run.stopped.is_some()));
-        let result = match (known, choice % 8) {
-            (_, 0) => Handover::Lost,
-            // The copy was made before the caller left.
-            (None, 4 | 5) if gone => {
-                self.handles += 1;
-                let name = format!("h{}", self.handles);
-                let copy = Copy {
-                    run: call.request,
-                    engines: BTreeSet::new(),
-                    released: false,
-                };
-                self.copies.insert(name.clone(), copy);
-                let handle = Handle(name);
-                Handover::Copied { handle, events: 1 }
-            }
-            (None, _) => Handover::Absent,
-            (Some(run), kind) => {
-                let refused = kind == 1;
-                if !call.last && refused {
-                    Handover::Refused
-                } else if kind == 2 && !run.live {
-                    Handover::Busy
-                } else {
-                    let name = || {
-                        self.handles += 1;
-                        format!("h{}", self.handles)
-                    };
-                    let handle = run
-                        .stopped
-                        .clone()
-                        .or(run.handle.clone())
-                        .unwrap_or_else(name);
-                    run.handle = Some(handle.clone());
-                    if call.last {
-                        run.live = false;
-                        run.stopped = Some(handle.clone());
-                    }
-                    let engines = [call.from.name.to_string(), call.to.name.to_string()];
-                    let copy = Copy {
-                        run: call.request,
-                        engines: engines.into(),
-                        released: false,
-                    };
-                    let name = Handle(handle.clone());
-                    // The run stopped, but the answer is lost.
-                    if kind == 3 {
-                        Handover::Lost
-                    } else {
-                        self.copies.insert(handle, copy);
-                        match refused {
-                            true => Handover::Kept(name),
-                            false => Handover::Copied {
-                                handle: name,
-                                events: 1,
-                            },
-                        }
-                    }
-                }
-            }
-        };
+        let result = self.carry_out(&call, choice % 8, choice & 8 != 0);
+        let run = self.runs.get_mut(&call.request);
+        if let Some(run) = run.filter(|run| run.attempt == call.attempt) {
+            run.stop_lost |= call.last && result == Handover::Lost;
+        }
         self.step(Event::Moved {
             request: call.request,
             attempt: call.attempt,
@@ -270,13 +277,74 @@
         });
     }
 
-    fn end(&mut self, request: Request, whole: bool) {
+    fn new_handle(&mut self) -> String {
+        self.handles += 1;
+        format!("h{}", self.handles)
+    }
+
+    /// Carries out a call at its engine and returns what the box is told. With `rename` the copy
+    /// gets another handle than before.
+    fn carry_out(&mut self, call: &Move, kind: u8, rename: bool) -> Handover {
+        let gone = !self.runs.contains_key(&call.request);
+        let run = self.runs.get(&call.request);
+        let run = run.filter(|run| run.attempt == call.attempt && run.begun);
+        let (live, stopped, handle) = match run {
+            Some(run) if run.live || run.stopped.is_some() => {
+                (run.live, run.stopped.clone(), run.handle.clone())
+            }
+            _ if kind == 0 => return Handover::Lost,
+            // The copy was made before the caller left.
+            _ if gone && matches!(kind, 4 | 5) => {
+                let name = self.new_handle();
+                let copy = Copy::of(call);
+                self.copies.insert(name.clone(), copy);
+                let handle = Handle(name);
+                return Handover::Copied { handle, events: 1 };
+            }
+            _ => return Handover::Absent,
+        };
+        match kind {
+            0 => return Handover::Lost,
+            1 if !call.last => return Handover::Refused,
+            2 if !live => return Handover::Busy,
+            // A stopped run is no longer known, unless the engine answers a repeated call alike.
+            4..=7 if !live => return Handover::Absent,
+            _ => {}
+        }
+        let old = stopped.or(handle).filter(|_| !rename);
+        let name = old.unwrap_or_else(|| self.new_handle());
+        let run = self.runs.get_mut(&call.request).expect("a known run");
+        let before = run.handle.replace(name.clone());
+        if call.last {
+            run.live = false;
+            run.stopped = Some(name.clone());
+        }
+        if let Some(before) = before.filter(|before| *before != name) {
+            self.end_copy(&before, CopyEnd::Replaced);
+        }
+        // The call took effect, but the answer is lost.
+        if kind == 3 {
+            return Handover::Lost;
+        }
+        self.copies.insert(name.clone(), Copy::of(call));
+        let handle = Handle(name);
+        match kind {
+            1 => Handover::Kept(handle),
+            _ => Handover::Copied { handle, events: 1 },
+        }
+    }
+
+    /// Ends the stream of a run: `whole`, or else by a close without its end or by a reset.
+    fn end(&mut self, request: Request, whole: bool, reset: bool) {
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
-        (run.live, run.closed) = (false, true);
+        (run.live, run.closed, run.whole) = (false, true, whole);
         let attempt = run.attempt;
         let timing = Default::default();
+        if run.unframed && run.stop_requested && !reset {
+            return self.step(Event::Closed { request, attempt });
+        }
         if !whole && (self.resumable || run.stop_requested) {
             return self.step(Event::StreamCut { request, attempt });
         }
@@ -289,10 +357,50 @@
         });
     }
 
+    /// A sent request arrives at its engine, which runs it unless the copy cannot be used.
+    fn arrive(&mut self, request: Request, unframed: bool) {
+        if !self.is_admitted(&self.runs[&request]) {
+            return self.fail(request, false);
+        }
+        let run = self.runs.get_mut(&request).expect("a tracked request");
+        (run.begun, run.live, run.ran) = (true, true, true);
+        (run.unframed, run.stop_lost) = (unframed, false);
+        (run.stopped, run.handle) = (None, None);
+        let attempt = run.attempt;
+        if let Some((_, handle)) = run.continues.take() {
+            self.end_copy(&handle, CopyEnd::Used);
+        }
+        self.step(Event::Begun { request, attempt });
+    }
+
+    /// A sent request fails before its answer: it is refused, or its connection broke, and then its
+    /// engine may have started from the copy.
+    fn fail(&mut self, request: Request, broke: bool) {
+        let used = broke && self.is_admitted(&self.runs[&request]);
+        let run = self.runs.get_mut(&request).expect("a tracked request");
+        run.ran |= broke;
+        run.closed = true;
+        let attempt = run.attempt;
+        let used = run.continues.clone().filter(|_| used);
+        if let Some((_, handle)) = used {
+            self.end_copy(&handle, CopyEnd::Used);
+        }
+        let (verdict, cause) = match broke {
+            false => (Verdict::NotRun, Cause::Full),
+            true => (Verdict::MayHaveRun, Cause::Broken),
+        };
+        self.step(Event::Failed {
+            request,
+            attempt,
+            verdict,
+            cause,
+        });
+    }
+
     fn act(&mut self, kind: u8, choice: u8) {
         let streaming = |run: &Run| run.begun && run.live;
         let waiting = |run: &Run| !run.begun && !run.closed;
-        match kind % 12 {
+        match kind % 13 {
             0 => {
                 let part = Part {
                     id: u64::from(choice),
@@ -321,17 +429,7 @@
             }
             5 | 6 => {
                 if let Some(request) = self.pick(choice, waiting) {
-                    let run = self
-                        .runs
-                        .get_mut(&request)
-                        .expect("a picked request is tracked");
-                    (run.begun, run.live, run.ran) = (true, true, true);
-                    let used = run.stopped.take();
-                    if let Some(copy) = used.and_then(|handle| self.copies.get_mut(&handle)) {
-                        copy.released = true;
-                    }
-                    let attempt = run.attempt;
-                    self.step(Event::Begun { request, attempt });
+                    self.arrive(request, choice & 64 != 0);
                 }
             }
             7 | 8 => self.answer(choice),
@@ -341,39 +439,22 @@
                     |run: &Run| run.begun && !run.closed && (run.live || run.stopped.is_some());
                 if let Some(request) = self.pick(choice, open) {
                     let live = self.runs[&request].live;
-                    let stopped = self.runs[&request].stopped.clone();
-                    self.end(request, live && choice >= 128);
-                    if let (Some(handle), Some(run)) = (stopped, self.runs.get_mut(&request)) {
-                        run.stopped.get_or_insert(handle);
-                    }
+                    let whole = live && choice >= 128;
+                    // Only a stop closes a stream as its own end does.
+                    let reset = !whole && (live || choice & 64 != 0);
+                    self.end(request, whole, reset);
                 }
             }
             10 => {
                 if let Some(request) = self.pick(choice, waiting) {
-                    let run = self
-                        .runs
-                        .get_mut(&request)
-                        .expect("a picked request is tracked");
-                    let broke = !choice.is_multiple_of(2);
-                    run.ran |= broke;
-                    run.closed = true;
-                    // An engine whose connection broke may have started from the copy, which can be
-                    // used once.
-                    let used = run.stopped.clone().filter(|_| broke);
-                    if let Some(copy) = used.and_then(|handle| self.copies.get_mut(&handle)) {
-                        copy.released = true;
-                    }
-                    let attempt = run.attempt;
-                    let (verdict, cause) = match broke {
-                        false => (Verdict::NotRun, Cause::Full),
-                        true => (Verdict::MayHaveRun, Cause::Broken),
-                    };
-                    self.step(Event::Failed {
-                        request,
-                        attempt,
-                        verdict,
-                        cause,
-                    });
+                    self.fail(request, !choice.is_multiple_of(2));
+                }
+            }
+            11 => {
+                let fit = self.copies.iter().filter(|(_, copy)| copy.end.is_none());
+                let fit: Vec<String> = fit.map(|(handle, _)| handle.clone()).collect();
+                if let Some(handle) = fit.get(usize::from(choice) % fit.len().max(1)) {
+                    self.end_copy(handle, CopyEnd::Expired);
                 }
             }
             _ => {
@@ -385,6 +466,16 @@
         }
     }
 
+    /// Starts runs, one of whose engines then leaves, and makes the first copies.
+    fn withdraw(&mut self, choice: u8) {
+        for number in 0..ENGINES.len() as u8 {
+            self.act(0, number);
+            self.act(5, choice ^ number);
+        }
+        self.act(3, 0xf0 + choice % ENGINES.len() as u8);
+        self.answer(7);
+    }
+
     /// Disconnects all callers, answers all calls and asserts that no request or copy is left.
     fn finish(mut self) {
         // Queued requests are sent or reach their deadline.
@@ -401,7 +492,7 @@
         let left: Vec<_> = self
             .copies
             .iter()
-            .filter(|(_, copy)| !copy.released)
+            .filter(|(_, copy)| copy.end.is_none())
             .collect();
         assert!(left.is_empty(), "copies left behind: {left:?}");
         assert_eq!(self.world.state.busy(), 0, "requests left open");
@@ -411,9 +502,12 @@
 #[test]
 fn any_order_of_events_keeps_one_live_copy() {
     bolero::check!()
-        .with_type::<(bool, Vec<(u8, u8)>)>()
-        .for_each(|(resumable, steps)| {
+        .with_type::<(bool, Option<u8>, Vec<(u8, u8)>)>()
+        .for_each(|(resumable, withdrawn, steps)| {
             let mut model = Model::new(*resumable);
+            if let Some(choice) = withdrawn {
+                model.withdraw(*choice);
+            }
             for (kind, choice) in steps {
                 model.act(*kind, *choice);
             }
