Test moves with each answer of an engine, framing, route and relay

The tests with real processes knew four ways to lose the answer to the call that stops a run, with one stream at a time, on one route and one box. Further ways: an answer late by 0.9 s, a call lost before it takes effect, with and without the run's own end right after it, 409 to the repeated call and 404 after it, and no answer at all. A way now holds for the first such call of each run, so that four streams move at once: unframed and chunked, over a route that may be resumed and one that may not. All of it also over a relay.

Checked of each stream: complete only with all events, no event twice or missing, and no two runs of it at a time by the engines' own records. Where the rows were whole before, they must be whole.

--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -4,10 +4,10 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     sync::{
-        Arc, LazyLock, Mutex, MutexGuard,
+        Arc, LazyLock, Mutex, MutexGuard, OnceLock,
         atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::{Value, json};
@@ -15,6 +15,11 @@
 
 use crate::worker::Seen;
 
+/// Delay of the answer in [`Way::LastSlow`].
+const LATE_ANSWER: Duration = Duration::from_millis(900);
+/// Delay of answers in [`Way::LastSilent`]: longer than any box waits.
+const SILENCE: Duration = Duration::from_secs(10);
+
 /// Memory copies by source engine and handle; the only state that engines share.
 static COPIES: LazyLock<Mutex<HashMap<(SocketAddr, String), MemoryCopy>>> =
     LazyLock::new(Mutex::default);
@@ -29,6 +34,16 @@
     LastRefused,
     /// The call that stops a run is handled 1.5 s late, when the run has long ended.
     LastLate,
+    /// The call that stops a run takes effect, and is answered 0.9 s later.
+    LastSlow,
+    /// The first call that stops a run is lost by a reset before it takes effect.
+    LastUnheard,
+    /// As in [`Way::LastUnheard`], and the run ends on its own at once.
+    LastEnded,
+    /// As in [`Way::LastReset`], and the second call is answered with status 409.
+    LastBusy,
+    /// Calls that stop a run take effect, and none is answered in time.
+    LastSilent,
     /// The first call that stops a run takes effect, and is answered with status 500.
     LastLost,
     /// The first call that stops a run takes effect; its connection is reset instead of an answer.
@@ -44,7 +59,7 @@
     fn loses_answer(self) -> bool {
         matches!(
             self,
-            Self::LastLost | Self::LastReset | Self::LastHalf | Self::LastExpired
+            Self::LastLost | Self::LastReset | Self::LastHalf | Self::LastExpired | Self::LastBusy
         )
     }
 }
@@ -71,7 +86,12 @@
 #[derive(Debug, Default)]
 struct State {
     stopped: AtomicBool,
+    /// Whether the remaining events are made at once.
+    finishing: AtomicBool,
     events: AtomicU32,
+    /// Number of calls that stop the run.
+    stops: AtomicU32,
+    ended_at: OnceLock<Instant>,
 }
 
 /// A running stream; dropping it ends the run.
@@ -86,6 +106,10 @@
         self.state.stopped.load(Relaxed)
     }
 
+    pub(crate) fn is_finishing(&self) -> bool {
+        self.state.finishing.load(Relaxed)
+    }
+
     pub(crate) fn record_event(&self, event: u32) {
         self.state.events.store(event, Relaxed);
     }
@@ -93,6 +117,7 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
+        self.state.ended_at.get_or_init(Instant::now);
         self.runs.lock().remove(&self.id);
     }
 }
@@ -101,6 +126,8 @@
 #[derive(Debug, Default)]
 pub struct Runs {
     running: Mutex<BTreeMap<String, Arc<State>>>,
+    /// All runs with their start.
+    begun: Mutex<Vec<(String, Instant, Arc<State>)>>,
     way: Mutex<Way>,
     freed: Mutex<Vec<String>>,
     calls: AtomicU32,
@@ -123,6 +150,15 @@
         self.calls.load(Relaxed)
     }
 
+    /// Returns when this engine began and ended each run of a request; one that was stopped ended
+    /// then.
+    pub fn spans(&self, id: &str) -> Vec<(Instant, Instant)> {
+        let begun = self.begun.lock().expect("the lock is never poisoned");
+        let same = begun.iter().filter(|(run, ..)| run == id);
+        let end = |state: &State| state.ended_at.get().copied().unwrap_or_else(Instant::now);
+        same.map(|(_, start, state)| (*start, end(state))).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Arc<State>>> {
         self.running.lock().expect("the lock is never poisoned")
     }
@@ -130,6 +166,9 @@
     pub(crate) fn begin(self: &Arc<Self>, id: &str) -> Run {
         let state = Arc::<State>::default();
         self.lock().insert(id.to_owned(), state.clone());
+        let mut begun = self.begun.lock().expect("the lock is never poisoned");
+        begun.push((id.to_owned(), Instant::now(), state.clone()));
+        drop(begun);
         Run {
             id: id.to_owned(),
             state,
@@ -183,6 +222,18 @@
         let run = content["id"].as_str()?.to_owned();
         let handle = format!("h-{run}");
         let running = self.lock().get(&run).cloned();
+        let stops = self.count_stop(&run, last);
+        match way {
+            Way::LastBusy if stops == 2 => return Some(answer(409, &json!({}))),
+            Way::LastSilent if stops > 1 => sleep(SILENCE).await,
+            Way::LastUnheard | Way::LastEnded if stops == 1 => {
+                if let Some(state) = running {
+                    state.finishing.store(way == Way::LastEnded, Relaxed);
+                }
+                return Some(Reply::Reset(String::new()));
+            }
+            _ => {}
+        }
         // A run that was stopped is no longer running, even while its stream is being closed.
         let Some(state) = running.filter(|state| !state.stopped.load(Relaxed)) else {
             return Some(answer(404, &json!({})));
@@ -194,20 +245,36 @@
             target: target.filter(|_| !refused),
             stopped: last,
         };
-        state.stopped.fetch_or(last, Relaxed);
+        if last {
+            state.stopped.store(true, Relaxed);
+            state.ended_at.get_or_init(Instant::now);
+        }
         let key = (engine, handle.clone());
-        let mut copies = COPIES.lock().expect("the lock is never poisoned");
-        copies.insert(key, copy);
-        drop(copies);
+        COPIES
+            .lock()
+            .expect("the lock is never poisoned")
+            .insert(key, copy);
         let events = state.events.load(Relaxed);
         let content = json!({ "handle": handle, "created": events });
-        if last && way.loses_answer() {
-            self.take(Way::Good);
+        match way {
+            Way::LastSlow if last => sleep(LATE_ANSWER).await,
+            Way::LastSilent if last => sleep(SILENCE).await,
+            _ => {}
+        }
+        if stops == 1 && way.loses_answer() {
             return Some(self.lose_answer(engine, &handle, way, &content));
         }
         Some(answer(if refused { 503 } else { 200 }, &content))
     }
 
+    /// Counts a call that stops a run if it is the `last` one of a move; returns how many there were
+    /// for the run, 0 for any other call.
+    fn count_stop(&self, run: &str, last: bool) -> u32 {
+        let begun = self.begun.lock().expect("the lock is never poisoned");
+        let known = begun.iter().rev().find(|(id, ..)| last && id == run);
+        known.map_or(0, |(_, _, state)| state.stops.fetch_add(1, Relaxed) + 1)
+    }
+
     /// Returns what is sent in place of the answer `content` to a call that took effect.
     fn lose_answer(&self, engine: SocketAddr, handle: &str, way: Way, content: &Value) -> Reply {
         match way {
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -442,7 +442,9 @@
                 return Ok(false);
             }
             run.record_event(number);
-            sleep(EVENT_INTERVAL).await;
+            if !run.is_finishing() {
+                sleep(EVENT_INTERVAL).await;
+            }
         }
         if end < EVENTS {
             let half = format!("id: {}\nda", end + 1);
@@ -476,7 +478,9 @@
                 return Ok(false);
             }
             run.record_event(number);
-            sleep(EVENT_INTERVAL).await;
+            if !run.is_finishing() {
+                sleep(EVENT_INTERVAL).await;
+            }
         }
         Ok(false)
     }
--- a/tests/moved_streams.rs
+++ b/tests/moved_streams.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use harness::{
     cloud::{Cloud, HOST},
     eventually,
@@ -21,16 +22,25 @@
 /// Time for a stream to start and send some events.
 const SOME_EVENTS: Duration = Duration::from_millis(250);
 
-/// Starts a box and engine `i-1`, with a route whose streams may be neither repeated nor resumed.
+/// Starts a box and engine `i-1`, with a route whose streams may be neither repeated nor resumed
+/// (`/flow/`) and one whose streams may (`/again/`).
 async fn one_engine() -> Cloud {
     let cloud = Cloud::serving(&["i-1"]).await;
+    configure(&cloud).await;
+    cloud
+}
+
+async fn configure(cloud: &Cloud) {
+    let route = |prefix: &str, resumable: bool, attempts: u32| {
+        json!({
+            "name": prefix, "host": HOST, "pathPrefix": format!("/{prefix}/"), "kind": "streaming",
+            "timeoutMs": 6000, "targetLatencyMs": 800, "priority": 0, "service": "app",
+            "maxAttempts": attempts, "resumable": resumable, "gapAimMs": 600, "homeRegions": [],
+        })
+    };
     let content = json!({
         "version": 2,
-        "routes": [{
-            "name": "r", "host": HOST, "pathPrefix": "/flow/", "kind": "streaming", "timeoutMs": 6000,
-            "targetLatencyMs": 800, "priority": 0, "service": "app", "maxAttempts": 1,
-            "resumable": false, "gapAimMs": 600, "homeRegions": [],
-        }],
+        "routes": [route("flow", false, 1), route("again", true, 3)],
         "services": [{
             "name": "app", "healthPath": "/health", "coldPerS": 0.0,
             "engine": { "kvTokens": 90000, "kvBytes": 35136, "linkMbps": 550000, "moves": true, "handle_s": 6 },
@@ -39,21 +49,18 @@
     });
     cloud.registry.put("op/config", &content);
     eventually("the route is in force", || async {
-        cloud.boxes[0]
-            .send("/flow/x", "first", "")
-            .await
-            .status
-            .is_success()
+        let answer = cloud.boxes[0].send("/flow/x", "first", "").await;
+        answer.status.is_success()
     })
     .await;
-    cloud
 }
 
 /// Registers engine `i-1` as about to end.
-fn withdraw(cloud: &Cloud) {
+fn withdraw(cloud: &Cloud, region: &str) {
     let content = json!({
-        "service": "app", "address": cloud.workers["i-1"].address, "zone": "atl-a", "version": "v1",
-        "slots": 8, "state": "draining", "coldRemainingMs": 0, "sequence": 2, "timeLeftMs": 2500,
+        "service": "app", "address": cloud.workers["i-1"].address, "zone": format!("{region}-a"),
+        "version": "v1", "slots": 8, "state": "draining", "coldRemainingMs": 0, "sequence": 2,
+        "timeLeftMs": 2500,
     });
     cloud.registry.put("servers/i-1", &content);
 }
@@ -72,7 +79,7 @@
     cloud.workers["i-1"].runs.take(way);
     cloud.add_worker("i-2", "atl").await;
     sleep(harness::cloud::NEWS / 2).await;
-    withdraw(&cloud);
+    withdraw(&cloud, "atl");
     let answer = begun.finish().await;
     (cloud, answer)
 }
@@ -155,7 +162,7 @@
     cloud.workers["i-1"].runs.take(Way::LastLate);
     cloud.add_worker("i-2", "atl").await;
     sleep(harness::cloud::NEWS / 2).await;
-    withdraw(&cloud);
+    withdraw(&cloud, "atl");
     eventually("the run is being stopped", || async {
         cloud.workers["i-1"].runs.calls() == 2
     })
@@ -189,3 +196,73 @@
         assert_eq!(answer.whole, way != Way::LastExpired, "{way:?}");
     }
 }
+
+/// A way to answer the call that stops a run, and whether its stream is whole over any route.
+const ANSWERS: [(Way, bool); 10] = [
+    (Way::Good, true),
+    (Way::LastSlow, true),
+    (Way::LastRefused, true),
+    (Way::LastUnheard, true),
+    (Way::LastReset, true),
+    (Way::LastHalf, true),
+    (Way::LastEnded, false),
+    (Way::LastExpired, false),
+    (Way::LastBusy, false),
+    (Way::LastSilent, false),
+];
+/// Route and mode of each stream.
+const STREAMS: [(&str, &str); 4] = [
+    ("/flow/x", UNFRAMED_STREAM),
+    ("/flow/x", "stream"),
+    ("/again/x", UNFRAMED_STREAM),
+    ("/again/x", "stream"),
+];
+
+/// Streams to the first box from `i-1`, which then leaves and answers calls in the given `way`, and
+/// checks what callers receive.
+async fn assert_no_false_end(mut cloud: Cloud, region: &str, way: Way, whole: bool) {
+    configure(&cloud).await;
+    let mut begun = Vec::new();
+    for (number, (path, mode)) in STREAMS.iter().enumerate() {
+        let id = format!("one-{number}");
+        begun.push(cloud.boxes[0].begin(path, &id, mode).await);
+    }
+    cloud.workers["i-1"].runs.take(way);
+    cloud.add_worker("i-2", region).await;
+    sleep(harness::cloud::NEWS / 2).await;
+    withdraw(&cloud, region);
+    let answers = join_all(begun.into_iter().map(|begun| begun.finish())).await;
+    let calls = cloud.workers["i-1"].runs.calls() as usize;
+    assert!(calls >= 2 * STREAMS.len(), "{way:?}: {calls} calls");
+    for (number, answer) in answers.iter().enumerate() {
+        let stream = STREAMS[number];
+        let ids: Vec<u32> = events(answer).iter().map(|(id, _)| *id).collect();
+        let count = ids.len() as u32;
+        assert_eq!(ids, (1..=count).collect::<Vec<_>>(), "{way:?} {stream:?}");
+        assert!(
+            !answer.whole || count == EVENTS,
+            "{way:?} {stream:?}: complete after {count} events"
+        );
+        assert!(answer.whole || !whole, "{way:?} {stream:?}: cut at {count}");
+        let id = format!("one-{number}");
+        let engines = cloud.workers.values();
+        let mut spans: Vec<_> = engines.flat_map(|worker| worker.runs.spans(&id)).collect();
+        spans.sort_unstable();
+        let apart = spans.windows(2).all(|pair| pair[0].1 <= pair[1].0);
+        assert!(apart, "{way:?} {stream:?}: it ran twice at a time");
+    }
+}
+
+#[tokio::test]
+async fn no_answer_of_an_engine_ends_a_stream_early() {
+    for (way, whole) in ANSWERS {
+        assert_no_false_end(Cloud::serving(&["i-1"]).await, "atl", way, whole).await;
+    }
+}
+
+#[tokio::test]
+async fn nor_over_a_relay() {
+    for (way, whole) in ANSWERS {
+        assert_no_false_end(Cloud::across(&["i-1"]).await, "mcn", way, whole).await;
+    }
+}
