Charge refused resumes of moved runs to the retry budget

Callers and operators saw BUDGET: more arrivals beyond the first than ratio x requests + slack, when an engine left with many streams and the engines refused to resume them.

Cause: a request that resumes a stopped run was not charged, because an accepted one counts as the same run. One that is refused is an arrival beyond the first, and there are two of them for each stream: the target, then the source.

Change: a move reserves an attempt of the budget before its run is stopped. The attempt is given back when an engine accepts the run, when the run ended by itself, or when the request reached no engine; it is spent when the request is refused, breaks off or ends unanswered. The way back to the source needs an attempt of its own. A run for which the budget has none is not stopped: it goes on at its engine, and the next accepted resume lets it move in the same step. A stop in doubt resumes under the attempt that was reserved for the stop. `repeat=postponed` and `repeat=not-resumed` show both in the log, the counts and `repeat_outcomes_total`.

Evidence: tests/moved_budget.rs, 48 streams over 1, 2 and 4 boxes, slack 5, ratio 0.2 (14.6 allowed), non-resumable and resumable, resumes refused, cut, or after a lost stop. Now all cases keep to 14.6, and no attempt stays reserved after the requests have ended. With accepted resumes all 48 runs move, and the budget is untouched afterwards.

Why it holds: every path that ends a move goes through one function, which spends the reserved attempt if the request was sent and gives it back otherwise; a reserved attempt counts in every window until then.

--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -459,7 +459,7 @@
             repeats: counter("repeats_total", "Attempts beyond a request's first.")?,
             repeat_outcomes: counters(
                 "repeat_outcomes_total",
-                "Attempts beyond the first that were asked for: granted, refused, free, owed.",
+                "Attempts beyond the first that were asked for, by outcome.",
                 &["service", "outcome"],
             )?,
             repeat_budget: gauges(
--- a/src/reducer/moving/choice.rs
+++ b/src/reducer/moving/choice.rs
@@ -16,7 +16,7 @@
     wire::NameHash,
 };
 
-use super::Step;
+use super::{Step, Transfer};
 
 /// Runs that one box moves off one engine concurrently: they share its link, and each takes a slot
 /// and memory elsewhere from its first copy on.
@@ -83,7 +83,8 @@
     ) -> Vec<id::Request> {
         let moving = |job: &&Job| {
             let transfer = job.transfer.as_ref();
-            transfer.is_some_and(|t| t.is_calling() && t.source.name == *source)
+            let under_way = |t: &Transfer| t.is_calling() || t.is_postponed();
+            transfer.is_some_and(|t| under_way(t) && t.source.name == *source)
         };
         let capacity =
             MAX_CONCURRENT_MOVES.saturating_sub(self.jobs.values().filter(moving).count());
--- a/src/reducer/moving/mod.rs
+++ b/src/reducer/moving/mod.rs
@@ -6,6 +6,7 @@
 //! stopped or, after a lost answer, that it no longer exists.
 
 mod choice;
+mod reserve;
 mod transfer;
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
         event::Cause,
         job::Stage,
     },
+    retry::Outcome,
     unit::{Millis, Time},
     verdict::Verdict,
 };
@@ -74,8 +76,13 @@
     }
 
     /// Asks the engine that runs a request to copy its memory and, once a first copy exists, to
-    /// stop the run.
+    /// stop the run if the retry budget has an attempt left for it.
     fn request_copy(&mut self, now: Time, request: id::Request, out: &mut Vec<Effect>) {
+        let transfer = self.jobs.get(&request).and_then(|j| j.transfer.as_ref());
+        let stops = transfer.is_some_and(|t| matches!(t.step, Step::StopPending(_)));
+        if stops && !self.may_stop(now, request, out) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
@@ -148,18 +155,15 @@
         result: Handover,
         out: &mut Vec<Effect>,
     ) {
-        let Some(job) = self.jobs.get_mut(&request) else {
-            return;
-        };
         let Handover::Copied { handle, .. } = result else {
             let end = match result {
                 Handover::Absent => MoveOutcome::Ended,
                 _ => MoveOutcome::Refused,
             };
-            out.extend(job.end_transfer(request, end));
-            return;
+            return self.end_transfer(request, end, out);
         };
-        if let Some(transfer) = &mut job.transfer {
+        let job = self.jobs.get_mut(&request);
+        if let Some(transfer) = job.and_then(|job| job.transfer.as_mut()) {
             transfer.handle = Some(handle);
             transfer.enter(Step::StopPending(Stream::Open), now);
         }
@@ -199,7 +203,7 @@
                 self.resume(now, request, Destination::Target, out);
             }
             (Handover::Absent, Stream::Closed) => {
-                out.extend(job.end_transfer(request, MoveOutcome::Ended));
+                self.end_transfer(request, MoveOutcome::Ended, out);
                 out.push(Effect::CompleteStream { request, attempt });
             }
             (Handover::Absent, Stream::Open) => transfer.enter(Step::Ended, now),
@@ -360,7 +364,7 @@
         };
         let ended = job.transfer.as_ref().is_some_and(|t| t.step == Step::Ended);
         if ended {
-            out.extend(job.end_transfer(request, MoveOutcome::Ended));
+            self.end_transfer(request, MoveOutcome::Ended, out);
             out.push(Effect::CompleteStream { request, attempt });
         } else {
             self.fail_broken(now, request, attempt, out);
@@ -368,7 +372,7 @@
     }
 
     /// Returns a run that the target did not accept to the source, which still has its memory,
-    /// once.
+    /// once, if the retry budget has an attempt left for it.
     pub(super) fn return_to_source(
         &mut self,
         now: Time,
@@ -376,8 +380,10 @@
         verdict: Verdict,
         out: &mut Vec<Effect>,
     ) -> bool {
-        let job = self.jobs.get(&request);
-        let Some(transfer) = job.and_then(|job| job.transfer.as_ref()) else {
+        let Some(job) = self.jobs.get(&request) else {
+            return false;
+        };
+        let Some(transfer) = &job.transfer else {
             return false;
         };
         let refused = transfer.step == Step::Sent(Destination::Target) && verdict.is_not_run();
@@ -385,6 +391,11 @@
             return false;
         }
         let place = Place::Backend(transfer.source.name.clone());
+        let service = job.service.clone();
+        if !self.reserve_attempt(now, request) {
+            self.report_retry(now, request, &service, Outcome::Refused, out);
+            return false;
+        }
         if let Some(transfer) = self
             .jobs
             .get_mut(&request)
@@ -404,10 +415,8 @@
         verdict: Verdict,
         out: &mut Vec<Effect>,
     ) -> Verdict {
-        let Some(job) = self.jobs.get_mut(&request) else {
-            return verdict;
-        };
-        let Some(transfer) = &job.transfer else {
+        let job = self.jobs.get(&request);
+        let Some(transfer) = job.and_then(|job| job.transfer.as_ref()) else {
             return verdict;
         };
         let sent = matches!(transfer.step, Step::Sent(_));
@@ -415,7 +424,7 @@
             Step::Copying | Step::StopPending(_) => MoveOutcome::Refused,
             _ => MoveOutcome::Lost,
         };
-        out.extend(job.end_transfer(request, end));
+        self.end_transfer(request, end, out);
         match sent {
             true => Verdict::MayHaveRun,
             false => verdict,
--- a/src/reducer/moving/transfer.rs
+++ b/src/reducer/moving/transfer.rs
@@ -39,6 +39,18 @@
     Unknown,
 }
 
+/// The attempt of the retry budget that a move holds. A run is stopped only while the move holds
+/// one: a request to resume that no engine accepts is an attempt beyond the first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Reserve {
+    /// None was needed yet, or it was given back or spent.
+    Empty,
+    /// The budget had none left.
+    Awaited,
+    /// One is reserved.
+    Held,
+}
+
 /// The engine at which a stopped run resumes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::reducer) enum Destination {
@@ -58,6 +70,7 @@
     /// Whether the answer to a call that stops the run was lost, so that an engine that does not
     /// know the run may have stopped it.
     pub(super) stop_in_doubt: bool,
+    pub(super) reserve: Reserve,
     started: Time,
     /// When the step last changed.
     step_changed: Time,
@@ -72,6 +85,7 @@
             handle: None,
             calls: 1,
             stop_in_doubt: false,
+            reserve: Reserve::Empty,
             started: now,
             step_changed: now,
         }
@@ -87,6 +101,16 @@
         matches!(self.step, Step::Copying | Step::Stopping(_))
     }
 
+    /// Reports whether the run goes on only because the budget has no attempt left for its move.
+    pub(super) fn is_postponed(&self) -> bool {
+        self.reserve == Reserve::Awaited && matches!(self.step, Step::StopPending(_))
+    }
+
+    /// Returns when the step last changed.
+    pub(super) fn step_changed(&self) -> Time {
+        self.step_changed
+    }
+
     /// Reports whether a slot of the engine `name` is reserved for this run.
     pub(super) fn reserves(&self, name: &id::Backend) -> bool {
         let open = !matches!(self.step, Step::Sent(_) | Step::Ended | Step::Unknown);
@@ -113,7 +137,7 @@
     }
 
     /// Returns the outcome of a move whose request ends in the current step.
-    fn end(&self) -> MoveOutcome {
+    pub(super) fn end(&self) -> MoveOutcome {
         match self.step {
             Step::Copying | Step::StopPending(_) | Step::Stopping(_) => MoveOutcome::Abandoned,
             Step::Ended => MoveOutcome::Ended,
@@ -141,12 +165,14 @@
         })
     }
 
+    /// Reports whether the request was sent to resume, and no engine has answered it yet.
+    pub(super) fn is_resuming(&self) -> bool {
+        let transfer = self.transfer.as_ref();
+        transfer.is_some_and(|t| matches!(t.step, Step::Sent(_)))
+    }
+
     /// Records that the answer continues; returns the effect that reports the completed move.
-    pub(in crate::reducer) fn complete_move(
-        &mut self,
-        request: id::Request,
-        now: Time,
-    ) -> Option<Effect> {
+    pub(super) fn complete_move(&mut self, request: id::Request, now: Time) -> Option<Effect> {
         let sent = |t: &mut Transfer| matches!(t.step, Step::Sent(_));
         let mut transfer = self.transfer.take_if(sent)?;
         let Step::Sent(destination) = transfer.step else {
@@ -160,13 +186,6 @@
         Some(transfer.completion(request, self.tokens(), end))
     }
 
-    /// Frees the copy of a run that ends here. A copy still being made by a call in flight is freed
-    /// when the call's result arrives.
-    pub(in crate::reducer) fn free_copy(&mut self, request: id::Request) -> Vec<Effect> {
-        let end = self.transfer.as_ref().map(Transfer::end);
-        end.map_or(vec![], |end| self.end_transfer(request, end))
-    }
-
     /// Ends the move with the outcome `end`, freeing its copy.
     pub(super) fn end_transfer(&mut self, request: id::Request, end: MoveOutcome) -> Vec<Effect> {
         let Some(transfer) = self.transfer.take() else {
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -91,10 +91,10 @@
             *begun = Some(now);
         }
         job.answering = true;
-        out.extend(job.complete_move(request, now));
         if !job.deadline_covers_answer {
             self.deadlines.remove(&(job.deadline, request));
         }
+        self.complete_move(now, request, out);
     }
 
     pub(super) fn on_attempt_ended(
@@ -116,10 +116,10 @@
             // The backend server may have crashed, even if nobody can continue the answer.
             self.probe_after_break(now, request, &in_flight, out);
         }
-        let Some(mut job) = self.jobs.remove(&request) else {
+        self.free_copy(request, out);
+        let Some(job) = self.jobs.remove(&request) else {
             return;
         };
-        out.extend(job.free_copy(request));
         if whole && job.inconclusive {
             self.record_inconclusive(now, &job, &in_flight);
         } else if whole {
@@ -184,6 +184,7 @@
         }
         self.judge_failed(request, &spot, cause);
         self.record_failure(now, request, &spot, cause);
+        self.charge_failed_resume(request, cause, out);
         if self.return_to_source(now, request, verdict, out) {
             return;
         }
@@ -349,10 +350,10 @@
             return;
         }
         self.withdraw(request, out);
-        let Some(mut job) = self.jobs.remove(&request) else {
+        self.free_copy(request, out);
+        let Some(job) = self.jobs.remove(&request) else {
             return;
         };
-        out.extend(job.free_copy(request));
         self.give_back(&job);
         self.deadlines.remove(&(job.deadline, request));
         if job.owns_key {
@@ -392,10 +393,10 @@
 
     /// Sends a request its final answer and removes it.
     pub(super) fn finish(&mut self, request: id::Request, reply: Reply, out: &mut Vec<Effect>) {
-        let Some(mut job) = self.jobs.remove(&request) else {
+        self.free_copy(request, out);
+        let Some(job) = self.jobs.remove(&request) else {
             return;
         };
-        out.extend(job.free_copy(request));
         self.give_back(&job);
         self.deadlines.remove(&(job.deadline, request));
         let reply = Reply {
--- a/src/reducer/repeat.rs
+++ b/src/reducer/repeat.rs
@@ -45,6 +45,19 @@
             RetryKind::Ordinary if self.budgets.spend(service, now) => Outcome::Granted,
             RetryKind::Ordinary => Outcome::Refused,
         };
+        self.report_retry(now, request, service, outcome, out);
+        outcome != Outcome::Refused
+    }
+
+    /// Reports and counts the outcome of asking the budget of `service` for an attempt.
+    pub(super) fn report_retry(
+        &mut self,
+        now: Time,
+        request: id::Request,
+        service: &Service,
+        outcome: Outcome,
+        out: &mut Vec<Effect>,
+    ) {
         self.budgets.count(service, outcome);
         out.push(Effect::Repeat(Repeat {
             request,
@@ -53,7 +66,6 @@
             balance: self.budgets.balance(service, now),
             boxes: self.sharers(),
         }));
-        outcome != Outcome::Refused
     }
 
     /// Returns how many boxes share the retry slack, or `None` if this box cannot know.
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -98,8 +98,8 @@
         });
         self.release(in_flight, None);
         self.record_failure(now, request, &in_flight.spot, Cause::Silent);
+        self.free_copy(request, out);
         if let Some(job) = self.jobs.get_mut(&request) {
-            out.extend(job.free_copy(request));
             job.count_run(&in_flight.spot);
             job.moved |= in_flight.has_begun();
             job.stage = Stage::Waiting;
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -81,11 +81,22 @@
     /// The attempt continues a stream that was moved off its backend server: it is made even if the
     /// budget is used up.
     Owed,
+    /// A run is not stopped in order to move it until the budget has an attempt left.
+    Postponed,
+    /// An engine did not accept the request that resumes a moved run: the reserved attempt is spent.
+    NotResumed,
 }
 
 impl Outcome {
     /// All outcomes.
-    pub const ALL: [Self; 4] = [Self::Granted, Self::Refused, Self::Free, Self::Owed];
+    pub const ALL: [Self; 6] = [
+        Self::Granted,
+        Self::Refused,
+        Self::Free,
+        Self::Owed,
+        Self::Postponed,
+        Self::NotResumed,
+    ];
 }
 
 impl fmt::Display for Outcome {
@@ -95,6 +106,8 @@
             Self::Refused => "refused",
             Self::Free => "free",
             Self::Owed => "owed",
+            Self::Postponed => "postponed",
+            Self::NotResumed => "not-resumed",
         })
     }
 }
@@ -102,7 +115,7 @@
 /// The budget of a box for one service, in the most restrictive window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Balance {
-    /// Attempts made within the window.
+    /// Attempts made within the window, and those reserved.
     pub spent: u32,
     /// Attempts earned by requests.
     pub earned: f64,
@@ -169,6 +182,9 @@
     totals: VecDeque<Total>,
     /// The number of the last slot.
     last_slot: i64,
+    /// Attempts reserved for requests of which it is not yet known whether they count. They may be
+    /// made at any time, so they count in every window.
+    reserved: u32,
 }
 
 impl Default for Window {
@@ -176,6 +192,7 @@
         Self {
             totals: vec![Total::default(); 2 * slots(WINDOW) as usize + 2].into(),
             last_slot: 0,
+            reserved: 0,
         }
     }
 }
@@ -211,9 +228,10 @@
         self.totals_before(to).fresh - self.totals_before(from).fresh
     }
 
-    /// Returns the attempts of the slots from `from` on.
+    /// Returns the attempts of the slots from `from` on, and those reserved.
     fn spent_since(&self, from: i64) -> u32 {
         self.totals_before(self.last_slot + 1).spent - self.totals_before(from).spent
+            + self.reserved
     }
 
     /// Returns the balance of the window that ends now, by its own requests alone.
@@ -364,4 +382,27 @@
         self.overdraw(service, now);
         true
     }
+
+    /// Reserves one attempt if the budget of `service` has one left. It is given back with
+    /// [`Budgets::release`] or taken with [`Budgets::spend_reserved`].
+    pub fn reserve(&mut self, service: &Service, now: Time) -> bool {
+        let granted = self.balance(service, now).left() >= 1.0;
+        if let Some(window) = self.windows.get_mut(service).filter(|_| granted) {
+            window.reserved += 1;
+        }
+        granted
+    }
+
+    /// Gives back a reserved attempt that was not made, or that does not count.
+    pub fn release(&mut self, service: &Service) {
+        if let Some(window) = self.windows.get_mut(service) {
+            window.reserved = window.reserved.saturating_sub(1);
+        }
+    }
+
+    /// Takes a reserved attempt, which was made at `made`.
+    pub fn spend_reserved(&mut self, service: &Service, made: Time) {
+        self.release(service);
+        self.overdraw(service, made);
+    }
 }
