Keep the last event of a continued stream with a length whole

Callers got a stream that ended as complete, in which the last event lacked its first part (ORDER): "id: 19 … i-2\n\ni-2\n\n" in place of event 20, whole by its framing.

Cause: a stream that may be resumed is passed on in whole events, and what is there of the next one is kept. The last piece of a body with a length was passed on as it came, without what was kept before it. A first answer with a length is never resumed, but the answer that continues a stream may have one.

Change: the last piece goes the way of the others, with the rest after it.

Evidence: last_event_of_a_continued_stream_is_whole failed before (whole, with the tail above) and passes; moved_streams and unframed_streams pass.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -365,15 +365,19 @@
 
     /// Returns the part of `bytes` that may be forwarded now.
     fn deliverable(&mut self, bytes: Bytes) -> Option<Bytes> {
+        let whole = match &mut self.resume {
+            Some(resume) => resume.events.push(bytes),
+            None => bytes,
+        };
         if self.incoming.is_end_stream() {
             // hyper does not poll a body of known length again after its last byte.
-            self.end(true);
-            return Some(bytes);
+            let rest = self.finish().unwrap_or_default();
+            return Some(match rest.is_empty() {
+                true => whole,
+                false => [whole, rest].concat().into(),
+            });
         }
-        let Some(resume) = &mut self.resume else {
-            return Some(bytes);
-        };
-        Some(resume.events.push(bytes)).filter(|whole| !whole.is_empty())
+        Some(whole).filter(|whole| !whole.is_empty())
     }
 
     /// Drops the connection that supplied the stream; the reducer decides where it continues.
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -34,6 +34,9 @@
 /// connection.
 pub const UNFRAMED_STREAM: &str = "stream-unframed";
 
+/// The mode in which the answer is a stream with a length, whose last event comes in two parts.
+pub const SIZED_STREAM: &str = "stream-sized";
+
 /// Size of the answer in mode `long`: more than the buffers of a connection hold.
 pub const LONG_ANSWER_BYTES: usize = 8 << 20;
 /// Beginning of the request line of a liveness check.
@@ -374,6 +377,18 @@
                 let head = head("200 OK", signed);
                 return self.stream_unframed(stream, id, &head, last).await;
             }
+            SIZED_STREAM => {
+                let event = |number| format!("id: {number}\ndata: {}\n\n", self.name);
+                let events: String = (last + 1..=EVENTS).map(event).collect();
+                let (first, rest) = events.split_at(events.len() - 5);
+                let head = head("200 OK", signed) + "Content-Type: text/event-stream\r\n";
+                let length = format!("Content-Length: {}\r\n\r\n", events.len());
+                stream
+                    .write_all((head + &length + first).as_bytes())
+                    .await?;
+                sleep(EVENT_INTERVAL).await;
+                (rest.to_owned(), true)
+            }
             "stream" | "break" | SCRIPTED => {
                 let end = if mode == "break" && last == 0 {
                     5
--- a/tests/moved_streams.rs
+++ b/tests/moved_streams.rs
@@ -14,7 +14,7 @@
 use petreldrum_standin::{
     http::{Answer, call},
     runs::Way,
-    worker::{EVENTS, UNFRAMED_STREAM},
+    worker::{EVENTS, SIZED_STREAM, UNFRAMED_STREAM},
 };
 use serde_json::json;
 use tokio::time::sleep;
@@ -132,6 +132,20 @@
     assert!(cloud.workers["i-2"].seen("one").is_empty());
 }
 
+/// A stream that continued with a length ended as complete without the first part of its last event,
+/// where that event arrived in two parts.
+#[tokio::test]
+async fn last_event_of_a_continued_stream_is_whole() {
+    let mut cloud = one_engine().await;
+    let begun = cloud.boxes[0].begin("/flow/x", "one", "stream").await;
+    cloud.add_worker("i-2", "atl").await;
+    cloud.workers["i-2"].answer_always(SIZED_STREAM);
+    sleep(harness::cloud::NEWS / 2).await;
+    withdraw(&cloud, "atl");
+    let engines = assert_whole(&begun.finish().await);
+    assert_eq!((engines[0].as_str(), engines[19].as_str()), ("i-1", "i-2"));
+}
+
 /// The answer to the call that stops the run was lost, and by then the stream had closed without
 /// its final event.
 #[tokio::test]
