Drop cached parts of equal age too

What callers saw: a box does nothing for 20 s, so that others count it as dead, after an engine listed 60,000 long parts; that is under 2 MB, and far more than an engine can hold. Cause: beyond 8,192 parts the older half is dropped, by age alone. Parts of one list are equally old, so none were dropped and all were sorted for each further one, and the table grew with the list. Evidence: 19.9 s in one step of the reducer (debug build). Change: parts of equal age go by their number, so that half is dropped.

Test: lists_of_faulty_engines_hold_up_no_box failed before (19.9 s; 1 s allowed).

--- a/src/memory/cache.rs
+++ b/src/memory/cache.rs
@@ -64,12 +64,15 @@
         }
     }
 
+    /// Drops the half that was not used for longest; parts of one list are equally old.
     fn evict_oldest(&mut self) {
         let last = |copies: &Vec<CachedCopy>| copies.iter().map(|c| c.at).max().unwrap_or_default();
-        let mut uses: Vec<Time> = self.parts.values().map(last).collect();
-        uses.sort_unstable();
-        let oldest = uses[uses.len() / 2];
-        self.parts.retain(|_, copies| last(copies) >= oldest);
+        let age = |(part, copies): (&u64, &Vec<CachedCopy>)| (last(copies), *part);
+        let mut uses: Vec<(Time, u64)> = self.parts.iter().map(age).collect();
+        let half = uses.len() / 2;
+        let oldest = *uses.select_nth_unstable(half).1;
+        self.parts
+            .retain(|part, copies| (last(copies), *part) >= oldest);
     }
 
     /// Reports whether anything is known of the contents of `backend`.
