Show that retries of streams off a silent server overdraw the budget

What callers see: nothing; operators see BUDGET. A box takes streams off a server that fell silent, and engines that are full refuse them again and again. Each such retry is `owed`: it is sent whatever the budget has.

Evidence: 48 streams of one box, slack 5, ratio 0.2, all other engines full: 285 attempts in 6 s where 14.6 are allowed.

Such a stream must wait until the budget has an attempt, which is not built.

--- a/tests/moved_budget.rs
+++ b/tests/moved_budget.rs
@@ -46,6 +46,8 @@
     LoseStop,
     /// The engine that holds the copy dies while it is asked.
     Break,
+    /// All engines but the first are full.
+    Full,
 }
 
 fn config(resumable: bool) -> String {
@@ -201,12 +203,13 @@
             request, attempt, ..
         } = *send;
         let resumes = send.continues.is_some();
-        if self.engines == Engines::Accept || !resumes {
+        if self.engines == Engines::Accept || !resumes && self.engines != Engines::Full {
             self.repeats += usize::from(!resumes);
             return Event::Begun { request, attempt };
         }
         self.repeats += 1;
         let (verdict, cause) = match self.engines {
+            Engines::Full => (Verdict::NotRun, Cause::Full),
             Engines::Break => (Verdict::MayHaveRun, Cause::Broken),
             _ => (Verdict::NotRun, Cause::Refused),
         };
@@ -284,3 +287,19 @@
         }
     }
 }
+
+/// A server fell silent, and its streams were sent to full servers again and again.
+#[test]
+fn streams_off_a_silent_server_exceed_the_budget() {
+    let allowed = LIMITS.ratio * STREAMS as f64 + 5.0;
+    for boxes in [1, 2, 4] {
+        let mut fleet = Fleet::new(boxes, true, Engines::Full);
+        fleet.pass(6000);
+        let attempts = fleet.repeats;
+        assert!(attempts > 0, "{boxes} boxes: no stream was sent on");
+        assert!(
+            attempts as f64 <= allowed,
+            "{boxes} boxes: {attempts} > {allowed}"
+        );
+    }
+}
