Count relays under way by service, not by region

What callers see: while relays of one service to a region are under way, a request for an idle service of that region is refused with 503 "no allowed place can begin the answer in time", until the region's next digest.

Cause: `Remote::sent` counts the relays of all services since the digest, and each service's free slots and wait are reckoned from that sum.

Change: the count is kept by service. For the service whose relays are under way nothing changes.

Evidence: refused_relays::relays_of_one_service_fill_no_other, nine relays of a service with one slot under way: the next one is refused as before, and one of another service is relayed. With the src before it fails with the words above.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -234,7 +234,7 @@
             reporter: reporter.clone(),
             recovered_at,
             received_at: now,
-            sent: 0,
+            sent: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             closed_since: closed.then(|| closed_before.unwrap_or(now)),
             backoffs: old.map_or_else(BTreeMap::new, |old| old.backoffs.clone()),
@@ -246,22 +246,20 @@
         true
     }
 
-    /// Counts a request relayed to `region`.
-    pub fn record_relay(&mut self, region: &Region) {
+    /// Counts a request of `service` relayed to `region`.
+    pub fn record_relay(&mut self, region: &Region, service: NameHash) {
         if let Some(remote) = self.regions.get_mut(region) {
-            remote.sent += 1;
+            *remote.sent.entry(service).or_default() += 1;
         }
     }
 
-    /// Uncounts a finished request that was relayed to `region` at `sent`; a digest received later
-    /// already accounts for it.
-    pub fn relay_ended(&mut self, region: &Region, sent: Time) {
-        if let Some(remote) = self
-            .regions
-            .get_mut(region)
-            .filter(|r| sent >= r.received_at)
-        {
-            remote.sent = remote.sent.saturating_sub(1);
+    /// Uncounts a finished request of `service` that was relayed to `region` at `sent`; a digest
+    /// received later already accounts for it.
+    pub fn relay_ended(&mut self, region: &Region, service: NameHash, sent: Time) {
+        let remote = self.regions.get_mut(region);
+        let remote = remote.filter(|r| sent >= r.received_at);
+        if let Some(count) = remote.and_then(|r| r.sent.get_mut(&service)) {
+            *count = count.saturating_sub(1);
         }
     }
 
--- a/src/member/peer.rs
+++ b/src/member/peer.rs
@@ -86,8 +86,8 @@
     pub received_at: Time,
     /// When the region was heard again after a silence; `None` if it never was silent.
     pub recovered_at: Option<Time>,
-    /// Requests relayed since the digest that have not ended.
-    pub sent: u32,
+    /// Requests of each service relayed since the digest that have not ended.
+    pub sent: BTreeMap<NameHash, u32>,
     /// Entry points of the last digest that could not be reached.
     pub unreachable: BTreeSet<BoxName>,
     /// Since when the region has had no entry point that can be reached; `None` if it has one.
@@ -116,8 +116,13 @@
             .is_some_and(|until| now < *until)
     }
 
+    /// Returns the requests of `service` relayed since the digest that have not ended.
+    pub fn sent(&self, service: NameHash) -> u32 {
+        self.sent.get(&service).copied().unwrap_or(0)
+    }
+
     /// Returns the free slots for `service` at `now`: those of the digest, limited by the ramp-up,
-    /// less the requests relayed since.
+    /// less its requests relayed since.
     pub fn free(&self, service: NameHash, now: Time) -> u32 {
         let Some(capacity) = self.digest.services.iter().find(|c| c.service == service) else {
             return 0;
@@ -128,6 +133,6 @@
             (RAMP_START_SHARE + (1.0 - RAMP_START_SHARE) * part).min(1.0)
         });
         let usable = (f64::from(free) * share).ceil() as u32;
-        usable.saturating_sub(self.sent)
+        usable.saturating_sub(self.sent(service))
     }
 }
--- a/src/reducer/dispatch.rs
+++ b/src/reducer/dispatch.rs
@@ -12,7 +12,7 @@
     },
     unit::{Millis, Time},
     verdict::Verdict,
-    wire::Phase,
+    wire::{NameHash, Phase},
 };
 
 impl<P: Policy> State<P> {
@@ -205,7 +205,8 @@
                 expected
             }
             Place::Region(region) => {
-                self.table.record_relay(region);
+                let short = NameHash::of(service.as_str());
+                self.table.record_relay(region, short);
                 self.remote_first_token(now, service, region)
             }
         }
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -21,6 +21,7 @@
 
 /// The state of an attempt in flight: where it runs, and what was reserved for it.
 pub(super) struct InFlight {
+    pub(super) service: NameHash,
     pub(super) spot: Assignment,
     pub(super) at: Time,
     pub(super) work: u32,
@@ -38,7 +39,8 @@
 impl<P: Policy> State<P> {
     /// Returns `attempt` if it is the one `request` currently has in flight.
     pub(super) fn in_hand(&self, request: id::Request, attempt: id::Attempt) -> Option<InFlight> {
-        match &self.jobs.get(&request)?.stage {
+        let job = self.jobs.get(&request)?;
+        match &job.stage {
             Stage::Sent {
                 attempt: current,
                 spot,
@@ -47,6 +49,7 @@
                 expected,
                 begun,
             } if *current == attempt => Some(InFlight {
+                service: NameHash::of(job.service.as_str()),
                 spot: spot.clone(),
                 at: *at,
                 work: *work,
@@ -178,12 +181,12 @@
             self.probe_after_break(now, request, &in_flight, out);
         }
         self.record_rejection(now, &in_flight, cause, out);
-        let spot = in_flight.spot;
+        let spot = in_flight.spot.clone();
         if cause == Cause::Unreachable {
             self.probe_after_close(now, &spot, out);
         }
         self.judge_failed(request, &spot, cause);
-        self.record_failure(now, request, &spot, cause);
+        self.record_failure(now, &in_flight, cause);
         self.charge_failed_resume(request, cause, out);
         if self.return_to_source(now, request, verdict, out) {
             return;
@@ -270,20 +273,15 @@
                 }
             }
             Assignment::Chosen(Place::Region(region), _) => {
-                self.table.relay_ended(region, in_flight.at)
+                self.table
+                    .relay_ended(region, in_flight.service, in_flight.at)
             }
             Assignment::Pinned => {}
         }
     }
 
-    pub(super) fn record_failure(
-        &mut self,
-        now: Time,
-        request: id::Request,
-        spot: &Assignment,
-        cause: Cause,
-    ) {
-        match (spot, cause) {
+    pub(super) fn record_failure(&mut self, now: Time, in_flight: &InFlight, cause: Cause) {
+        match (&in_flight.spot, cause) {
             (_, Cause::Late) | (Assignment::Pinned, _) => {}
             (Assignment::Chosen(Place::Backend(name), _), Cause::Refused | Cause::Replaced) => {
                 self.servers
@@ -328,10 +326,7 @@
                 self.table.record_unreachable(region, door, now);
             }
             (Assignment::Chosen(Place::Region(region), _), Cause::Refused) => {
-                if let Some(job) = self.jobs.get(&request) {
-                    let service = NameHash::of(job.service.as_str());
-                    self.table.relay_refused(region, service, now);
-                }
+                self.table.relay_refused(region, in_flight.service, now);
             }
             (Assignment::Chosen(Place::Region(_), _), _) => {}
         }
--- a/src/reducer/place.rs
+++ b/src/reducer/place.rs
@@ -351,7 +351,7 @@
         let (first, burden) = self.remote_prompt_cost(wish, &usable, capacity);
         let hop = config.hop(&self.table.me.region, region);
         let free = remote.free(short, now);
-        let (busy, slots) = (capacity.busy + remote.sent, capacity.slots.max(1));
+        let (busy, slots) = (capacity.busy + remote.sent(short), capacity.slots.max(1));
         let ahead = u64::from(busy.saturating_sub(slots)) + 1;
         let wait = match free {
             0 => Millis(capacity.whole.0 * ahead / u64::from(slots)),
--- a/src/reducer/stall.rs
+++ b/src/reducer/stall.rs
@@ -97,7 +97,7 @@
             false => Effect::Abort { request, attempt },
         });
         self.release(in_flight, None);
-        self.record_failure(now, request, &in_flight.spot, Cause::Silent);
+        self.record_failure(now, in_flight, Cause::Silent);
         self.free_copy(request, out);
         if let Some(job) = self.jobs.get_mut(&request) {
             job.count_run(&in_flight.spot);
--- a/tests/refused_relays.rs
+++ b/tests/refused_relays.rs
@@ -36,7 +36,7 @@
 }
 
 fn request(solo: &mut Solo, number: u64, path: &str) -> Vec<Effect> {
-    let mut event = arrival(number, "a", Some(Millis(1500)));
+    let mut event = arrival(number, "a", Some(Millis(900)));
     if let Event::Arrived(arrival) = &mut event {
         arrival.path = path.to_owned();
     }
@@ -93,6 +93,27 @@
     assert!(relay(&effects).is_some(), "not relayed after the pause");
 }
 
+// Relays of one service in flight were taken off the free slots of every other service: until the
+// region's next digest a request for an idle service was refused, since it "could not begin in time".
+#[test]
+fn relays_of_one_service_fill_no_other() {
+    let mut solo = box_without_servers();
+    solo.digest_of(&["read", "book"], 1);
+    // Nine wait for 900 ms, as one of 100 ms runs at a time: the deadline of the next one.
+    for number in 0..9 {
+        let effects = request(&mut solo, number, "/read/x");
+        assert!(relay(&effects).is_some(), "request {number} is relayed");
+    }
+    let effects = request(&mut solo, 9, "/read/x");
+    assert!(
+        relay(&effects).is_none(),
+        "relayed to a service that is full"
+    );
+    let effects = request(&mut solo, 100, "/book/x");
+    let refusal = replies(&effects).pop().map(|reply| reply.reason);
+    assert!(relay(&effects).is_some(), "refused: {refusal:?}");
+}
+
 /// Adds a service `ledger` with a route and a backend server to a platform with one service.
 async fn add_ledger(cloud: &mut Cloud) {
     let mut content = cloud
