--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -42,6 +42,8 @@
     LastEnded,
     /// As in [`Way::LastReset`], and the second call is answered with status 409.
     LastBusy,
+    /// The first call that stops a run takes effect, and is answered with status 503 and no handle.
+    LastNameless,
     /// Calls that stop a run take effect, and none is answered in time.
     LastSilent,
     /// The first call that stops a run takes effect, and is answered with status 500.
@@ -59,7 +61,12 @@
     fn loses_answer(self) -> bool {
         matches!(
             self,
-            Self::LastLost | Self::LastReset | Self::LastHalf | Self::LastExpired | Self::LastBusy
+            Self::LastLost
+                | Self::LastReset
+                | Self::LastHalf
+                | Self::LastExpired
+                | Self::LastBusy
+                | Self::LastNameless
         )
     }
 }
@@ -279,6 +286,7 @@
     fn lose_answer(&self, engine: SocketAddr, handle: &str, way: Way, content: &Value) -> Reply {
         match way {
             Way::LastLost => return answer(500, &json!({})),
+            Way::LastNameless => return answer(503, &json!({})),
             Way::LastHalf => {
                 let whole = text(200, content);
                 return Reply::Reset(whole[..whole.len() - 5].to_owned());
--- a/tests/moved_streams.rs
+++ b/tests/moved_streams.rs
@@ -212,13 +212,14 @@
 }
 
 /// A way to answer the call that stops a run, and whether its stream is whole over any route.
-const ANSWERS: [(Way, bool); 10] = [
+const ANSWERS: [(Way, bool); 11] = [
     (Way::Good, true),
     (Way::LastSlow, true),
     (Way::LastRefused, true),
     (Way::LastUnheard, true),
     (Way::LastReset, true),
     (Way::LastHalf, true),
+    (Way::LastNameless, true),
     (Way::LastEnded, false),
     (Way::LastExpired, false),
     (Way::LastBusy, false),
