Free the copy of a run that will not resume at once

A run that ended by itself while it was to be stopped, or of which it stays unknown whether it was stopped, kept its first copy, with a slot and memory at the target, and its reserved attempt of the retry budget until its stream ended. Meanwhile the attempt was missing for repeats and moves.

Cause: only the end of a request freed them, though neither step can resume. Change: entering them frees both. a_run_that_goes_on_keeps_no_copy failed before. The check in a_stream_that_ends_by_itself_is_whole asked for no effect at all where the end of the stream is still to arrive; it now asks for the freed copy and nothing else, which is as strict.

--- a/src/reducer/moving/mod.rs
+++ b/src/reducer/moving/mod.rs
@@ -206,11 +206,17 @@
                 self.end_transfer(request, MoveOutcome::Ended, out);
                 out.push(Effect::CompleteStream { request, attempt });
             }
-            (Handover::Absent, Stream::Open) => transfer.enter(Step::Ended, now),
+            (Handover::Absent, Stream::Open) => {
+                transfer.enter(Step::Ended, now);
+                self.drop_copy(request, out);
+            }
             (Handover::Busy | Handover::Lost | Handover::Refused, _) if again => {
                 transfer.enter(Step::StopPending(stream), now);
             }
-            (_, Stream::Open) => transfer.enter(Step::Unknown, now),
+            (_, Stream::Open) => {
+                transfer.enter(Step::Unknown, now);
+                self.drop_copy(request, out);
+            }
             (_, Stream::Broken | Stream::Closed) => {
                 transfer.enter(Step::Unknown, now);
                 self.fail_broken(now, request, attempt, out);
--- a/src/reducer/moving/reserve.rs
+++ b/src/reducer/moving/reserve.rs
@@ -92,6 +92,16 @@
         }
     }
 
+    /// Frees the copy and gives back the attempt of a run that will not resume, while its stream
+    /// goes on.
+    pub(super) fn drop_copy(&mut self, request: id::Request, out: &mut Vec<Effect>) {
+        self.settle_reserve(request, false, out);
+        let job = self.jobs.get_mut(&request);
+        let transfer = job.and_then(|job| job.transfer.as_mut());
+        let origin = transfer.and_then(|transfer| transfer.take_origin());
+        out.extend(origin.map(Effect::FreeCopy));
+    }
+
     /// Ends the move of a request with the outcome `end`, freeing its copy. A request to resume
     /// that is still unanswered is charged.
     pub(super) fn end_transfer(
--- a/src/reducer/moving/transfer.rs
+++ b/src/reducer/moving/transfer.rs
@@ -124,6 +124,13 @@
         })
     }
 
+    /// Returns the copy and forgets it.
+    pub(super) fn take_origin(&mut self) -> Option<Origin> {
+        let origin = self.origin();
+        self.handle = None;
+        origin
+    }
+
     fn completion(&self, request: id::Request, tokens: u32, end: MoveOutcome) -> Effect {
         Effect::MoveEnded(MoveReport {
             request,
--- a/tests/moved_runs.rs
+++ b/tests/moved_runs.rs
@@ -343,6 +343,22 @@
     assert_eq!(target(&continued), "b");
 }
 
+/// A run that will not resume kept its copy, which takes a slot elsewhere, until its stream ended.
+#[test]
+fn a_run_that_goes_on_keeps_no_copy() {
+    let mut scene = Scene::with_one_stream();
+    let last = scene.stopping();
+    assert_eq!(freed(&scene.answer(&last, Handover::Absent)), ["h1"]);
+    let mut scene = Scene::with_one_stream();
+    let last = scene.stopping();
+    scene.answer(&last, Handover::Lost);
+    let again = calls(&scene.world.step(Event::Tick)).remove(0);
+    let effects = scene.answer(&again, Handover::Lost);
+    assert_eq!((freed(&effects), replies(&effects).len()), (vec!["h1"], 0));
+    assert!(freed(&scene.broke()).is_empty(), "it is freed once");
+    assert_eq!(scene.world.state.busy(), 0);
+}
+
 /// A stream without framing ended as complete with its first part: the engine no longer knew the
 /// run, because a call whose answer was lost had stopped it.
 #[test]
@@ -462,8 +478,10 @@
 
     let mut scene = Scene::with_one_stream();
     let last = scene.stopping();
-    assert!(
-        scene.answer(&last, Handover::Absent).is_empty(),
+    let effects = scene.answer(&last, Handover::Absent);
+    assert_eq!(
+        (effects.len(), freed(&effects)),
+        (1, vec!["h1"]),
         "its end is still to arrive"
     );
     let effects = scene.world.step(closed.clone());
