--- a/tests/engine_answers.rs
+++ b/tests/engine_answers.rs
@@ -2,14 +2,24 @@
 
 mod harness;
 
-use std::{fs, net::SocketAddr, sync::Arc};
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use futures_util::future::join_all;
-use harness::clients::peak_memory;
+use harness::{
+    clients::{TURN, peak_memory},
+    eventually,
+};
 use petreldrum::{gateway::dial::Pool, platform::engine};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
+    join,
     net::TcpListener,
+    time::sleep,
 };
 
 /// Memory, in KiB, that all calls together may take: what a box of 160 MB has left beside its
@@ -22,6 +32,11 @@
 /// Bytes of answers that end: more than is read of an engine, and less.
 const LENGTHS: [usize; 2] = [7 << 20, 15 << 17];
 
+/// Pause of a slow engine between two bytes, shorter than what a box waits for.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(400);
+/// Longest time for which slow engines may hold up others; a call may take 20 s.
+const MAX_HOLD_UP: Duration = Duration::from_secs(8);
+
 /// An engine that answers each call with `start`, `filler` again and again, and `end`; without an
 /// end it goes on until the caller closes.
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +87,7 @@
 /// are parsed.
 #[tokio::test]
 async fn calls_to_faulty_engines_take_little_memory() {
+    let _turn = TURN.lock().await;
     let talkers = [
         ("", "no answer ", None),
         ("{\"epoch\":0,\"next", "PageToken", None),
@@ -107,6 +123,7 @@
 /// As many parts as a large engine can hold are read, by all calls that a box makes at once.
 #[tokio::test]
 async fn long_lists_are_read() {
+    let _turn = TURN.lock().await;
     let talker = Talker {
         start: "{\"epoch\":0,\"nextPageToken\":0,\"held\":[[\"\",\"1\",0,\"\"]",
         filler: ",[\"\",\"0123456789abcdef\",1600,\"model\"]",
@@ -121,3 +138,46 @@
         assert!(parts.len() > 20_000, "{} parts", parts.len());
     }
 }
+
+/// Guards against faulty engines that send long lists slowly and keep sound ones from being read.
+#[tokio::test]
+async fn slow_lists_hold_up_no_others() {
+    let _turn = TURN.lock().await;
+    let parts = "[\"\",\"1\",0,\"\"]";
+    let sound = Talker {
+        start: "{\"held\":[[\"\",\"1\",0,\"\"]",
+        filler: ",[\"\",\"0123456789abcdef\",1600,\"model\"]",
+        end: Some("]}"),
+        length: 1 << 20,
+    };
+    let slow = TcpListener::bind("127.0.0.1:0").await;
+    let slow = slow.expect("a port is free");
+    let slow_address = slow.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = slow.accept().await {
+            tokio::spawn(async move {
+                let _ = stream.read(&mut [0; 4096]).await;
+                let start = format!("HTTP/1.1 200 OK\r\n\r\n{{\"held\":[{parts}");
+                let start = start + &format!(",{parts}").repeat((128 << 10) / parts.len());
+                let mut sent = stream.write_all(start.as_bytes()).await;
+                while sent.is_ok() {
+                    sleep(TRICKLE_INTERVAL).await;
+                    sent = stream.write_all(b" ").await;
+                }
+            });
+        }
+    });
+    let address = sound.serve().await;
+    let pool = Arc::new(Pool::default());
+    let slow_lists = (0..2).map(|_| engine::list_cached(&pool, slow_address));
+    let sound_list = async {
+        // The slow ones are being read.
+        sleep(TRICKLE_INTERVAL).await;
+        let retry = || async { engine::list_cached(&pool, address).await.is_ok() };
+        eventually("a sound engine's list is read", retry).await;
+    };
+    let started = Instant::now();
+    let (slow_lists, ()) = join!(join_all(slow_lists), sound_list);
+    assert!(slow_lists.iter().all(Result::is_err));
+    assert!(started.elapsed() < MAX_HOLD_UP, "{:?}", started.elapsed());
+}
