--- a/tests/engine_answers.rs
+++ b/tests/engine_answers.rs
@@ -14,7 +14,7 @@
     clients::{TURN, peak_memory},
     eventually,
 };
-use petreldrum::{gateway::dial::Pool, platform::engine};
+use petreldrum::{gateway::dial::Pool, memory::transfer::Handover, platform::engine};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     join,
@@ -181,3 +181,21 @@
     assert!(slow_lists.iter().all(Result::is_err));
     assert!(started.elapsed() < MAX_HOLD_UP, "{:?}", started.elapsed());
 }
+
+/// Guards against a surplus answer to a request that is taken for the answer to a call.
+#[tokio::test]
+async fn answers_to_requests_are_none_to_calls() {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 4096]).await;
+            let answer = "HTTP/1.1 404 Gone\r\nRequest-Id: other\r\nContent-Length: 0\r\n\r\n";
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    let pool = Arc::new(Pool::default());
+    let result = engine::move_run(&pool, address, "one", address, true).await;
+    assert_eq!(result, Handover::Lost);
+}
