--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -274,13 +274,7 @@
     let newest = newer_record(stored.record.as_ref(), in_force.as_deref());
     let base_is_current = newest.map_or(base == Version(0), |record| record.is_known(base));
     if !base_is_current {
-        // Only the store shows what stands: the active configuration may be missing there.
-        let same = stored.record.as_ref();
-        let same = same.filter(|record| record.envelope.text == text);
-        return same.map_or_else(
-            || conflict(newest),
-            |record| standing_or_conflict(record, text),
-        );
+        return conflict(newest);
     }
     let latest_version = newest.map_or(Version(0), |record| record.envelope.version);
     envelope.version = Version(latest_version.0 + 1);
@@ -292,11 +286,8 @@
     match shell.store.swap(stored.revision, &record).await {
         Ok(Swap::Done) => accepted(shell, record),
         Ok(Swap::Conflict) => match shell.store.read().await {
-            Ok(Stored {
-                record: Some(winner),
-                ..
-            }) => standing_or_conflict(&winner, text),
-            Ok(_) | Err(_) => conflict(newest),
+            Ok(winner) => conflict(winner.record.as_ref()),
+            Err(_) => conflict(newest),
         },
         Err(error) => {
             log::warn!("admin: the store did not confirm a write: {error:#}.");
@@ -320,16 +311,6 @@
     }
 }
 
-/// Returns the outcome of a change to `text` that `stored` came before. It is no conflict if that has
-/// the same text: an operator repeats a change whose outcome is unknown, and the earlier one stands.
-fn standing_or_conflict(stored: &Record, text: &str) -> Change {
-    if stored.envelope.text != text {
-        return conflict(Some(stored));
-    }
-    let version = stored.edited();
-    Change::Accepted { version }
-}
-
 /// Reads the store until the outcome of an unconfirmed write is known; `before` is the record read
 /// before the write.
 async fn confirm_write(shell: &Shell, before: Stored, record: Record) -> Change {
@@ -348,7 +329,7 @@
         if found.envelope.version == record.envelope.version {
             // Another write took this version, so this write has lost and can no longer take
             // effect.
-            return standing_or_conflict(found, &record.envelope.text);
+            return conflict(Some(found));
         }
         if after.revision != before.revision {
             // The store holds a later change; it is not known whether that was based on this write.
