--- a/src/reducer/grace.rs
+++ b/src/reducer/grace.rs
@@ -42,12 +42,12 @@
     /// When requests without an answer are given up.
     give_up_at: Time,
     /// What was done already.
-    stage: EndingStage,
+    progress: Progress,
 }
 
 /// Progress of the last part of a planned stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum EndingStage {
+enum Progress {
     Pending,
     /// The requests that waited at its beginning were examined.
     Begun,
@@ -62,7 +62,7 @@
             from: (now + grace.linger).min(answers_by),
             answers_by,
             give_up_at: (now + grace.length) - GIVE_UP_MARGIN,
-            stage: EndingStage::Pending,
+            progress: Progress::Pending,
         }
     }
 }
@@ -85,11 +85,11 @@
 
     /// Refuses the waiting requests for which no attempt may start any more.
     pub(super) fn begin_ending(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let due = |ending: &&mut Ending| now >= ending.from && ending.stage == EndingStage::Pending;
+        let due = |ending: &&mut Ending| now >= ending.from && ending.progress == Progress::Pending;
         let Some(ending) = self.control.ending.as_mut().filter(due) else {
             return;
         };
-        ending.stage = EndingStage::Begun;
+        ending.progress = Progress::Begun;
         let left = ending.answers_by.since(now);
         let waiting = self
             .jobs
@@ -115,11 +115,11 @@
     /// client may send a request again by itself if its connection closes, even one that has run.
     pub(super) fn give_up_at_end(&mut self, now: Time, out: &mut Vec<Effect>) {
         let due =
-            |ending: &&mut Ending| now >= ending.give_up_at && ending.stage == EndingStage::Begun;
+            |ending: &&mut Ending| now >= ending.give_up_at && ending.progress == Progress::Begun;
         let Some(ending) = self.control.ending.as_mut().filter(due) else {
             return;
         };
-        ending.stage = EndingStage::GivenUp;
+        ending.progress = Progress::GivenUp;
         let unanswered = self.jobs.iter().filter(|(_, job)| !job.answering);
         let mut unanswered: Vec<id::Request> = unanswered.map(|(request, _)| *request).collect();
         unanswered.sort_unstable();
