--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -35,6 +35,24 @@
     Uneven,
 }
 
+/// A way in which the store differs from what its callers expect.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Quirk {
+    /// It behaves as documented.
+    #[default]
+    None,
+    /// Values of queries are used without percent-decoding.
+    VerbatimQueries,
+    /// Values of queries are decoded as those of forms: `+` is a space.
+    FormQueries,
+    /// Every page of a range call is the first one.
+    RepeatedPages,
+    /// Pages of a range call after the first one are empty, and more are announced.
+    EmptyPages,
+    /// Watches are answered at once, also without a change.
+    HastyWatches,
+}
+
 /// Response header on all answers: the number of restores from a backup, plus one.
 const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 /// Most changes kept in the history; older ones are discarded.
@@ -42,16 +60,62 @@
 /// Most items in one page of a range call.
 const PAGE_ITEMS: usize = 3;
 
+/// What an item holds.
+#[derive(Clone, Debug)]
+enum Content {
+    /// A value in base64.
+    Value(String),
+    /// The item as it stands in answers, of any form.
+    Row(Vec<u8>),
+}
+
+impl Content {
+    /// Returns the item as it stands in answers.
+    fn row(&self, key: &str, revision: u64) -> Vec<u8> {
+        match self {
+            Self::Row(row) => row.clone(),
+            Self::Value(value) => to_bytes(&json!({
+                "key": key, "value": value, "revision": revision, "created": revision,
+            })),
+        }
+    }
+}
+
+fn to_bytes(content: &Value) -> Vec<u8> {
+    content.to_string().into_bytes()
+}
+
+/// Returns an answer whose field `list` holds `rows`, besides the fields `others`.
+fn list_answer(list: &str, rows: &[Vec<u8>], others: &Value) -> Response<Body> {
+    let mut body = format!("{{\"{list}\":[").into_bytes();
+    body.extend(rows.join(&b','));
+    body.extend_from_slice(b"],");
+    // The fields follow without their opening brace.
+    body.extend_from_slice(&to_bytes(others)[1..]);
+    whole(StatusCode::OK, body)
+}
+
 #[derive(Clone, Debug)]
 struct Change {
     key: String,
     revision: u64,
-    value: Option<String>,
+    content: Option<Content>,
+}
+
+impl Change {
+    /// Returns the change as it stands in answers.
+    fn row(&self) -> Vec<u8> {
+        let Self { key, revision, .. } = self;
+        match &self.content {
+            Some(content) => content.row(key, *revision),
+            None => to_bytes(&json!({ "key": key, "revision": revision, "deleted": true })),
+        }
+    }
 }
 
 #[derive(Debug, Default)]
 struct Inner {
-    items: BTreeMap<String, (String, u64)>,
+    items: BTreeMap<String, (Content, u64)>,
     history: VecDeque<Change>,
     /// Changes up to this revision have been discarded.
     discarded_revision: u64,
@@ -64,7 +128,7 @@
 /// A backup of the store's content.
 #[derive(Clone, Debug)]
 pub struct Copy {
-    items: BTreeMap<String, (String, u64)>,
+    items: BTreeMap<String, (Content, u64)>,
     revision: u64,
 }
 
@@ -73,6 +137,7 @@
 pub struct Registry {
     inner: Arc<Mutex<Inner>>,
     fault: Arc<Mutex<Fault>>,
+    quirk: Arc<Mutex<Quirk>>,
     changed: Arc<watch::Sender<u64>>,
 }
 
@@ -84,6 +149,7 @@
                 ..Inner::default()
             })),
             fault: Arc::default(),
+            quirk: Arc::default(),
             changed: Arc::new(watch::Sender::new(0)),
         }
     }
@@ -94,13 +160,13 @@
         self.inner.lock().expect("the lock is never poisoned")
     }
 
-    fn change(&self, key: &str, value: Option<String>) {
+    fn change(&self, key: &str, content: Option<Content>) {
         let mut inner = self.lock();
         inner.revision += 1;
         let revision = inner.revision;
-        match &value {
-            Some(value) => {
-                let item = (value.clone(), revision);
+        match &content {
+            Some(content) => {
+                let item = (content.clone(), revision);
                 inner.items.insert(key.to_owned(), item);
             }
             None => {
@@ -110,7 +176,7 @@
         inner.history.push_back(Change {
             key: key.to_owned(),
             revision,
-            value,
+            content,
         });
         if inner.history.len() > MAX_HISTORY {
             let oldest = inner.history.pop_front();
@@ -122,12 +188,17 @@
 
     /// Writes a JSON item.
     pub fn put(&self, key: &str, content: &Value) {
-        self.change(key, Some(BASE64.encode(content.to_string())));
+        self.put_bytes(key, content.to_string().as_bytes());
     }
 
     /// Writes arbitrary bytes.
     pub fn put_bytes(&self, key: &str, bytes: &[u8]) {
-        self.change(key, Some(BASE64.encode(bytes)));
+        self.change(key, Some(Content::Value(BASE64.encode(bytes))));
+    }
+
+    /// Writes an item that stands in answers as `row`, at the place of `key` in the order of keys.
+    pub fn put_row(&self, key: &str, row: &[u8]) {
+        self.change(key, Some(Content::Row(row.to_owned())));
     }
 
     /// Removes an item.
@@ -153,6 +224,15 @@
         self.changed.send_replace(0);
     }
 
+    fn quirk(&self) -> Quirk {
+        *self.quirk.lock().expect("the lock is never poisoned")
+    }
+
+    /// Sets the quirk.
+    pub fn set_quirk(&self, quirk: Quirk) {
+        *self.quirk.lock().expect("the lock is never poisoned") = quirk;
+    }
+
     /// Returns a backup of the current content.
     pub fn copy(&self) -> Copy {
         let inner = self.lock();
@@ -196,32 +276,35 @@
         }
     }
 
-    fn range(&self, query: &HashMap<String, String>) -> Value {
+    fn range(&self, query: &HashMap<String, String>) -> Response<Body> {
         let inner = self.lock();
         let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
         let after = query.get("after").cloned().unwrap_or_default();
+        let as_of = inner.revision;
+        let after = match self.quirk() {
+            Quirk::EmptyPages if !after.is_empty() => {
+                return list_answer("items", &[], &json!({ "truncated": true, "asOf": as_of }));
+            }
+            Quirk::RepeatedPages => String::new(),
+            _ => after,
+        };
         let all = inner.items.iter();
         let found: Vec<_> = all
             .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
             .take(PAGE_ITEMS + 1)
             .collect();
-        let rows = found.iter().take(PAGE_ITEMS).map(|(key, (value, revision))| {
-            json!({ "key": key, "value": value, "revision": revision, "created": revision })
-        });
-        json!({
-            "items": rows.collect::<Vec<_>>(),
-            "truncated": found.len() > PAGE_ITEMS,
-            "asOf": inner.revision,
-        })
+        let page = found.iter().take(PAGE_ITEMS);
+        let rows = page.map(|(key, (content, revision))| content.row(key, *revision));
+        let rows: Vec<Vec<u8>> = rows.collect();
+        let others = json!({ "truncated": found.len() > PAGE_ITEMS, "asOf": as_of });
+        list_answer("items", &rows, &others)
     }
 
     /// Answers a read of one key.
     fn item(&self, query: &HashMap<String, String>) -> Response<Body> {
         let key = query.get("key").cloned().unwrap_or_default();
         match self.lock().items.get(&key) {
-            Some((value, revision)) => json_answer(&json!({
-                "key": key, "value": value, "revision": revision, "created": revision,
-            })),
+            Some((content, revision)) => whole(StatusCode::OK, content.row(&key, *revision)),
             None => whole(StatusCode::NOT_FOUND, ""),
         }
     }
@@ -229,7 +312,9 @@
     /// Returns the value of a key, if it is valid JSON.
     pub fn content(&self, key: &str) -> Option<Value> {
         let inner = self.lock();
-        let (value, _) = inner.items.get(key)?;
+        let (Content::Value(value), _) = inner.items.get(key)? else {
+            return None;
+        };
         serde_json::from_slice(&BASE64.decode(value).ok()?).ok()
     }
 
@@ -254,7 +339,8 @@
         }
         for put in rows("puts") {
             let value = put["value"].as_str().map(str::to_owned);
-            self.change(put["key"].as_str().unwrap_or_default(), value);
+            let key = put["key"].as_str().unwrap_or_default();
+            self.change(key, value.map(Content::Value));
         }
         for key in rows("remove") {
             self.change(key.as_str().unwrap_or_default(), None);
@@ -262,27 +348,16 @@
         json_answer(&json!({ "revision": self.lock().revision }))
     }
 
-    /// Returns the changes after a revision, or status 410 (Gone) if that part of the history has
+    /// Returns the changes after a revision and the current one, or status 410 (Gone) if that part of the history has
     /// been discarded or the revision is newer than the store's.
-    fn changes(&self, prefix: &str, after: u64) -> Result<Value, StatusCode> {
+    fn changes(&self, prefix: &str, after: u64) -> Result<(Vec<Vec<u8>>, u64), StatusCode> {
         let inner = self.lock();
         if after < inner.discarded_revision || after > inner.revision {
             return Err(StatusCode::GONE);
         }
         let newer = inner.history.iter().filter(|c| c.revision > after);
-        let rows = newer.filter(|c| c.key.starts_with(prefix)).map(|c| {
-            let Change {
-                key,
-                revision,
-                value,
-            } = c;
-            match value {
-                Some(value) => json!({ "key": key, "revision": revision, "value": value }),
-                None => json!({ "key": key, "revision": revision, "deleted": true }),
-            }
-        });
-        let events: Vec<Value> = rows.collect();
-        Ok(json!({ "events": events, "asOf": inner.revision }))
+        let rows = newer.filter(|c| c.key.starts_with(prefix)).map(Change::row);
+        Ok((rows.collect(), inner.revision))
     }
 
     async fn watch(&self, query: &HashMap<String, String>) -> Option<Response<Body>> {
@@ -295,9 +370,10 @@
             loop {
                 let fault = self.fault();
                 let found = self.changes(&prefix, after);
-                let has_events = found.is_ok_and(|f| f["events"] != json!([]));
+                let has_events = found.is_ok_and(|(rows, _)| !rows.is_empty());
                 let unavailable = !matches!(fault, Fault::None | Fault::Uneven);
-                if has_events || unavailable || changed.changed().await.is_err() {
+                let hasty = self.quirk() == Quirk::HastyWatches;
+                if has_events || unavailable || hasty || changed.changed().await.is_err() {
                     return;
                 }
             }
@@ -308,7 +384,7 @@
             return apply_fault(fault).await;
         }
         Some(match self.changes(&prefix, after) {
-            Ok(content) => json_answer(&content),
+            Ok((rows, as_of)) => list_answer("events", &rows, &json!({ "asOf": as_of })),
             Err(status) => whole(status, ""),
         })
     }
@@ -323,13 +399,18 @@
     }
 }
 
-fn query(request: &Whole) -> HashMap<String, String> {
+fn query(request: &Whole, quirk: Quirk) -> HashMap<String, String> {
     let pairs = request.uri().query().unwrap_or_default().split('&');
     let pairs = pairs.filter_map(|pair| pair.split_once('='));
-    pairs.map(|(k, v)| (k.to_owned(), decoded(v))).collect()
+    let value = |text: &str| match quirk {
+        Quirk::VerbatimQueries => text.to_owned(),
+        Quirk::FormQueries => decoded(&text.replace('+', " ")),
+        _ => decoded(text),
+    };
+    pairs.map(|(k, v)| (k.to_owned(), value(v))).collect()
 }
 
-/// Decodes a value of a query (RFC 3986, section 2.1); `+` is a space in forms only.
+/// Decodes a value of a query (RFC 3986, section 2.1).
 fn decoded(value: &str) -> String {
     let mut bytes = Vec::new();
     let mut rest = value.as_bytes();
@@ -357,10 +438,10 @@
 
 impl Registry {
     async fn call(&self, request: Whole) -> Option<Response<Body>> {
-        let query = query(&request);
+        let query = query(&request, self.quirk());
         match request.uri().path() {
             "/v1/kv-range" => match self.count("range") {
-                Fault::None => Some(json_answer(&self.range(&query))),
+                Fault::None => Some(self.range(&query)),
                 fault => apply_fault(fault).await,
             },
             "/v1/kv-key" => match self.count("key") {
--- a/tests/harness/cloud.rs
+++ b/tests/harness/cloud.rs
@@ -293,6 +293,21 @@
             .expect("the settings are written");
     }
 
+    /// Kills all boxes at once and starts as many in `region`.
+    pub async fn restart_boxes(&mut self, region: &str) {
+        let mut killed = std::mem::take(&mut self.boxes);
+        for process in &killed {
+            process.signal(Signal::SIGKILL);
+        }
+        for process in &mut killed {
+            process.wait().await;
+        }
+        self.forget_seeds();
+        for _ in killed {
+            self.add_box(region).await;
+        }
+    }
+
     pub async fn add_box(&mut self, region: &str) {
         self.add_box_with(region, &[]).await;
     }
