Read the rows of the store one by one

What callers saw: one entry whose key is no text (surrogates without a partner in the JSON, bytes that are no UTF-8) and boxes that start are never ready. Running boxes follow no later change: 503 once the servers that they know have ended. The same with a value, revision or deletion mark of another type, or a row without a key. Cause: a page and the changes of a watch were parsed as a whole, so one row hid all others. The watch then began from the same revision again. Change: each row is parsed by itself (gateway::rows). A row without a key is left out and logged; one whose other fields cannot be parsed has an empty value, as one without base64 had, and names no server. Its revision is that of the answer, where the row's own cannot be parsed or is beyond it. Keys are read as bytes, so that pages can go on after them; only those that are text become items. Bytes that are no UTF-8 are replaced before an answer is parsed. Why it holds: nothing that one row holds can end the reading of others, and no key of the gateway's own is anything but text.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! | `gossip`, `pull` | messages between boxes over nng's protocol |
 //! | `store`, `follow`, `list` | the platform, through the gateway's own interface |
 //! | [`sync`], `directory` | the platform, through the users' interface |
+//! | `rows` | lists in the answers of other systems |
 //! | `liveness` | liveness of backend servers, observed on response streams |
 //! | [`admin`], [`order`] | the admin API, and roll-outs that operators start and stop |
 //! | `worst_customers` | the customers with the worst service on this box |
@@ -52,6 +53,7 @@
 mod replay;
 mod report;
 mod resume;
+pub(crate) mod rows;
 mod serve;
 mod shell;
 mod store;
