Read the rows of the list of leaving servers one by one

What callers saw: nothing yet; with the gateway's own interface, a server that leaves gets new work if the platform's list holds one row of another form besides its own. Cause: as in the rows of the store, the list was parsed as a whole. Evidence: two engines, one listed as leaving between two odd rows (null, fields missing or of another type, an unknown state). Before: still used after 60 s beside the first of them, null. Change: the list is read row by row (gateway::rows); the others are left out and logged. After: avoided beside all six.

Test: odd_rows_hide_no_leaving_server failed before.

--- a/src/gateway/list.rs
+++ b/src/gateway/list.rs
@@ -15,6 +15,7 @@
     gateway::{
         core::Handle,
         dial::{Distance, Pool},
+        rows::Rows,
     },
     reducer::event::Event,
 };
@@ -39,7 +40,7 @@
 
 #[derive(Deserialize)]
 struct List {
-    boxes: Vec<Row>,
+    boxes: Rows<Row>,
 }
 
 /// Polls the list while `enabled` is true and reports the leaving boxes; the other boxes receive
@@ -82,9 +83,14 @@
         .await;
     let bytes = body.map_err(|e| eyre!("{e}"))?.to_bytes();
     lease.return_to_pool();
-    let list: List = serde_json::from_slice(&bytes).wrap_err("cannot parse the list of boxes")?;
+    let list: List = serde_json::from_str(&String::from_utf8_lossy(&bytes))
+        .wrap_err("cannot parse the list of boxes")?;
+    if let Some(unreadable) = list.boxes.unreadable() {
+        log::debug!("list: {unreadable}");
+    }
     let leaving = list
         .boxes
+        .rows
         .into_iter()
         .filter(|row| matches!(row.state, State::Leaving));
     Ok(leaving.map(|row| row.address).collect())
--- a/tests/leaving_server.rs
+++ b/tests/leaving_server.rs
@@ -97,3 +97,39 @@
         40 + 48
     );
 }
+
+/// Guards against rows of another writer that hide the leaving servers in the platform's list.
+#[tokio::test]
+async fn odd_rows_hide_no_leaving_server() {
+    let world = World::start(&REGIONS, 1).await;
+    let (leaves, stays) = (
+        Standin::start("engine").await,
+        Standin::start("engine").await,
+    );
+    world
+        .configure("perth-1", 0, &text([&leaves, &stays], ""))
+        .await;
+    world.places("/v1/chat", Some("referral")).await;
+    let odd = [
+        json!(null),
+        json!({}),
+        json!(["127.0.0.1:9", "leaving"]),
+        json!({ "address": "nowhere", "state": "live" }),
+        json!({ "address": 7, "state": "leaving" }),
+        json!({ "address": "127.0.0.1:9", "state": "paused" }),
+    ];
+    for odd in odd {
+        let row = json!({ "address": leaves.address, "state": "leaving" });
+        let rows = json!([odd, row, odd]);
+        world.platform.post("/_list", rows).await;
+        eventually(&format!("the list is received beside {odd}"), || async {
+            !used(&world, "leaves").await
+        })
+        .await;
+        world.platform.post("/_list", json!([])).await;
+        eventually("the empty list is received", || async {
+            used(&world, "leaves").await
+        })
+        .await;
+    }
+}
