--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -48,6 +48,23 @@
     response
 }
 
+/// Decodes percent-encoded text (RFC 3986, section 2.1).
+pub(crate) fn decoded(value: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = value.as_bytes();
+    while let Some((&first, after)) = rest.split_first() {
+        let code = after.get(..2).and_then(|code| str::from_utf8(code).ok());
+        let code = code.and_then(|code| u8::from_str_radix(code, 16).ok());
+        let (byte, length) = match (first, code) {
+            (b'%', Some(byte)) => (byte, 3),
+            _ => (first, 1),
+        };
+        bytes.push(byte);
+        rest = &rest[length..];
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Returns a response whose body is streamed from a channel.
 pub fn stream(chunks: mpsc::Receiver<std::io::Result<Bytes>>) -> Response<Body> {
     let frames = ChunkStream(chunks);
--- a/standin/src/memory.rs
+++ b/standin/src/memory.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::http::{Body, Service, Whole, json as json_answer, whole};
+use crate::http::{Body, Service, Whole, decoded, json as json_answer, whole};
 
 /// Interval at which a long-polling call checks for events.
 const EVENT_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -33,6 +33,8 @@
     held: Vec<(u64, u32)>,
     events: Vec<(u64, &'static str, u64, u32)>,
     next_event: u64,
+    /// What the tokens of pages begin with; without it, they are numbers.
+    token_prefix: Option<String>,
     /// Number of the oldest event that is still available.
     first_event: u64,
     calls: Vec<(Instant, String)>,
@@ -42,6 +44,23 @@
 #[derive(Clone, Debug, Default)]
 pub struct Memory(Arc<Mutex<Inner>>);
 
+impl Inner {
+    /// Returns the token of the next page.
+    fn token(&self) -> Value {
+        match &self.token_prefix {
+            Some(prefix) => json!(format!("{prefix}{}", self.next_event)),
+            None => json!(self.next_event),
+        }
+    }
+
+    /// Returns the number of the event that a token refers to; `None` if the token is another
+    /// engine's.
+    fn event(&self, token: &str) -> Option<u64> {
+        let prefix = self.token_prefix.as_deref().unwrap_or_default();
+        token.strip_prefix(prefix)?.parse().ok()
+    }
+}
+
 impl Memory {
     fn with<T>(&self, operation: impl FnOnce(&mut Inner) -> T) -> T {
         operation(&mut self.0.lock().expect("the lock is never poisoned"))
@@ -79,6 +98,11 @@
         });
     }
 
+    /// Makes the tokens of pages texts that begin with `prefix`.
+    pub fn begin_tokens_with(&self, prefix: &str) {
+        self.with(|inner| inner.token_prefix = Some(prefix.to_owned()));
+    }
+
     /// Sets how further calls are answered.
     pub fn treat(&self, manner: Manner) {
         self.with(|inner| inner.manner = manner);
@@ -96,7 +120,7 @@
         self.with(|inner| {
             let row = |(part, tokens): &(u64, u32)| json!(["", format!("{part:x}"), tokens, "m"]);
             let held: Vec<Value> = inner.held.iter().map(row).collect();
-            json!({"epoch": inner.epoch, "nextPageToken": inner.next_event, "held": held})
+            json!({"epoch": inner.epoch, "nextPageToken": inner.token(), "held": held})
         })
     }
 
@@ -111,7 +135,7 @@
             let lost = since < inner.first_event;
             let reportable = lost || since > inner.next_event || !events.is_empty();
             let answer = json!({
-                "epoch": inner.epoch, "nextPageToken": inner.next_event, "lost": lost, "events": events,
+                "epoch": inner.epoch, "nextPageToken": inner.token(), "lost": lost, "events": events,
             });
             reportable.then_some(answer)
         })
@@ -125,7 +149,7 @@
             }
             if began.elapsed() >= wait {
                 return self.with(|inner| {
-                    json!({"epoch": inner.epoch, "nextPageToken": inner.next_event, "lost": false, "events": []})
+                    json!({"epoch": inner.epoch, "nextPageToken": inner.token(), "lost": false, "events": []})
                 });
             }
             sleep(EVENT_POLL_INTERVAL).await;
@@ -150,7 +174,13 @@
             "/v1/kv-list" => self.list(),
             "/v1/kv-events" => {
                 let query = request.uri().query().unwrap_or_default();
-                let since = number(query.strip_prefix("since="));
+                let since = query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix("since="));
+                let since = decoded(since.unwrap_or_default());
+                let Some(since) = self.with(|inner| inner.event(&since)) else {
+                    return Some(whole(StatusCode::BAD_REQUEST, "an unknown token"));
+                };
                 let wait = request.headers().get("wait-ms");
                 let wait = number(wait.and_then(|value| value.to_str().ok()));
                 self.wait(since, Duration::from_millis(wait)).await
--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 use tokio::{sync::watch, time::timeout};
 
-use crate::http::{Body, Service, Whole, json as json_answer, whole};
+use crate::http::{Body, Service, Whole, decoded, json as json_answer, whole};
 
 /// A fault injected into the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -420,23 +420,6 @@
     pairs.map(|(k, v)| (k.to_owned(), value(v))).collect()
 }
 
-/// Decodes a value of a query (RFC 3986, section 2.1).
-fn decoded(value: &str) -> String {
-    let mut bytes = Vec::new();
-    let mut rest = value.as_bytes();
-    while let Some((&first, after)) = rest.split_first() {
-        let code = after.get(..2).and_then(|code| str::from_utf8(code).ok());
-        let code = code.and_then(|code| u8::from_str_radix(code, 16).ok());
-        let (byte, length) = match (first, code) {
-            (b'%', Some(byte)) => (byte, 3),
-            _ => (first, 1),
-        };
-        bytes.push(byte);
-        rest = &rest[length..];
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
 impl Service for Registry {
     async fn answer(&self, request: Whole) -> Option<Response<Body>> {
         let mut answer = self.call(request).await?;
--- a/standin/src/runs.rs
+++ b/standin/src/runs.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
-use crate::worker::Seen;
+use crate::{http::decoded, worker::Seen};
 
 /// Delay of the answer in [`Way::LastSlow`].
 const LATE_ANSWER: Duration = Duration::from_millis(900);
@@ -137,6 +137,8 @@
     begun: Mutex<Vec<(String, Instant, Arc<State>)>>,
     way: Mutex<Way>,
     freed: Mutex<Vec<String>>,
+    /// What follows the id of a run in the handle of its copy.
+    suffix: Mutex<String>,
     calls: AtomicU32,
 }
 
@@ -146,6 +148,11 @@
         *self.way.lock().expect("the lock is never poisoned") = way;
     }
 
+    /// Ends the handles of further copies with `suffix`.
+    pub fn end_handles_with(&self, suffix: &str) {
+        *self.suffix.lock().expect("the lock is never poisoned") = suffix.to_owned();
+    }
+
     /// Returns the handles that were freed at this engine.
     pub fn freed(&self) -> Vec<String> {
         let freed = self.freed.lock().expect("the lock is never poisoned");
@@ -207,13 +214,14 @@
 
     /// Answers a call about runs; returns `None` for any other request.
     pub(crate) async fn call(&self, engine: SocketAddr, request: &Seen) -> Option<Reply> {
-        let path = request.line.split(' ').nth(1)?;
+        let path = request.line.split([' ', '?']).nth(1)?;
         if let Some(handle) = path.strip_prefix("/v1/kv-handle/") {
-            let key = (engine, handle.to_owned());
+            let handle = decoded(handle);
+            let key = (engine, handle.clone());
             let mut copies = COPIES.lock().expect("the lock is never poisoned");
             let known = copies.remove(&key).is_some();
             let mut freed = self.freed.lock().expect("the lock is never poisoned");
-            freed.push(handle.to_owned());
+            freed.push(handle);
             return Some(answer(if known { 200 } else { 404 }, &json!({})));
         }
         if path != "/v1/kv-move" {
@@ -227,7 +235,12 @@
             sleep(Duration::from_millis(1500)).await;
         }
         let run = content["id"].as_str()?.to_owned();
-        let handle = format!("h-{run}");
+        let suffix = self
+            .suffix
+            .lock()
+            .expect("the lock is never poisoned")
+            .clone();
+        let handle = format!("h-{run}{suffix}");
         let running = self.lock().get(&run).cloned();
         let stops = self.count_stop(&run, last);
         match way {
