--- a/tests/moved_streams.rs
+++ b/tests/moved_streams.rs
@@ -281,3 +281,22 @@
         assert_no_false_end(Cloud::across(&["i-1"]).await, "mcn", way, whole).await;
     }
 }
+
+/// Guards against a run that starts anew at another engine because no header can hold the handle of
+/// its copy.
+#[tokio::test]
+async fn runs_with_unusable_handles_stay_whole() {
+    for suffix in ["\n", "\r\nx: y", "\0", "\u{7f}", " ", "\t"] {
+        let mut cloud = one_engine().await;
+        cloud.workers["i-1"].runs.end_handles_with(suffix);
+        let begun = cloud.boxes[0].begin("/flow/x", "one", "stream").await;
+        sleep(SOME_EVENTS).await;
+        cloud.add_worker("i-2", "atl").await;
+        sleep(harness::cloud::NEWS / 2).await;
+        withdraw(&cloud, "atl");
+        let answer = begun.finish().await;
+        let engines = assert_whole(&answer);
+        assert!(engines.iter().all(|engine| engine == "i-1"), "{suffix:?}");
+        assert!(cloud.workers["i-2"].seen("one").is_empty(), "{suffix:?}");
+    }
+}
