Pause between watches that report nothing new

What operators saw: a store that answers watches at once, without a change, is called as fast as it answers. Cause: the box relied on the store to hold a watch, and had no pause of its own unless a call failed. Change: after a watch that brought no later revision the next one starts 400 ms after it did, at the earliest. Watches that are meant to return at once, after a failed call, are not held up.

Test: hasty_watches_are_repeated_with_pauses failed before.

--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -54,6 +54,9 @@
 /// The watch time after a failed call: a store that is still unreachable must not delay the next
 /// call.
 const RETRY_WATCH_HOLD: Duration = Duration::from_millis(1);
+/// Shortest time from the start of a watch that reported nothing new to the next one, whatever time
+/// the store held it.
+const MIN_WATCH_INTERVAL: Duration = Duration::from_millis(400);
 /// How long a list without its end is kept before it is read again: changes arrive by the watch
 /// meanwhile, and the reads are priced.
 const PARTIAL_LIST_MAX_AGE: Duration = Duration::from_secs(10);
@@ -199,6 +202,7 @@
         };
         self.recheck = false;
         let recheck = self.control.recheck.clone();
+        let started = BootInstant::now();
         let watch = self.client.watch(ROOT_PREFIX, revision, hold);
         let watched = tokio::select! {
             watched = report_overdue(&self.core, hold, watch) => watched,
@@ -214,7 +218,9 @@
             self.apply_change(change);
         }
         self.report_synced(as_of.max(revision));
-        if changed {
+        if as_of <= revision && hold > RETRY_WATCH_HOLD {
+            sleep(MIN_WATCH_INTERVAL.saturating_sub(started.elapsed())).await;
+        } else if changed {
             let boxes = *self.control.boxes.borrow();
             let delay = fleet::batch_delay(boxes).duration();
             sleep(if hub {
