Bound the logged errors of the store's rows

Found by reading: the error of a row may quote a text of up to 1 MB (a revision that is a text), which would go into one log line. It is cut to 200 characters, as for rows without a key.

--- a/src/gateway/rows.rs
+++ b/src/gateway/rows.rs
@@ -8,9 +8,14 @@
 };
 use serde_json::value::RawValue;
 
-/// Longest error text that is logged of a row, in characters: it may quote the row.
+/// Longest error text that is logged of a row, in characters.
 const MAX_ERROR_CHARS: usize = 200;
 
+/// Describes why a row cannot be parsed. The whole error may quote the row.
+pub(crate) fn brief(error: &serde_json::Error) -> String {
+    error.to_string().chars().take(MAX_ERROR_CHARS).collect()
+}
+
 /// The rows of a list that could be parsed. A row of another form is left out, so that it does not
 /// hide the others.
 pub(crate) struct Rows<T> {
@@ -25,8 +30,7 @@
 impl<T> Rows<T> {
     /// Describes the rows that were left out, if there are any.
     pub(crate) fn unreadable(&self) -> Option<String> {
-        let error = self.first_error.as_ref()?.to_string();
-        let error: String = error.chars().take(MAX_ERROR_CHARS).collect();
+        let error = brief(self.first_error.as_ref()?);
         let count = self.unreadable;
         Some(format!("{count} rows cannot be parsed, the first: {error}"))
     }
