--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -358,8 +358,8 @@
         json_answer(&json!({ "revision": self.lock().revision }))
     }
 
-    /// Returns the changes after a revision and the current one, or status 410 (Gone) if that part of the history has
-    /// been discarded or the revision is newer than the store's.
+    /// Returns the changes after a revision and the current one, or status 410 (Gone) if that part
+    /// of the history has been discarded or the revision is newer than the store's.
     fn changes(&self, prefix: &str, after: u64) -> Result<(Vec<Vec<u8>>, u64), StatusCode> {
         let inner = self.lock();
         if after < inner.discarded_revision || after > inner.revision {
