Give each box of the soak callers from the start

Cause: the soak. Its six callers of a region draw their first box and keep their connections while it is named; in that run all drew box-5, so box-2, which was up and answered look-ups, got no request at all. Evidence: the logs (6 callers, 411 to 476 lines each at box-5, none at box-2). Change: a caller's first look-up and first box go by its number. Later choices are drawn as before. No check is changed.

--- a/standin/src/soak/caller.rs
+++ b/standin/src/soak/caller.rs
@@ -241,7 +241,11 @@
         }
         let mut entries: Vec<usize> = self.resolved.clone();
         entries.retain(|entry| !self.failed.contains(entry));
-        let entry = *entries.choose(&mut self.rng)?;
+        let mut entry = *entries.choose(&mut self.rng)?;
+        if self.requests == 0 {
+            entries.sort_unstable();
+            entry = entries[self.first_box() % entries.len()];
+        }
         self.connection = open_connection(entry, self.endpoints[entry].public).await;
         if self.connection.is_none() {
             self.failed.insert(entry);
@@ -249,6 +253,13 @@
         self.connection.is_some().then_some(entry)
     }
 
+    /// Returns the place, among the boxes of its region, of the one that the caller uses first. Each
+    /// box has callers at the start then, sticky ones and others; they keep their connections, so
+    /// that a box that none has drawn might stay unused for a whole run.
+    fn first_box(&self) -> usize {
+        self.number / REGIONS.len() / 2
+    }
+
     /// Looks boxes up unless the last answer still holds.
     async fn look_up(&mut self) {
         let hold = if self.sticky {
@@ -266,6 +277,12 @@
         let mut order: Vec<usize> = (0..self.endpoints.len()).collect();
         order.shuffle(&mut self.rng);
         order.sort_by_key(|entry| self.endpoints[*entry].region != self.region);
+        if self.resolved_at.is_none() {
+            let near = |entry: &&usize| self.endpoints[**entry].region == self.region;
+            let near = order.iter().filter(near).count().max(1);
+            order[..near].sort_unstable();
+            order[..near].rotate_left(self.first_box() % near);
+        }
         for by in order.into_iter().take(MAX_LOOK_UP_ATTEMPTS) {
             if let Some(named) = self.resolve(by).await {
                 let at = self.recorder.now();
