Tell a reset behind the end of an answer from that end

Cause: such an answer ends with its connection, and a FIN was taken for that end while much of the request was unacknowledged. The reset that follows is reported to no read, and up to 4 MiB of unread request hide in the kernel, so no write fails either.

Change: gateway::socket, which all client connections use, reports the end of a connection only once the kernel has an acknowledgement for all of the request (TCP_INFO through nix's macro, so no unsafe code of ours), and a reset or a lost peer as an error. A connection that has ended is not reused meanwhile, and one that ends before any byte of an answer fails at once, as before.

Why it holds: a reset follows only from bytes that the server did not read, and those are unacknowledged or stand in its receive buffer; the first are waited for.

A first form looked for the socket's error only once nothing was unacknowledged, and waited for ever: a connection that the kernel gives up keeps what it had to send.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -22,13 +22,20 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead as _, ReadBuf},
     net::TcpStream,
     task::JoinHandle,
     time::{sleep, timeout},
 };
 
-use crate::{gateway::clock::BootInstant, platform, verdict::Verdict};
+use crate::{
+    gateway::{
+        clock::BootInstant,
+        socket::{Socket, State},
+    },
+    platform,
+    verdict::Verdict,
+};
 
 /// Network distance of a peer, which sets the timeout for opening a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,9 +73,6 @@
 /// after their connections. A crashed server takes at least a second to start again, so its port is
 /// still closed at the second check.
 const RECHECK_DELAY: Duration = Duration::from_millis(100);
-/// Maximum number of bytes per read of an answer: one less than twice hyper's first buffer, which
-/// therefore doubles once at most.
-const MAX_READ_BYTES: usize = (16 << 10) - 1;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 16;
 
@@ -95,11 +99,18 @@
 
 struct PooledConnection {
     sender: Sender,
+    state: Arc<State>,
     task: JoinHandle<()>,
     /// When it may no longer be reused.
     expires: BootInstant,
 }
 
+impl PooledConnection {
+    fn is_closed(&self) -> bool {
+        self.sender.is_closed() || self.state.is_ended()
+    }
+}
+
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         self.task.abort();
@@ -134,11 +145,8 @@
         connection.expires = now + idle;
         let mut pools = pool.idle.lock().expect("the pool's lock is never poisoned");
         let connections = pools.entry(address).or_default();
-        connections.retain(|l| !l.sender.is_closed() && l.expires > now);
-        if connections.len() < MAX_IDLE_PER_ADDRESS
-            && !connection.sender.is_closed()
-            && !idle.is_zero()
-        {
+        connections.retain(|l| !l.is_closed() && l.expires > now);
+        if connections.len() < MAX_IDLE_PER_ADDRESS && !connection.is_closed() && !idle.is_zero() {
             connections.push(connection);
         }
     }
@@ -183,49 +191,6 @@
     polled
 }
 
-/// A connection to a backend server, a box or the platform, which is read in short parts.
-struct PartStream(TcpStream);
-
-impl AsyncRead for PartStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        read_part(&mut self.0, cx, buffer, MAX_READ_BYTES)
-    }
-}
-
-impl AsyncWrite for PartStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write_vectored(cx, bytes)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.0.is_write_vectored()
-    }
-}
-
 async fn connect(address: SocketAddr, distance: Distance) -> Result<PooledConnection, Failure> {
     let connected = timeout(distance.connect_timeout(), TcpStream::connect(address)).await;
     let stream = match connected {
@@ -235,7 +200,9 @@
     if let Err(error) = configure_socket(&stream) {
         log::debug!("dial: {address}: {error}");
     }
-    let handshake = http1::handshake(TokioIo::new(PartStream(stream))).await;
+    let state = Arc::new(State::default());
+    let socket = Socket::new(stream, state.clone());
+    let handshake = http1::handshake(TokioIo::new(socket)).await;
     let (sender, connection) = handshake.map_err(|_| Failure::Unreachable)?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
@@ -244,6 +211,7 @@
     });
     Ok(PooledConnection {
         sender,
+        state,
         task,
         expires: BootInstant::now(),
     })
@@ -296,6 +264,7 @@
             if connection.sender.ready().await.is_err() {
                 continue;
             }
+            connection.state.begin_request();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return self.lease(address, connection, response),
                 Err(mut error) => match error.take_message() {
@@ -359,7 +328,7 @@
         let connections = idle.get_mut(&address)?;
         let now = BootInstant::now();
         while let Some(connection) = connections.pop() {
-            if connection.expires > now && !connection.sender.is_closed() {
+            if connection.expires > now && !connection.is_closed() {
                 return Some(connection);
             }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,7 @@
 //! | `core` | the actor that owns the reducer and applies its effects |
 //! | `exchange`, `bodies`, `read`, `attempt`, `resume` | handling of one request and its response |
 //! | `stream`, `delimiter`, [`events`], [`records`], [`checksum`] | response streams |
-//! | `serve`, `framing`, `dial`, `body`, `head`, `discard`, `connections` | HTTP to callers, backend servers and boxes |
+//! | `serve`, `framing`, `dial`, `socket`, `body`, `head`, `discard`, `connections` | HTTP to callers, backend servers and boxes |
 //! | `gossip`, `pull` | messages between boxes over nng's protocol |
 //! | `store`, `follow`, `list` | the platform, through the gateway's own interface |
 //! | [`sync`], `directory` | the platform, through the users' interface |
@@ -56,6 +56,7 @@
 pub(crate) mod rows;
 mod serve;
 mod shell;
+mod socket;
 mod store;
 mod store_writes;
 mod stream;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`registry`] | the users' platform's store |
 //! | [`worker`] | a backend server of the users' platform that returns faulty answers on request |
 //! | [`script`] | a backend server with scripted answers, ended by closing the connection |
+//! | [`raw`] | a backend server with answers that HTTP libraries do not send |
 //! | [`runs`] | the streams of such a server, and their migration to another server |
 //! | [`engine`] | a model engine (OpenAI-style, SSE) |
 //! | [`memory`] | the prompt-cache list and events of a model engine |
@@ -33,6 +34,7 @@
 pub mod measure;
 pub mod memory;
 pub mod platform;
+pub mod raw;
 pub mod registry;
 pub mod releases;
 pub mod runs;
