Reset callers of HTTP/1.0 whose answer is not complete

What callers saw: over HTTP/1.0 a broken answer without a length, or in chunks at its server, ended with an ordinary close, which is how such an answer ends when it is complete.

Cause: the HTTP library writes a body of unknown length to such a caller without framing, and drops the connection when the body ends in an error. The kernel then sends a FIN.

Change: while an answer without framing is under way, SO_LINGER is zero, so any end of the connection resets it, also that of the process. The ordinary close comes back in poll_shutdown, which the HTTP library calls only after a complete answer is written.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -179,6 +179,8 @@
     over_budget: AtomicBool,
     /// Bytes of response bodies that were queued and are not written yet.
     queued: AtomicUsize,
+    /// Whether only the end of the connection marks the response as complete.
+    unframed: AtomicBool,
     /// The task that waits until more may be queued.
     writer: Mutex<Option<Waker>>,
     evicted: Notify,
@@ -385,6 +387,16 @@
         }
     }
 
+    /// Marks the answer as one that only the end of the connection marks as complete.
+    pub(crate) fn begin_unframed(&self) {
+        self.0.state.unframed.store(true, Ordering::Release);
+    }
+
+    /// Reports whether only the end of the connection marks the answer as complete.
+    pub(crate) fn is_unframed(&self) -> bool {
+        self.0.state.unframed.load(Ordering::Acquire)
+    }
+
     /// Tells whether the client takes the bytes that it is sent.
     pub(crate) fn set_blocked(&self, blocked: bool) {
         self.0.state.blocked.store(blocked, Ordering::Release);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -14,9 +14,9 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body as HttpBody, Frame, Incoming, SizeHint},
-    header::CONNECTION,
+    header::{CONNECTION, CONTENT_LENGTH},
     server::conn::http1,
     service::service_fn,
 };
@@ -24,6 +24,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
@@ -51,15 +52,37 @@
 /// process is given to stop.
 const INCOMPLETE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A TCP stream whose writes fail after [`WRITE_STALL_TIMEOUT`] without progress.
+/// A TCP stream whose writes fail after [`WRITE_STALL_TIMEOUT`] without progress, and which is reset
+/// if it ends before an answer that only its end marks as complete.
 struct WriteTimeoutStream {
     stream: TcpStream,
     timer: Option<Pin<Box<Sleep>>>,
     scanner: Scanner,
     connection: Connection,
+    /// Whether the connection is reset when it is closed, also by the end of the process.
+    resets: bool,
 }
 
 impl WriteTimeoutStream {
+    /// Makes a close reset the connection while an answer without framing is under way: its client
+    /// would take the close for the end of the answer.
+    fn set_resets(&mut self, resets: bool) -> io::Result<()> {
+        if self.resets != resets {
+            let linger = resets.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
+            self.resets = resets;
+        }
+        Ok(())
+    }
+
+    /// Prepares the connection for the next write of an answer.
+    fn begin_write(&mut self) -> io::Result<()> {
+        match self.connection.is_unframed() {
+            true => self.set_resets(true),
+            false => Ok(()),
+        }
+    }
+
     fn check_stall(
         &mut self,
         cx: &mut Context<'_>,
@@ -104,6 +127,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write()?;
         let polled = Pin::new(&mut self.stream).poll_write(cx, bytes);
         self.check_stall(cx, polled)
     }
@@ -113,6 +137,8 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The HTTP library shuts a connection down only after it has written a complete answer.
+        self.set_resets(false)?;
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
@@ -121,6 +147,7 @@
         cx: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.begin_write()?;
         let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
         self.check_stall(cx, polled)
     }
@@ -175,6 +202,11 @@
         .wrap_err_with(|| format!("cannot listen for {name} on {address}"))
 }
 
+/// Reports whether the length of `response` is known, so that its end shows.
+fn is_sized(response: &Response<Body>) -> bool {
+    response.headers().contains_key(CONTENT_LENGTH) || response.body().size_hint().exact().is_some()
+}
+
 /// Accepts connections until `stop` is true, then returns once all complete requests are answered.
 pub(crate) async fn run<F, Fut>(
     listener: TcpListener,
@@ -206,12 +238,16 @@
                 connection.begin_answer();
             }
             request.extensions_mut().insert(connection.clone());
+            let version = request.version();
             let answer = (!flags.is_ambiguous(request.headers())).then(|| handler(request));
             async move {
                 let response = match answer {
                     Some(answer) => answer.await,
                     None => head::ambiguous_length(),
                 };
+                if version == Version::HTTP_10 && !is_sized(&response) {
+                    connection.begin_unframed();
+                }
                 let closes = response.headers().get(CONNECTION);
                 flags.mark_answered(closes.is_some_and(|value| value == "close"));
                 Ok::<_, Infallible>(response.map(|body| Answer { body, connection }))
@@ -222,6 +258,7 @@
             timer: None,
             scanner,
             connection: admitted.clone(),
+            resets: false,
         };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/standin/src/raw.rs
+++ b/standin/src/raw.rs
@@ -9,8 +9,8 @@
     time::sleep,
 };
 
-/// Time for which a connection stays open after the server has ended its side.
-const HALF_CLOSED: Duration = Duration::from_millis(30);
+/// Time in which an answer, or the end of the server's side, arrives at a box.
+const ARRIVAL_TIME: Duration = Duration::from_millis(30);
 /// Time for which [`End::Silent`] holds a connection; longer than any timeout of a box.
 const SILENCE: Duration = Duration::from_secs(90);
 
@@ -29,6 +29,8 @@
     Unread,
     /// Resets the connection.
     Reset,
+    /// Resets the connection after the answer has arrived.
+    LateReset,
     /// Reads nothing more and leaves the connection open.
     Silent,
     /// Reads the rest of the request in small parts, then closes.
@@ -97,14 +99,18 @@
         stream.write_all(&bytes).await?;
         if half {
             stream.shutdown().await?;
-            sleep(HALF_CLOSED).await;
+            sleep(ARRIVAL_TIME).await;
         }
         match end {
             End::Keep => skip(&mut stream, rest, Duration::ZERO).await?,
             End::Close => return skip(&mut stream, rest, Duration::ZERO).await,
-            End::Slow => return skip(&mut stream, rest, HALF_CLOSED).await,
+            End::Slow => return skip(&mut stream, rest, ARRIVAL_TIME).await,
             End::Unread => return Ok(()),
             End::Reset => return stream.set_zero_linger(),
+            End::LateReset => {
+                sleep(ARRIVAL_TIME).await;
+                return stream.set_zero_linger();
+            }
             End::Silent => {
                 sleep(SILENCE).await;
                 return Ok(());
