Pass on no answer in a transfer coding that is not decoded

Cause: the HTTP library undoes `chunked` and ignores other transfer codings; the field concerns one hop and is not passed on.

Change: Pool::lease, by which every answer comes, takes an answer whose codings are not none, `identity` or one `chunked` for no answer. Its request may have run, so callers hear 502.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -244,6 +244,37 @@
     is_overridden && headers.remove(CONTENT_LENGTH).is_some()
 }
 
+/// The transfer coding of a body. The HTTP library decodes `chunked`, and ignores others (RFC 9112,
+/// section 6.1).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Coding {
+    /// None that changes the body.
+    Identity,
+    Chunked,
+    /// One that is not decoded, or several.
+    Unknown,
+}
+
+impl Coding {
+    fn of(headers: &HeaderMap) -> Self {
+        let mut coding = Self::Identity;
+        for field in headers.get_all(TRANSFER_ENCODING) {
+            let Ok(names) = field.to_str() else {
+                return Self::Unknown;
+            };
+            let names = names.split(',').map(str::trim);
+            for name in names.filter(|name| !name.is_empty()) {
+                coding = match coding {
+                    _ if name.eq_ignore_ascii_case("identity") => continue,
+                    Self::Identity if name.eq_ignore_ascii_case("chunked") => Self::Chunked,
+                    _ => return Self::Unknown,
+                };
+            }
+        }
+        coding
+    }
+}
+
 /// Reports whether `status` is one of a final answer (RFC 9110, section 15). The HTTP library reads
 /// the final answer after others of 100 to 199, but for 101, and passes on those over 599.
 fn is_final(status: StatusCode) -> bool {
@@ -294,6 +325,13 @@
             log::debug!("dial: {address}: status {}", response.status().as_u16());
             return Err(Failure::Broken);
         }
+        let coding = Coding::of(response.headers());
+        if coding == Coding::Unknown {
+            let codings = response.headers().get_all(TRANSFER_ENCODING);
+            let codings: Vec<_> = codings.iter().collect();
+            log::debug!("dial: {address}: transfer codings {codings:?}");
+            return Err(Failure::Broken);
+        }
         let has_two_lengths = remove_overridden_length(response.headers_mut());
         let advertised = platform::head::keep_alive(response.headers());
         let idle = advertised.map_or(DEFAULT_IDLE_TIMEOUT, |advertised| {
