Judge streams in the identity coding by the end of their connection

What callers saw: a stream of events that broke off inside an event, framed as complete, where its server named the transfer coding `identity`, or sent the field empty, and no length.

Cause: such a body ends with its connection, as the HTTP library reads it, but gateway::delimiter takes any Transfer-Encoding for framing and does not look at the events.

Change: Pool::lease removes the field if it names no coding, after it has decided whether it overrides a length.

--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -332,7 +332,12 @@
             log::debug!("dial: {address}: transfer codings {codings:?}");
             return Err(Failure::Broken);
         }
-        let has_two_lengths = remove_overridden_length(response.headers_mut());
+        let headers = response.headers_mut();
+        let has_two_lengths = remove_overridden_length(headers);
+        if coding == Coding::Identity {
+            // The end of such a body is that of its connection.
+            headers.remove(TRANSFER_ENCODING);
+        }
         let advertised = platform::head::keep_alive(response.headers());
         let idle = advertised.map_or(DEFAULT_IDLE_TIMEOUT, |advertised| {
             advertised.saturating_sub(IDLE_MARGIN)
--- a/tests/transfer_codings.rs
+++ b/tests/transfer_codings.rs
@@ -159,6 +159,23 @@
     }
 }
 
+// Guards against a stream that ends inside an event and counts as whole, because a coding that
+// changes nothing is named.
+#[tokio::test]
+async fn cut_streams_without_a_coding_are_cut() {
+    let cloud = cloud(&["atl"]).await;
+    let mut wrong = Vec::new();
+    for (number, lines) in codings()
+        .enumerate()
+        .skip(UNDECODED.len())
+        .take(PLAIN.len())
+    {
+        let answer = ask(&cloud, "/once/x", &format!("{number} cut")).await;
+        wrong.extend(answer.whole.then_some(lines));
+    }
+    assert!(wrong.is_empty(), "framed as whole: {wrong:?}");
+}
+
 /// The same over the gateway's own interface.
 #[tokio::test]
 async fn undecoded_answers_are_not_passed_on_by_our_own_interface() {
