Check the layout of the kernel's connection state at compile time

The fields of gateway::socket::Info are compared with those of libc. A blocked write also keeps the end of a connection in doubt where the kernel does not tell the state of a connection.

--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -8,6 +8,7 @@
 
 use std::{
     io,
+    mem::offset_of,
     pin::Pin,
     sync::{
         Arc,
@@ -34,7 +35,8 @@
 /// reads slowly is waited for as long as for the next bytes of its answer.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// The start of the kernel's `struct tcp_info` (tcp(7)), which is the same on all architectures.
+/// The start of the kernel's `struct tcp_info` (tcp(7)): older kernels return a shorter one than the
+/// library knows.
 #[derive(Clone, Copy, Debug)]
 #[repr(C)]
 pub struct Info {
@@ -46,6 +48,9 @@
     unsent: u32,
 }
 
+const _: () = assert!(offset_of!(Info, unacknowledged) == offset_of!(libc::tcp_info, tcpi_unacked));
+const _: () = assert!(offset_of!(Info, unsent) == offset_of!(libc::tcp_info, tcpi_notsent_bytes));
+
 sockopt_impl!(
     /// The state of a TCP connection.
     TcpInfo,
@@ -100,16 +105,17 @@
             // The end of a connection without an answer is a failure in any case.
             return false;
         }
-        match TcpInfo.get(&self.stream) {
-            Ok(info) => self.write_blocked || info.unacknowledged > 0 || info.unsent > 0,
+        let is_queued = match TcpInfo.get(&self.stream) {
+            Ok(info) => info.unacknowledged > 0 || info.unsent > 0,
             Err(error) => {
                 log::debug!("socket: cannot read the state of a connection: {error}");
                 false
             }
-        }
+        };
+        self.write_blocked || is_queued
     }
 
-    /// Completes once it is known whether the peer's end of the connection is one in order.
+    /// Completes once it is known whether the peer's end of the connection was followed by a reset.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
             if let Some(recheck) = &mut self.recheck {
@@ -117,7 +123,7 @@
                 self.recheck = None;
             }
             let in_doubt = self.is_end_in_doubt();
-            // A reset may come at any time; it discards what was not acknowledged.
+            // Looked at last: a reset that comes meanwhile leaves nothing unacknowledged.
             if let Some(error) = self.stream.take_error()? {
                 return Poll::Ready(Err(error));
             }
