Test long answers to callers of HTTP/1.0, and name what resets them

A caller that reads a whole answer of 12 MB late gets all of it. Comments on the reset and on the state of a connection say what they are for.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -179,7 +179,7 @@
     over_budget: AtomicBool,
     /// Bytes of response bodies that were queued and are not written yet.
     queued: AtomicUsize,
-    /// Whether only the end of the connection marks the response as complete.
+    /// Whether only the end of the connection shows that the response is complete.
     unframed: AtomicBool,
     /// The task that waits until more may be queued.
     writer: Mutex<Option<Waker>>,
@@ -387,12 +387,12 @@
         }
     }
 
-    /// Marks the answer as one that only the end of the connection marks as complete.
+    /// Marks the answer as one without framing: only the end of the connection shows that it is complete.
     pub(crate) fn begin_unframed(&self) {
         self.0.state.unframed.store(true, Ordering::Release);
     }
 
-    /// Reports whether only the end of the connection marks the answer as complete.
+    /// Reports whether the answer has no framing.
     pub(crate) fn is_unframed(&self) -> bool {
         self.0.state.unframed.load(Ordering::Acquire)
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -52,8 +52,8 @@
 /// process is given to stop.
 const INCOMPLETE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A TCP stream whose writes fail after [`WRITE_STALL_TIMEOUT`] without progress, and which is reset
-/// if it ends before an answer that only its end marks as complete.
+/// A TCP stream whose writes fail after [`WRITE_STALL_TIMEOUT`] without progress. One that is closed
+/// before an answer without framing is complete is reset.
 struct WriteTimeoutStream {
     stream: TcpStream,
     timer: Option<Pin<Box<Sleep>>>,
@@ -64,8 +64,8 @@
 }
 
 impl WriteTimeoutStream {
-    /// Makes a close reset the connection while an answer without framing is under way: its client
-    /// would take the close for the end of the answer.
+    /// Sets whether a close resets the connection. Without a reset, the client of an answer without
+    /// framing takes any close for the end of the answer.
     fn set_resets(&mut self, resets: bool) -> io::Result<()> {
         if self.resets != resets {
             let linger = resets.then_some(Duration::ZERO);
@@ -75,7 +75,7 @@
         Ok(())
     }
 
-    /// Prepares the connection for the next write of an answer.
+    /// Prepares the connection for the next bytes of an answer.
     fn begin_write(&mut self) -> io::Result<()> {
         match self.connection.is_unframed() {
             true => self.set_resets(true),
--- a/src/gateway/socket.rs
+++ b/src/gateway/socket.rs
@@ -63,7 +63,9 @@
 /// The state of a connection, shared by its socket and the pool.
 #[derive(Debug, Default)]
 pub(crate) struct State {
+    /// Whether bytes of the answer to the last request have arrived.
     answering: AtomicBool,
+    /// Whether the peer has ended its side.
     ended: AtomicBool,
 }
 
--- a/tests/old_callers.rs
+++ b/tests/old_callers.rs
@@ -21,6 +21,8 @@
 /// Request header with the form of the answer and the end of the connection.
 const FORM: &str = "x-form";
 const BODY: &str = "all of the answer's body";
+/// Number of times that a long answer repeats the body: more than a box and the kernel hold.
+const LONG: usize = 1 << 19;
 const EVENT_BODY: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
 /// Time in which an answer ends.
 const ANSWER_TIME: Duration = Duration::from_secs(10);
@@ -58,6 +60,7 @@
         "cut-events" => format!("{events}{EVENT_BODY}id: 3"),
         "chunks" => chunk,
         "whole-chunks" => format!("{chunk}0\r\n\r\n"),
+        "long" => format!("\r\n{}", BODY.repeat(LONG)),
         "short" => format!("Content-Length: {short}\r\n\r\n{BODY}"),
         _ => format!("Content-Length: {length}\r\n\r\n{BODY}"),
     };
@@ -171,6 +174,17 @@
     }
 }
 
+// Guards against a reset that discards the end of a whole answer whose caller reads late.
+#[tokio::test]
+async fn long_answers_are_whole() {
+    let cloud = cloud(&["atl"]).await;
+    served(&cloud).await;
+    let stream = ask(&cloud, "/once/x", "long", "long close").await;
+    sleep(BEGIN_TIME).await;
+    let answer = read(stream).await.expect("a whole answer");
+    assert_eq!(answer.len(), BODY.len() * LONG);
+}
+
 // Guards against half an answer that looks whole because its box was killed.
 #[tokio::test]
 async fn answers_of_killed_boxes_are_reset() {
