Check for each broken answer of the tests that it was sent

odd_fields and early_answers compared the number of such answers so far with the number of cases so far. A request that may be repeated is answered twice, so the first runs ahead, and a later case could pass without having reached the server. Each case is now compared with the count before it, on the own interface too.

--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -150,9 +150,10 @@
         .await;
         self.sent += 1;
         let id = format!("0-{}", self.sent);
-        let answer = self.send(path, &id, Some(early)).await;
         let seen = self.early.load(Relaxed);
-        assert!(seen >= self.sent, "{path} {early}: the upload arrives");
+        let answer = self.send(path, &id, Some(early)).await;
+        let arrived = self.early.load(Relaxed) > seen;
+        assert!(arrived, "{path} {early}: the upload arrives");
         answer.filter(|answer| answer.whole && answer.status.is_success())
     }
 }
--- a/tests/odd_fields.rs
+++ b/tests/odd_fields.rs
@@ -198,9 +198,10 @@
         .await;
         server.set(case);
         let path = ROUTES[number % ROUTES.len()];
+        let sent = server.odd.load(Relaxed);
         let answer = ask(&cloud, path, "yes").await;
         wrong.extend(fault(answer).map(|fault| format!("{path} {case:?}: {fault}")));
-        assert!(server.odd.load(Relaxed) > number, "{case:?} was sent");
+        assert!(server.odd.load(Relaxed) > sent, "{case:?} was sent");
     }
     assert_eq!(wrong, Vec::<String>::new());
 }
@@ -237,8 +238,10 @@
             ("idempotency-key", &key),
             (ODD, "yes"),
         ];
+        let sent = server.odd.load(Relaxed);
         let answer = call(entry.public, Method::POST, "/booking/new", &headers, "").await;
         assert_eq!(fault(answer), None, "{case:?}");
+        assert!(server.odd.load(Relaxed) > sent, "{case:?} was sent");
     }
 }
 
