--- a/standin/src/registry.rs
+++ b/standin/src/registry.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
@@ -100,9 +100,21 @@
     key: String,
     revision: u64,
     content: Option<Content>,
+    at: Instant,
 }
 
 impl Change {
+    fn apply(&self, items: &mut Items) {
+        match &self.content {
+            Some(content) => {
+                items.insert(self.key.clone(), (content.clone(), self.revision));
+            }
+            None => {
+                items.remove(&self.key);
+            }
+        }
+    }
+
     /// Returns the change as it stands in answers.
     fn row(&self) -> Vec<u8> {
         let Self { key, revision, .. } = self;
@@ -113,12 +125,27 @@
     }
 }
 
+/// Items by their keys, with the revision of their last change.
+type Items = BTreeMap<String, (Content, u64)>;
+
+/// How old the pages of stale range calls are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PageAges {
+    /// The first page of a list.
+    pub first: Duration,
+    /// All other pages.
+    pub later: Duration,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    items: BTreeMap<String, (Content, u64)>,
+    items: Items,
     history: VecDeque<Change>,
     /// Changes up to this revision have been discarded.
     discarded_revision: u64,
+    /// The items as of that revision.
+    discarded_items: Items,
+    page_ages: PageAges,
     revision: u64,
     /// Number of restores from a backup, plus one.
     era: u64,
@@ -127,10 +154,39 @@
     calls: BTreeMap<&'static str, u64>,
 }
 
+impl Inner {
+    /// Records `change` and discards the oldest one if there are too many.
+    fn record(&mut self, change: Change) {
+        change.apply(&mut self.items);
+        self.history.push_back(change);
+        if self.history.len() > MAX_HISTORY
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.discarded_revision = oldest.revision;
+            oldest.apply(&mut self.discarded_items);
+        }
+    }
+
+    /// Returns the items as they were `age` ago, as far as the history reaches, with their revision.
+    fn items_before(&self, age: Duration) -> (Items, u64) {
+        if age.is_zero() {
+            return (self.items.clone(), self.revision);
+        }
+        let mut items = self.discarded_items.clone();
+        let mut revision = self.discarded_revision.min(self.revision);
+        let old = |change: &&Change| change.at.elapsed() >= age;
+        for change in self.history.iter().take_while(old) {
+            change.apply(&mut items);
+            revision = change.revision;
+        }
+        (items, revision)
+    }
+}
+
 /// A backup of the store's content.
 #[derive(Clone, Debug)]
 pub struct Copy {
-    items: BTreeMap<String, (Content, u64)>,
+    items: Items,
     revision: u64,
 }
 
@@ -166,24 +222,12 @@
         let mut inner = self.lock();
         inner.revision += 1;
         let revision = inner.revision;
-        match &content {
-            Some(content) => {
-                let item = (content.clone(), revision);
-                inner.items.insert(key.to_owned(), item);
-            }
-            None => {
-                inner.items.remove(key);
-            }
-        }
-        inner.history.push_back(Change {
+        inner.record(Change {
             key: key.to_owned(),
             revision,
             content,
+            at: Instant::now(),
         });
-        if inner.history.len() > MAX_HISTORY {
-            let oldest = inner.history.pop_front();
-            inner.discarded_revision = oldest.map_or(0, |c| c.revision);
-        }
         drop(inner);
         self.changed.send_replace(revision);
     }
@@ -235,6 +279,11 @@
         *self.quirk.lock().expect("the lock is never poisoned") = quirk;
     }
 
+    /// Sets how old the pages of stale range calls are.
+    pub fn set_page_ages(&self, ages: PageAges) {
+        self.lock().page_ages = ages;
+    }
+
     /// Ends each page that reaches `key` there.
     pub fn end_pages_at(&self, key: &str) {
         self.lock().page_end = Some(key.to_owned());
@@ -255,6 +304,9 @@
         inner.items = copy.items.clone();
         inner.revision = copy.revision;
         inner.history.retain(|c| c.revision <= copy.revision);
+        if inner.discarded_revision > copy.revision {
+            inner.discarded_items = copy.items.clone();
+        }
         inner.era += 1;
         drop(inner);
         self.changed.send_replace(0);
@@ -264,6 +316,7 @@
     pub fn forget(&self) {
         let mut inner = self.lock();
         inner.discarded_revision = inner.revision;
+        inner.discarded_items = inner.items.clone();
         inner.history.clear();
     }
 
@@ -287,7 +340,12 @@
         let inner = self.lock();
         let prefix = query.get("pathPrefix").cloned().unwrap_or_default();
         let after = query.get("after").cloned().unwrap_or_default();
-        let as_of = inner.revision;
+        let age = match (query.contains_key("serializable"), after.is_empty()) {
+            (false, _) => Duration::ZERO,
+            (true, true) => inner.page_ages.first,
+            (true, false) => inner.page_ages.later,
+        };
+        let (items, as_of) = inner.items_before(age);
         let after = match self.quirk() {
             Quirk::EmptyPages if !after.is_empty() => {
                 return list_answer("items", &[], &json!({ "truncated": true, "asOf": as_of }));
@@ -295,8 +353,8 @@
             Quirk::RepeatedPages => String::new(),
             _ => after,
         };
-        let all = inner.items.iter();
-        let found: Vec<_> = all
+        let found: Vec<_> = items
+            .iter()
             .filter(|(key, _)| key.starts_with(&prefix) && **key > after)
             .take(PAGE_ITEMS + 1)
             .collect();
