Take names of the platform's users as any text

One name failed its row, and that row the version, so the older one stayed in force: `config: 12 is invalid`.

Change: names of customers, services, regions, backend servers and releases are any text when others assign them; our own settings are as strict as before. Between boxes the customer is always encoded. The log quotes names of another form.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -311,7 +311,7 @@
     /// Without an incarnation it is the hash of the name alone.
     pub fn life(&self) -> NameHash {
         match self.incarnation {
-            Some(incarnation) => NameHash::of(&format!("{} {incarnation}", self.name)),
+            Some(incarnation) => NameHash::of(&format!("{} {incarnation}", self.name.as_str())),
             None => NameHash::of(self.name.as_str()),
         }
     }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -401,7 +401,8 @@
         headers.insert(header_name(head::CHECKED), head::value(true));
         headers.insert(header_name(head::RUNS), head::value(send.runs));
         headers.insert(header_name(head::FROM), head::value(&shell.settings.region));
-        headers.insert(header_name(head::CUSTOMER), head::value(&send.customer));
+        let customer = head::encode_name(send.customer.as_str());
+        headers.insert(header_name(head::CUSTOMER), customer);
         let secret = shell.settings.cluster_secret.expose();
         headers.insert(header_name(head::SECRET), head::value(secret));
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -193,7 +193,8 @@
         ));
     }
     let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
-    let customer = text(head::CUSTOMER).and_then(|name| name.parse().ok());
+    let customer = headers.get(head::CUSTOMER).and_then(head::decode_name);
+    let customer = customer.map(Into::into);
     let customer = customer.ok_or_else(|| deny(400, "the relayed request names no customer"))?;
     let hop = match (text(head::HOP), text(head::FROM).map(str::parse)) {
         (Some(head::HOP_RELAY), Some(Ok(region))) => Hop::Relay(region),
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -8,6 +8,7 @@
         RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
     },
 };
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, percent_decode, utf8_percent_encode};
 use serde_json::json;
 
 use crate::{
@@ -183,6 +184,20 @@
     HeaderValue::from_str(&text.to_string()).unwrap_or_else(|_| HeaderValue::from_static("?"))
 }
 
+/// Characters that stand for themselves in a name between boxes: those of this project's own names.
+const PLAIN: &AsciiSet = &NON_ALPHANUMERIC.remove(b'.').remove(b'_').remove(b'-');
+
+/// Converts a name of any text to a header value between boxes.
+pub(crate) fn encode_name(name: &str) -> HeaderValue {
+    value(utf8_percent_encode(name, PLAIN))
+}
+
+/// Reads a name that [`encode_name`] wrote; `None` if it is not one.
+pub(crate) fn decode_name(value: &HeaderValue) -> Option<String> {
+    let name = percent_decode(value.as_bytes()).decode_utf8().ok()?;
+    Some(name.into_owned())
+}
+
 fn title(status: StatusCode) -> &'static str {
     status.canonical_reason().unwrap_or("error")
 }
--- a/src/id.rs
+++ b/src/id.rs
@@ -7,7 +7,7 @@
 /// Maximum length of a name, in bytes.
 pub const MAX_NAME: usize = 64;
 
-/// Why a name was refused.
+/// Why a name of this project's own settings was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
     /// The name has no characters.
@@ -44,11 +44,25 @@
     }
 }
 
+/// Most characters of a name of another system that are shown.
+const MAX_SHOWN: usize = 200;
+
+/// Writes a name for people. One that does not have the form of this project's own names is quoted
+/// and escaped, so that it ends neither a line of the log nor a field of it.
+fn show(name: &str, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    if check(name).is_ok() {
+        return f.write_str(name);
+    }
+    match name.char_indices().nth(MAX_SHOWN) {
+        Some((end, _)) => write!(f, "{:?}...", &name[..end]),
+        None => write!(f, "{name:?}"),
+    }
+}
+
 macro_rules! name {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
+    ($(#[$attribute:meta])* $name:ident) => {
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
+        $(#[$attribute])*
         pub struct $name(Arc<str>);
 
         impl $name {
@@ -66,13 +80,6 @@
             }
         }
 
-        impl TryFrom<String> for $name {
-            type Error = Error;
-            fn try_from(text: String) -> Result<Self, Error> {
-                text.parse()
-            }
-        }
-
         impl From<$name> for String {
             fn from(name: $name) -> String {
                 name.0.as_ref().to_owned()
@@ -81,47 +88,89 @@
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                show(&self.0, f)
             }
         }
 
         impl fmt::Debug for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                show(&self.0, f)
+            }
+        }
+    };
+}
+
+/// A name that only this project's own settings assign.
+macro_rules! own_name {
+    ($(#[$doc:meta])* $name:ident) => {
+        name!(
+            #[serde(try_from = "String", into = "String")]
+            $(#[$doc])*
+            $name
+        );
+
+        impl TryFrom<String> for $name {
+            type Error = Error;
+            fn try_from(text: String) -> Result<Self, Error> {
+                text.parse()
+            }
+        }
+    };
+}
+
+/// A name that other systems assign too, which may choose any text. Text of this project's own
+/// settings is parsed and checked by [`FromStr`].
+macro_rules! any_name {
+    ($(#[$doc:meta])* $name:ident) => {
+        name!(
+            #[serde(from = "String", into = "String")]
+            $(#[$doc])*
+            $name
+        );
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(text.into())
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(text.into())
             }
         }
     };
 }
 
-name!(
+own_name!(
     /// A box: one machine running the gateway. `box` itself is a reserved word in Rust.
     BoxName
 );
-name!(
+any_name!(
     /// A region, the unit that a network partition may cut off.
     Region
 );
-name!(
+own_name!(
     /// A failure domain inside a region.
     Domain
 );
-name!(
+any_name!(
     /// A customer, identified by its API keys.
     Customer
 );
-name!(
+any_name!(
     /// A backend server: a model engine or an application service.
     Backend
 );
-name!(
+any_name!(
     /// The service of a backend server: the name of a model or of an application route.
     Service
 );
-name!(
+any_name!(
     /// The release of the software that a backend server runs.
     Release
 );
-name!(
+own_name!(
     /// A selector of the configuration.
     Selector
 );
