--- a/tests/odd_names.rs
+++ b/tests/odd_names.rs
@@ -26,6 +26,8 @@
         "a\0b",
         " a ",
         "",
+        "anybody",
+        "=anybody",
         "UTF-8''a",
     ];
     let plain = plain.map(str::to_owned).into_iter();
@@ -164,6 +166,28 @@
     assert_eq!(stray, None, "a name ends no line of the log");
 }
 
+/// Guards against a customer that is taken for the callers without a key, since it is called as they
+/// are.
+#[tokio::test]
+async fn callers_without_a_key_are_no_customer() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    let customer = json!([{ "name": "anybody", "apiKeys": ["known"], "homeRegions": ["mcn"] }]);
+    cloud.configure_for(2, customer);
+    eventually("the version is in force", || async {
+        cloud.boxes[0].send("/safe/x", "none", "").await.status == 401
+    })
+    .await;
+    let answer = cloud.boxes[0].send("/open/x", "open", "").await;
+    assert_eq!(
+        answer.status.as_u16(),
+        200,
+        "the customer's home binds its own"
+    );
+    let seen = cloud.workers["i-1"].seen("open").remove(0);
+    assert_eq!(seen.headers.get("tenant"), None);
+    assert_eq!(status(&cloud, "/open/x", "far", "known").await, 503);
+}
+
 /// Guards against relayed requests whose customer the other box does not recognize.
 #[tokio::test]
 async fn relayed_customers_keep_their_names() {
