--- a/src/gateway/rows.rs
+++ b/src/gateway/rows.rs
@@ -28,6 +28,11 @@
 }
 
 impl<T> Rows<T> {
+    /// Reports whether the list had no rows at all.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.unreadable == 0
+    }
+
     /// Describes the rows that were left out, if there are any.
     pub(crate) fn unreadable(&self) -> Option<String> {
         let error = brief(self.first_error.as_ref()?);
--- a/tests/odd_names.rs
+++ b/tests/odd_names.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use harness::{
     cloud::{Cloud, HOST, NEWS},
     eventually,
@@ -257,3 +259,62 @@
     })
     .await;
 }
+
+/// Guards against versions that are not applied because of one row that cannot be parsed.
+#[tokio::test]
+async fn one_unreadable_row_keeps_no_version_out() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    let rows = ["routes", "tenants", "services"];
+    let key_in_no_list = json!({ "name": "lost", "apiKeys": "key-in-no-list" });
+    let broken = [
+        json!(null),
+        json!({ "name": 7 }),
+        json!("text"),
+        json!([]),
+        key_in_no_list,
+    ];
+    let mut number = 1;
+    for list in rows {
+        for row in &broken {
+            number += 1;
+            let case = format!("{list} {row}");
+            let mut content = version(number, Field::Route, "odd");
+            let entries = content[list].as_array_mut().expect("a list");
+            entries.insert(0, row.clone());
+            cloud.registry.put("op/config", &content);
+            assert_in_force(&cloud, number, &case).await;
+        }
+    }
+    // No customer can be read: no request is served, instead of all.
+    let mut content = version(number + 1, Field::Route, "odd");
+    content["tenants"] = json!([7]);
+    cloud.registry.put("op/config", &content);
+    let path = format!("/v{}/x", number + 1);
+    eventually("the version is in force", || async {
+        status(&cloud, &path, "first", &key(number)).await == 401
+    })
+    .await;
+    let log = cloud.boxes[0].log.text();
+    assert!(!log.contains("key-in-no-list"), "a key is logged");
+}
+
+/// Guards against requests of a route that cannot be parsed which then follow a shorter one.
+#[tokio::test]
+async fn requests_of_an_unreadable_route_follow_no_other() {
+    let cloud = Cloud::serving(&["i-1"]).await;
+    let mut content = version(2, Field::Route, "odd");
+    let mut longer = route("longer", "/odd/longer/");
+    longer["kind"] = json!("unknown");
+    content["routes"]
+        .as_array_mut()
+        .expect("a list")
+        .push(longer);
+    cloud.registry.put("op/config", &content);
+    assert_in_force(&cloud, 2, "an unknown kind").await;
+    assert_eq!(status(&cloud, "/odd/x", "a", &key(2)).await, 200);
+    let start = std::time::Instant::now();
+    assert_eq!(status(&cloud, "/odd/longer/x", "b", &key(2)).await, 503);
+    let at_once = Duration::from_millis(500);
+    assert!(start.elapsed() < at_once, "it is refused at once");
+    assert!(cloud.workers["i-1"].seen("b").is_empty());
+}
