Hold streams off a silent server until the retry budget pays

Cause: a stream that a box took off a silent server and that was rejected elsewhere was granted another attempt whatever the budget had (`owed`), without a pause or a limit of attempts.

Change: such a stream waits (reducer/deferred.rs) until the budget has an attempt and a place a slot, before new requests. Nothing overdraws the budget any more.

Why it holds: each attempt but the first is spent from the budget when it is sent, or certainly reached no server.

--- a/src/reducer/line.rs
+++ b/src/reducer/line.rs
@@ -137,13 +137,16 @@
         out.push(Effect::Queued { request, waiting });
     }
 
-    /// Returns the number of requests that wait for `service`, including late ones.
+    /// Returns the number of requests that wait for `service`, including late and deferred ones.
     pub(super) fn waiting_for(&self, service: &Service) -> usize {
-        self.queue.waiting(service) + self.late.waiting(service)
+        let waiting = self.queue.waiting(service) + self.late.waiting(service);
+        waiting + self.deferred.waiting(service)
     }
 
     /// Assigns free slots of a service to waiting requests.
     pub(super) fn drain(&mut self, now: Time, service: &Service, out: &mut Vec<Effect>) {
+        // Their callers have a part of the answer already.
+        self.serve_deferred(now, service, out);
         for line in self.queue.lines(service) {
             self.drain_line(now, &line, out);
         }
@@ -209,6 +212,7 @@
     pub(super) fn drain_all(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut services = self.queue.services();
         services.extend(self.late.services());
+        services.extend(self.deferred.services());
         services.sort_unstable();
         services.dedup();
         for service in services {
--- a/src/reducer/mod.rs
+++ b/src/reducer/mod.rs
@@ -27,6 +27,7 @@
 //! | `outcome` | results of attempts, and final answers |
 //! | `grace` | requests that a planned stop leaves no time for |
 //! | `repeat` | retry budget for attempts beyond the first |
+//! | `deferred` | streams that wait for the retry budget |
 //! | `ask`, `demand` | boxes that a caller should use, by the routes in use |
 //! | `naming` | how often a look-up returns each box |
 //! | `room` | capacity of this box, and whether it is full |
@@ -48,6 +49,7 @@
 mod brittle;
 mod cold;
 mod control;
+mod deferred;
 mod demand;
 mod departure;
 mod detect;
@@ -118,6 +120,7 @@
 pub use grace::Grace;
 pub use outage::CHECK_TIMEOUT;
 
+use deferred::Deferred;
 use effect::Effect;
 use event::Event;
 use job::Job;
@@ -173,6 +176,8 @@
     queue: Queue,
     /// Waiting requests whose answers can no longer begin in time.
     late: Queue,
+    /// Streams that wait for the retry budget.
+    deferred: Deferred,
     fleet: Fleet,
     changes: Changes,
     cache: Cache,
@@ -220,6 +225,7 @@
             distribution: allot::Distribution::default(),
             queue: Queue::default(),
             late: Queue::default(),
+            deferred: Deferred::default(),
             fleet: Fleet::default(),
             changes: Changes::default(),
             cache: Cache::default(),
@@ -420,7 +426,7 @@
 
     /// Returns the number of requests that wait for a slot.
     pub fn waiting(&self) -> usize {
-        self.queue.len() + self.late.len()
+        self.queue.len() + self.late.len() + self.deferred.len()
     }
 
     /// Returns the number of idempotency keys in the ledger.
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -94,6 +94,9 @@
             *begun = Some(now);
         }
         job.answering = true;
+        if job.moved {
+            self.deferred.record_accepted(&job.service);
+        }
         if !job.deadline_covers_answer {
             self.deadlines.remove(&(job.deadline, request));
         }
@@ -207,7 +210,8 @@
             if *region == self.table.me.region);
         let retry_same_region =
             relayed && cause == Cause::Broken || neighbour && cause == Cause::Refused;
-        // A stream that this box moved off its backend server is always given another attempt.
+        // A stream that this box moved off its backend server is given further attempts until its
+        // deadline.
         let owed = job.moved && verdict.is_not_run();
         if retry_same_region || owed || matches!(cause, Cause::Errored | Cause::Leaving) {
             // Allows this place to be tried again: a retry there, or through another box of the
@@ -220,14 +224,15 @@
         let may_retry =
             may_rerun && has_runs_left && spot != Assignment::Pinned && now < job.deadline;
         let (service, known) = (job.service.clone(), job.verdict());
-        let kind = match (cause.may_have_arrived(), owed) {
-            (false, _) => RetryKind::Free,
-            (true, true) => RetryKind::Owed,
-            (true, false) => RetryKind::Ordinary,
+        let kind = match cause.may_have_arrived() {
+            false => RetryKind::Free,
+            true => RetryKind::Ordinary,
         };
         let job = self.jobs.get(&request).filter(|_| may_retry);
         if let Some(reply) = job.and_then(|job| self.grace_refusal(now, job)) {
             self.finish(request, reply, out);
+        } else if may_retry && owed && kind == RetryKind::Ordinary {
+            self.defer(now, request, out);
         } else if may_retry && self.take_retry(now, request, &service, kind, out) {
             if !self.try_place(now, request, out) {
                 self.enqueue(request, out);
@@ -375,6 +380,7 @@
                 let spot = job.queue_position();
                 self.queue.remove(&spot, request);
                 self.late.remove(&spot, request);
+                self.deferred.remove(&spot.service, request);
             }
             Stage::Sent { attempt, .. } => {
                 out.push(Effect::Abort { request, attempt });
--- a/src/reducer/repeat.rs
+++ b/src/reducer/repeat.rs
@@ -20,9 +20,6 @@
     Ordinary,
     /// The previous attempt certainly did not reach a backend server, so the retry is free.
     Free,
-    /// The retry is for a stream that this box moved off its backend server: it is always granted,
-    /// even if it overdraws the budget.
-    Owed,
 }
 
 impl<P: Policy> State<P> {
@@ -38,10 +35,6 @@
     ) -> bool {
         let outcome = match kind {
             RetryKind::Free => Outcome::Free,
-            RetryKind::Owed => {
-                self.budgets.overdraw(service, now);
-                Outcome::Owed
-            }
             RetryKind::Ordinary if self.budgets.spend(service, now) => Outcome::Granted,
             RetryKind::Ordinary => Outcome::Refused,
         };
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -78,9 +78,9 @@
     Refused,
     /// The previous attempt certainly reached no backend server, so this one is not charged.
     Free,
-    /// The attempt continues a stream that was moved off its backend server: it is made even if the
-    /// budget is used up.
-    Owed,
+    /// The attempt continues a stream that was moved off its backend server: it is made once the
+    /// budget has an attempt left.
+    Deferred,
     /// A run is not stopped in order to move it until the budget has an attempt left.
     Postponed,
     /// An engine did not accept the request that resumes a moved run: the reserved attempt is spent.
@@ -93,7 +93,7 @@
         Self::Granted,
         Self::Refused,
         Self::Free,
-        Self::Owed,
+        Self::Deferred,
         Self::Postponed,
         Self::NotResumed,
     ];
@@ -105,7 +105,7 @@
             Self::Granted => "granted",
             Self::Refused => "refused",
             Self::Free => "free",
-            Self::Owed => "owed",
+            Self::Deferred => "deferred",
             Self::Postponed => "postponed",
             Self::NotResumed => "not-resumed",
         })
@@ -367,8 +367,8 @@
         self.counts.entry(service.clone()).or_default().add(outcome);
     }
 
-    /// Takes one attempt even if the budget has none left: later ones have to wait.
-    pub fn overdraw(&mut self, service: &Service, now: Time) {
+    /// Takes one attempt that was made already.
+    fn take(&mut self, service: &Service, now: Time) {
         let window = self.windows.entry(service.clone()).or_default();
         window.current(now).spent += 1;
     }
@@ -379,7 +379,7 @@
         if balance.left() < 1.0 {
             return false;
         }
-        self.overdraw(service, now);
+        self.take(service, now);
         true
     }
 
@@ -403,6 +403,6 @@
     /// Takes a reserved attempt, which was made at `made`.
     pub fn spend_reserved(&mut self, service: &Service, made: Time) {
         self.release(service);
-        self.overdraw(service, made);
+        self.take(service, made);
     }
 }
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -30,6 +30,9 @@
 pub const MODE: &str = "x-mode";
 /// The mode in which the request body is the [`Script`] of the answer.
 pub const SCRIPTED: &str = "scripted";
+/// The mode in which nothing is sent. If it is forced, streams in progress fall silent too; all
+/// connections stay open.
+pub const SILENT: &str = "silent";
 /// The mode in which the answer is a stream with neither a length nor chunks, which ends with its
 /// connection.
 pub const UNFRAMED_STREAM: &str = "stream-unframed";
@@ -179,6 +182,11 @@
         *forced_mode = Some(mode.to_owned());
     }
 
+    fn forced_mode(&self) -> Option<String> {
+        let forced_mode = self.forced_mode.lock().expect("the lock is never poisoned");
+        forced_mode.clone()
+    }
+
     fn extra_header_lines(&self) -> String {
         let extra_headers = self
             .extra_headers
@@ -240,11 +248,7 @@
                 continue;
             }
             let id = request.headers.get("request-id").cloned();
-            let forced_mode = self
-                .forced_mode
-                .lock()
-                .expect("the lock is never poisoned")
-                .clone();
+            let forced_mode = self.forced_mode();
             let asked = request.headers.get(MODE).cloned();
             let mode = forced_mode.or(asked).unwrap_or_default();
             let last = request.headers.get("last-event-id");
@@ -420,7 +424,7 @@
                 sleep(Duration::from_millis(work.unwrap_or_default())).await;
                 (success, true)
             }
-            "silent" => return self.wait(stream, id).await,
+            SILENT => return self.wait(stream, id).await,
             "slow" => {
                 sleep(Duration::from_millis(400)).await;
                 (success, true)
@@ -450,6 +454,9 @@
             if run.is_stopped() {
                 return Ok(false);
             }
+            if self.forced_mode().as_deref() == Some(SILENT) {
+                return self.wait(stream, id).await;
+            }
             let event = format!("id: {number}\ndata: {}\n\n", self.name);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).await.is_err() {
