Charge retries of requests rejected behind a stopping box

Cause: a stopping box marks each answer to another box, and that box takes a marked refusal for one that reached no server. A request that was relayed before the stop may have been rejected by a server first.

Evidence: a server that rejects after 400 ms and a stop after 150 ms: the sending box logs `repeat=free` for a request that the server got.

Change: the reducer tells in its reply whether a server may have got the request, and only refusals without that are marked. The others are plain refusals of the region, which are charged.

Why it holds: an attempt counts as free only if each attempt before it, at the other box too, reached no server.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -97,7 +97,7 @@
         } else {
             reply.verdict
         };
-        answer_reply(&shell, &Reply { verdict, ..reply })
+        answer_reply(&shell, &Reply { verdict, ..reply }, door)
     });
     span.set_attribute("http.response.status_code", response.status().as_u16());
     let checked = door == Ingress::Peer && incoming.parts.headers.contains_key(head::CHECKED);
@@ -114,9 +114,6 @@
     }
     if shell.is_stopping() {
         platform::head::close(headers);
-        if door == Ingress::Peer {
-            headers.insert(head::LEAVING, head::value(true));
-        }
     }
     if checked {
         Checksum::add(&mut response);
@@ -124,13 +121,19 @@
     response
 }
 
-fn answer_reply(shell: &Shell, reply: &Reply) -> Response<Body> {
+fn answer_reply(shell: &Shell, reply: &Reply, door: Ingress) -> Response<Body> {
     let labels = [reply.status.to_string(), reply.verdict.to_string()];
     shell.metrics.replies.with_label_values(&labels).inc();
     let prefix = reply
         .offer_key
         .then(|| shell.new_pin().prefix(&shell.settings.cluster_secret));
-    head::problem(reply, prefix.as_deref(), shell.settings.interface)
+    let mut response = head::problem(reply, prefix.as_deref(), shell.settings.interface);
+    // The other box does not charge the retry of a request that no backend server received.
+    if door == Ingress::Peer && shell.is_stopping() && !reply.arrived {
+        let headers = response.headers_mut();
+        headers.insert(head::LEAVING, head::value(true));
+    }
+    response
 }
 
 async fn serve_public(
@@ -283,7 +286,7 @@
         drive(shell.clone(), prepared, id, orders).await
     };
     guard.armed = false;
-    Ok(result.unwrap_or_else(|reply| answer_reply(shell, &reply)))
+    Ok(result.unwrap_or_else(|reply| answer_reply(shell, &reply, door)))
 }
 
 /// Builds the reply for a request whose task failed; whether the request ran is unknown.
--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -43,8 +43,8 @@
 pub const FROM: &str = "petreldrum-from";
 /// Between boxes: the customer whose API key the sending box verified.
 pub const CUSTOMER: &str = "petreldrum-caller";
-/// Between boxes: the responding box is stopping, and another box of its region may accept the
-/// request.
+/// Between boxes: the responding box is stopping and no backend server received the request, which
+/// another box of its region may accept.
 pub const LEAVING: &str = "petreldrum-leaving";
 /// Marks a request that was relayed by the region that the caller reached.
 pub const HOP_RELAY: &str = "relay";
--- a/src/reducer/effect.rs
+++ b/src/reducer/effect.rs
@@ -215,6 +215,8 @@
     pub limited: bool,
     /// Whether this box stops too soon to finish the request.
     pub stopping: bool,
+    /// Whether a backend server may have received the request.
+    pub arrived: bool,
     /// Whether the reply carries a fresh key prefix.
     pub offer_key: bool,
 }
@@ -229,6 +231,7 @@
             retry_after: None,
             limited: false,
             stopping: false,
+            arrived: false,
             offer_key: false,
         }
     }
--- a/src/reducer/job.rs
+++ b/src/reducer/job.rs
@@ -100,6 +100,8 @@
     pub(super) answering: bool,
     pub(super) tried: Vec<Place>,
     pub(super) may_have_run: bool,
+    /// Whether a backend server may have received the request.
+    pub(super) arrived: bool,
     /// Charge against the customer's allotment, if this box made it.
     pub(super) charge: Option<Charge>,
     /// Position in the queue, once the request was enqueued; it then waits until it is served or
@@ -144,6 +146,7 @@
             answering: false,
             tried: vec![],
             may_have_run: false,
+            arrived: false,
             charge: None,
             position: None,
             stage: Stage::Waiting,
--- a/src/reducer/outcome.rs
+++ b/src/reducer/outcome.rs
@@ -198,6 +198,7 @@
         let Some(job) = self.jobs.get_mut(&request) else {
             return;
         };
+        job.arrived |= cause.may_have_arrived();
         if verdict.is_not_run() {
             job.release_charge();
         } else {
@@ -402,6 +403,7 @@
         self.deadlines.remove(&(job.deadline, request));
         let reply = Reply {
             offer_key: reply.offer_key || (job.owns_key && reply.verdict.is_not_run()),
+            arrived: job.arrived,
             ..reply
         };
         if job.owns_key {
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -47,6 +47,9 @@
 /// Time that a request runs before it crashes its server.
 const CRASH_AFTER: Duration = Duration::from_millis(50);
 
+/// Time before the rejection in mode `slow-full`.
+const SLOW_REJECTION: Duration = Duration::from_millis(400);
+
 /// Pause after each event of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -326,11 +329,13 @@
         let body = format!("{}:{id}", self.name);
         let length = format!("Content-Length: {}\r\n\r\n", body.len());
         let success = head("200 OK", signed) + &length + &body;
+        let full = head("503 Full", "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         let (bytes, keep_alive) = match mode {
-            "full" => (
-                head("503 Full", "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"),
-                true,
-            ),
+            "full" => (full, true),
+            "slow-full" => {
+                sleep(SLOW_REJECTION).await;
+                (full, true)
+            }
             "promise" => (head("503 Hm", signed) + &length + &body, true),
             "error" => (head("500 Error", signed) + &length + &body, true),
             // An error without the additional headers, as from a component that does not add the
