--- a/tests/uneven_pages.rs
+++ b/tests/uneven_pages.rs
@@ -44,6 +44,13 @@
     cloud
 }
 
+/// Registers the first and the last server, which stand on different pages, in this state.
+fn register_outer(cloud: &Cloud, state: &str) {
+    for name in ["i-1", "i-4"] {
+        cloud.register(name, cloud.workers[name].address, "atl", state);
+    }
+}
+
 /// Starts a box that reads pages of these ages.
 async fn add_box(cloud: &mut Cloud, ages: PageAges) {
     cloud.registry.set_page_ages(ages);
@@ -75,10 +82,7 @@
 async fn servers_that_drain_on_a_newer_page_get_no_requests() {
     for ages in UNEVEN {
         let mut cloud = platform().await;
-        for name in ["i-1", "i-4"] {
-            let address = cloud.workers[name].address;
-            cloud.register(name, address, "atl", "draining");
-        }
+        register_outer(&cloud, "draining");
         add_box(&mut cloud, ages).await;
         assert_answering(&cloud, &["i-2", "i-3"], ages).await;
     }
@@ -106,10 +110,7 @@
     for ages in UNEVEN {
         let mut cloud = platform().await;
         for state in ["draining", "ready", "draining"] {
-            for name in ["i-1", "i-4"] {
-                let address = cloud.workers[name].address;
-                cloud.register(name, address, "atl", state);
-            }
+            register_outer(&cloud, state);
         }
         add_box(&mut cloud, ages).await;
         assert_answering(&cloud, &["i-2", "i-3"], ages).await;
@@ -149,10 +150,7 @@
 async fn other_boxes_get_no_gap() {
     for ages in UNEVEN {
         let mut cloud = platform().await;
-        for name in ["i-1", "i-4"] {
-            let address = cloud.workers[name].address;
-            cloud.register(name, address, "atl", "draining");
-        }
+        register_outer(&cloud, "draining");
         add_box(&mut cloud, ages).await;
         let other = cloud.another_store().await;
         other.set_fault(Fault::Silent);
