Wait for the retry of the very request in the test of stopped relays

The test waited for a line of the request and any line of a retry, so a retry of another request could end the wait, and the check then saw none of its own. It waits for the request's own retry now; the assertion is the same and its input cannot be empty.

--- a/tests/stopped_relays.rs
+++ b/tests/stopped_relays.rs
@@ -25,13 +25,14 @@
     let (answer, ()) = join(cloud.boxes[0].send("/safe/x", "one", ""), stop).await;
     assert_ne!(answer.status, 200);
     assert!(!cloud.workers["i-1"].seen("one").is_empty());
-    let log = &cloud.boxes[0].log;
-    eventually("the retry is logged", || async {
-        log.text().contains("id=one ") && log.text().contains("repeat=")
-    })
-    .await;
-    let log = log.text();
-    let mut retries = log.lines().filter(|line| line.contains("id=one "));
-    let free = retries.find(|line| line.contains("repeat=free"));
+    let retries = || {
+        let log = cloud.boxes[0].log.text();
+        let lines = log.lines().filter(|line| line.contains("id=one "));
+        let retries = lines.filter(|line| line.contains("repeat="));
+        retries.map(str::to_owned).collect::<Vec<String>>()
+    };
+    eventually("the retry is logged", || async { !retries().is_empty() }).await;
+    let retries = retries();
+    let free = retries.iter().find(|line| line.contains("repeat=free"));
     assert_eq!(free, None, "a server got the request before");
 }
